--- a/components/gate/src/actor.rs
+++ b/components/gate/src/actor.rs
@@ -3,6 +3,7 @@
 use {
     crate::{budget::Retries, choice::Choice, pool::Pool},
     burn::{Bucket, Series, report::Sample},
+    infra::boxes::List,
     kernel::{
         Failure,
         host::Answerer,
@@ -10,7 +11,6 @@
         verdict::Cause,
         wall,
     },
-    platform::boxes::List,
     std::{
         collections::{BTreeMap, VecDeque},
         sync::Arc,
--- a/components/gate/src/pool.rs
+++ b/components/gate/src/pool.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::share,
-    platform::boxes::{Item, Kind, List, State},
+    infra::boxes::{Item, Kind, List, State},
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
@@ -193,7 +193,7 @@
             rack: Arc::from("r"),
             state: State::Live,
             services: [(Arc::from(service), Arc::from("http://127.0.0.1:1"))].into(),
-            size: platform::Size::default(),
+            size: infra::Size::default(),
             generation: Arc::from(""),
             class: Arc::from("v"),
         };
--- a/components/gate/src/service.rs
+++ b/components/gate/src/service.rs
@@ -7,6 +7,7 @@
         forward::{self, Flights, Shared},
         share,
     },
+    infra::boxes::{Boxes, List},
     kernel::{
         Client, Failure, Host, Remote, Reply, Request, Server,
         client::Limits,
@@ -16,7 +17,6 @@
         token::Token,
     },
     members::roster::Roster,
-    platform::boxes::{Boxes, List},
     std::{
         io,
         net::SocketAddr,
--- a/components/platform/examples/settle.rs
+++ b/components/infra/examples/settle.rs
@@ -1,9 +1,9 @@
 //! A write whose reply is lost, and what is known of it afterwards:
-//! `cargo run -p magpie-platform --example settle`.
+//! `cargo run -p magpie-infra --example settle`.
 
 use {
     kernel::{Failure, verdict::Cause},
-    magpie_platform::{Store, Swap, Versioned, settle},
+    magpie_infra::{Store, Swap, Versioned, settle},
     std::{sync::Mutex, time::Duration},
 };
 
--- a/components/lease/src/epoch.rs
+++ b/components/lease/src/epoch.rs
@@ -1,15 +1,15 @@
 //! The epoch of a cell in the platform's store.
 
 use {
+    infra::{
+        Store,
+        settle::{self, Settled},
+    },
     kernel::{
         Failure,
         verdict::{Cause, Verdict},
         wire,
     },
-    platform::{
-        Store,
-        settle::{self, Settled},
-    },
     serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
--- a/components/members/src/roster.rs
+++ b/components/members/src/roster.rs
@@ -2,8 +2,8 @@
 
 use {
     arc_swap::ArcSwap,
+    infra::boxes::{Boxes, Item, Kind, List, State},
     kernel::task::{self, Signal},
-    platform::boxes::{Boxes, Item, Kind, List, State},
     std::{io, sync::Arc, thread::JoinHandle, time::Duration},
 };
 
--- a/components/sched/benches/decide.rs
+++ b/components/sched/benches/decide.rs
@@ -3,15 +3,15 @@
 //! Each size places the same number of tasks, so the columns compare cost by worker count.
 
 use {
-    magpie_sched_core::{
-        fleet::{Fleet, Heard},
-        placement::{self, Need},
-    },
-    platform::{
+    infra::{
         Size,
         boxes::{Item, Kind, State},
         worker::Task,
     },
+    magpie_sched_core::{
+        fleet::{Fleet, Heard},
+        placement::{self, Need},
+    },
     std::{sync::Arc, time::Instant},
     table::Row,
 };
--- a/components/sched/examples/place.rs
+++ b/components/sched/examples/place.rs
@@ -2,15 +2,15 @@
 //! `cargo run -p magpie-sched-core --example place`.
 
 use {
+    infra::{
+        Size,
+        boxes::{Item, Kind, State},
+    },
     kernel::{Failure, plugin},
     magpie_sched_core::{
         fleet::{Fleet, Heard},
         placement::{self, Need},
     },
-    platform::{
-        Size,
-        boxes::{Item, Kind, State},
-    },
     std::{sync::Arc, time::Instant},
     table::Row,
 };
--- a/components/sched/src/actor/membership.rs
+++ b/components/sched/src/actor/membership.rs
@@ -3,8 +3,8 @@
 use {
     super::{Owned, Scheduler, Shared},
     crate::{directory::Summary, plan},
+    infra::boxes::{Item, Kind, State},
     members::owner,
-    platform::boxes::{Item, Kind, State},
     std::{
         sync::Arc,
         time::{Duration, Instant},
--- a/components/sched/src/actor/mod.rs
+++ b/components/sched/src/actor/mod.rs
@@ -17,6 +17,10 @@
         limits::Limits,
         pass, peer, placement,
     },
+    infra::{
+        boxes::{Kind, List},
+        worker::{Order, Report, Workers},
+    },
     kernel::{
         Failure, Remote,
         stakker::{CX, Cx, after},
@@ -24,10 +28,6 @@
         verdict::Cause,
     },
     lease::{Tenure, Term},
-    platform::{
-        boxes::{Kind, List},
-        worker::{Order, Report, Workers},
-    },
     std::{
         collections::BTreeMap,
         sync::Arc,
@@ -55,7 +55,7 @@
     /// The workers.
     pub workers: Arc<dyn Workers>,
     /// The store.
-    pub store: Arc<dyn platform::Store>,
+    pub store: Arc<dyn infra::Store>,
     /// The terms of the leases.
     pub term: Term,
     /// How often a worker is exchanged with when nothing is due.
--- a/components/sched/src/actor/writes.rs
+++ b/components/sched/src/actor/writes.rs
@@ -3,8 +3,8 @@
 use {
     super::Scheduler,
     crate::commit::Batch,
+    infra::budget::Rank,
     kernel::{Failure, stakker::CX, verdict::Cause},
-    platform::budget::Rank,
     std::sync::Arc,
 };
 
--- a/components/sched/src/book.rs
+++ b/components/sched/src/book.rs
@@ -2,11 +2,11 @@
 
 use {
     crate::job::Spec,
-    kernel::{Failure, wire},
-    platform::{
+    infra::{
         Store,
         settle::{self, Settled},
     },
+    kernel::{Failure, wire},
     rangemap::RangeInclusiveSet,
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, sync::Arc},
--- a/components/sched/src/cell.rs
+++ b/components/sched/src/cell.rs
@@ -11,14 +11,14 @@
         plan,
         queue::Queue,
     },
-    kernel::{Failure, verdict::Cause},
-    lease::{Fencing, Holding, Tenure, Term},
-    platform::{
+    infra::{
         Size,
         boxes::Item,
         budget::Rank,
         worker::{Manner, Order, Stop, Task},
     },
+    kernel::{Failure, verdict::Cause},
+    lease::{Fencing, Holding, Tenure, Term},
     std::{
         collections::{BTreeMap, HashMap},
         sync::Arc,
--- a/components/sched/src/claim.rs
+++ b/components/sched/src/claim.rs
@@ -5,13 +5,13 @@
         actor::Scheduler,
         book::{self, Book},
     },
-    kernel::{Failure, Remote, task::Signal, verdict::Cause},
-    lease::{Record, epoch},
-    platform::{
+    infra::{
         Store,
         budget::{self, Bucket},
         settle::{self, Settled},
     },
+    kernel::{Failure, Remote, task::Signal, verdict::Cause},
+    lease::{Record, epoch},
     std::{
         sync::Arc,
         time::{Duration, Instant},
--- a/components/sched/src/commit.rs
+++ b/components/sched/src/commit.rs
@@ -6,8 +6,8 @@
         cell::Cell,
         job::Job,
     },
+    infra::{budget::Rank, worker::Task},
     kernel::{Failure, sync::lock, verdict::Cause, wall, wire},
-    platform::{budget::Rank, worker::Task},
     std::sync::{Arc, Mutex},
 };
 
--- a/components/sched/src/directory.rs
+++ b/components/sched/src/directory.rs
@@ -4,7 +4,7 @@
 //! keep the newest; a cell whose beat stands still may have lost its owner.
 
 use {
-    platform::Size,
+    infra::Size,
     serde::{Deserialize, Serialize},
     std::{
         collections::BTreeMap,
--- a/components/sched/src/evict.rs
+++ b/components/sched/src/evict.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{cell::Cell, job, placement::Need},
-    platform::{
+    infra::{
         Size,
         worker::{Manner, Task},
     },
--- a/components/sched/src/fleet.rs
+++ b/components/sched/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The workers of a cell as its owner sees them.
 
 use {
-    platform::{
+    infra::{
         Size,
         boxes::{Item, State},
         worker::{Extension, Order, Start, Stop, Task, Throttle},
@@ -325,7 +325,7 @@
 
 #[cfg(test)]
 mod tests {
-    use {super::*, platform::boxes::Kind};
+    use {super::*, infra::boxes::Kind};
 
     pub fn item(name: &str, cpu: u32) -> Item {
         Item {
--- a/components/sched/src/job.rs
+++ b/components/sched/src/job.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::book::Entry,
+    infra::Size,
     kernel::{Failure, settings, verdict::Cause},
-    platform::Size,
     rangemap::RangeInclusiveSet,
     serde::{Deserialize, Serialize},
     std::{
--- a/components/sched/src/limits.rs
+++ b/components/sched/src/limits.rs
@@ -5,7 +5,7 @@
 //! far as the cells' owners have the same list of boxes.
 
 use {
-    platform::{
+    infra::{
         Size,
         boxes::{Kind, List},
     },
@@ -132,12 +132,12 @@
         let items = sizes
             .iter()
             .enumerate()
-            .map(|(n, (hall, cpu))| platform::boxes::Item {
+            .map(|(n, (hall, cpu))| infra::boxes::Item {
                 name: Arc::from(format!("w{n}")),
                 kind: Kind::Worker,
                 hall: Arc::from(*hall),
                 rack: Arc::from("r"),
-                state: platform::boxes::State::Live,
+                state: infra::boxes::State::Live,
                 services: BTreeMap::new(),
                 size: Size::new(*cpu, 1, 0),
                 generation: Arc::from("g"),
--- a/components/sched/src/message.rs
+++ b/components/sched/src/message.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{directory::Summary, job::Spec},
-    platform::Size,
+    infra::Size,
     serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
--- a/components/sched/src/pass.rs
+++ b/components/sched/src/pass.rs
@@ -6,7 +6,7 @@
         commit, evict, job,
         placement::Need,
     },
-    platform::{
+    infra::{
         Size,
         worker::{Start, Task},
     },
--- a/components/sched/src/peer.rs
+++ b/components/sched/src/peer.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::actor::Scheduler,
+    infra::worker::Workers,
     kernel::{Remote, task::Signal},
-    platform::worker::Workers,
     std::{sync::Arc, time::Duration},
 };
 
@@ -61,7 +61,7 @@
     /// Waits after a failure. A worker that fails is not asked sooner for being rung.
     fn back_off(&self, failures: u32) {
         let base = self.heartbeat / 4;
-        let time = platform::budget::backoff(base, BACKOFF_MOST, failures, fastrand::f64());
+        let time = infra::budget::backoff(base, BACKOFF_MOST, failures, fastrand::f64());
         std::thread::sleep(time);
     }
 }
--- a/components/sched/src/placement.rs
+++ b/components/sched/src/placement.rs
@@ -2,11 +2,11 @@
 
 use {
     crate::fleet::Fleet,
+    infra::Size,
     kernel::{
         Failure,
         plugin::{self, Entry},
     },
-    platform::Size,
     std::{any::Any, time::Instant},
     table::{Kind, Row},
 };
--- a/components/sched/src/plan.rs
+++ b/components/sched/src/plan.rs
@@ -2,11 +2,11 @@
 
 use {
     crate::{directory::Directory, job::Spec, limits::Limits},
-    kernel::{Failure, verdict::Cause},
-    platform::{
+    infra::{
         Size,
         boxes::{Kind, List, State},
     },
+    kernel::{Failure, verdict::Cause},
     std::{collections::BTreeSet, sync::Arc},
     table::{Row, Table},
 };
@@ -150,7 +150,7 @@
     use {super::*, test_case::test_case};
 
     fn list() -> List {
-        let item = |name: &str, hall: &str, cpu, generation: &str| platform::boxes::Item {
+        let item = |name: &str, hall: &str, cpu, generation: &str| infra::boxes::Item {
             name: Arc::from(name),
             kind: Kind::Worker,
             hall: Arc::from(hall),
--- a/components/sched/src/queue.rs
+++ b/components/sched/src/queue.rs
@@ -1,7 +1,7 @@
 //! The lines of jobs by class, and what each class and team uses.
 
 use {
-    platform::Size,
+    infra::Size,
     std::{
         collections::{BTreeMap, VecDeque},
         sync::Arc,
--- a/components/sched/src/report.rs
+++ b/components/sched/src/report.rs
@@ -7,7 +7,7 @@
         fleet::Heard,
         job,
     },
-    platform::worker::{Manner, Order, Phase, Record, Refusal, Report, Stop, Task},
+    infra::worker::{Manner, Order, Phase, Record, Refusal, Report, Stop, Task},
     std::{sync::Arc, time::Instant},
 };
 
--- a/components/sched/src/service.rs
+++ b/components/sched/src/service.rs
@@ -8,6 +8,7 @@
         directory::Summary,
         message::{Exchange, Takeover},
     },
+    infra::{Store, boxes::Boxes, worker::Workers},
     kernel::{
         Client, Failure, Host, Server,
         client::Limits,
@@ -17,7 +18,6 @@
     },
     lease::Term,
     members::roster::Roster,
-    platform::{Store, boxes::Boxes, worker::Workers},
     std::{
         io,
         net::SocketAddr,
@@ -142,7 +142,7 @@
         };
         let _ = late.set(port);
         let on_list = remote.clone();
-        let changed = Box::new(move |list: &Arc<platform::List>| {
+        let changed = Box::new(move |list: &Arc<infra::List>| {
             let list = list.clone();
             on_list.tell(move |sched, cx| sched.set_list(cx, list));
         });
@@ -256,12 +256,8 @@
             failures = if failed { failures + 1 } else { 0 };
             let most = Duration::from_secs(3);
             let jitter = fastrand::f64();
-            self.signal.wait(platform::budget::backoff(
-                CLAIM_EVERY,
-                most,
-                failures,
-                jitter,
-            ));
+            self.signal
+                .wait(infra::budget::backoff(CLAIM_EVERY, most, failures, jitter));
         }
     }
 
--- a/components/sched/tests/cell.rs
+++ b/components/sched/tests/cell.rs
@@ -3,15 +3,15 @@
 #![expect(clippy::unwrap_used, reason = "these are tests, helpers included")]
 
 use {
-    lease::{Tenure, Term},
-    magpie_sched_core::{
-        Cell, Spec, book::Book, commit::Effect, job, limits::Limits, pass, placement,
-    },
-    platform::{
+    infra::{
         Size,
         boxes::{Item, Kind, List, State},
         worker::Workers,
     },
+    lease::{Tenure, Term},
+    magpie_sched_core::{
+        Cell, Spec, book::Book, commit::Effect, job, limits::Limits, pass, placement,
+    },
     standin::{Farm, Witness, clock::Clock, ledger::Ledger},
     std::{
         sync::Arc,
--- a/components/sched/tests/claims.rs
+++ b/components/sched/tests/claims.rs
@@ -3,13 +3,13 @@
 #![expect(clippy::unwrap_used, reason = "these are tests, helpers included")]
 
 use {
-    kernel::Host,
-    lease::Term,
-    magpie_sched_core::{Scheduler, actor::Shared},
-    platform::{
+    infra::{
         Size,
         boxes::{Item, Kind, List, State},
     },
+    kernel::Host,
+    lease::Term,
+    magpie_sched_core::{Scheduler, actor::Shared},
     standin::{Farm, Store, Witness, clock::Clock, deploy::entry_item, store::Rates},
     std::{
         sync::Arc,
--- a/components/standin/examples/store.rs
+++ b/components/standin/examples/store.rs
@@ -1,12 +1,12 @@
 //! The stand-in of the store with a fault: `cargo run -p magpie-standin-core --example store`.
 
 use {
+    infra::settle,
     magpie_standin_core::{
         Store,
         clock::Clock,
         store::{Faults, Rates},
     },
-    platform::settle,
 };
 
 fn main() {
--- a/components/standin/src/boxes.rs
+++ b/components/standin/src/boxes.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::port::{self, Asked},
+    infra::boxes::{Boxes, Item, List, State},
     kernel::{Failure, Reply, sync::lock},
-    platform::boxes::{Boxes, Item, List, State},
     std::{
         collections::BTreeMap,
         io,
@@ -148,7 +148,7 @@
 
 #[cfg(test)]
 mod tests {
-    use {super::*, kernel::Client, platform::boxes};
+    use {super::*, infra::boxes, kernel::Client};
 
     #[test]
     fn list_over_http() {
--- a/components/standin/src/deploy.rs
+++ b/components/standin/src/deploy.rs
@@ -9,7 +9,7 @@
         witness::Witness,
         worker::{self, Farm},
     },
-    platform::{
+    infra::{
         Size,
         boxes::{Item, Kind, State},
     },
--- a/components/standin/src/ledger.rs
+++ b/components/standin/src/ledger.rs
@@ -5,11 +5,11 @@
         clock::Clock,
         witness::{End, Witness},
     },
-    kernel::Failure,
-    platform::{
+    infra::{
         Size,
         worker::{self, Manner, Order, Phase, Record, Refusal, Report, Start, Stop, Task, Usage},
     },
+    kernel::Failure,
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, sync::Arc},
 };
@@ -318,7 +318,7 @@
 
 #[cfg(test)]
 mod tests {
-    use {super::*, platform::worker::Extension, test_case::test_case};
+    use {super::*, infra::worker::Extension, test_case::test_case};
 
     fn ledger(clock: &Clock, witness: &Witness) -> Ledger {
         let size = Size::new(4000, 4000, 0);
--- a/components/standin/src/store/mod.rs
+++ b/components/standin/src/store/mod.rs
@@ -6,12 +6,12 @@
 
 use {
     crate::clock::Clock,
-    kernel::{Failure, sync::lock, verdict::Cause},
-    platform::{
+    infra::{
         Store, Swap, Versioned,
         budget::{Bucket, Rank},
         store::MAX_VALUE,
     },
+    kernel::{Failure, sync::lock, verdict::Cause},
     serde::{Deserialize, Serialize},
     std::{
         collections::BTreeMap,
@@ -276,7 +276,7 @@
 
 #[cfg(test)]
 mod tests {
-    use {super::*, kernel::Client, platform::store, std::sync::Arc, test_case::test_case};
+    use {super::*, infra::store, kernel::Client, std::sync::Arc, test_case::test_case};
 
     fn port() -> (Port, store::Http) {
         let core = Arc::new(Core::new(Rates::default(), Clock::real()));
--- a/components/standin/src/store/port.rs
+++ b/components/standin/src/store/port.rs
@@ -3,8 +3,8 @@
 use {
     super::Core,
     crate::port::{self, Asked, Told},
+    infra::{Store, Swap, Versioned, store::VERSION_HEADER},
     kernel::{Failure, Reply, verdict::Cause},
-    platform::{Store, Swap, Versioned, store::VERSION_HEADER},
     std::{io, net::SocketAddr, sync::Arc, thread, time::Duration},
 };
 
--- a/components/standin/src/witness.rs
+++ b/components/standin/src/witness.rs
@@ -1,8 +1,8 @@
 //! What really ran: the stand-ins tell it each start and end, and it notes every breach.
 
 use {
+    infra::worker::Task,
     kernel::sync::lock,
-    platform::worker::Task,
     std::{
         collections::{HashMap, HashSet},
         sync::{Arc, Mutex},
--- a/components/standin/src/worker.rs
+++ b/components/standin/src/worker.rs
@@ -7,16 +7,16 @@
         port::{self, Asked, Told},
         witness::Witness,
     },
+    infra::{
+        Size,
+        worker::{self, Order, Report, Workers},
+    },
     kernel::{
         Failure, Reply,
         sync::lock,
         task::{self, Signal},
         verdict::Cause,
     },
-    platform::{
-        Size,
-        worker::{self, Order, Report, Workers},
-    },
     std::{
         collections::BTreeMap,
         io,
--- a/components/table/src/accept.rs
+++ b/components/table/src/accept.rs
@@ -5,15 +5,15 @@
         book::{Book, Change, Edit, MAX_BOOK},
         message::Outcome,
     },
+    infra::{
+        Store,
+        settle::{self, Settled},
+    },
     kernel::{
         Failure,
         verdict::{Cause, Verdict},
         wall, wire,
     },
-    platform::{
-        Store,
-        settle::{self, Settled},
-    },
 };
 
 /// The key of the table in the store.
--- a/components/table/src/follow.rs
+++ b/components/table/src/follow.rs
@@ -5,12 +5,12 @@
         book::{Book, Table},
         message::{Update, Watch},
     },
+    infra::budget,
     kernel::{
         Client, Failure,
         task::{self, Signal},
     },
     members::roster::View,
-    platform::budget,
     std::{io, sync::Arc, thread::JoinHandle, time::Duration},
 };
 
--- a/components/table/src/row.rs
+++ b/components/table/src/row.rs
@@ -1,7 +1,7 @@
 //! One row: a class of work, its weights and its limits.
 
 use {
-    platform::Size,
+    infra::Size,
     serde::{Deserialize, Serialize},
     std::{fmt, str::FromStr, sync::Arc},
 };
--- a/components/table/src/service.rs
+++ b/components/table/src/service.rs
@@ -7,6 +7,7 @@
         message::{Compare, Current, Outcome, Submit, Update, Watch},
         spread::{self, Shared},
     },
+    infra::{Store, boxes::Boxes},
     kernel::{
         Client, Failure, Host, Reply, Request, Server,
         ops::{self, Readiness},
@@ -16,7 +17,6 @@
         verdict::Cause,
     },
     members::roster::Roster,
-    platform::{Store, boxes::Boxes},
     std::{
         io,
         net::SocketAddr,
--- a/components/table/src/spread.rs
+++ b/components/table/src/spread.rs
@@ -7,13 +7,13 @@
         keeper::Keeper,
         message::{Compare, Compared, Update},
     },
+    infra::{Store, budget},
     kernel::{
         Client, Failure, Remote,
         task::{self, Signal},
         wire,
     },
     members::{owner, roster::View},
-    platform::{Store, budget},
     std::{sync::Arc, time::Duration},
 };
 
--- a/components/trial/src/entry.rs
+++ b/components/trial/src/entry.rs
@@ -2,8 +2,8 @@
 
 use {
     gate::choice,
+    infra::{boxes, store, worker},
     kernel::Client,
-    platform::{boxes, store, worker},
     standin::deploy::entry_item,
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
 };
--- a/components/trial/src/fleet.rs
+++ b/components/trial/src/fleet.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::entry::Entry,
+    infra::boxes::Kind,
     kernel::{Client, Failure},
-    platform::boxes::Kind,
     standin::{Deploy, Platform, deploy::Addresses},
     std::{
         io,
--- a/components/trial/tests/whole_path.rs
+++ b/components/trial/tests/whole_path.rs
@@ -3,12 +3,12 @@
 #![expect(clippy::unwrap_used, reason = "these are tests, helpers included")]
 
 use {
+    infra::Size,
     kernel::{Call, Failure},
     magpie_trial::{
         Fleet,
         fleet::{TIMEOUT, wait},
     },
-    platform::Size,
     sched::{
         Spec, Status, job,
         message::{Cancel, Drain, Named, Submit},
--- a/programs/burn/src/cli.rs
+++ b/programs/burn/src/cli.rs
@@ -2,12 +2,12 @@
 
 use {
     argh::FromArgs,
+    infra::boxes,
     kernel::{
         Client, daemon,
         settings::{Fault, Reader},
         token::Token,
     },
-    platform::boxes,
 };
 
 /// Reports how fast the services burn their error budgets. Each flag has a variable; the flag goes
--- a/programs/burn/src/main.rs
+++ b/programs/burn/src/main.rs
@@ -4,8 +4,8 @@
 
 use {
     burn::report::{self, Sample},
+    infra::{boxes::Boxes, boxes::Kind},
     kernel::{Client, Failure, daemon, wall},
-    platform::{boxes::Boxes, boxes::Kind},
     std::{process, sync::Arc, time::Duration},
 };
 
--- a/programs/ctl/src/job.rs
+++ b/programs/ctl/src/job.rs
@@ -7,7 +7,7 @@
         exit::Error,
         show,
     },
-    platform::Size,
+    infra::Size,
     sched::{
         Spec, Status,
         message::{Ask, Cancel, Named, Submit},
--- a/programs/demo/src/jobs.rs
+++ b/programs/demo/src/jobs.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::world::World,
+    infra::Size,
     kernel::{Failure, sync::lock},
-    platform::Size,
     sched::{
         Spec, Status, job,
         message::{Cancel, Submit},
--- a/programs/gate/src/cli.rs
+++ b/programs/gate/src/cli.rs
@@ -3,12 +3,12 @@
 use {
     argh::FromArgs,
     gate::{Settings, choice},
+    infra::boxes,
     kernel::{
         Client, daemon,
         settings::{Fault, Reader},
     },
     log::LevelFilter,
-    platform::boxes,
     std::{sync::Arc, time::Duration},
 };
 
--- a/programs/load/src/added.rs
+++ b/programs/load/src/added.rs
@@ -4,8 +4,8 @@
     crate::{cli, machine},
     gate::{Service, Settings, choice},
     hdrhistogram::Histogram,
+    infra::Store,
     kernel::{Call, Client},
-    platform::Store,
     serde::Serialize,
     standin::{Backend, Registry, Witness, clock::Clock, deploy::entry_item, store},
     std::{
@@ -83,7 +83,7 @@
     let registry = Registry::new(Duration::ZERO);
     let backend = Backend::open(any, Duration::ZERO, 1, Witness::new())?;
     let mut item = entry_item("s1", "h1", &[("http", backend.url())]);
-    item.kind = platform::boxes::Kind::Backend;
+    item.kind = infra::boxes::Kind::Backend;
     item.class = Arc::from(CLASS);
     registry.put(item);
     let name: Arc<str> = Arc::from("b1");
--- a/programs/load/src/slope/exchange.rs
+++ b/programs/load/src/slope/exchange.rs
@@ -6,7 +6,7 @@
         fit::{self, Fit, Point},
         machine,
     },
-    platform::worker::{self, Order, Workers},
+    infra::worker::{self, Order, Workers},
     sched::service,
     standin::{Farm, Witness, clock::Clock},
     std::sync::Arc,
--- a/programs/load/src/slope/list.rs
+++ b/programs/load/src/slope/list.rs
@@ -6,7 +6,7 @@
         fit::{self, Fit, Point},
         machine,
     },
-    platform::boxes::List,
+    infra::boxes::List,
 };
 
 /// Boxes in the list.
--- a/programs/load/src/slope/messages.rs
+++ b/programs/load/src/slope/messages.rs
@@ -3,7 +3,7 @@
 use {
     super::rig::TASK,
     crate::fit::{self, Fit, Point},
-    platform::worker::{self, Extension, Order, Phase, Record, Report, Start, Task, Workers},
+    infra::worker::{self, Extension, Order, Phase, Record, Report, Start, Task, Workers},
     sched::service,
     std::{io::Read, net::TcpListener, sync::Arc, thread},
 };
--- a/programs/load/src/slope/pick.rs
+++ b/programs/load/src/slope/pick.rs
@@ -3,11 +3,11 @@
 use {
     crate::fit::{self, Fit, Point},
     gate::{Gate, actor::Wanted, choice},
-    kernel::{Failure, Host, host::Answerer, stakker::Cx},
-    platform::{
+    infra::{
         Size,
         boxes::{Item, Kind, List, State},
     },
+    kernel::{Failure, Host, host::Answerer, stakker::Cx},
     std::{
         sync::Arc,
         time::{Duration, Instant},
--- a/programs/load/src/slope/rig.rs
+++ b/programs/load/src/slope/rig.rs
@@ -1,12 +1,12 @@
 //! A cell with workers in memory and a clock set by hand.
 
 use {
-    lease::{Tenure, Term},
-    platform::{
+    infra::{
         Size,
         boxes::{Item, Kind, List, State},
         worker::Workers,
     },
+    lease::{Tenure, Term},
     sched::{Cell, Spec, book::Book, job, limits::Limits, pass, placement},
     standin::{Farm, Witness, clock::Clock},
     std::{
--- a/programs/load/src/slope/spread.rs
+++ b/programs/load/src/slope/spread.rs
@@ -5,8 +5,8 @@
         fit::{self, Fit, Point},
         machine,
     },
+    infra::Store,
     kernel::{Client, Failure},
-    platform::Store,
     standin::{Registry, clock::Clock, deploy::entry_item, store},
     std::{
         io,
--- a/programs/load/src/slope/summaries.rs
+++ b/programs/load/src/slope/summaries.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::fit::{self, Fit, Point},
+    infra::Size,
     kernel::wire,
-    platform::Size,
     sched::{directory::Summary, message::Exchange},
     std::sync::Arc,
 };
--- a/programs/load/src/slope/writes.rs
+++ b/programs/load/src/slope/writes.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::fit::{self, Fit, Point},
+    infra::Size,
     kernel::Failure,
-    platform::Size,
     sched::{Spec, Status, job, message::Submit},
     standin::Deploy,
     std::{
--- a/programs/load/src/takeover.rs
+++ b/programs/load/src/takeover.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::cli,
+    infra::Size,
     kernel::{Failure, daemon, settings},
-    platform::Size,
     sched::{Spec, Status, job, message::Submit},
     serde::Serialize,
     standin::Deploy,
--- a/programs/sched/src/cli.rs
+++ b/programs/sched/src/cli.rs
@@ -2,13 +2,13 @@
 
 use {
     argh::FromArgs,
+    infra::{boxes, store, worker},
     kernel::{
         Client, daemon,
         settings::{Fault, Reader},
     },
     lease::Term,
     log::LevelFilter,
-    platform::{boxes, store, worker},
     sched::{Settings, placement, service},
     std::{sync::Arc, time::Duration},
 };
--- a/programs/standin/src/platform.rs
+++ b/programs/standin/src/platform.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::cli,
+    infra::boxes::Item,
     kernel::{daemon, settings},
-    platform::boxes::Item,
     standin::{
         Deploy,
         deploy::{Addresses, Platform, entry_item},
--- a/programs/standin/src/worker.rs
+++ b/programs/standin/src/worker.rs
@@ -3,8 +3,8 @@
 
 use {
     crate::cli,
+    infra::Size,
     kernel::daemon,
-    platform::Size,
     standin::{Farm, Witness, clock::Clock},
     std::sync::Arc,
 };
--- a/programs/table/src/cli.rs
+++ b/programs/table/src/cli.rs
@@ -2,12 +2,12 @@
 
 use {
     argh::FromArgs,
+    infra::{boxes, store},
     kernel::{
         Client, daemon,
         settings::{Fault, Reader},
     },
     log::LevelFilter,
-    platform::{boxes, store},
     std::sync::Arc,
     table::service::Settings,
 };
