--- a/programs/standin/src/main.rs
+++ b/programs/standin/src/main.rs
@@ -13,7 +13,7 @@
     let arguments: cli::Arguments = daemon::arguments();
     daemon::begin(log::LevelFilter::Info);
     match arguments.command {
-        Command::Platform(command) => infra::run(&command),
+        Command::Platform(command) => platform::run(&command),
         Command::Store(command) => store::run(&command),
         Command::Boxes(command) => boxes::run(&command),
         Command::Worker(command) => worker::run(&command),
