--- a/components/node/src/follow.rs
+++ b/components/node/src/follow.rs
@@ -103,7 +103,7 @@
     let watched = node
         .outside
         .store
-        .watch(&item.key, item.revision, WATCH_WAIT);
+        .watch(&item.key, item.at, WATCH_WAIT);
     if watched.is_err() {
         thread::sleep(STORE_PAUSE);
     }
--- a/components/node/src/store.rs
+++ b/components/node/src/store.rs
@@ -11,6 +11,9 @@
     pub value: Vec<u8>,
     /// The store's revision of the last change of this key.
     pub revision: u64,
+    /// The store's revision when this was read: a watch goes on from here, since the history of
+    /// an old change may be gone.
+    pub at: u64,
 }
 
 /// A page of keys in their order.
