Count a former owner's leases until the first renewal

Cause: at a takeover a worker's granted deadline was 0 until the second poll, which waits while ends cannot be written down; the tick then took all leases there for over after 0.3 s and freed tasks that ran on. Ruled out: a worker missing from the list (the log names it adopted and then expired). Change: the first report sets the granted deadline to a whole lease.

--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -29,11 +29,14 @@
 impl Cell {
     /// Takes in a worker's report.
     pub fn report(&mut self, id: &Arc<str>, report: Report, sent: u64, now: u64, wall: u64) {
+        let lease = self.timing.lease;
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         if !worker.fenced {
             log::info!(target: "cell", worker = &**id, running = report.running.len(), ended = report.ended.len(); "A worker is under the fence of this owner.");
+            // A former owner may have given a whole lease just before.
+            worker.granted = worker.granted.max(report.clock + lease);
         }
         worker.fenced = true;
         worker.clock = Some(Clock {
--- /dev/null
+++ b/components/cell/tests/common/mod.rs
@@ -0,0 +1,186 @@
+//! A cell with workers and jobs, for tests that set the clock themselves.
+
+#![expect(dead_code, reason = "each test file uses its own part")]
+
+use {
+    job::{Address, Id, Queue, Record, Spec, State, Step, Submission, spec::Size},
+    magpie_cell::{Cell, End, Entry, How, Order, Outcome, Report, Run, Start, Timing},
+    std::sync::Arc,
+};
+
+pub const TIMING: Timing = Timing {
+    lease: 6_000,
+    stop: 900,
+    pace: 100,
+};
+
+/// The job that most tests submit.
+pub const JOB: &str = "00000000000000a1";
+
+pub fn entry(id: &str, cores: u64) -> Entry {
+    Entry {
+        id: id.into(),
+        pool: "pool".into(),
+        address: format!("10.0.0.1:{id}").into(),
+        hall: "h1".into(),
+        size: Size {
+            cpu: cores * 1_000,
+            memory: cores * 4_000,
+            gpus: 0,
+        },
+        labels: vec!["a".into(), "r1".into()],
+        leaving: false,
+        remaining: None,
+    }
+}
+
+pub fn step(count: u32, cpu: u64) -> Step {
+    Step {
+        count,
+        size: Size {
+            cpu,
+            memory: 100,
+            gpus: 0,
+        },
+        estimate: 1_000,
+        ..Step::default()
+    }
+}
+
+pub fn submission(id: &str, steps: Vec<Step>) -> Submission {
+    Submission {
+        id: Id::new(id).unwrap(),
+        spec: Spec {
+            text: "text".into(),
+            steps,
+            timetable: None,
+        },
+        queue: Queue {
+            name: "queue".into(),
+            host: "h".into(),
+            prefix: "/".into(),
+            pool: "pool".into(),
+            priority: 0,
+            attempts: 2,
+            stretch: 2.0,
+            target: 100,
+            advised: false,
+        },
+        accepted: 1,
+    }
+}
+
+/// A cell and the time in it, as its owner would drive it.
+pub struct World {
+    pub cell: Cell,
+    pub now: u64,
+}
+
+impl World {
+    /// A cell with workers of 4 cores that have answered.
+    pub fn new(workers: &[&str]) -> Self {
+        let mut world = World::unheard(workers);
+        for worker in workers {
+            world.report(worker, vec![], vec![]);
+        }
+        world
+    }
+
+    /// The same, with workers that have not answered yet.
+    pub fn unheard(workers: &[&str]) -> Self {
+        let mut cell = Cell::new(TIMING);
+        let entries = workers.iter().map(|id| entry(id, 4)).collect();
+        cell.list(entries, 1_000);
+        World { cell, now: 1_000 }
+    }
+
+    pub fn submit(&mut self, id: &str, steps: Vec<Step>) {
+        assert!(self.cell.admit(submission(id, steps), 1));
+    }
+
+    /// A job that a former owner had begun.
+    pub fn resume(&mut self, id: &str, steps: Vec<Step>) {
+        let record = Record {
+            state: State::Running,
+            run: 1,
+            ..Record::default()
+        };
+        self.cell.resume(submission(id, steps), &record, 1);
+    }
+
+    /// A report whose request was just sent.
+    pub fn report(&mut self, worker: &str, running: Vec<Run>, ended: Vec<End>) {
+        let report = Report {
+            clock: self.now + 50_000,
+            running,
+            ended,
+        };
+        let id: Arc<str> = worker.into();
+        self.cell.report(&id, report, self.now, self.now, 1);
+        self.cell.poll(worker, self.now);
+    }
+
+    /// Places, and returns the starts that were ordered, by worker.
+    pub fn starts(&mut self) -> Vec<(Arc<str>, Start)> {
+        self.cell.place(self.now);
+        let mut starts = Vec::new();
+        for (worker, order) in self.cell.take_orders() {
+            if let Order::Start(start) = order {
+                starts.push((worker, start));
+            }
+        }
+        starts
+    }
+
+    /// The runs that were ordered to stop, by worker.
+    pub fn stops(&mut self) -> Vec<(Arc<str>, u64)> {
+        let mut stops = Vec::new();
+        for (worker, order) in self.cell.take_orders() {
+            if let Order::Stop { run, .. } = order {
+                stops.push((worker, run));
+            }
+        }
+        stops
+    }
+
+    pub fn answer(&mut self, worker: &Arc<str>, start: &Start, outcome: Outcome) {
+        let order = Order::Start(start.clone());
+        self.cell.answered(worker, &order, outcome, self.now);
+    }
+
+    /// Writes down what is to be written.
+    pub fn write(&mut self) {
+        let change = self.cell.take_change(100);
+        self.cell.written(&change);
+    }
+}
+
+pub fn run(job: &str, index: u32, number: u64) -> Run {
+    Run {
+        job: Id::new(job).unwrap(),
+        address: Address {
+            time: 0,
+            step: 0,
+            index,
+        },
+        run: number,
+        saved: None,
+        percent: 100,
+        figure: 0,
+    }
+}
+
+pub fn end(number: u64, job: &str, step: u16, run: u64, how: How) -> End {
+    End {
+        number,
+        job: Id::new(job).unwrap(),
+        address: Address {
+            time: 0,
+            step,
+            index: 0,
+        },
+        run,
+        how,
+        saved: None,
+    }
+}
