--- /dev/null
+++ b/components/cell/tests/ends.rs
@@ -0,0 +1,255 @@
+//! What reports and answers to orders mean for tasks.
+
+mod common;
+
+use {
+    common::{JOB, World, end, run, step},
+    job::{Id, State},
+    magpie_cell::{How, Outcome, Reason},
+    test_case::test_case,
+};
+
+fn state(world: &World) -> Option<State> {
+    world.cell.state(&Id::new(JOB).unwrap())
+}
+
+/// Starts the only task of the job on `w1`, and returns its run.
+fn started(world: &mut World) -> u64 {
+    let starts = world.starts();
+    assert_eq!(starts.len(), 1);
+    let (worker, start) = &starts[0];
+    world.answer(worker, start, Outcome::Done);
+    start.run
+}
+
+#[test]
+fn done_shown_after_write() {
+    let mut world = World::new(&["w1"]);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    let run = started(&mut world);
+    world.now += 1_000;
+    world.report("w1", vec![], vec![end(1, JOB, 0, run, How::Done)]);
+    assert_eq!(state(&world), Some(State::Running));
+    assert!(world.cell.is_unwritten("w1"));
+    world.write();
+    assert_eq!(state(&world), Some(State::Completed));
+    assert!(!world.cell.is_unwritten("w1"));
+    assert_eq!(world.cell.poll("w1", world.now).unwrap().seen, 1);
+}
+
+#[test]
+fn done_opens_next_step() {
+    let mut world = World::new(&["w1"]);
+    let mut second = step(2, 1_000);
+    second.after = vec![0];
+    world.submit(JOB, vec![step(1, 1_000), second]);
+    let run = started(&mut world);
+    world.report("w1", vec![], vec![end(1, JOB, 0, run, How::Done)]);
+    assert_eq!(world.starts().len(), 2);
+}
+
+/// Ends that are not acknowledged are listed again.
+#[test]
+fn end_listed_again_counts_once() {
+    let mut world = World::new(&["w1"]);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    let run = started(&mut world);
+    for _ in 0..3 {
+        world.report("w1", vec![], vec![end(1, JOB, 0, run, How::Failed)]);
+    }
+    assert_eq!(state(&world), Some(State::Running));
+}
+
+#[test]
+fn failed_as_often_as_allowed() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    for number in 1..=2 {
+        let starts = world.starts();
+        let (worker, start) = &starts[0];
+        world.answer(worker, start, Outcome::Done);
+        let failed = end(number, JOB, 0, start.run, How::Failed);
+        world.report(&worker.clone(), vec![], vec![failed]);
+        world.now += 10;
+    }
+    world.write();
+    assert_eq!(state(&world), Some(State::Failed));
+    assert!(world.starts().is_empty());
+}
+
+/// The former owner wrote the failure down and died before it acknowledged it to the worker.
+#[test]
+fn failed_counted_by_former_owner() {
+    let mut world = World::new(&["w1"]);
+    let record = job::Record {
+        state: State::Running,
+        run: 1,
+        failures: vec![(0, 1, 1)],
+        ..job::Record::default()
+    };
+    let submission = common::submission(JOB, vec![step(1, 1_000)]);
+    world.cell.resume(submission, &record, 1);
+    world.report("w1", vec![], vec![end(1, JOB, 0, 1, How::Failed)]);
+    world.write();
+    assert_eq!(state(&world), Some(State::Running));
+    assert_eq!(world.starts().len(), 1);
+}
+
+#[test_case(How::Stopped; "stopped")]
+#[test_case(How::Lapsed; "lapsed")]
+#[test_case(How::Broken; "broken")]
+#[test_case(How::Alone; "alone")]
+fn interrupted_starts_again(how: How) {
+    let mut world = World::new(&["w1"]);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    let run = started(&mut world);
+    let mut ended = end(1, JOB, 0, run, how);
+    ended.saved = Some("point".into());
+    world.report("w1", vec![], vec![ended]);
+    let starts = world.starts();
+    assert_eq!(starts[0].1.run, run + 1);
+    assert_eq!(starts[0].1.saved.as_deref(), Some("point"));
+}
+
+/// An order without an answer may be carried out until its deadline on the worker's clock.
+#[test]
+fn unknown_start_waits_for_deadline() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    let starts = world.starts();
+    let (worker, start) = starts[0].clone();
+    world.answer(&worker, &start, Outcome::Unknown);
+    world.now += 1_000;
+    world.report(&worker, vec![], vec![]);
+    assert!(world.starts().is_empty());
+    world.now += 600;
+    world.report(&worker, vec![], vec![]);
+    let again = world.starts();
+    assert_eq!(again.len(), 1);
+    assert!(again[0].1.run > start.run);
+}
+
+#[test]
+fn unknown_start_found_running() {
+    let mut world = World::new(&["w1"]);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    let (worker, start) = world.starts()[0].clone();
+    world.answer(&worker, &start, Outcome::Unknown);
+    world.now += 5_000;
+    world.report(&worker, vec![run(JOB, 0, start.run)], vec![]);
+    assert!(world.starts().is_empty());
+    assert_eq!(state(&world), Some(State::Running));
+}
+
+#[test_case(Reason::Room; "room")]
+#[test_case(Reason::Late; "late")]
+#[test_case(Reason::Old; "old")]
+#[test_case(Reason::Unwell; "unwell")]
+#[test_case(Reason::NotSent; "not sent")]
+fn refused_start_goes_elsewhere(reason: Reason) {
+    let mut world = World::new(&["w1", "w2"]);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    let (worker, start) = world.starts()[0].clone();
+    world.answer(&worker, &start, Outcome::Refused(reason));
+    let again = world.starts();
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].0, worker);
+    assert!(again[0].1.run > start.run);
+}
+
+#[test]
+fn refused_for_fence_deposes() {
+    let mut world = World::new(&["w1"]);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    let (worker, start) = world.starts()[0].clone();
+    let order = magpie_cell::Order::Start(start);
+    let outcome = Outcome::Refused(Reason::Fence);
+    assert!(world.cell.answered(&worker, &order, outcome, world.now));
+}
+
+#[test]
+fn other_life_frees_all() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    let (worker, start) = world.starts()[0].clone();
+    let order = magpie_cell::Order::Start(start);
+    let outcome = Outcome::Refused(Reason::OtherLife);
+    assert!(!world.cell.answered(&worker, &order, outcome, world.now));
+    assert!(!world.cell.knows(&worker));
+    assert_eq!(world.starts().len(), 1);
+}
+
+#[test]
+fn cancel_stops_and_stays() {
+    let mut world = World::new(&["w1"]);
+    world.submit(JOB, vec![step(2, 1_000)]);
+    let starts = world.starts();
+    for (worker, start) in &starts {
+        world.answer(worker, start, Outcome::Done);
+    }
+    assert!(world.cell.cancel(&Id::new(JOB).unwrap(), world.now, 1));
+    assert_eq!(world.stops().len(), 2);
+    assert_eq!(state(&world), Some(State::Cancelled));
+    let run = starts[0].1.run;
+    world.report("w1", vec![], vec![end(1, JOB, 0, run, How::Stopped)]);
+    assert!(world.starts().is_empty());
+    world.write();
+    assert_eq!(state(&world), Some(State::Cancelled));
+}
+
+/// A late order that is carried out after its job was cancelled and forgotten.
+#[test]
+fn stray_is_stopped() {
+    let mut world = World::new(&["w1"]);
+    world.report("w1", vec![run(JOB, 3, 9)], vec![]);
+    assert_eq!(world.stops(), [("w1".into(), 9)]);
+    world.report("w1", vec![run(JOB, 3, 9)], vec![]);
+    assert!(world.stops().is_empty());
+    world.now += 600;
+    world.report("w1", vec![run(JOB, 3, 9)], vec![]);
+    assert_eq!(world.stops().len(), 1);
+}
+
+/// The same task on two workers: the second one listed goes.
+#[test]
+fn second_run_is_stopped() {
+    let mut world = World::unheard(&["w1", "w2"]);
+    world.resume(JOB, vec![step(1, 1_000)]);
+    world.report("w1", vec![run(JOB, 0, 2)], vec![]);
+    world.report("w2", vec![run(JOB, 0, 1)], vec![]);
+    assert_eq!(world.stops(), [("w2".into(), 1)]);
+}
+
+#[test]
+fn silent_worker_frees_after_lease() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    let (worker, start) = world.starts()[0].clone();
+    world.answer(&worker, &start, Outcome::Done);
+    world.cell.poll(&worker, world.now);
+    let other = if &*worker == "w1" { "w2" } else { "w1" };
+    world.now += 6_300;
+    world.report(other, vec![], vec![]);
+    world.cell.lapse(world.now);
+    assert!(world.starts().is_empty());
+    world.now += 200;
+    world.cell.lapse(world.now);
+    assert_eq!(world.starts().len(), 1);
+}
+
+#[test]
+fn new_life_frees_at_once() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.submit(JOB, vec![step(1, 4_000)]);
+    let (worker, start) = world.starts()[0].clone();
+    world.answer(&worker, &start, Outcome::Done);
+    let mut new = common::entry("w9", 4);
+    new.address = common::entry(&worker, 4).address;
+    let other = if &*worker == "w1" { "w2" } else { "w1" };
+    let added = world
+        .cell
+        .list(vec![new, common::entry(other, 4)], world.now);
+    assert_eq!(added.len(), 1);
+    assert!(!world.cell.knows(&worker));
+    assert_eq!(world.starts().len(), 1);
+}
--- /dev/null
+++ b/components/cell/tests/place.rs
@@ -0,0 +1,266 @@
+//! Which worker a task is given, and when it may start.
+
+mod common;
+
+use {
+    common::{JOB, World, end, entry, run, step, submission},
+    job::{Id, spec::Timetable},
+    magpie_cell::{How, Outcome, Report},
+    std::{collections::HashSet, sync::Arc},
+};
+
+fn workers(world: &mut World) -> Vec<Arc<str>> {
+    world
+        .starts()
+        .into_iter()
+        .map(|(worker, _)| worker)
+        .collect()
+}
+
+#[test]
+fn room_is_never_passed() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.submit(JOB, vec![step(20, 1_500)]);
+    assert_eq!(workers(&mut world).len(), 4);
+}
+
+#[test]
+fn spread_bounds_tasks_on_a_worker() {
+    let mut world = World::new(&["w1", "w2"]);
+    let mut apart = step(5, 100);
+    apart.spread = 2;
+    world.submit(JOB, vec![apart]);
+    let placed = workers(&mut world);
+    assert_eq!(placed.len(), 4);
+    assert_eq!(placed.iter().filter(|worker| &***worker == "w1").count(), 2);
+}
+
+#[test]
+fn label_must_be_there() {
+    let mut world = World::new(&["w1"]);
+    let mut odd = step(1, 100);
+    odd.label = Some("b".into());
+    world.submit(JOB, vec![odd]);
+    assert!(workers(&mut world).is_empty());
+}
+
+#[test]
+fn other_pool_gets_nothing() {
+    let mut world = World::new(&["w1"]);
+    let mut other = submission(JOB, vec![step(1, 100)]);
+    other.queue.pool = "another".into();
+    world.cell.admit(other, 1);
+    assert!(workers(&mut world).is_empty());
+}
+
+#[test]
+fn rack_of_the_data_goes_first() {
+    let mut world = World::new(&["w1", "w2"]);
+    let mut near = entry("w3", 4);
+    near.labels = vec!["a".into(), "r7".into()];
+    world
+        .cell
+        .list(vec![entry("w1", 4), entry("w2", 4), near], world.now);
+    world.report("w3", vec![], vec![]);
+    let mut bound = step(2, 1_000);
+    bound.rack = Some("r7".into());
+    world.submit(JOB, vec![bound]);
+    assert_eq!(workers(&mut world), ["w3".into(), "w3".into()]);
+}
+
+#[test]
+fn leaving_worker_gets_nothing() {
+    let mut world = World::new(&["w1"]);
+    let mut leaving = entry("w1", 4);
+    leaving.leaving = true;
+    world.cell.list(vec![leaving], world.now);
+    world.submit(JOB, vec![step(1, 100)]);
+    assert!(workers(&mut world).is_empty());
+}
+
+#[test]
+fn unfenced_worker_gets_nothing() {
+    let mut world = World::unheard(&["w1"]);
+    world.submit(JOB, vec![step(1, 100)]);
+    assert!(workers(&mut world).is_empty());
+}
+
+#[test]
+fn failing_worker_is_set_aside() {
+    let mut world = World::new(&["w1"]);
+    let other = "00000000000000b2";
+    world.submit(JOB, vec![step(1, 1_000)]);
+    world.submit(other, vec![step(1, 1_000)]);
+    let starts = world.starts();
+    for (worker, start) in &starts {
+        world.answer(worker, start, Outcome::Done);
+    }
+    let ends = vec![
+        end(1, JOB, 0, 1, How::Failed),
+        end(2, other, 0, 1, How::Failed),
+    ];
+    world.report("w1", vec![], ends);
+    assert!(workers(&mut world).is_empty());
+    world.now += 3_000;
+    world.report("w1", vec![], vec![]);
+    assert_eq!(workers(&mut world).len(), 2);
+}
+
+#[test]
+fn urgent_job_goes_first() {
+    let mut world = World::new(&["w1"]);
+    let mut batch = submission(JOB, vec![step(1, 4_000)]);
+    batch.queue.priority = 2;
+    world.cell.admit(batch, 1);
+    world.submit("00000000000000b2", vec![step(1, 4_000)]);
+    let starts = world.starts();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].1.key.job.as_str(), "00000000000000b2");
+}
+
+#[test]
+fn timetable_not_before_due() {
+    let mut world = World::new(&["w1"]);
+    let mut timed = submission(JOB, vec![step(1, 100)]);
+    timed.spec.timetable = Some(Timetable {
+        times: 2,
+        first: 1_000,
+        interval: 500,
+    });
+    world.cell.admit(timed, 999);
+    assert!(workers(&mut world).is_empty());
+    assert_eq!(world.cell.waiting("queue"), 0);
+    world.cell.open_due(1_000);
+    assert_eq!(workers(&mut world).len(), 1);
+    world.cell.open_due(1_499);
+    assert!(workers(&mut world).is_empty());
+    world.cell.open_due(1_500);
+    assert_eq!(workers(&mut world).len(), 1);
+}
+
+#[test]
+fn gang_starts_whole_with_one_run() {
+    let mut world = World::new(&["w1", "w2"]);
+    let mut gang = step(6, 1_500);
+    gang.gang = true;
+    world.submit(JOB, vec![gang.clone()]);
+    assert!(workers(&mut world).is_empty());
+    let third = entry("w3", 4);
+    world
+        .cell
+        .list(vec![entry("w1", 4), entry("w2", 4), third], world.now);
+    world.report("w3", vec![], vec![]);
+    let starts = world.starts();
+    assert_eq!(starts.len(), 6);
+    let runs: HashSet<u64> = starts.iter().map(|(_, start)| start.run).collect();
+    assert_eq!(runs.len(), 1);
+    let (worker, start) = starts[0].clone();
+    world.answer(&worker, &start, Outcome::Done);
+    let mut done = end(1, JOB, 0, start.run, How::Done);
+    done.address = start.address;
+    world.report(&worker, vec![], vec![done]);
+    world.write();
+    let state = world.cell.state(&Id::new(JOB).unwrap());
+    assert_eq!(state, Some(job::State::Completed));
+}
+
+#[test]
+fn filling_tasks_take_no_processors() {
+    let mut world = World::new(&["w1"]);
+    let mut serving = step(2, 2_000);
+    serving.lasting = true;
+    serving.target = 50;
+    serving.image = Some("s".into());
+    world.submit(JOB, vec![serving]);
+    assert_eq!(workers(&mut world).len(), 2);
+    let mut filling = step(4, 500);
+    filling.fills = true;
+    filling.image = Some("f".into());
+    world.submit("00000000000000b2", vec![filling]);
+    let placed = workers(&mut world).len();
+    assert!((1..4).contains(&placed), "{placed} were placed");
+}
+
+#[test]
+fn lasting_task_starts_again_whatever_its_end() {
+    let mut world = World::new(&["w1"]);
+    let mut lasting = step(1, 1_000);
+    lasting.lasting = true;
+    world.submit(JOB, vec![lasting]);
+    for number in 1..=6 {
+        let starts = world.starts();
+        assert_eq!(starts.len(), 1);
+        world.answer(&starts[0].0, &starts[0].1, Outcome::Done);
+        let how = if number % 2 == 0 {
+            How::Done
+        } else {
+            How::Failed
+        };
+        let ended = end(number, JOB, 0, starts[0].1.run, how);
+        world.report("w1", vec![], vec![ended]);
+        world.now += 10;
+    }
+}
+
+/// A worker whose serving task is over its target, with a filling task beside it.
+fn shared_world() -> World {
+    let mut world = World::new(&["w1"]);
+    let mut serving = step(1, 1_000);
+    serving.lasting = true;
+    serving.target = 50;
+    serving.image = Some("s".into());
+    let mut filling = step(1, 500);
+    filling.fills = true;
+    filling.image = Some("f".into());
+    world.submit(JOB, vec![serving]);
+    world.submit("00000000000000b2", vec![filling]);
+    for (worker, start) in world.starts() {
+        world.answer(&worker, &start, Outcome::Done);
+    }
+    world
+}
+
+fn paced(world: &mut World) -> Vec<u8> {
+    let mut percents = Vec::new();
+    for (_, order) in world.cell.take_orders() {
+        if let magpie_cell::Order::Pace { percent, .. } = order {
+            percents.push(percent);
+        }
+    }
+    percents
+}
+
+fn figures(world: &mut World, tail: u64) {
+    let (mut serving, filling) = (run(JOB, 0, 1), run("00000000000000b2", 0, 1));
+    serving.figure = tail;
+    let report = Report {
+        clock: world.now + 50_000,
+        running: vec![serving, filling],
+        ended: vec![],
+    };
+    world
+        .cell
+        .report(&"w1".into(), report, world.now, world.now, 1);
+}
+
+#[test]
+fn pace_stops_harmful_at_once() {
+    let mut world = shared_world();
+    world.now += 500;
+    figures(&mut world, 60);
+    assert_eq!(paced(&mut world), [0]);
+}
+
+#[test]
+fn pace_rises_step_by_step() {
+    let mut world = shared_world();
+    world.now += 500;
+    figures(&mut world, 60);
+    assert_eq!(paced(&mut world), [0]);
+    world.now += 300;
+    figures(&mut world, 10);
+    assert!(paced(&mut world).is_empty());
+    world.now += 400;
+    figures(&mut world, 10);
+    assert_eq!(paced(&mut world), [20]);
+}
--- a/components/cell/tests/takeover.rs
+++ b/components/cell/tests/takeover.rs
@@ -42,7 +42,9 @@
         running: vec![run(JOB, 0, 1)],
         ended: vec![],
     };
-    world.cell.report(&"w1".into(), report, world.now, world.now, 1);
+    world
+        .cell
+        .report(&"w1".into(), report, world.now, world.now, 1);
     world.report("w2", vec![], vec![]);
     world.now += 1_000;
     world.cell.lapse(world.now);
--- a/components/node/src/follow.rs
+++ b/components/node/src/follow.rs
@@ -100,10 +100,7 @@
             log::error!(target: "owner", error:% = error; "The record of the owner cannot be read.");
         }
     }
-    let watched = node
-        .outside
-        .store
-        .watch(&item.key, item.at, WATCH_WAIT);
+    let watched = node.outside.store.watch(&item.key, item.at, WATCH_WAIT);
     if watched.is_err() {
         thread::sleep(STORE_PAUSE);
     }
