--- a/components/cell/tests/common/mod.rs
+++ b/components/cell/tests/decisions/common.rs
@@ -1,7 +1,5 @@
 //! A cell with workers and jobs, for tests that set the clock themselves.
 
-#![expect(dead_code, reason = "each test file uses its own part")]
-
 use {
     job::{Address, Id, Queue, Record, Spec, State, Step, Submission, spec::Size},
     magpie_cell::{Cell, End, Entry, How, Order, Outcome, Report, Run, Start, Timing},
--- a/components/cell/tests/drain.rs
+++ b/components/cell/tests/decisions/drain.rs
@@ -1,8 +1,6 @@
 //! Tasks are moved off workers that leave, within what their steps may miss.
 
-mod common;
-
-use common::{JOB, World, entry, run, step};
+use crate::common::{JOB, World, entry, run, step};
 
 fn leaving(world: &mut World) {
     let mut going = entry("w1", 4);
--- a/components/cell/tests/ends.rs
+++ b/components/cell/tests/decisions/ends.rs
@@ -1,9 +1,7 @@
 //! What reports and answers to orders mean for tasks.
 
-mod common;
-
 use {
-    common::{JOB, World, end, run, step},
+    crate::common::{JOB, World, end, run, step},
     job::{Id, State},
     magpie_cell::{How, Outcome, Reason},
     test_case::test_case,
@@ -87,7 +85,7 @@
         failures: vec![(0, 1, 1)],
         ..job::Record::default()
     };
-    let submission = common::submission(JOB, vec![step(1, 1_000)]);
+    let submission = crate::common::submission(JOB, vec![step(1, 1_000)]);
     world.cell.resume(submission, &record, 1);
     world.report("w1", vec![], vec![end(1, JOB, 0, 1, How::Failed)]);
     world.write();
@@ -243,12 +241,12 @@
     world.submit(JOB, vec![step(1, 4_000)]);
     let (worker, start) = world.starts()[0].clone();
     world.answer(&worker, &start, Outcome::Done);
-    let mut new = common::entry("w9", 4);
-    new.address = common::entry(&worker, 4).address;
+    let mut new = crate::common::entry("w9", 4);
+    new.address = crate::common::entry(&worker, 4).address;
     let other = if &*worker == "w1" { "w2" } else { "w1" };
     let added = world
         .cell
-        .list(vec![new, common::entry(other, 4)], world.now);
+        .list(vec![new, crate::common::entry(other, 4)], world.now);
     assert_eq!(added.len(), 1);
     assert!(!world.cell.knows(&worker));
     assert_eq!(world.starts().len(), 1);
--- /dev/null
+++ b/components/cell/tests/decisions/main.rs
@@ -0,0 +1,9 @@
+//! The decisions of a cell, on a clock that the tests set.
+
+#![expect(clippy::unwrap_used, reason = "these are tests, helpers included")]
+
+mod common;
+mod drain;
+mod ends;
+mod place;
+mod takeover;
--- a/components/cell/tests/place.rs
+++ b/components/cell/tests/decisions/place.rs
@@ -1,9 +1,7 @@
 //! Which worker a task is given, and when it may start.
 
-mod common;
-
 use {
-    common::{JOB, World, end, entry, run, step, submission},
+    crate::common::{JOB, World, end, entry, run, step, submission},
     job::{Id, spec::Timetable},
     magpie_cell::{How, Outcome, Report},
     std::{collections::HashSet, sync::Arc},
--- a/components/cell/tests/takeover.rs
+++ b/components/cell/tests/decisions/takeover.rs
@@ -1,8 +1,6 @@
 //! A new owner adopts what runs and starts nothing twice.
 
-mod common;
-
-use common::{JOB, World, run, step};
+use crate::common::{JOB, World, run, step};
 
 #[test]
 fn recover_adopts_running() {
--- a/components/job/tests/progress.rs
+++ b/components/job/tests/progress.rs
@@ -1,5 +1,7 @@
 //! Steps, places and records of jobs.
 
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
 use {
     magpie_job::{
         Address, Id, Phase, Progress, Queue, Record, Spec, State, Step, Submission,
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -2,14 +2,17 @@
 //!
 //! Each keeps its rules in a core that is also usable in the same process, and serves it over
 //! HTTP as docs/PLATFORM.md describes the platform. Their faults are switched on by methods, and
-//! over HTTP by `POST /admin/faults`.
+//! over HTTP by `POST /admin/faults`. [`kv`] and [`runner`] stand in for the store and the workers of
+//! the users' platform and speak its protocol.
 
 pub mod backend;
 pub mod boxes;
 pub mod clock;
 pub mod deploy;
+pub mod kv;
 pub mod ledger;
 pub mod port;
+pub mod runner;
 pub mod store;
 pub mod witness;
 pub mod worker;
@@ -17,6 +20,8 @@
 pub use backend::Backend;
 pub use boxes::Registry;
 pub use deploy::{Deploy, Platform};
+pub use kv::Kv;
+pub use runner::Runner;
 pub use store::Core as Store;
 pub use witness::Witness;
 pub use worker::Farm;
--- /dev/null
+++ b/components/standin/src/runner.rs
@@ -0,0 +1,358 @@
+//! A stand-in of the users' workers: runs under leases and fences, with ends that are listed until
+//! they are acknowledged. Each has a port of its own.
+//!
+//! It keeps to the protocol of their platform, whose names therefore stand here too.
+
+use {
+    crate::{
+        kv::Kv,
+        port::{self, Asked, Told},
+    },
+    base64::{Engine, engine::general_purpose::STANDARD},
+    kernel::{Reply, sync::lock},
+    serde_json::{Value, json},
+    std::{
+        collections::{BTreeMap, HashMap},
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Connections that a port takes.
+const CONNECTIONS: usize = 64;
+/// The longest lease, in milliseconds.
+const MAX_LEASE: u64 = 6_000;
+/// The pause between two looks at a held poll.
+const LOOK: Duration = Duration::from_millis(5);
+/// A specification that begins so makes its tasks fail.
+pub const FAILING: &str = "fail";
+
+/// What all workers of a farm saw together.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// Tasks that run now, by name, and how many runs of each there are.
+    running: HashMap<String, u32>,
+    /// Starts, by the name of the task.
+    pub starts: HashMap<String, u32>,
+    /// Tasks that ran twice at the same time.
+    pub doubled: Vec<String>,
+}
+
+/// What goes wrong with a worker.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Faults {
+    /// Every connection is cut before anything is done.
+    pub reset: bool,
+    /// The answers of this many starts are lost after they were carried out.
+    pub lost: u32,
+    /// Starts are refused with 503.
+    pub unwell: bool,
+}
+
+struct Run {
+    number: u64,
+    until: Instant,
+    fails: bool,
+    percent: u64,
+}
+
+struct Core {
+    id: String,
+    size: u64,
+    begun: Instant,
+    fence: u64,
+    lease: u64,
+    work: Duration,
+    running: BTreeMap<String, Run>,
+    /// The highest run that was stopped or has ended, by task.
+    over: HashMap<String, u64>,
+    ended: Vec<(u64, String, u64, &'static str)>,
+    count: u64,
+    seen: Arc<Mutex<Seen>>,
+    faults: Faults,
+}
+
+/// One worker.
+#[derive(Clone)]
+pub struct Runner {
+    core: Arc<Mutex<Core>>,
+}
+
+impl Runner {
+    /// Opens a worker of so many cores, whose tasks take this time, and records it in the store.
+    ///
+    /// # Errors
+    ///
+    /// No port can be opened.
+    pub fn open(
+        kv: &Kv,
+        pool: &str,
+        id: &str,
+        cores: u64,
+        work: Duration,
+        seen: &Arc<Mutex<Seen>>,
+    ) -> io::Result<Self> {
+        let runner = Runner {
+            core: Arc::new(Mutex::new(Core {
+                id: id.to_owned(),
+                size: cores * 1_000,
+                begun: Instant::now(),
+                fence: 0,
+                lease: 0,
+                work,
+                running: BTreeMap::new(),
+                over: HashMap::new(),
+                ended: Vec::new(),
+                count: 0,
+                seen: seen.clone(),
+                faults: Faults::default(),
+            })),
+        };
+        let own = runner.clone();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let url = port::open(any, CONNECTIONS, move |asked| own.handle(&asked))?;
+        let entry = json!({
+            "service": pool,
+            "address": url.trim_start_matches("http://"),
+            "zone": "h1",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "capacity": { "cpu": cores * 1_000, "memMb": cores * 4_000, "gpus": 0 },
+            "labels": ["a", "r1-1"],
+            "clockMs": 1,
+            "sequence": 1,
+        });
+        kv.put(&format!("servers/{id}"), &encode(&entry));
+        Ok(runner)
+    }
+
+    /// Sets what goes wrong.
+    pub fn fail(&self, faults: Faults) {
+        lock(&self.core).faults = faults;
+    }
+
+    /// The number of tasks that run.
+    pub fn running(&self) -> usize {
+        let mut core = lock(&self.core);
+        core.advance();
+        core.running.len()
+    }
+
+    fn handle(&self, asked: &Asked) -> Told {
+        let faults = lock(&self.core).faults;
+        if faults.reset {
+            return Told::Cut;
+        }
+        let Ok(body) = serde_json::from_slice::<Value>(&asked.body) else {
+            return reply(400, &json!({})).into();
+        };
+        let refusal = lock(&self.core).guard(asked, &body);
+        if let Some(refusal) = refusal {
+            return refusal.into();
+        }
+        match asked.path.as_str() {
+            "/run-start" => self.start(&body),
+            "/run-stop" => lock(&self.core).stop(&body).into(),
+            "/pace" => lock(&self.core).pace(&body).into(),
+            "/hold" => self.hold(&body).into(),
+            _ => reply(404, &json!({})).into(),
+        }
+    }
+
+    fn start(&self, body: &Value) -> Told {
+        let mut core = lock(&self.core);
+        if core.faults.unwell {
+            return reply(503, &json!({})).into();
+        }
+        let answer = core.start(body);
+        if core.faults.lost > 0 {
+            core.faults.lost -= 1;
+            return Told::Cut;
+        }
+        answer.into()
+    }
+
+    fn hold(&self, body: &Value) -> Reply {
+        let until = Instant::now() + Duration::from_millis(number(body, "waitMs"));
+        lock(&self.core).renew(body);
+        loop {
+            let mut core = lock(&self.core);
+            core.advance();
+            if !core.ended.is_empty() || Instant::now() >= until {
+                return core.report();
+            }
+            drop(core);
+            thread::sleep(LOOK);
+        }
+    }
+}
+
+impl Core {
+    fn clock(&self) -> u64 {
+        self.begun.elapsed().as_millis() as u64 + 1
+    }
+
+    /// Refuses what is meant for another life, or comes from a former owner.
+    fn guard(&mut self, asked: &Asked, body: &Value) -> Option<Reply> {
+        self.advance();
+        let meant = asked.header("expected-instance");
+        if !meant.is_empty() && meant != self.id {
+            return Some(reply(421, &json!({})));
+        }
+        let fence = number(body, "fencingToken");
+        if fence < self.fence {
+            return Some(self.refuse("fence"));
+        }
+        self.fence = fence;
+        None
+    }
+
+    fn refuse(&self, reason: &str) -> Reply {
+        reply(409, &json!({ "clockMs": self.clock(), "reason": reason }))
+    }
+
+    fn done(&self) -> Reply {
+        reply(200, &json!({ "clockMs": self.clock() }))
+    }
+
+    fn renew(&mut self, body: &Value) {
+        let seen = number(body, "lastSeen");
+        self.ended.retain(|(count, ..)| *count > seen);
+        let most = self.clock() + MAX_LEASE;
+        self.lease = self.lease.max(number(body, "deadlineMs").min(most));
+    }
+
+    /// Ends what has run its time, and all of it when the lease is over.
+    fn advance(&mut self) {
+        let now = Instant::now();
+        let lapsed = self.clock() > self.lease;
+        let names: Vec<String> = self.running.keys().cloned().collect();
+        for name in names {
+            let run = &self.running[&name];
+            if lapsed {
+                self.end(&name, "lapsed");
+            } else if now >= run.until {
+                let how = if run.fails { "failed" } else { "done" };
+                self.end(&name, how);
+            }
+        }
+    }
+
+    fn end(&mut self, name: &str, how: &'static str) {
+        let Some(run) = self.running.remove(name) else {
+            return;
+        };
+        self.count += 1;
+        self.over.insert(name.to_owned(), run.number);
+        self.ended
+            .push((self.count, name.to_owned(), run.number, how));
+        if let Some(running) = lock(&self.seen).running.get_mut(name) {
+            *running -= 1;
+        }
+    }
+
+    fn start(&mut self, body: &Value) -> Reply {
+        let name = body["task"].as_str().unwrap_or_default().to_owned();
+        let run = number(body, "run");
+        let deadline = number(body, "deadlineMs");
+        if self
+            .running
+            .get(&name)
+            .is_some_and(|held| held.number == run)
+        {
+            return self.done();
+        }
+        if self.running.contains_key(&name) || self.over.get(&name).is_some_and(|&over| run <= over)
+        {
+            return self.refuse("old");
+        }
+        if deadline < self.clock() {
+            return self.refuse("late");
+        }
+        if (self.running.len() as u64 + 1) * 1_000 > self.size {
+            return self.refuse("room");
+        }
+        self.lease = self.lease.max(deadline.min(self.clock() + MAX_LEASE));
+        let text = body["specification"].as_str().unwrap_or_default();
+        let begun = Run {
+            number: run,
+            until: Instant::now() + self.work,
+            fails: text.starts_with(FAILING),
+            percent: 100,
+        };
+        self.running.insert(name.clone(), begun);
+        let mut seen = lock(&self.seen);
+        *seen.starts.entry(name.clone()).or_default() += 1;
+        let running = seen.running.entry(name.clone()).or_default();
+        *running += 1;
+        if *running > 1 {
+            seen.doubled.push(name);
+        }
+        drop(seen);
+        self.done()
+    }
+
+    fn stop(&mut self, body: &Value) -> Reply {
+        let name = body["task"].as_str().unwrap_or_default().to_owned();
+        let run = number(body, "run");
+        if self
+            .running
+            .get(&name)
+            .is_some_and(|held| held.number == run)
+        {
+            self.end(&name, "stopped");
+        }
+        let over = self.over.entry(name).or_default();
+        *over = run.max(*over);
+        self.done()
+    }
+
+    fn pace(&mut self, body: &Value) -> Reply {
+        let name = body["task"].as_str().unwrap_or_default();
+        match self.running.get_mut(name) {
+            Some(run) => {
+                run.percent = number(body, "percent");
+                self.done()
+            }
+            None => self.refuse("old"),
+        }
+    }
+
+    fn report(&self) -> Reply {
+        let running: Vec<Value> = self
+            .running
+            .iter()
+            .map(|(name, run)| json!([name, run.number, "", run.percent, 0]))
+            .collect();
+        let ended: Vec<Value> = self
+            .ended
+            .iter()
+            .map(|(count, name, run, how)| json!([count, name, run, how, ""]))
+            .collect();
+        let report = json!({ "clockMs": self.clock(), "running": running, "ended": ended });
+        reply(200, &report)
+    }
+}
+
+fn number(body: &Value, name: &str) -> u64 {
+    body[name].as_u64().unwrap_or(0)
+}
+
+/// The text of a value as the store keeps it.
+pub fn encode(value: &Value) -> String {
+    STANDARD.encode(value.to_string())
+}
+
+/// The bytes of a value that the store keeps; none where it is not such a text.
+pub fn decode(text: &str) -> Vec<u8> {
+    STANDARD.decode(text).unwrap_or_default()
+}
+
+fn reply(status: u16, body: &Value) -> Reply {
+    Reply::bytes(status, "application/json", body.to_string().into_bytes())
+}
--- /dev/null
+++ b/programs/box/tests/whole_path.rs
@@ -0,0 +1,350 @@
+//! Boxes as separate processes, against stand-ins of the platform in this one.
+//!
+//! Nothing here judges a time: each step waits until what it names has come about, and a wait that
+//! lasts far too long fails the test.
+
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
+use {
+    kernel::{Answer, Client, client::Call, sync::lock},
+    serde_json::{Value, json},
+    standin::{
+        Kv, Runner,
+        kv::Faults,
+        runner::{Seen, decode, encode},
+    },
+    std::{
+        net::{SocketAddr, TcpListener},
+        process::{Child, Command, Stdio},
+        sync::{Arc, Mutex},
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// A wait that lasts this long has failed, on any machine.
+const FOREVER: Duration = Duration::from_secs(60);
+const LOOK: Duration = Duration::from_millis(20);
+const WORK: Duration = Duration::from_millis(50);
+
+fn free_port() -> u16 {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap().port()
+}
+
+fn until(what: &str, mut is_so: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !is_so() {
+        assert!(begun.elapsed() < FOREVER, "never came about: {what}");
+        thread::sleep(LOOK);
+    }
+}
+
+/// One box.
+struct Process {
+    child: Child,
+    callers: u16,
+    ready: u16,
+}
+
+impl Process {
+    fn start(name: &str, store: &str) -> Self {
+        let (callers, ready, inside) = (free_port(), free_port(), free_port());
+        let child = Command::new(env!("CARGO_BIN_EXE_magpie-box"))
+            .env("MAGPIE_NAME", name)
+            .env("MAGPIE_HALL", "h1")
+            .env("MAGPIE_CALLERS", format!("127.0.0.1:{callers}"))
+            .env("MAGPIE_READY", format!("127.0.0.1:{ready}"))
+            .env("MAGPIE_PORTS", inside.to_string())
+            .env("MAGPIE_STORE", store)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        Process {
+            child,
+            callers,
+            ready,
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        send(self.ready, "GET", "/readiness", None).is_some_and(|answer| answer.status == 200)
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args([name, &id]).status().unwrap();
+        assert!(sent.success());
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn send(port: u16, method: &str, path: &str, body: Option<&Value>) -> Option<Answer> {
+    let url = format!("http://127.0.0.1:{port}{path}");
+    let bytes = body.map_or(Vec::new(), |body| body.to_string().into_bytes());
+    let headers = [("host", "h.example"), ("content-type", "application/json")];
+    let call = Call {
+        method,
+        url: &url,
+        headers: &headers,
+        body: &bytes,
+        timeout: Duration::from_secs(5),
+    };
+    Client::new(None).send(&call).ok()
+}
+
+struct World {
+    kv: Kv,
+    store: String,
+    seen: Arc<Mutex<Seen>>,
+    runners: Vec<Runner>,
+}
+
+impl World {
+    fn new(work: Duration) -> Self {
+        let kv = Kv::default();
+        let url = kv.open(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+        let seen = Arc::new(Mutex::new(Seen::default()));
+        let mut runners = Vec::new();
+        for number in 0..3 {
+            let id = format!("i-{number}");
+            runners.push(Runner::open(&kv, "pool", &id, 4, work, &seen).unwrap());
+        }
+        configure(&kv, 1, "/q/");
+        World {
+            kv,
+            store: url.trim_start_matches("http://").to_owned(),
+            seen,
+            runners,
+        }
+    }
+
+    fn boxes(&self, count: usize) -> Vec<Process> {
+        let started = (0..count).map(|number| Process::start(&format!("b{number}"), &self.store));
+        let boxes: Vec<Process> = started.collect();
+        until("all boxes are ready", || {
+            boxes.iter().all(Process::is_ready)
+        });
+        boxes
+    }
+
+    /// The name of the box that owns the cell, read from the store as an operator would.
+    fn owner(&self) -> Option<String> {
+        let bytes = decode(&self.kv.value("magpie/owner/0")?);
+        let is_named = |name: &&str| bytes.windows(2).any(|part| part == name.as_bytes());
+        ["b0", "b1"].into_iter().find(is_named).map(str::to_owned)
+    }
+}
+
+fn configure(kv: &Kv, version: u64, prefix: &str) {
+    let config = json!({
+        "version": version,
+        "routes": [{
+            "name": "r", "host": "h.example", "pathPrefix": prefix, "priority": 0,
+            "service": "pool", "retryAttempts": 2, "stretch": 2.0, "targetLatencyMs": 100,
+        }],
+        "services": [{ "name": "pool", "rejectsOverload": true }],
+    });
+    kv.put("op/config", &encode(&config));
+}
+
+fn job(count: u32) -> Value {
+    json!({
+        "specification": "text",
+        "steps": [
+            { "count": count, "cpu": 1000, "memMb": 10, "estimatedMs": 50 },
+            { "count": 1, "cpu": 1000, "memMb": 10, "estimatedMs": 50, "after": [0] },
+        ],
+    })
+}
+
+fn status(port: u16, path: &str) -> u16 {
+    send(port, "GET", path, None).map_or(0, |answer| answer.status)
+}
+
+fn state(port: u16, path: &str) -> String {
+    let body = send(port, "GET", path, None).map_or(Vec::new(), |answer| answer.body);
+    let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+    body["state"].as_str().unwrap_or_default().to_owned()
+}
+
+#[test]
+fn job_completes_through_any_box() {
+    let world = World::new(WORK);
+    let boxes = world.boxes(2);
+    let path = "/q/00000000000000a1";
+    for process in &boxes {
+        let answer = send(process.callers, "POST", path, Some(&job(4))).unwrap();
+        assert_eq!(answer.status, 200);
+    }
+    for process in &boxes {
+        until("the job is completed", || {
+            state(process.callers, path) == "completed"
+        });
+    }
+    let seen = lock(&world.seen);
+    assert_eq!(seen.starts.len(), 5);
+    assert!(seen.starts.values().all(|&starts| starts == 1));
+    assert!(seen.doubled.is_empty());
+}
+
+#[test]
+fn refusals_tell_what_is_wrong() {
+    let world = World::new(WORK);
+    let boxes = world.boxes(1);
+    let port = boxes[0].callers;
+    assert_eq!(status(port, "/other/00000000000000a1"), 404);
+    assert_eq!(status(port, "/q/00000000000000a1"), 410);
+    assert_eq!(status(port, "/q/short"), 400);
+    until("the queue can be counted", || status(port, "/q/") == 200);
+    let bad = json!({ "specification": "x", "steps": [] });
+    let answer = send(port, "POST", "/q/00000000000000a1", Some(&bad)).unwrap();
+    assert_eq!(answer.status, 400);
+    let large = json!({ "specification": "x".repeat(300_000), "steps": [] });
+    let answer = send(port, "POST", "/q/00000000000000a1", Some(&large)).unwrap();
+    assert_eq!(answer.status, 413);
+    world.kv.fail(Faults {
+        busy: true,
+        ..Faults::default()
+    });
+    let answer = send(port, "POST", "/q/00000000000000a2", Some(&job(1))).unwrap();
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.header("retry-after"), "1");
+    world.kv.fail(Faults::default());
+    until("the refused job is not known", || {
+        status(port, "/q/00000000000000a2") == 410
+    });
+}
+
+/// The write took effect and its answer was lost: the job stands, and the caller is told so.
+#[test]
+fn lost_write_is_settled_by_reading() {
+    let world = World::new(WORK);
+    let boxes = world.boxes(1);
+    let port = boxes[0].callers;
+    until("the cell has an owner", || world.owner().is_some());
+    let path = "/q/00000000000000a1";
+    world.kv.fail(Faults {
+        lost: 1,
+        ..Faults::default()
+    });
+    let first = send(port, "POST", path, Some(&job(1))).unwrap();
+    assert!(
+        first.status == 200 || first.status == 504,
+        "{}",
+        first.status
+    );
+    let second = send(port, "POST", path, Some(&job(1))).unwrap();
+    assert_eq!(second.status, 200);
+    until("the job is completed", || state(port, path) == "completed");
+    assert!(lock(&world.seen).starts.values().all(|&starts| starts == 1));
+}
+
+#[test]
+fn cancelled_job_stops() {
+    let world = World::new(FOREVER);
+    let boxes = world.boxes(2);
+    let path = "/q/00000000000000a1";
+    send(boxes[0].callers, "POST", path, Some(&job(4))).unwrap();
+    let running = || world.runners.iter().map(Runner::running).sum::<usize>();
+    until("its tasks run", || running() == 4);
+    let answer = send(boxes[1].callers, "DELETE", path, None).unwrap();
+    assert_eq!(answer.status, 200);
+    until("nothing of it runs", || running() == 0);
+    assert_eq!(state(boxes[0].callers, path), "cancelled");
+    let gone = send(boxes[0].callers, "DELETE", "/q/00000000000000a2", None).unwrap();
+    assert_eq!(gone.status, 410);
+}
+
+#[test]
+fn configuration_follows_without_restart() {
+    let world = World::new(WORK);
+    let boxes = world.boxes(1);
+    let port = boxes[0].callers;
+    assert_eq!(status(port, "/new/"), 404);
+    configure(&world.kv, 5, "/new/");
+    until("the new queue is there", || status(port, "/new/") == 200);
+    assert_eq!(status(port, "/q/"), 404);
+    configure(&world.kv, 4, "/q/");
+    world.kv.compact();
+    until("the older version was seen", || world.kv.calls() > 0);
+    assert_eq!(status(port, "/new/"), 200);
+}
+
+/// The owner is killed while tasks run: another box takes over and nothing runs twice.
+#[test]
+fn killed_owner_is_followed() {
+    let world = World::new(Duration::from_secs(2));
+    let mut boxes = world.boxes(2);
+    until("the cell has an owner", || world.owner().is_some());
+    let first = world.owner().unwrap();
+    let index = if first == "b0" { 0 } else { 1 };
+    let path = "/q/00000000000000a1";
+    send(boxes[1 - index].callers, "POST", path, Some(&job(6))).unwrap();
+    let running = || world.runners.iter().map(Runner::running).sum::<usize>();
+    until("its tasks run", || running() == 6);
+    let killed = boxes.remove(index);
+    killed.signal("-KILL");
+    until("another box owns the cell", || {
+        world.owner().is_some_and(|owner| owner != first)
+    });
+    until("the job is completed", || {
+        state(boxes[0].callers, path) == "completed"
+    });
+    let seen = lock(&world.seen);
+    assert!(seen.doubled.is_empty());
+    assert!(seen.starts.values().all(|&starts| starts == 1));
+}
+
+/// A box that is asked to stop hands the cell over, answers on, and ends with 0.
+#[test]
+fn stopped_owner_hands_over() {
+    let world = World::new(WORK);
+    let mut boxes = world.boxes(2);
+    until("the cell has an owner", || world.owner().is_some());
+    let first = world.owner().unwrap();
+    let index = if first == "b0" { 0 } else { 1 };
+    boxes[index].signal("-HUP");
+    boxes[index].signal("-TERM");
+    until("another box owns the cell", || {
+        world.owner().is_some_and(|owner| owner != first)
+    });
+    let ended = boxes[index].child.wait().unwrap();
+    assert_eq!(ended.code(), Some(0));
+    let path = "/q/00000000000000a1";
+    let port = boxes[1 - index].callers;
+    send(port, "POST", path, Some(&job(2))).unwrap();
+    until("the job is completed", || state(port, path) == "completed");
+}
+
+/// All boxes are gone and start anew: what was accepted is known and ends.
+#[test]
+fn restart_of_all_keeps_jobs() {
+    let world = World::new(WORK);
+    let path = "/q/00000000000000a1";
+    {
+        let boxes = world.boxes(2);
+        world.runners.iter().for_each(|runner| {
+            runner.fail(standin::runner::Faults {
+                unwell: true,
+                ..standin::runner::Faults::default()
+            });
+        });
+        let answer = send(boxes[0].callers, "POST", path, Some(&job(3))).unwrap();
+        assert_eq!(answer.status, 200);
+    }
+    for runner in &world.runners {
+        runner.fail(standin::runner::Faults::default());
+    }
+    let boxes = world.boxes(2);
+    until("the job is completed", || {
+        state(boxes[1].callers, path) == "completed"
+    });
+    assert!(lock(&world.seen).doubled.is_empty());
+}
