Pace each filling task by the tails that it disturbs

Ruled out: lack of processors (100 to 170 cores unused beside 500 waiting). Change: the pace belongs to the task and follows the images that it disturbs; a worker is closed to filling tasks only while a serving task is over its target; the owner tells each second what the cell looks like.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -264,13 +264,6 @@
         self.workers.values().map(|worker| &worker.entry)
     }
 
-    /// Figures for the logs: jobs, waiting tasks, workers, slots.
-    pub fn figures(&self) -> [usize; 4] {
-        let waiting = self.jobs.values().map(|job| job.ready.len()).sum();
-        let slots = self.workers.values().map(|worker| worker.slots.len()).sum();
-        [self.jobs.len(), waiting, self.workers.len(), slots]
-    }
-
     /// Makes a task wait again that was placed, unless its job is over.
     pub(crate) fn free(&mut self, key: &Key) {
         let Some(job) = self.jobs.get_mut(&key.job) else {
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -13,10 +13,12 @@
 mod pace;
 mod place;
 mod report;
+mod summary;
 mod timing;
 mod worker;
 
 pub use cell::{Cell, Change, Poll};
 pub use order::{End, How, Order, Outcome, Reason, Report, Run, Start};
+pub use summary::Summary;
 pub use timing::Timing;
 pub use worker::{Entry, Key};
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -28,8 +28,6 @@
 /// The logarithm by which filling tasks may raise the tail of a serving one. Tails without them
 /// are 0.8 below the target in the logarithm, and their load swings by about 0.4.
 const MOST_DISTURBED: f64 = 0.3;
-/// A worker whose filling tasks are slowed down gets no more of them.
-const FULL_PACE: u8 = 100;
 
 /// A task and the worker chosen for it.
 type Choice = (usize, Arc<str>);
@@ -313,6 +311,7 @@
             stage: Stage::Sent { deadline },
             stopping: None,
             percent: 100,
+            paced: 0,
             figure: 0,
         };
         let key = Key {
@@ -389,7 +388,7 @@
     if !step.fills {
         return size.fits(free);
     }
-    if size.memory > free.memory || size.gpus > free.gpus || worker.pace < FULL_PACE {
+    if size.memory > free.memory || size.gpus > free.gpus || worker.over_since.is_some() {
         return false;
     }
     worker.unused() >= size.cpu * (before + 1)
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -137,6 +137,7 @@
             stage: Stage::Running { at: moment.now },
             stopping: None,
             percent: run.percent,
+            paced: 0,
             figure: run.figure,
         };
         log::info!(target: "cell", job = key.job.as_str(), place = key.place, worker = &**id, run = run.run; "A run is adopted.");
@@ -175,6 +176,7 @@
             stage: Stage::Running { at: moment.now },
             stopping: Some(moment.now),
             percent: run.percent,
+            paced: 0,
             figure: 0,
         };
         worker.hold(key, slot);
--- /dev/null
+++ b/components/cell/src/summary.rs
@@ -0,0 +1,65 @@
+//! What a cell looks like at a moment, for logs and metrics.
+
+use crate::cell::Cell;
+
+/// Sums over a cell. Processors are in thousandths of a core.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Summary {
+    /// Jobs that have not ended.
+    pub jobs: usize,
+    /// Tasks that are placed.
+    pub placed: usize,
+    /// Workers.
+    pub workers: usize,
+    /// Workers that may be given work.
+    pub open: usize,
+    /// Workers without serving tasks.
+    pub unserving: usize,
+    /// Filling tasks that are slowed down.
+    pub paced: usize,
+    /// Free processors for tasks that take room.
+    pub free: u64,
+    /// The most that is free on one worker.
+    pub largest: u64,
+    /// Processors that nobody is reckoned to use.
+    pub unused: u64,
+    /// Processors of ready tasks that take room.
+    pub waiting: u64,
+    /// Processors of ready filling tasks.
+    pub filling: u64,
+}
+
+impl Cell {
+    /// Sums over the cell now.
+    pub fn summary(&self, now: u64) -> Summary {
+        let mut summary = Summary {
+            jobs: self.jobs.len(),
+            workers: self.workers.len(),
+            ..Summary::default()
+        };
+        for worker in self.workers.values() {
+            summary.placed += worker.slots.len();
+            if !worker.is_open(now) {
+                continue;
+            }
+            summary.open += 1;
+            summary.unserving += usize::from(worker.serving == 0);
+            let is_paced = |slot: &&crate::worker::Slot| slot.percent < 100;
+            summary.paced += worker.slots.values().filter(is_paced).count();
+            summary.free += worker.free().cpu;
+            summary.largest = summary.largest.max(worker.free().cpu);
+            summary.unused += worker.unused();
+        }
+        for job in self.jobs.values() {
+            for &place in &job.ready {
+                let step = job.progress.step(place);
+                if step.fills {
+                    summary.filling += step.size.cpu;
+                } else {
+                    summary.waiting += step.size.cpu;
+                }
+            }
+        }
+        summary
+    }
+}
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -85,6 +85,8 @@
     pub stopping: Option<u64>,
     /// The share of its speed that it was last ordered to, in hundredths.
     pub percent: u8,
+    /// When that was.
+    pub paced: u64,
     /// See [`crate::order::Run::figure`].
     pub figure: u64,
 }
@@ -144,10 +146,6 @@
     pub failures: u32,
     /// Since when some serving task has been over its target without a break.
     pub over_since: Option<u64>,
-    /// The share of speed of its filling tasks that disturb, in hundredths.
-    pub pace: u8,
-    /// When the pace was last changed.
-    pub paced: u64,
 }
 
 impl Worker {
@@ -170,8 +168,6 @@
             over_since: None,
             avoid: 0,
             failures: 0,
-            pace: 100,
-            paced: 0,
         }
     }
 
--- a/components/node/src/claim.rs
+++ b/components/node/src/claim.rs
@@ -52,8 +52,8 @@
     metrics::counter!("magpie_claims_total").increment(1);
     let begun = time::now();
     let cell = load(node)?;
-    let [jobs, waiting, workers, _] = cell.figures();
-    log::info!(target: "owner", fence, jobs, waiting, workers, took = time::now() - begun; "The cell is read.");
+    let summary = cell.summary(time::now());
+    log::info!(target: "owner", fence, jobs = summary.jobs, workers = summary.workers, took = time::now() - begun; "The cell is read.");
     let tenure = Tenure::new(fence, lease, cell);
     node.remote.tell(move |core, cx| core.install(cx, tenure));
     node.shared.owner.store(Some(own(&node.settings).into()));
--- a/components/node/src/tenure.rs
+++ b/components/node/src/tenure.rs
@@ -27,6 +27,8 @@
 
 /// How long ends that cannot be written down hold the next poll of their worker back.
 const UNWRITTEN_PAUSE: Duration = Duration::from_millis(1_000);
+/// How often the owner tells what the cell looks like.
+const SUM_UP: Duration = Duration::from_millis(1_000);
 /// How many records of old jobs go with one group.
 const FORGET_AT_ONCE: usize = 2;
 
@@ -91,6 +93,23 @@
             self.tend(fence, entry);
         }
         self.tick(cx, fence);
+        self.sum_up(cx, fence);
+    }
+
+    /// Tells now and then what the cell looks like.
+    fn sum_up(&mut self, cx: &mut Cx<'_, Self>, fence: u64) {
+        let Some(tenure) = self.tenure_of(fence) else {
+            return;
+        };
+        let sum = tenure.cell.summary(time::now());
+        log::info!(target: "cell", fence, jobs = sum.jobs, placed = sum.placed, workers = sum.workers, open = sum.open, unserving = sum.unserving, paced = sum.paced, free = sum.free, largest = sum.largest, unused = sum.unused, waiting = sum.waiting, filling = sum.filling; "The cell now.");
+        metrics::gauge!("magpie_cell_jobs").set(sum.jobs as f64);
+        metrics::gauge!("magpie_cell_tasks_placed").set(sum.placed as f64);
+        metrics::gauge!("magpie_cell_workers_open").set(sum.open as f64);
+        metrics::gauge!("magpie_cell_cores_free").set(sum.free as f64 / 1e3);
+        metrics::gauge!("magpie_cell_cores_waiting").set(sum.waiting as f64 / 1e3);
+        metrics::gauge!("magpie_cell_cores_filling_waiting").set(sum.filling as f64 / 1e3);
+        after!(SUM_UP, [cx], |this, cx| this.sum_up(cx, fence));
     }
 
     /// Starts the tasks of a worker.
