Put jobs that missed their objective behind those that can still meet it

Cause: past its objective a job is worth a seventh; in line by objective it still goes first. Change: the tick moves such jobs back within their priority.

--- a/components/cell/src/admit.rs
+++ b/components/cell/src/admit.rs
@@ -87,6 +87,23 @@
         }
     }
 
+    /// Puts jobs back in line that have missed their objective.
+    pub fn rerank(&mut self, wall: u64) {
+        let mut late = Vec::new();
+        for rank in &self.line {
+            if !rank.late && !rank.lasting && wall > rank.objective {
+                late.push(rank.clone());
+            }
+        }
+        for rank in late {
+            self.line.remove(&rank);
+            if let Some(job) = self.jobs.get_mut(&rank.id) {
+                job.rank.late = true;
+                self.line.insert(job.rank.clone());
+            }
+        }
+    }
+
     /// Carries out a cancellation that is written down. False when the job is not known here.
     pub fn cancel(&mut self, id: &Id, now: u64, wall: u64) -> bool {
         if !self.jobs.contains_key(id) {
@@ -135,6 +152,7 @@
     Rank {
         priority: queue.priority,
         lasting: submission.spec.is_lasting(),
+        late: false,
         objective: submission.accepted.max(submission.spec.due(0)) + span,
         id: submission.id.clone(),
     }
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -40,6 +40,8 @@
     /// Lasting tasks go after others of the same priority: a short task holds room for a moment
     /// and is worth more for it.
     pub lasting: bool,
+    /// Jobs past their objective go after those that can still meet it.
+    pub late: bool,
     /// When the job ought to be done, in milliseconds since 1970.
     pub objective: u64,
     /// Tells equal ones apart.
--- a/components/node/src/tenure.rs
+++ b/components/node/src/tenure.rs
@@ -151,6 +151,7 @@
             return;
         };
         tenure.cell.open_due(wall::millis());
+        tenure.cell.rerank(wall::millis());
         for id in tenure.cell.lapse(time::now()) {
             tenure.links.remove(&id);
         }
