Keep what was learned of disturbance over a takeover

Change: the sums are written with a group every 4 s or more (magpie/learned/0, about 5 KB) and read at a takeover.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -66,6 +66,8 @@
     pub records: Vec<(Id, Record)>,
     /// The workers that may hold tasks, when that set has changed.
     pub fleet: Option<Vec<Entry>>,
+    /// What is known of disturbance, when it is due.
+    pub learned: Option<Disturbance>,
     /// The ends that are written down with it, by worker.
     pub ends: Vec<(Arc<str>, u64)>,
 }
@@ -73,7 +75,7 @@
 impl Change {
     /// True when there is nothing to write.
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty() && self.fleet.is_none()
+        self.records.is_empty() && self.fleet.is_none() && self.learned.is_none()
     }
 }
 
@@ -98,6 +100,7 @@
     /// Jobs with a timetable, whose next time is to come.
     pub(crate) timed: HashSet<Id>,
     pub(crate) fleet_dirty: bool,
+    pub(crate) learned_due: bool,
     pub(crate) orders: Vec<(Arc<str>, Order)>,
     pub(crate) recovery: Option<Recovery>,
     pub(crate) disturbance: Disturbance,
@@ -115,6 +118,7 @@
             dirty: BTreeSet::new(),
             timed: HashSet::new(),
             fleet_dirty: false,
+            learned_due: false,
             orders: Vec::new(),
             recovery: None,
             disturbance: Disturbance::default(),
@@ -137,6 +141,9 @@
                 change.records.push((id, job.progress.record()));
             }
         }
+        if std::mem::take(&mut self.learned_due) {
+            change.learned = Some(self.disturbance.clone());
+        }
         if std::mem::take(&mut self.fleet_dirty) {
             let entries = self.workers.values().map(|worker| worker.entry.clone());
             change.fleet = Some(entries.collect());
@@ -187,11 +194,17 @@
         self.dirty
             .extend(change.records.into_iter().map(|(id, _)| id));
         self.fleet_dirty |= change.fleet.is_some();
+        self.learned_due |= change.learned.is_some();
     }
 
     /// True when something is to be written.
     pub fn is_dirty(&self) -> bool {
-        !self.dirty.is_empty() || self.fleet_dirty
+        !self.dirty.is_empty() || self.fleet_dirty || self.learned_due
+    }
+
+    /// Goes on from what a former owner knew of disturbance.
+    pub fn recall(&mut self, learned: Disturbance) {
+        self.disturbance = learned;
     }
 
     /// The state of a job that may be shown; `None` when it is not known here.
--- a/components/cell/src/disturb.rs
+++ b/components/cell/src/disturb.rs
@@ -6,7 +6,10 @@
 //! anew about once a second. Measured on two deployments: weights are near 0 for half of the pairs
 //! and 3 to 8 for the others, and the rest of the variation is the swing of the serving load.
 
-use std::{collections::HashMap, sync::Arc};
+use {
+    serde::{Deserialize, Serialize},
+    std::{collections::HashMap, sync::Arc},
+};
 
 /// An image, by number.
 pub type Image = u16;
@@ -23,11 +26,14 @@
 const KEEP: f64 = 0.994;
 /// The time between two solutions, in milliseconds.
 const SOLVE_GAP: u64 = 1_000;
+/// The time between two writings, in milliseconds: a few seconds of readings may be lost.
+const WRITE_GAP: u64 = 4_000;
 /// Shares under this are taken for nothing.
 const LEAST_SHARE: f64 = 1e-3;
 
 /// Sums of one serving image.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
 struct Sums {
     /// Products of shares, by pair of columns; column 0 is the level.
     square: Vec<Vec<f64>>,
@@ -38,14 +44,19 @@
     fresh: bool,
 }
 
-/// What is known of disturbance.
-#[derive(Debug, Clone, Default)]
+/// What is known of disturbance. It is written down now and then, for the next owner.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Disturbance {
     numbers: HashMap<Arc<str>, Image>,
     /// Filling images have columns, in the order of their first sample.
     columns: HashMap<Image, usize>,
     serving: HashMap<Image, Sums>,
+    /// When the sums were last solved, on the owner's clock.
+    #[serde(skip)]
     solved: u64,
+    #[serde(skip)]
+    written: u64,
 }
 
 impl Disturbance {
@@ -105,6 +116,15 @@
         }
     }
 
+    /// True, once, when what is known is due to be written down.
+    pub fn is_due(&mut self, now: u64) -> bool {
+        if self.serving.is_empty() || now < self.written + WRITE_GAP {
+            return false;
+        }
+        self.written = now;
+        true
+    }
+
     /// The weight of a pair, never below 0.
     pub fn weight(&self, serving: Image, filling: Image) -> f64 {
         let Some(&column) = self.columns.get(&filling) else {
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -18,6 +18,7 @@
 mod worker;
 
 pub use cell::{Cell, Change, Poll};
+pub use disturb::Disturbance;
 pub use order::{End, How, Order, Outcome, Reason, Report, Run, Start};
 pub use summary::Summary;
 pub use timing::Timing;
--- a/components/cell/src/pace.rs
+++ b/components/cell/src/pace.rs
@@ -36,6 +36,7 @@
         };
         learn(&mut self.disturbance, worker);
         self.disturbance.solve(now);
+        self.learned_due |= self.disturbance.is_due(now);
         if worker.filling == 0 {
             worker.over_since = None;
             return;
--- a/components/node/src/claim.rs
+++ b/components/node/src/claim.rs
@@ -141,6 +141,14 @@
     for id in cancelled {
         cell.cancel(&id, now, wall);
     }
+    if let Some(item) = store.get(&keys::learned(CELL))? {
+        match wire::decode(&item.value) {
+            Ok(learned) => cell.recall(learned),
+            Err(error) => {
+                log::warn!(target: "owner", error:% = error; "What was learned cannot be read, and is learned anew.");
+            }
+        }
+    }
     cell.list(entries, now);
     if let Some(item) = fleet {
         let members: Vec<Member> = wire::decode(&item.value)?;
--- a/components/node/src/group.rs
+++ b/components/node/src/group.rs
@@ -51,6 +51,9 @@
             let members: Vec<Member> = fleet.iter().cloned().map(Member::from).collect();
             change.put.push(put(keys::fleet(CELL), &members, 0));
         }
+        if let Some(learned) = &covers.learned {
+            change.put.push(put(keys::learned(CELL), learned, 0));
+        }
         if is_last {
             change.remove.push(keys::owner(CELL));
         }
--- a/components/node/src/keys.rs
+++ b/components/node/src/keys.rs
@@ -43,6 +43,11 @@
     format!("magpie/fleet/{cell}")
 }
 
+/// What a cell's owners learned of which tasks disturb which.
+pub fn learned(cell: u32) -> String {
+    format!("magpie/learned/{cell}")
+}
+
 /// The job that a key under `prefix` names.
 pub fn id(key: &str, prefix: &str) -> Option<Id> {
     Id::new(key.strip_prefix(prefix)?)
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -29,8 +29,8 @@
 /// costs a call.
 pub const GROUP_GAP: Duration = Duration::from_millis(20);
 /// The most records of a group: the store takes 32 entries, and the condition, the head, the
-/// owner and the fleet take four. A record of an ended job takes two.
-pub const GROUP_RECORDS: usize = 14;
+/// owner, the fleet and what was learned take five. A record of an ended job takes two.
+pub const GROUP_RECORDS: usize = 13;
 /// The least time between two passes of placement, so that many reports share one pass.
 pub const PASS_GAP: Duration = Duration::from_millis(4);
 /// How often leases of workers are checked and due times opened.
