Ask for leases of 4.5 s, and not again while polls fail

Ruled out: no room (700 cores free); the listing (gone after 4.3 s). Change: leases of 4.5 s, which outlive a takeover; a poll after a failed one extends nothing.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -109,8 +109,9 @@
 impl Cell {
     /// An empty cell.
     pub fn new(timing: Timing) -> Self {
+        let lease = timing.lease.min(timing::LEASE);
         Cell {
-            timing,
+            timing: Timing { lease, ..timing },
             jobs: HashMap::new(),
             closed: HashMap::new(),
             workers: BTreeMap::new(),
@@ -247,8 +248,15 @@
     pub fn poll(&mut self, id: &str, now: u64) -> Option<Poll> {
         let lease = self.timing.lease;
         let worker = self.workers.get_mut(id)?;
-        let deadline = worker.clock_at(now).map_or(0, |clock| clock + lease);
+        // Without an answer to the last poll the lease is not extended: the worker may have got
+        // it, and each try would put off the moment at which all its leases are surely over.
+        let deadline = match worker.clock_at(now) {
+            Some(clock) if worker.heard => clock + lease,
+            Some(_) => worker.granted,
+            None => 0,
+        };
         worker.granted = worker.granted.max(deadline);
+        worker.heard = false;
         let is_shared = worker.filling > 0 && worker.serving > 0;
         let is_unsure = worker
             .slots
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -39,6 +39,7 @@
             worker.granted = worker.granted.max(report.clock + lease);
         }
         worker.fenced = true;
+        worker.heard = true;
         worker.clock = Some(Clock {
             shown: report.clock,
             at: now,
--- a/components/cell/src/summary.rs
+++ b/components/cell/src/summary.rs
@@ -15,6 +15,8 @@
     pub open: usize,
     /// Workers without serving tasks.
     pub unserving: usize,
+    /// Workers with serving tasks of more than one image.
+    pub mixed: usize,
     /// Filling tasks that are slowed down.
     pub paced: usize,
     /// Free processors for tasks that take room.
@@ -43,6 +45,7 @@
                 continue;
             }
             summary.open += 1;
+            summary.mixed += usize::from(worker.serve_images.len() > 1);
             summary.unserving += usize::from(worker.serving == 0);
             let is_paced = |slot: &&crate::worker::Slot| slot.percent < 100;
             summary.paced += worker.slots.values().filter(is_paced).count();
--- a/components/cell/src/timing.rs
+++ b/components/cell/src/timing.rs
@@ -1,5 +1,10 @@
 //! Bounds of time that the cell keeps to, all in milliseconds.
 
+/// The longest lease that is asked for. It has to outlive a takeover (2 to 3.5 s from the death of
+/// an owner to the new one's polls); what ran on a worker that died is started elsewhere after it,
+/// which has to be within 6 s for lasting tasks.
+pub const LEASE: u64 = 4_500;
+
 /// Times that depend on the deployment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Timing {
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -120,6 +120,8 @@
     pub listed: bool,
     /// True once it answered under this owner's fence.
     pub fenced: bool,
+    /// The last poll was answered.
+    pub heard: bool,
     /// The last reading of its clock.
     pub clock: Option<Clock>,
     /// The highest deadline that it was sent, on its clock.
@@ -155,6 +157,7 @@
             entry,
             listed: true,
             fenced: false,
+            heard: false,
             clock: None,
             granted: 0,
             read: 0,
