--- a/components/cell/src/summary.rs
+++ b/components/cell/src/summary.rs
@@ -19,6 +19,10 @@
     pub mixed: usize,
     /// Filling tasks that are slowed down.
     pub paced: usize,
+    /// Processors of serving tasks.
+    pub serving: u64,
+    /// Processors of other tasks that take room.
+    pub firm: u64,
     /// Free processors for tasks that take room.
     pub free: u64,
     /// The most that is free on one worker.
@@ -41,6 +45,8 @@
         };
         for worker in self.workers.values() {
             summary.placed += worker.slots.len();
+            summary.serving += worker.serving;
+            summary.firm += worker.firm.cpu - worker.serving;
             if !worker.is_open(now) {
                 continue;
             }
