--- a/components/node/src/accept.rs
+++ b/components/node/src/accept.rs
@@ -102,9 +102,9 @@
             return;
         }
         match node.outside.store.apply(&change_of(&group)) {
-            Ok(Applied::Done(_)) => {
+            Ok(Applied::Done(revision)) => {
                 for knock in &group {
-                    confirm(node, knock);
+                    confirm(node, knock, revision);
                 }
                 return;
             }
@@ -145,9 +145,9 @@
     change
 }
 
-fn confirm(node: &Node, knock: &Knock) {
+fn confirm(node: &Node, knock: &Knock, revision: u64) {
     let id = &knock.submission.id;
-    log::info!(target: "accept", job = id.as_str(), queue = &*knock.submission.queue.name; "A job is accepted.");
+    log::info!(target: "accept", job = id.as_str(), queue = &*knock.submission.queue.name, revision; "A job is accepted.");
     metrics::counter!("magpie_accepted_total").increment(1);
     answer(knock, Reply::Accepted);
     let submission = knock.submission.clone();
@@ -167,12 +167,12 @@
 fn settle(node: &Node, group: &[Knock]) {
     for knock in group {
         let id = &knock.submission.id;
-        let stands = matches!(node.outside.store.get(&keys::job(id)), Ok(Some(_)));
-        log::warn!(target: "accept", job = id.as_str(), stands; "The write of a job has no answer.");
-        if stands {
-            confirm(node, knock);
-        } else {
-            answer(knock, Reply::Unsure);
+        let read = node.outside.store.get(&keys::job(id));
+        let stands = read.ok().flatten();
+        log::warn!(target: "accept", job = id.as_str(), stands = stands.is_some(); "The write of a job has no answer.");
+        match stands {
+            Some(item) => confirm(node, knock, item.revision),
+            None => answer(knock, Reply::Unsure),
         }
     }
 }
--- a/components/node/src/callers.rs
+++ b/components/node/src/callers.rs
@@ -28,6 +28,18 @@
     Waiting(Arc<Queue>),
 }
 
+impl Call {
+    /// The kind of call, for metrics.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Call::Submit(..) => "submit",
+            Call::State(_) => "state",
+            Call::Cancel(_) => "cancel",
+            Call::Waiting(_) => "waiting",
+        }
+    }
+}
+
 /// What a caller is told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
--- a/programs/box/src/cli.rs
+++ b/programs/box/src/cli.rs
@@ -37,6 +37,9 @@
     /// first of the free ports; the first serves other boxes and metrics (MAGPIE_PORTS)
     #[argh(option)]
     ports: Option<String>,
+    /// address of the port with figures as text (MAGPIE_METRICS, default none)
+    #[argh(option)]
+    metrics: Option<String>,
     /// address of the store (MAGPIE_STORE)
     #[argh(option)]
     store: Option<String>,
@@ -72,8 +75,10 @@
     pub callers: SocketAddr,
     /// The port that tells whether the box is ready.
     pub ready: SocketAddr,
-    /// The port for other boxes and for metrics.
+    /// The port for other boxes; it has the metrics too.
     pub inside: SocketAddr,
+    /// A port for metrics alone, at an address that does not change from day to day.
+    pub metrics: Option<SocketAddr>,
     /// The store.
     pub store: SocketAddr,
     /// The time for an orderly stop.
@@ -139,6 +144,8 @@
     if let (Some(ports), None) = (&ports, port) {
         reader.fault("ports", ports, "a port, or a first and a last one");
     }
+    let rule = "an address and a port, such as 10.0.0.5:9100";
+    let metrics = reader.optional("metrics", arguments.metrics, rule);
     let store = reader.address("store", arguments.store, "127.0.0.1:7100");
     let lease = reader.number("lease-ms", arguments.lease_ms, "6000", (1_000, 600_000));
     let stop = reader.number("stop-ms", arguments.stop_ms, "900", (1, 60_000));
@@ -163,6 +170,7 @@
             callers: callers?,
             ready: ready?,
             inside,
+            metrics,
             store: store?,
             grace: Duration::from_millis(grace?),
             level: common?.level,
--- a/programs/box/src/ports.rs
+++ b/programs/box/src/ports.rs
@@ -7,6 +7,7 @@
     platform::callers,
     std::{
         io,
+        net::SocketAddr,
         sync::{
             Arc,
             atomic::{AtomicUsize, Ordering},
@@ -28,8 +29,7 @@
 pub struct Ports {
     /// Requests of callers that are being answered.
     pub busy: Arc<AtomicUsize>,
-    _ready: Server,
-    _inside: Server,
+    _operators: Vec<Server>,
 }
 
 /// Opens all ports.
@@ -39,20 +39,13 @@
 /// An address cannot be bound.
 pub fn open(setup: &Setup, node: &Node) -> io::Result<Ports> {
     let busy = Arc::new(AtomicUsize::new(0));
-    let own = node.clone();
-    let inside = Server::open(
-        setup.inside,
-        PEER_TASKS,
-        None,
-        Arc::new(move |request: Request| inside(&own, request)),
-    )?;
-    let own = node.clone();
-    let ready = Server::open(
-        setup.ready,
-        1,
-        None,
-        Arc::new(move |request: Request| ready(&own, request)),
-    )?;
+    let mut operators = vec![
+        serve(setup.inside, PEER_TASKS, node, inside)?,
+        serve(setup.ready, 1, node, ready)?,
+    ];
+    if let Some(address) = setup.metrics {
+        operators.push(serve(address, 1, node, figures)?);
+    }
     let own = node.clone();
     let count = busy.clone();
     let bounds = edge::Bounds {
@@ -67,11 +60,21 @@
     })?;
     Ok(Ports {
         busy,
-        _ready: ready,
-        _inside: inside,
+        _operators: operators,
     })
 }
 
+fn serve(
+    address: SocketAddr,
+    tasks: usize,
+    node: &Node,
+    answer: fn(&Node, Request),
+) -> io::Result<Server> {
+    let own = node.clone();
+    let handler = Arc::new(move |request: Request| answer(&own, request));
+    Server::open(address, tasks, None, handler)
+}
+
 fn ready(node: &Node, request: Request) {
     let reply = match request.path.as_str() {
         READY if node.is_ready() => Reply::text(200, "ready\n"),
@@ -86,6 +89,10 @@
         node.answer_peer(request);
         return;
     }
+    figures(node, request);
+}
+
+fn figures(node: &Node, request: Request) {
     let is_ready = || node.is_ready();
     if let Some(request) = ops::route(request, is_ready) {
         request.respond(Reply::text(404, "no such path\n"));
