Refuse at once while cut off from the store

Change: a box that is cut off (failing calls, no answer for 1.5 s) sends nothing and says 503 at once; the owner is asked first where it is another box.

--- a/components/node/src/accept.rs
+++ b/components/node/src/accept.rs
@@ -41,22 +41,33 @@
 /// Hands a job in and waits for the answer. With `may_pass`, a box that does not reach the store
 /// passes it to the owner of the cell.
 pub fn submit(node: &Node, submission: Submission, may_pass: bool) -> Reply {
+    let reply = submit_here(node, &submission);
+    let Reply::Busy(_) = reply else {
+        return reply;
+    };
+    if !may_pass {
+        return reply;
+    }
+    pass_on(node, &Ask::Submit(Box::new(submission)), reply)
+}
+
+/// Hands a job to the accepting task. A box that is cut off from the store sends nothing and says
+/// so at once, instead of letting callers wait for a silent store.
+fn submit_here(node: &Node, submission: &Submission) -> Reply {
+    if node.shared.is_cut_off() {
+        log::warn!(target: "accept", job = submission.id.as_str(); "A job is refused: the store does not answer this box. Nothing was sent.");
+        metrics::counter!("magpie_refused_total").increment(1);
+        return Reply::Busy(COME_BACK);
+    }
     let (answer, answered) = mpsc::sync_channel(1);
     let knock = Knock {
         submission: submission.clone(),
         answer,
     };
-    let reply = match node.acceptor.send(knock) {
+    match node.acceptor.send(knock) {
         Ok(()) => answered.recv().unwrap_or(Reply::Unsure),
         Err(_) => Reply::Busy(COME_BACK),
-    };
-    let Reply::Busy(_) = reply else {
-        return reply;
-    };
-    if !may_pass {
-        return reply;
     }
-    pass_on(node, &Ask::Submit(Box::new(submission)), reply)
 }
 
 /// Lets the owner do what this box cannot. Without an owner that answers, nothing was sent.
@@ -167,8 +178,10 @@
 fn settle(node: &Node, group: &[Knock]) {
     for knock in group {
         let id = &knock.submission.id;
-        let read = node.outside.store.get(&keys::job(id));
-        let stands = read.ok().flatten();
+        let stands = match node.shared.is_cut_off() {
+            true => None,
+            false => node.outside.store.get(&keys::job(id)).ok().flatten(),
+        };
         log::warn!(target: "accept", job = id.as_str(), stands = stands.is_some(); "The write of a job has no answer.");
         match stands {
             Some(item) => confirm(node, knock, item.revision),
@@ -192,6 +205,9 @@
 }
 
 fn cancel_here(node: &Node, id: &Id) -> Reply {
+    if node.shared.is_cut_off() {
+        return Reply::Busy(COME_BACK);
+    }
     let store = &node.outside.store;
     let job = match store.get(&keys::job(id)) {
         Ok(Some(item)) => item,
