Spend no attempt on a suspect worker; watch serving workers closely

Cause: a task's second and last attempt went to the worker that had failed its first, and a faulty worker was flooded with tasks when its time aside was over. Change: a worker whose last run failed just now gets no task that has failed before; a faulty one gets one task to try it with. Change: a worker is closed to filling tasks while a tail is over its target, also without any; serving workers are polled for 0.5 s; all filling tasks stop after 1.0 s over the target, not 1.4 s.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -257,14 +257,13 @@
         };
         worker.granted = worker.granted.max(deadline);
         worker.heard = false;
-        let is_shared = worker.filling > 0 && worker.serving > 0;
         let is_unsure = worker
             .slots
             .values()
             .any(|slot| slot.stopping.is_some() || is_sent(slot));
         let wait = if worker.clock.is_none() {
             0
-        } else if is_shared || is_unsure {
+        } else if worker.serving > 0 || is_unsure {
             timing::POLL_SHARED
         } else {
             timing::POLL_WAIT
--- a/components/cell/src/pace.rs
+++ b/components/cell/src/pace.rs
@@ -24,7 +24,7 @@
 const LOW: u64 = 75;
 /// A serving task over its target for this long, in milliseconds, stops all filling tasks: a
 /// target may be missed for 4 s, and an order takes half a second to show.
-const STUBBORN: u64 = 1_400;
+const STUBBORN: u64 = 1_000;
 /// A pair of images with at least this weight disturbs; harmless ones are measured below 1.
 const HARMFUL: f64 = 1.0;
 
@@ -37,10 +37,6 @@
         learn(&mut self.disturbance, worker);
         self.disturbance.solve(now);
         self.learned_due |= self.disturbance.is_due(now);
-        if worker.filling == 0 {
-            worker.over_since = None;
-            return;
-        }
         for (key, run, percent) in set_paces(&self.disturbance, worker, now) {
             let Some(job) = self.jobs.get(&key.job) else {
                 continue;
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -83,7 +83,11 @@
             return;
         }
         for &place in places {
-            let Some(id) = self.choose(rank, address, step, now) else {
+            let failures = self.failures(rank, place);
+            let Some(id) = self.choose(rank, address, step, failures, now) else {
+                if failures > 0 {
+                    continue;
+                }
                 if step.spread == 0 {
                     stuck.insert(need);
                 }
@@ -186,11 +190,27 @@
         Some(choices)
     }
 
-    fn choose(&self, rank: &Rank, address: Address, step: &Step, now: u64) -> Option<Arc<str>> {
+    /// How often a task has failed.
+    fn failures(&self, rank: &Rank, place: usize) -> u32 {
+        self.jobs
+            .get(&rank.id)
+            .map_or(0, |job| job.progress.tasks[place].failures)
+    }
+
+    fn choose(
+        &self,
+        rank: &Rank,
+        address: Address,
+        step: &Step,
+        failures: u32,
+        now: u64,
+    ) -> Option<Arc<str>> {
         let job = self.jobs.get(&rank.id)?;
+        let failures = if step.lasting { 0 } else { failures };
         let mut best: Option<(u64, &Arc<str>)> = None;
         for (id, worker) in &self.workers {
-            if !self.suits(job, address, step, worker, 0, now) {
+            if !worker.is_trusted(failures, now) || !self.suits(job, address, step, worker, 0, now)
+            {
                 continue;
             }
             let cost = self.cost(step, worker);
@@ -319,6 +339,9 @@
             place,
         };
         worker.hold(key.clone(), slot);
+        if worker.is_faulty() {
+            worker.probe = Some(key.clone());
+        }
         let submission = job.progress.submission.clone();
         let task = &mut job.progress.tasks[place];
         task.run = run;
--- a/components/cell/src/timing.rs
+++ b/components/cell/src/timing.rs
@@ -26,8 +26,8 @@
 /// How long a poll of a worker is held when nothing has to be watched closely. The workers'
 /// interface allows 2,000; a lease of 6,000 then survives a lost poll.
 pub const POLL_WAIT: u64 = 2_000;
-/// How long a poll is held where tasks share a worker with tasks that serve users: their figures
-/// are over the last half second.
+/// How long a poll is held on a worker with tasks that serve users: their figures are over the
+/// last half second, and filling tasks may be placed beside them meanwhile.
 pub const POLL_SHARED: u64 = 500;
 
 /// The time until a lease of this length on a worker's clock is over on ours.
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -146,6 +146,10 @@
     pub avoid: u64,
     /// Ends in a row that failed.
     pub failures: u32,
+    /// When the last of them came.
+    pub failed: u64,
+    /// The task that a faulty worker is tried with.
+    pub probe: Option<Key>,
     /// Since when some serving task has been over its target without a break.
     pub over_since: Option<u64>,
 }
@@ -171,6 +175,8 @@
             over_since: None,
             avoid: 0,
             failures: 0,
+            failed: 0,
+            probe: None,
         }
     }
 
@@ -192,6 +198,22 @@
         self.fenced && self.listed && !self.entry.leaving && now >= self.avoid
     }
 
+    /// True when it may be given a task that has failed so often: a worker whose last run
+    /// failed just now gets none that has failed before, since attempts are few; a faulty one gets one task to try
+    /// it with.
+    pub fn is_trusted(&self, failures: u32, now: u64) -> bool {
+        if self.failures > 0 && failures > 0 && now < self.failed + FAULTY_FOR {
+            return false;
+        }
+        let probing = self.probe.as_ref();
+        !self.is_faulty() || probing.is_none_or(|key| !self.slots.contains_key(key))
+    }
+
+    /// True after several runs in a row that failed.
+    pub fn is_faulty(&self) -> bool {
+        self.failures >= FAULTY_AFTER
+    }
+
     /// What is free for tasks that take room.
     pub fn free(&self) -> Size {
         self.entry.size.minus(self.firm)
@@ -247,7 +269,8 @@
             return;
         }
         self.failures += 1;
-        if self.failures >= FAULTY_AFTER {
+        self.failed = now;
+        if self.is_faulty() {
             self.avoid = self.avoid.max(now + FAULTY_FOR);
             log::warn!(target: "cell", worker = &*self.entry.id, failures = self.failures; "A worker fails its tasks and is set aside.");
         }
--- a/components/cell/tests/decisions/ends.rs
+++ b/components/cell/tests/decisions/ends.rs
@@ -90,6 +90,9 @@
     world.report("w1", vec![], vec![end(1, JOB, 0, 1, How::Failed)]);
     world.write();
     assert_eq!(state(&world), Some(State::Running));
+    assert!(world.starts().is_empty());
+    world.now += 3_000;
+    world.report("w1", vec![], vec![]);
     assert_eq!(world.starts().len(), 1);
 }
 
