Untie files of sched and table that import each other

Cause: actor and claim, actor and peer, book and job, cell and commit, book and sheet imported each other.

--- a/components/sched/src/actor/jobs.rs
+++ b/components/sched/src/actor/jobs.rs
@@ -3,10 +3,12 @@
 use {
     super::Scheduler,
     crate::{
-        commit::{self, Done, Effect},
-        job::{self, Spec, Status},
+        commit,
+        job::{self, Status},
+        journal::{Done, Effect},
         message::{Drain, Worker},
         plan,
+        spec::Spec,
     },
     kernel::{Failure, host::Answerer, verdict::Cause},
     std::{collections::BTreeSet, sync::Arc, time::Instant},
--- a/components/sched/src/actor/membership.rs
+++ b/components/sched/src/actor/membership.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Owned, Scheduler, Shared},
-    crate::{directory::Summary, plan},
+    crate::{claim::Cells, directory::Summary, plan},
     infra::boxes::{Item, Kind, State},
     members::owner,
     std::{
--- a/components/sched/src/actor/mod.rs
+++ b/components/sched/src/actor/mod.rs
@@ -12,10 +12,12 @@
 use {
     crate::{
         cell::Cell,
-        claim,
+        claim::{self, Cells},
         directory::{Directory, SILENT},
         limits::Limits,
-        pass, peer, placement,
+        pass,
+        peer::{self, Orders},
+        placement,
     },
     infra::{
         boxes::{Kind, List},
@@ -183,7 +185,7 @@
     }
 
     /// Begins to own a cell.
-    pub fn own(&mut self, cx: CX![], cell: Arc<str>, claimed: claim::Claimed) {
+    fn begin(&mut self, cx: CX![], cell: Arc<str>, claimed: claim::Claimed) {
         let claim::Claimed {
             record,
             before,
@@ -250,62 +252,12 @@
         }
     }
 
-    /// Stops owning a cell that a newer owner has, and leaves it to that owner for a while.
-    pub fn give_way(&mut self, cell: &str, reason: &str, now: Instant) {
-        self.yielded.insert(Arc::from(cell), now);
-        self.disown(cell, reason);
-    }
-
     fn owned(&mut self, cell: &str, epoch: u64) -> Option<&mut Owned> {
         self.cells
             .get_mut(cell)
             .filter(|owned| owned.cell.epoch() == epoch)
     }
 
-    /// The address of a worker and the next order to it; `None` ends the worker's task.
-    pub fn next_order(&mut self, cell: &str, epoch: u64, at: usize) -> Option<(Arc<str>, Order)> {
-        let owned = self.owned(cell, epoch)?;
-        let order = owned.cell.next_order(at);
-        Some((owned.cell.fleet.slot(at).url.clone(), order))
-    }
-
-    /// Takes the outcome of an exchange over. Returns how long the next may wait; `None` when the
-    /// exchange failed.
-    pub fn on_exchange(
-        &mut self,
-        cx: CX![],
-        (cell, epoch, at): (&Arc<str>, u64, usize),
-        order: &Order,
-        result: Result<Report, Failure>,
-    ) -> Option<Duration> {
-        let now = cx.now();
-        let heartbeat = self.shared.heartbeat;
-        let owned = self.owned(cell, epoch)?;
-        match result {
-            Ok(report) => {
-                owned.cell.on_report(at, order, report, now);
-                let wait = match owned.cell.fleet.slot(at).outbox.is_empty() {
-                    true => owned.cell.next_wait(at, heartbeat, now),
-                    false => Duration::ZERO,
-                };
-                if owned.cell.journal.is_dirty() {
-                    owned.writer.ring();
-                }
-                self.pass_soon(cx, cell);
-                Some(wait)
-            }
-            Err(failure) if failure.cause == Cause::Conflict => {
-                self.give_way(cell, "a worker has seen a newer epoch", now);
-                None
-            }
-            Err(failure) => {
-                let name = &owned.cell.fleet.slot(at).name;
-                log::debug!(target: "sched", "An exchange failed. worker={name} {failure}");
-                None
-            }
-        }
-    }
-
     /// Runs a pass over a cell soon, once for all reasons until then.
     fn pass_soon(&mut self, cx: &mut Cx<'_, Self>, cell: &Arc<str>) {
         let Some(owned) = self.cells.get_mut(cell) else {
@@ -388,3 +340,46 @@
     let Some(before) = before else { return true };
     before == own || !list.items.iter().any(|item| item.name == *before)
 }
+
+impl Orders for Scheduler {
+    fn next_order(&mut self, cell: &str, epoch: u64, at: usize) -> Option<(Arc<str>, Order)> {
+        let owned = self.owned(cell, epoch)?;
+        let order = owned.cell.next_order(at);
+        Some((owned.cell.fleet.slot(at).url.clone(), order))
+    }
+
+    fn on_exchange(
+        &mut self,
+        cx: CX![],
+        (cell, epoch, at): (&Arc<str>, u64, usize),
+        order: &Order,
+        result: Result<Report, Failure>,
+    ) -> Option<Duration> {
+        let now = cx.now();
+        let heartbeat = self.shared.heartbeat;
+        let owned = self.owned(cell, epoch)?;
+        match result {
+            Ok(report) => {
+                owned.cell.on_report(at, order, report, now);
+                let wait = match owned.cell.fleet.slot(at).outbox.is_empty() {
+                    true => owned.cell.next_wait(at, heartbeat, now),
+                    false => Duration::ZERO,
+                };
+                if owned.cell.journal.is_dirty() {
+                    owned.writer.ring();
+                }
+                self.pass_soon(cx, cell);
+                Some(wait)
+            }
+            Err(failure) if failure.cause == Cause::Conflict => {
+                self.give_way(cell, "a worker has seen a newer epoch", now);
+                None
+            }
+            Err(failure) => {
+                let name = &owned.cell.fleet.slot(at).name;
+                log::debug!(target: "sched", "An exchange failed. worker={name} {failure}");
+                None
+            }
+        }
+    }
+}
--- a/components/sched/src/actor/writes.rs
+++ b/components/sched/src/actor/writes.rs
@@ -2,35 +2,34 @@
 
 use {
     super::Scheduler,
-    crate::commit::Batch,
+    crate::{
+        claim::{Cells, Claimed},
+        commit::Batch,
+    },
     infra::budget::Rank,
     kernel::{Failure, stakker::CX, verdict::Cause},
-    std::sync::Arc,
+    std::{sync::Arc, time::Instant},
 };
 
-impl Scheduler {
-    /// How urgent the next write of a cell's book is; `None` when none is due.
-    ///
-    /// # Errors
-    ///
-    /// The cell is not owned here any more, as `Stopping`.
-    pub fn write_due(&mut self, cell: &str, epoch: u64) -> Result<Option<Rank>, Failure> {
-        let gone = || Failure::not_run(Cause::Stopping, "the cell is not owned here any more");
+impl Cells for Scheduler {
+    fn own(&mut self, cx: CX![], cell: Arc<str>, claimed: Claimed) {
+        self.begin(cx, cell, claimed);
+    }
+
+    fn give_way(&mut self, cell: &str, reason: &str, now: Instant) {
+        self.yielded.insert(Arc::from(cell), now);
+        self.disown(cell, reason);
+    }
+
+    fn write_due(&mut self, cell: &str, epoch: u64) -> Result<Option<Rank>, Failure> {
         Ok(self.owned(cell, epoch).ok_or_else(gone)?.cell.journal.due())
     }
 
-    /// The next batch of a cell's book; `None` when none is due.
-    ///
-    /// # Errors
-    ///
-    /// The cell is not owned here any more, as `Stopping`; or its book is too large.
-    pub fn take_batch(&mut self, cell: &str, epoch: u64) -> Result<Option<Batch>, Failure> {
-        let gone = || Failure::not_run(Cause::Stopping, "the cell is not owned here any more");
+    fn take_batch(&mut self, cell: &str, epoch: u64) -> Result<Option<Batch>, Failure> {
         self.owned(cell, epoch).ok_or_else(gone)?.cell.take_batch()
     }
 
-    /// A batch was written, as this version.
-    pub fn committed(&mut self, cx: CX![], cell: &Arc<str>, epoch: u64, version: u64) {
+    fn committed(&mut self, cx: CX![], cell: &Arc<str>, epoch: u64, version: u64) {
         let Some(owned) = self.owned(cell, epoch) else {
             return;
         };
@@ -38,15 +37,20 @@
         self.pass_soon(cx, cell);
     }
 
-    /// A batch was surely not written.
-    pub fn not_committed(&mut self, cell: &str, epoch: u64) {
+    fn not_committed(&mut self, cell: &str, epoch: u64) {
         if let Some(owned) = self.owned(cell, epoch) {
             owned.cell.not_committed();
         }
     }
+}
 
+impl Scheduler {
     /// True when nothing waits to be written down.
     pub fn is_flushed(&self) -> bool {
         self.cells.values().all(|owned| owned.cell.is_flushed())
     }
 }
+
+fn gone() -> Failure {
+    Failure::not_run(Cause::Stopping, "the cell is not owned here any more")
+}
--- a/components/sched/src/book.rs
+++ b/components/sched/src/book.rs
@@ -1,7 +1,7 @@
 //! What lasts of a cell: one value in the store, written in batches.
 
 use {
-    crate::job::Spec,
+    crate::spec::Spec,
     infra::{
         Store,
         settle::{self, Settled},
--- a/components/sched/src/cell.rs
+++ b/components/sched/src/cell.rs
@@ -3,13 +3,14 @@
 use {
     crate::{
         book::Book,
-        commit::Journal,
         fleet::Fleet,
-        job::{self, Job, Spec, Status},
+        job::{self, Job, Status},
+        journal::Journal,
         limits::Limits,
         placement::Placement,
         plan,
         queue::Queue,
+        spec::Spec,
     },
     infra::{
         Size,
--- a/components/sched/src/claim.rs
+++ b/components/sched/src/claim.rs
@@ -2,15 +2,15 @@
 
 use {
     crate::{
-        actor::Scheduler,
         book::{self, Book},
+        commit::Batch,
     },
     infra::{
         Store,
         budget::{self, Bucket},
         settle::{self, Settled},
     },
-    kernel::{Failure, Remote, task::Signal, verdict::Cause},
+    kernel::{Failure, Remote, stakker::Cx, task::Signal, verdict::Cause},
     lease::{Record, epoch},
     std::{
         sync::Arc,
@@ -43,13 +43,42 @@
     pub book: Book,
 }
 
+/// The actor that the tasks of cells ask and tell.
+pub trait Cells: Sized + 'static {
+    /// Begins to own a cell.
+    fn own(&mut self, cx: &mut Cx<'_, Self>, cell: Arc<str>, claimed: Claimed);
+
+    /// Stops owning a cell that a newer owner has, and leaves it to that owner for a while.
+    fn give_way(&mut self, cell: &str, reason: &str, now: Instant);
+
+    /// How urgent the next write of a cell's book is; `None` when none is due.
+    ///
+    /// # Errors
+    ///
+    /// The cell is not owned here any more, as `Stopping`.
+    fn write_due(&mut self, cell: &str, epoch: u64) -> Result<Option<budget::Rank>, Failure>;
+
+    /// The next batch of a cell's book; `None` when none is due.
+    ///
+    /// # Errors
+    ///
+    /// The cell is not owned here any more, as `Stopping`; or its book is too large.
+    fn take_batch(&mut self, cell: &str, epoch: u64) -> Result<Option<Batch>, Failure>;
+
+    /// A batch was written, as this version.
+    fn committed(&mut self, cx: &mut Cx<'_, Self>, cell: &Arc<str>, epoch: u64, version: u64);
+
+    /// A batch was surely not written.
+    fn not_committed(&mut self, cell: &str, epoch: u64);
+}
+
 /// Takes one cell over: raises its epoch, claims its book, and hands both to the actor.
 ///
 /// # Errors
 ///
 /// The store fails, or another took the cell over at the same moment.
-pub fn take_over(
-    remote: &Remote<Scheduler>,
+pub fn take_over<A: Cells>(
+    remote: &Remote<A>,
     store: &dyn Store,
     (name, url): (&Arc<str>, &Arc<str>),
     cell: &Arc<str>,
@@ -67,7 +96,7 @@
 }
 
 /// The task that writes one cell's book.
-pub struct Writer {
+pub struct Writer<A: Cells> {
     /// The cell.
     pub cell: Arc<str>,
     /// The epoch in which the task works.
@@ -75,12 +104,12 @@
     /// Ends the task, or wakes it when something is due.
     pub signal: Signal,
     /// The actor.
-    pub remote: Remote<Scheduler>,
+    pub remote: Remote<A>,
     /// The store.
     pub store: Arc<dyn Store>,
 }
 
-impl Writer {
+impl<A: Cells> Writer<A> {
     /// Writes until the cell has another owner or the process stops.
     pub fn run(self) {
         let mut bucket = Bucket::new(WRITE_RATE, WRITE_BURST, Instant::now());
--- a/components/sched/src/commit.rs
+++ b/components/sched/src/commit.rs
@@ -5,8 +5,9 @@
         book::{Book, MAX_BOOK},
         cell::Cell,
         job::Job,
+        journal::{Done, Effect},
     },
-    infra::{budget::Rank, worker::Task},
+    infra::budget::Rank,
     kernel::{Failure, sync::lock, verdict::Cause, wall, wire},
     std::sync::{Arc, Mutex},
 };
@@ -20,12 +21,6 @@
 /// How long an ended job is kept for those who ask, in milliseconds.
 const KEEP_ENDED: u64 = 10 * 60 * 1000;
 
-/// How many submissions may wait to be written down.
-const MAX_STAGED: usize = 10_000;
-
-/// Answers whoever waits for the write.
-pub type Done = Box<dyn FnOnce(Result<(), Failure>) + Send>;
-
 /// Makes one answer out of several: it is given with the last of them, or with the first failure.
 pub fn split(done: Done, parts: usize) -> Vec<Done> {
     let shared = Arc::new(Mutex::new((parts, Some(done))));
@@ -44,16 +39,6 @@
     (0..parts).map(|_| part(shared.clone())).collect()
 }
 
-/// What happens once the book is written.
-pub enum Effect {
-    /// A job may begin.
-    Begin(Arc<str>),
-    /// A worker's ledger may forget a task.
-    Forget(usize, Task, u64),
-    /// Someone is answered.
-    Answer(Done),
-}
-
 /// A book that is on its way to the store.
 pub struct Batch {
     /// The version that the store has.
@@ -62,88 +47,6 @@
     pub bytes: Vec<u8>,
 }
 
-/// What waits to be written down.
-pub struct Journal {
-    version: u64,
-    write: u64,
-    dirty: bool,
-    rank: Rank,
-    staged: Vec<Effect>,
-    sent: Vec<Effect>,
-    sending: bool,
-    bytes: usize,
-    /// Workers that operators drain.
-    pub drained: Vec<Arc<str>>,
-}
-
-impl Journal {
-    /// A journal on a claimed book.
-    pub fn new(version: u64, write: u64, drained: Vec<Arc<str>>) -> Self {
-        Journal {
-            version,
-            write,
-            dirty: false,
-            rank: Rank::Read,
-            staged: Vec::new(),
-            sent: Vec::new(),
-            sending: false,
-            bytes: 0,
-            drained,
-        }
-    }
-
-    /// Something changed that must be written.
-    pub fn touch(&mut self) {
-        self.dirty = true;
-    }
-
-    /// True when a write is due.
-    pub fn is_dirty(&self) -> bool {
-        self.dirty || !self.staged.is_empty()
-    }
-
-    /// Makes the next write at least this urgent.
-    pub fn hurry(&mut self, rank: Rank) {
-        self.rank = self.rank.min(rank);
-    }
-
-    /// How urgent the next write is; `None` when none is due.
-    pub fn due(&self) -> Option<Rank> {
-        (self.is_dirty() && !self.sending).then_some(self.rank)
-    }
-
-    /// True while a batch is on its way.
-    pub fn is_sending(&self) -> bool {
-        self.sending
-    }
-
-    /// Lets something happen after the next write.
-    pub fn stage(&mut self, effect: Effect) {
-        self.staged.push(effect);
-    }
-
-    /// Tells whether there is room for another job.
-    ///
-    /// # Errors
-    ///
-    /// `Busy` when the book is full or too many submissions wait for the store.
-    pub fn admit(&self) -> Result<(), Failure> {
-        if self.bytes > MAX_BOOK / 10 * 9 {
-            return Err(Failure::not_run(
-                Cause::Busy,
-                "the cell's book is full; try later",
-            ));
-        }
-        if self.staged.len() > MAX_STAGED {
-            return Err(Failure::not_run(
-                Cause::Busy,
-                "too many wait for the store; try later",
-            ));
-        }
-        Ok(())
-    }
-}
-
 impl Cell {
     /// The next batch to write; `None` when nothing is due or a batch is on its way.
     ///
--- a/components/sched/src/message.rs
+++ b/components/sched/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages between schedulers, and from operators.
 
 use {
-    crate::{directory::Summary, job::Spec},
+    crate::{directory::Summary, spec::Spec},
     infra::Size,
     serde::{Deserialize, Serialize},
     std::sync::Arc,
--- a/components/sched/src/peer.rs
+++ b/components/sched/src/peer.rs
@@ -1,17 +1,32 @@
 //! The task of one worker: exchanges orders for reports, straight down.
 
 use {
-    crate::actor::Scheduler,
-    infra::worker::Workers,
-    kernel::{Remote, task::Signal},
+    infra::worker::{Order, Report, Workers},
+    kernel::{Failure, Remote, stakker::Cx, task::Signal},
     std::{sync::Arc, time::Duration},
 };
 
 /// The longest wait between exchanges with a worker that does not answer.
 const BACKOFF_MOST: Duration = Duration::from_secs(2);
 
+/// The actor that a worker's task asks and tells.
+pub trait Orders: Sized + 'static {
+    /// The address of a worker and the next order to it; `None` ends the worker's task.
+    fn next_order(&mut self, cell: &str, epoch: u64, at: usize) -> Option<(Arc<str>, Order)>;
+
+    /// Takes the outcome of an exchange over. Returns how long the next may wait; `None` when the
+    /// exchange failed.
+    fn on_exchange(
+        &mut self,
+        cx: &mut Cx<'_, Self>,
+        place: (&Arc<str>, u64, usize),
+        order: &Order,
+        result: Result<Report, Failure>,
+    ) -> Option<Duration>;
+}
+
 /// What one worker's task needs.
-pub struct Peer {
+pub struct Peer<A: Orders> {
     /// The cell.
     pub cell: Arc<str>,
     /// The epoch in which the task works.
@@ -21,14 +36,14 @@
     /// Ends the task, or wakes it when something is due.
     pub signal: Signal,
     /// The actor.
-    pub remote: Remote<Scheduler>,
+    pub remote: Remote<A>,
     /// The workers.
     pub workers: Arc<dyn Workers>,
     /// The time between exchanges when nothing is due.
     pub heartbeat: Duration,
 }
 
-impl Peer {
+impl<A: Orders> Peer<A> {
     /// Exchanges until the cell has another owner or the process stops.
     pub fn run(self) {
         let mut failures = 0;
--- a/components/sched/src/plan.rs
+++ b/components/sched/src/plan.rs
@@ -1,7 +1,7 @@
 //! Which cell a new job goes to, and whether it can ever run.
 
 use {
-    crate::{directory::Directory, job::Spec, limits::Limits},
+    crate::{directory::Directory, limits::Limits, spec::Spec},
     infra::{
         Size,
         boxes::{Kind, List, State},
--- a/components/sched/src/report.rs
+++ b/components/sched/src/report.rs
@@ -3,9 +3,9 @@
 use {
     crate::{
         cell::{Cell, Run},
-        commit::Effect,
         fleet::Heard,
         job,
+        journal::Effect,
     },
     infra::worker::{Manner, Order, Phase, Record, Refusal, Report, Stop, Task},
     std::{sync::Arc, time::Instant},
--- a/components/table/src/book.rs
+++ b/components/table/src/book.rs
@@ -1,7 +1,7 @@
 //! The table with its history, and edits of it.
 
 use {
-    crate::row::Row,
+    crate::{row::Row, sheet},
     displaydoc::Display,
     serde::{Deserialize, Serialize},
     std::{
@@ -145,7 +145,8 @@
             at,
             rows,
         };
-        let broken = crate::sheet::check_table(&self.with(&change));
+        let rows: Vec<Row> = self.with(&change).rows.into_values().collect();
+        let broken = sheet::check_again(&rows);
         if !broken.is_empty() {
             return Err(Refusal::Invalid(broken));
         }
--- a/components/table/src/lib.rs
+++ b/components/table/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod accept;
 pub mod book;
+pub mod diff;
 pub mod follow;
 pub mod keeper;
 pub mod message;
--- a/programs/ctl/src/table.rs
+++ b/programs/ctl/src/table.rs
@@ -65,7 +65,7 @@
 
 fn diff(context: &Context, file: &str, json: bool) -> Result<(), Error> {
     let current = current(context)?;
-    let edits = sheet::diff(&current.table, &read(file)?);
+    let edits = table::diff::diff(&current.table, &read(file)?);
     if json {
         show::json(&edits);
         return Ok(());
@@ -85,7 +85,7 @@
 fn apply(context: &Context, command: &TableApply) -> Result<(), Error> {
     let current = current(context)?;
     let wanted = read(&command.file)?;
-    let mut rows = sheet::diff(&current.table, &wanted);
+    let mut rows = table::diff::diff(&current.table, &wanted);
     if let Some(from) = command.from {
         keep_changed(&mut rows, &current, from)?;
     }
--- a/programs/load/src/slope/rig.rs
+++ b/programs/load/src/slope/rig.rs
@@ -125,7 +125,7 @@
             if let Err(failure) = self.cell.submit(&id, spec, 0) {
                 unreachable!("a job of the rig was refused: {failure}");
             }
-            let begin = sched::commit::Effect::Begin(id);
+            let begin = sched::journal::Effect::Begin(id);
             self.cell.journal.stage(begin);
         }
         self.commit();
