Ask for advice on queues that want it, and start with tickets

Cause: queues may say that only some workers may run a step, which a service outside tells. Change: cell::advise keeps what is known of each step and asks about 30 workers at a time, one question at once; node::Advisor and platform::advice ask the service; starts carry the ticket.

--- a/components/cell/src/admit.rs
+++ b/components/cell/src/admit.rs
@@ -6,7 +6,10 @@
         worker::Key,
     },
     job::{Id, Phase, Progress, Record, State, Submission},
-    std::{collections::BTreeSet, sync::Arc},
+    std::{
+        collections::{BTreeSet, HashMap},
+        sync::Arc,
+    },
 };
 
 impl Cell {
@@ -36,6 +39,7 @@
         let steps = submission.spec.steps.len() * submission.spec.times() as usize;
         let job = Job {
             rank: rank(&progress),
+            advice: HashMap::new(),
             ready: BTreeSet::new(),
             opened: vec![false; steps],
             shown: progress.state,
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        advise::{Known, Question},
         disturb::Disturbance,
         order::Order,
         timing::{self, Timing},
@@ -30,6 +31,8 @@
     pub unsure: bool,
     /// Where it stands in line.
     pub rank: Rank,
+    /// What is known of which workers may run its steps, by time and step.
+    pub advice: HashMap<(u32, u16), Known>,
 }
 
 /// Order of jobs in line: the lowest first.
@@ -102,6 +105,7 @@
     pub(crate) fleet_dirty: bool,
     pub(crate) learned_due: bool,
     pub(crate) orders: Vec<(Arc<str>, Order)>,
+    pub(crate) questions: Vec<Question>,
     pub(crate) recovery: Option<Recovery>,
     pub(crate) disturbance: Disturbance,
 }
@@ -121,6 +125,7 @@
             fleet_dirty: false,
             learned_due: false,
             orders: Vec::new(),
+            questions: Vec::new(),
             recovery: None,
             disturbance: Disturbance::default(),
         }
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -5,6 +5,7 @@
 //! (a worker's own steady clock).
 
 mod admit;
+mod advise;
 mod cell;
 mod disturb;
 mod drain;
@@ -17,6 +18,7 @@
 mod timing;
 mod worker;
 
+pub use advise::{Advice, Question};
 pub use cell::{Cell, Change, Poll};
 pub use disturb::Disturbance;
 pub use order::{End, How, Order, Outcome, Reason, Report, Run, Start};
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -88,6 +88,10 @@
                 if failures > 0 {
                     continue;
                 }
+                if submission.queue.advised {
+                    self.ask(rank, address, step, now);
+                    return;
+                }
                 if step.spread == 0 {
                     stuck.insert(need);
                 }
@@ -127,6 +131,7 @@
             }
             return;
         }
+        self.ask(rank, address, step, now);
     }
 
     /// All members must go on from the same checkpoint; any member's is good.
@@ -175,7 +180,10 @@
                     .as_ref()
                     .is_some_and(|rack| &**rack != worker.entry.rack());
                 let before = taken.get(id).copied().unwrap_or_default();
-                if is_elsewhere || !self.suits(job, address, step, worker, before, now) {
+                if is_elsewhere || !job.is_advised(address, id, now) {
+                    continue;
+                }
+                if !self.suits(job, address, step, worker, before, now) {
                     continue;
                 }
                 let cost = self.cost(step, worker);
@@ -209,6 +217,9 @@
         let failures = if step.lasting { 0 } else { failures };
         let mut best: Option<(u64, &Arc<str>)> = None;
         for (id, worker) in &self.workers {
+            if !job.is_advised(address, id, now) {
+                continue;
+            }
             if !worker.is_trusted(failures, now) || !self.suits(job, address, step, worker, 0, now)
             {
                 continue;
@@ -223,7 +234,7 @@
 
     /// True when a task of the step may run on the worker, beside `before` others of it that are
     /// not started yet.
-    fn suits(
+    pub(crate) fn suits(
         &self,
         job: &Job,
         address: Address,
@@ -272,7 +283,7 @@
 
     /// The least is the best: near its data, and for tasks that take room, the fullest worker with
     /// serving tasks alike; for filling tasks, where they disturb least and have most room.
-    fn cost(&self, step: &Step, worker: &Worker) -> u64 {
+    pub(crate) fn cost(&self, step: &Step, worker: &Worker) -> u64 {
         let mut cost = 0;
         if let Some(rack) = &step.rack
             && !worker.entry.bears(rack)
@@ -347,15 +358,18 @@
         task.run = run;
         task.phase = Phase::Placed(id.clone());
         job.ready.remove(&place);
-        log::info!(target: "cell", job = rank.id.as_str(), place, run, worker = &**id, saved = task.saved.is_some(); "A task is placed.");
+        let saved = task.saved.clone();
+        log::info!(target: "cell", job = rank.id.as_str(), place, run, worker = &**id, saved = saved.is_some(); "A task is placed.");
+        let address = submission.spec.address(place);
+        let ticket = job.ticket(address, id, now);
         let start = Start {
             key,
-            address: submission.spec.address(place),
+            address,
             run,
             text: submission.spec.text.clone(),
-            saved: task.saved.clone(),
+            saved,
             deadline,
-            ticket: None,
+            ticket,
         };
         self.orders.push((id.clone(), Order::Start(start)));
     }
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -440,6 +440,9 @@
                 log::info!(target: "cell", job = start.key.job.as_str(), place = start.key.place, worker = &**id, run = start.run, reason:? = reason; "A start is refused.");
                 worker.shun(now);
                 worker.release(&start.key);
+                if reason == Reason::Ticket {
+                    self.drop_ticket(&start.key.job, start.address, id);
+                }
                 self.free_if_placed_nowhere(&start.key);
             }
         }
--- /dev/null
+++ b/components/cell/tests/decisions/advise.rs
@@ -0,0 +1,80 @@
+//! Queues on which a service outside chooses the workers.
+
+use {
+    crate::common::{JOB, World, step, submission},
+    magpie_cell::{Advice, Outcome, Question, Reason},
+};
+
+fn advised_world() -> World {
+    let mut world = World::new(&["w1", "w2"]);
+    let mut job = submission(JOB, vec![step(2, 1_000)]);
+    job.queue.advised = true;
+    world.cell.admit(job, 1);
+    world
+}
+
+fn question(world: &mut World) -> Question {
+    assert!(world.starts().is_empty());
+    let mut questions = world.cell.take_questions();
+    assert_eq!(questions.len(), 1);
+    questions.remove(0)
+}
+
+fn advice(worker: &str) -> Advice {
+    Advice {
+        good: vec![(worker.into(), "ticket".into())],
+        valid: 3_000,
+    }
+}
+
+#[test]
+fn starts_only_with_ticket() {
+    let mut world = advised_world();
+    let asked = question(&mut world);
+    assert_eq!(asked.workers.len(), 2);
+    world.cell.advised(&asked, Some(advice("w2")), world.now);
+    let starts = world.starts();
+    assert_eq!(starts.len(), 2);
+    for (worker, start) in &starts {
+        assert_eq!(&**worker, "w2");
+        assert_eq!(start.ticket.as_deref(), Some("ticket"));
+    }
+}
+
+#[test]
+fn asks_again_after_failure() {
+    let mut world = advised_world();
+    let asked = question(&mut world);
+    assert!(world.starts().is_empty() && world.cell.take_questions().is_empty());
+    world.cell.advised(&asked, None, world.now);
+    assert!(world.starts().is_empty() && world.cell.take_questions().is_empty());
+    world.now += 200;
+    assert_eq!(question(&mut world), asked);
+}
+
+#[test]
+fn ticket_runs_out() {
+    let mut world = advised_world();
+    let asked = question(&mut world);
+    world.cell.advised(&asked, Some(advice("w2")), world.now);
+    world.now += 2_000;
+    world.cell.expire_tickets(world.now);
+    world.report("w1", vec![], vec![]);
+    world.report("w2", vec![], vec![]);
+    let again = question(&mut world);
+    assert_eq!(again.workers, ["w2".into()]);
+}
+
+#[test]
+fn refused_ticket_is_dropped() {
+    let mut world = advised_world();
+    let asked = question(&mut world);
+    world.cell.advised(&asked, Some(advice("w2")), world.now);
+    let starts = world.starts();
+    for (worker, start) in &starts {
+        world.answer(worker, start, Outcome::Refused(Reason::Ticket));
+    }
+    world.now += 600;
+    world.report("w2", vec![], vec![]);
+    assert_eq!(question(&mut world).workers, ["w2".into()]);
+}
--- a/components/cell/tests/decisions/main.rs
+++ b/components/cell/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "these are tests, helpers included")]
 
+mod advise;
 mod common;
 mod drain;
 mod ends;
--- a/components/node/src/outside.rs
+++ b/components/node/src/outside.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::store::Store,
-    cell::{Entry, Order, Outcome, Poll, Reason, Report},
+    cell::{Advice, Entry, Order, Outcome, Poll, Question, Reason, Report},
     job::Config,
     kernel::Failure,
     std::{sync::Arc, time::Duration},
@@ -55,6 +55,16 @@
     fn wait(&self, after: u64, time: Duration) -> Result<Option<(Config, u64)>, Failure>;
 }
 
+/// The service that tells which workers may run a step.
+pub trait Advisor: Send + Sync {
+    /// Asks it.
+    ///
+    /// # Errors
+    ///
+    /// It gave no usable answer.
+    fn advise(&self, question: &Question) -> Result<Advice, Failure>;
+}
+
 /// All that a box reaches outside of itself.
 #[derive(Clone)]
 pub struct Outside {
@@ -64,4 +74,6 @@
     pub workers: Arc<dyn Workers>,
     /// The configuration.
     pub configs: Arc<dyn Configs>,
+    /// The service that advises on workers.
+    pub advisor: Arc<dyn Advisor>,
 }
--- a/components/node/src/owning.rs
+++ b/components/node/src/owning.rs
@@ -8,10 +8,14 @@
         store::{Event, Watched, range_all},
         time,
     },
-    cell::Cell,
+    cell::{Cell, Question},
     job::Submission,
     kernel::{task, wall, wire},
-    std::{thread, time::Duration},
+    std::{
+        sync::mpsc::{self, Receiver, Sender},
+        thread,
+        time::Duration,
+    },
 };
 
 /// Starts the tasks of a tenure. They end with it.
@@ -22,6 +26,25 @@
     start("list", node, move |node| list(&node, fence));
 }
 
+/// Starts the task that asks for advice, one question at a time: the service handles each box's
+/// calls in turn. It ends with the tenure. Returns the way for questions.
+pub fn ask_advice(node: &Node, fence: u64) -> Sender<Question> {
+    let (sender, questions) = mpsc::channel();
+    start("advice", node, move |node| advise(&node, fence, &questions));
+    sender
+}
+
+fn advise(node: &Node, fence: u64, questions: &Receiver<Question>) {
+    for question in questions {
+        let answer = node.outside.advisor.advise(&question);
+        if let Err(failure) = &answer {
+            log::warn!(target: "owner", job = question.job.as_str(), error:% = failure; "There is no advice.");
+        }
+        node.remote
+            .tell(move |core, cx| core.advised(cx, fence, &question, answer.ok()));
+    }
+}
+
 fn start(name: &str, node: &Node, run: impl FnOnce(Node) + Send + 'static) {
     let node = node.clone();
     if let Err(error) = task::spawn(name, move || run(node)) {
--- a/components/node/src/tenure.rs
+++ b/components/node/src/tenure.rs
@@ -10,7 +10,7 @@
         store::{Applied, Event},
         time,
     },
-    cell::{Cell, Entry, Order, Outcome, Poll, Reason, Report},
+    cell::{Advice, Cell, Entry, Order, Outcome, Poll, Question, Reason, Report},
     job::{Id, State, Submission},
     kernel::{
         Failure,
@@ -47,6 +47,8 @@
     /// The cell is to be given up once all is written.
     pub leaving: Option<Answerer<bool>>,
     links: HashMap<Arc<str>, Sender<Order>>,
+    /// The way for questions to the advising service, once there was one.
+    advice: Option<Sender<Question>>,
     pollers: HashMap<Arc<str>, Answerer<Option<Poll>>>,
     writer: Option<Answerer<Option<Group>>>,
     written: u64,
@@ -66,6 +68,7 @@
             announce: false,
             leaving: None,
             links: HashMap::new(),
+            advice: None,
             pollers: HashMap::new(),
             writer: None,
             written: 0,
@@ -152,6 +155,7 @@
         };
         tenure.cell.open_due(wall::millis());
         tenure.cell.rerank(wall::millis());
+        tenure.cell.expire_tickets(time::now());
         for id in tenure.cell.lapse(time::now()) {
             tenure.links.remove(&id);
         }
@@ -311,9 +315,40 @@
                 let _ = link.send(order);
             }
         }
+        self.ask_advice();
         self.wake_writer(cx);
     }
 
+    fn ask_advice(&mut self) {
+        let node = self.node.clone();
+        let Some(tenure) = &mut self.tenure else {
+            return;
+        };
+        let fence = tenure.fence;
+        for question in tenure.cell.take_questions() {
+            let way = tenure
+                .advice
+                .get_or_insert_with(|| owning::ask_advice(&node, fence));
+            // The task lives as long as the tenure.
+            let _ = way.send(question);
+        }
+    }
+
+    /// Takes in advice, or that there is none.
+    pub(crate) fn advised(
+        &mut self,
+        cx: &mut Cx<'_, Self>,
+        fence: u64,
+        question: &Question,
+        advice: Option<Advice>,
+    ) {
+        let Some(tenure) = self.tenure_of(fence) else {
+            return;
+        };
+        tenure.cell.advised(question, advice, time::now());
+        self.settle(cx);
+    }
+
     /// Hands the writer its next group, now or when the gap has passed.
     pub(crate) fn next_group(
         &mut self,
--- a/programs/box/src/cli.rs
+++ b/programs/box/src/cli.rs
@@ -43,6 +43,9 @@
     /// address of the store (MAGPIE_STORE)
     #[argh(option)]
     store: Option<String>,
+    /// address of the service that advises on workers (MAGPIE_ADVISOR, default none)
+    #[argh(option)]
+    advisor: Option<String>,
     /// longest lease of a worker, in milliseconds (MAGPIE_LEASE_MS, default 6000)
     #[argh(option)]
     lease_ms: Option<String>,
@@ -81,6 +84,8 @@
     pub metrics: Option<SocketAddr>,
     /// The store.
     pub store: SocketAddr,
+    /// The service that advises on workers.
+    pub advisor: Option<SocketAddr>,
     /// The time for an orderly stop.
     pub grace: Duration,
     /// The level of the logs.
@@ -147,6 +152,7 @@
     let rule = "an address and a port, such as 10.0.0.5:9100";
     let metrics = reader.optional("metrics", arguments.metrics, rule);
     let store = reader.address("store", arguments.store, "127.0.0.1:7100");
+    let advisor = reader.optional("advisor", arguments.advisor, rule);
     let lease = reader.number("lease-ms", arguments.lease_ms, "6000", (1_000, 600_000));
     let stop = reader.number("stop-ms", arguments.stop_ms, "900", (1, 60_000));
     let pace = reader.number("pace-ms", arguments.pace_ms, "100", (1, 60_000));
@@ -172,6 +178,7 @@
             inside,
             metrics,
             store: store?,
+            advisor,
             grace: Duration::from_millis(grace?),
             level: common?.level,
         })
