--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -202,7 +202,7 @@
     fn failures(&self, rank: &Rank, place: usize) -> u32 {
         self.jobs
             .get(&rank.id)
-            .map_or(0, |job| job.progress.tasks[place].failures)
+            .map_or(0, |job| job.progress.tasks[place].failed.len() as u32)
     }
 
     fn choose(
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -357,20 +357,20 @@
         }
         let attempts = job.progress.submission.queue.attempts;
         let is_lasting = job.progress.step(key.place).lasting;
-        let task = &mut job.progress.tasks[key.place];
-        // A former owner may have written this very failure down already.
-        if task.phase == Phase::Done || run <= task.failed_run {
+        let is_done = job.progress.tasks[key.place].phase == Phase::Done;
+        // Lasting tasks may fail as often as they like. A former owner may have written this very
+        // failure down already.
+        if is_done || is_lasting || !job.progress.fail(key.place, run) {
             if was_here {
                 self.free_if_placed_nowhere(key);
             }
             return;
         }
-        task.failures += 1;
-        task.failed_run = run;
+        let task = &mut job.progress.tasks[key.place];
         task.run = task.run.max(run);
-        let failures = task.failures;
+        let failures = task.failed.len() as u32;
         self.dirty.insert(key.job.clone());
-        if !is_lasting && failures >= attempts {
+        if failures >= attempts {
             log::info!(target: "cell", job = key.job.as_str(), place = key.place, failures; "A task has failed as often as it may.");
             self.finish(&key.job, State::Failed, moment.now, moment.wall);
             return;
--- a/components/cell/tests/decisions/ends.rs
+++ b/components/cell/tests/decisions/ends.rs
@@ -82,7 +82,7 @@
     let record = job::Record {
         state: State::Running,
         run: 1,
-        failures: vec![(0, 1, 1)],
+        failed: vec![(0, vec![1])],
         ..job::Record::default()
     };
     let submission = crate::common::submission(JOB, vec![step(1, 1_000)]);
--- a/components/cell/tests/decisions/takeover.rs
+++ b/components/cell/tests/decisions/takeover.rs
@@ -1,6 +1,10 @@
 //! A new owner adopts what runs and starts nothing twice.
 
-use crate::common::{JOB, World, run, step};
+use {
+    crate::common::{JOB, World, end, run, step},
+    job::{Id, State},
+    magpie_cell::How,
+};
 
 #[test]
 fn recover_adopts_running() {
@@ -56,3 +60,21 @@
     let starts = world.starts();
     assert!(starts[0].1.run > 1 + 60);
 }
+
+/// Seen on a day with an owner cut off: the new owner heard of the second failure first, took the
+/// first one for counted, and started the task once too often.
+#[test]
+fn failures_count_in_any_order() {
+    let mut world = World::unheard(&["w1", "w2"]);
+    world.resume(JOB, vec![step(1, 1_000)]);
+    world.cell.recover(world.now);
+    world.report("w2", vec![], vec![end(1, JOB, 0, 2, How::Failed)]);
+    world.report("w1", vec![], vec![end(1, JOB, 0, 1, How::Failed)]);
+    world.now += 5_000;
+    world.report("w1", vec![], vec![]);
+    world.report("w2", vec![], vec![]);
+    assert!(world.starts().is_empty());
+    world.write();
+    let state = world.cell.state(&Id::new(JOB).unwrap());
+    assert_eq!(state, Some(State::Failed));
+}
--- a/components/job/src/progress.rs
+++ b/components/job/src/progress.rs
@@ -31,10 +31,8 @@
     pub phase: Phase,
     /// The number of its last run; 0 before the first.
     pub run: u64,
-    /// How often it failed.
-    pub failures: u32,
-    /// The highest run that was counted as failed.
-    pub failed_run: u64,
+    /// The runs that failed. Owners hear of them in any order and more than once.
+    pub failed: Vec<u64>,
     /// Its last checkpoint.
     pub saved: Option<Arc<str>>,
 }
@@ -70,8 +68,7 @@
         let blank = Task {
             phase: Phase::Waiting,
             run,
-            failures: 0,
-            failed_run: 0,
+            failed: Vec::new(),
             saved: None,
         };
         let mut open = Vec::new();
@@ -101,10 +98,9 @@
                 self.finish(place);
             }
         }
-        for &(place, failures, run) in &record.failures {
-            if let Some(task) = self.tasks.get_mut(place as usize) {
-                task.failures = failures;
-                task.failed_run = run;
+        for (place, runs) in &record.failed {
+            if let Some(task) = self.tasks.get_mut(*place as usize) {
+                task.failed.clone_from(runs);
             }
         }
         for (place, saved) in &record.saved {
@@ -131,9 +127,8 @@
                 record.done[place / 8] |= 1 << (place % 8);
                 continue;
             }
-            if task.failures > 0 {
-                let failure = (place as u32, task.failures, task.failed_run);
-                record.failures.push(failure);
+            if !task.failed.is_empty() {
+                record.failed.push((place as u32, task.failed.clone()));
             }
             if task.phase == Phase::Waiting
                 && let Some(saved) = &task.saved
@@ -164,6 +159,16 @@
         start..start + spec.steps[step as usize].count as usize
     }
 
+    /// Notes that a run of a task failed. True when it was not known before.
+    pub fn fail(&mut self, place: usize, run: u64) -> bool {
+        let task = &mut self.tasks[place];
+        if task.failed.contains(&run) {
+            return false;
+        }
+        task.failed.push(run);
+        true
+    }
+
     /// Notes that a task is done. True when it was not before.
     pub fn finish(&mut self, place: usize) -> bool {
         if self.tasks[place].phase == Phase::Done {
--- a/components/job/src/record.rs
+++ b/components/job/src/record.rs
@@ -66,8 +66,8 @@
     pub ended: u64,
     /// A bit for each task that is done.
     pub done: Vec<u8>,
-    /// Tasks that failed, how often, and the highest run that was counted.
-    pub failures: Vec<(u32, u32, u64)>,
+    /// Tasks that failed, and the runs that did.
+    pub failed: Vec<(u32, Vec<u64>)>,
     /// The highest run number of any task.
     pub run: u64,
     /// Tasks with a checkpoint that no worker holds any more.
--- a/components/job/tests/progress.rs
+++ b/components/job/tests/progress.rs
@@ -120,13 +120,14 @@
     progress.state = State::Running;
     progress.finish(8);
     progress.tasks[3].run = 5;
-    progress.tasks[3].failures = 1;
+    assert!(progress.fail(3, 5));
+    assert!(!progress.fail(3, 5));
     progress.tasks[4].saved = Some("abc".into());
     let bytes = rmp_serde::to_vec_named(&progress.record()).unwrap();
     let record: Record = rmp_serde::from_slice(&bytes).unwrap();
     let resumed = Progress::resume(submission, &record);
     assert_eq!(resumed.tasks[8].phase, Phase::Done);
-    assert_eq!(resumed.tasks[3].failures, 1);
+    assert_eq!(resumed.tasks[3].failed, [5]);
     assert_eq!(resumed.tasks[4].saved.as_deref(), Some("abc"));
     assert_eq!(resumed.tasks[0].run, 5 + RUN_GAP);
     assert_eq!(resumed.state, State::Running);
