--- a/components/node/src/relays.rs
+++ b/components/node/src/relays.rs
@@ -9,16 +9,17 @@
     },
 };
 
-/// Workers that an owner looks after by itself. The owner of 66 workers took 0.14 of a core.
-pub const OWN_MOST: usize = 70;
-/// Workers that a relay looks after for each core that it has, as measured for `OWN_MOST`, with
-/// half of the processor left free.
+/// Workers that a relay looks after for each core that it has. The owner of 66 workers, which
+/// decides as well, took 0.14 of a core.
 const MOST_A_CORE: usize = 180;
 /// From this share of a core on, in thousandths, a box is a relay of choice.
 const STRONG: u32 = 300;
 /// A relay that has not been heard for this long, in milliseconds, is taken for gone. Exchanges are
 /// 25 ms apart; leases at workers of 4.5 s leave time for another to take over.
 const SILENT: u64 = 1_200;
+/// After this time, in milliseconds, the owner looks after workers itself that no relay has room
+/// for: boxes offer themselves every 0.4 s.
+const UNATTENDED: u64 = 1_500;
 
 /// One relay.
 struct Relay {
@@ -51,20 +52,20 @@
     /// Orders on their way, by number.
     orders: HashMap<u64, (Arc<str>, Order)>,
     numbers: u64,
-    /// Workers that nobody looks after.
-    unattended: Vec<Entry>,
+    /// Workers that nobody looks after, and since when.
+    unattended: Vec<(Entry, u64)>,
 }
 
 impl Relays {
     /// Chooses the relay that looks after a worker; none when all are full. Then it is kept until
     /// one has room.
-    pub fn assign(&mut self, entry: Entry) -> Option<Arc<str>> {
+    pub fn assign(&mut self, entry: Entry, now: u64) -> Option<Arc<str>> {
         let open = self.by_name.iter_mut();
         let open = open.filter(|(_, relay)| relay.workers.len() < relay.most());
         let load = |relay: &Relay| relay.workers.len() * 1_000 / relay.share.max(1) as usize;
         let best = open.min_by_key(|(name, relay)| (load(relay), (*name).clone()));
         let Some((name, relay)) = best else {
-            self.unattended.push(entry);
+            self.unattended.push((entry, now));
             return None;
         };
         relay.workers.insert(entry.id.clone());
@@ -74,7 +75,21 @@
 
     /// Workers that wait for somebody to look after them.
     pub fn take_unattended(&mut self) -> Vec<Entry> {
-        std::mem::take(&mut self.unattended)
+        let waiting = std::mem::take(&mut self.unattended);
+        waiting.into_iter().map(|(entry, _)| entry).collect()
+    }
+
+    /// Workers that have waited for too long.
+    pub fn take_neglected(&mut self, now: u64) -> Vec<Entry> {
+        let mut neglected = Vec::new();
+        for (entry, since) in std::mem::take(&mut self.unattended) {
+            if now < since + UNATTENDED {
+                self.unattended.push((entry, since));
+                continue;
+            }
+            neglected.push(entry);
+        }
+        neglected
     }
 
     /// Hands a poll to the relay of a worker.
--- a/components/node/src/tenure.rs
+++ b/components/node/src/tenure.rs
@@ -7,7 +7,7 @@
         message::{Duty, Heard, Offer},
         outside::Unheard,
         owning,
-        relays::{OWN_MOST, Relays},
+        relays::Relays,
         settings::{GROUP_GAP, GROUP_RECORDS, PASS_GAP, TICK},
         store::{Applied, Event},
         time,
@@ -178,23 +178,33 @@
 
     /// Finds somebody to talk to a worker: this box, or a relay when it has enough.
     fn tend(&mut self, fence: u64, entry: Entry) {
-        let node = self.node.clone();
+        let most = self.node.settings.own_workers;
         let Some(tenure) = self.tenure_of(fence) else {
             return;
         };
-        let id = entry.id.clone();
-        if tenure.own_workers() < OWN_MOST {
-            if let Some(sender) = crate::worker::tend(&node, fence, entry) {
-                tenure.links.insert(id, Link::Here(sender));
-            }
+        if tenure.own_workers() < most {
+            self.tend_here(fence, entry);
             return;
         }
-        if let Some(name) = tenure.relays.assign(entry) {
+        let id = entry.id.clone();
+        if let Some(name) = tenure.relays.assign(entry, time::now()) {
             tenure.links.insert(id.clone(), Link::Relay(name));
             tenure.allow_poll(&id);
         }
     }
 
+    /// Starts the tasks of a worker on this box.
+    fn tend_here(&mut self, fence: u64, entry: Entry) {
+        let node = self.node.clone();
+        let Some(tenure) = self.tenure_of(fence) else {
+            return;
+        };
+        let id = entry.id.clone();
+        if let Some(sender) = crate::worker::tend(&node, fence, entry) {
+            tenure.links.insert(id, Link::Here(sender));
+        }
+    }
+
     /// Takes what a relay brings, and gives it what to do next.
     pub(crate) fn take_offer(&mut self, cx: &mut Cx<'_, Self>, offer: Offer) -> Duty {
         let now = time::now();
@@ -202,7 +212,7 @@
             return Duty::default();
         };
         let fence = tenure.fence;
-        let is_large = tenure.cell.entries().count() > OWN_MOST;
+        let is_large = tenure.cell.entries().count() > self.node.settings.own_workers;
         if let Some(former) = tenure.relays.join(&offer, is_large, now) {
             self.retend(fence, former);
         }
@@ -296,7 +306,12 @@
             tenure.unlink(&id);
         }
         let orphans = tenure.relays.lose_silent(time::now());
+        let neglected = tenure.relays.take_neglected(time::now());
         self.retend(fence, orphans);
+        for entry in neglected {
+            log::warn!(target: "owner", worker = &*entry.id; "No relay has room for a worker; the owner talks to it.");
+            self.tend_here(fence, entry);
+        }
         self.settle(cx);
         after!(TICK, [cx], |this, cx| this.tick(cx, fence));
     }
--- a/programs/box/src/cli.rs
+++ b/programs/box/src/cli.rs
@@ -28,6 +28,9 @@
     /// share of a core that this box has, such as 0.25 (MAGPIE_SHARE, default 1)
     #[argh(option)]
     share: Option<String>,
+    /// workers that it talks to itself as the owner, before others help (MAGPIE_OWN_WORKERS, default 70)
+    #[argh(option)]
+    own_workers: Option<String>,
     /// address of the callers' port (MAGPIE_CALLERS)
     #[argh(option)]
     callers: Option<String>,
@@ -143,6 +146,7 @@
     if let Some(wrong) = share.filter(|share| *share <= 0.0) {
         reader.fault("share", &wrong.to_string(), "a number above 0");
     }
+    let own = reader.number("own-workers", arguments.own_workers, "70", (1, 100_000));
     let callers = reader.address("callers", arguments.callers, "127.0.0.1:7000");
     let ready = reader.address("ready", arguments.ready, "127.0.0.1:7003");
     let host: Option<std::net::IpAddr> = reader.value(
@@ -171,6 +175,7 @@
             name: name?.into(),
             hall: hall?.into(),
             share: (share? * 1_000.0) as u32,
+            own_workers: own? as usize,
             address: inside.to_string().into(),
             timing: Timing {
                 lease: lease?,
--- a/programs/box/tests/whole_path.rs
+++ b/programs/box/tests/whole_path.rs
@@ -48,7 +48,7 @@
 }
 
 impl Process {
-    fn start(name: &str, store: &str) -> Self {
+    fn start(name: &str, store: &str, own_workers: usize) -> Self {
         let (callers, ready, inside) = (free_port(), free_port(), free_port());
         let child = Command::new(env!("CARGO_BIN_EXE_magpie-box"))
             .env("MAGPIE_NAME", name)
@@ -57,6 +57,7 @@
             .env("MAGPIE_READY", format!("127.0.0.1:{ready}"))
             .env("MAGPIE_PORTS", inside.to_string())
             .env("MAGPIE_STORE", store)
+            .env("MAGPIE_OWN_WORKERS", own_workers.to_string())
             .stdout(Stdio::null())
             .spawn()
             .unwrap();
@@ -126,7 +127,13 @@
     }
 
     fn boxes(&self, count: usize) -> Vec<Process> {
-        let started = (0..count).map(|number| Process::start(&format!("b{number}"), &self.store));
+        self.sharing_boxes(count, 70)
+    }
+
+    /// Boxes of which the owner talks to so many workers itself.
+    fn sharing_boxes(&self, count: usize, own: usize) -> Vec<Process> {
+        let names = (0..count).map(|number| format!("b{number}"));
+        let started = names.map(|name| Process::start(&name, &self.store, own));
         let boxes: Vec<Process> = started.collect();
         until("all boxes are ready", || {
             boxes.iter().all(Process::is_ready)
@@ -348,3 +355,27 @@
     });
     assert!(lock(&world.seen).doubled.is_empty());
 }
+
+/// Most workers are talked to by a relay; when it is killed, the owner goes on without it.
+#[test]
+fn killed_relay_is_replaced() {
+    let world = World::new(WORK);
+    let mut boxes = world.sharing_boxes(2, 1);
+    until("the cell has an owner", || world.owner().is_some());
+    let owner = world.owner().unwrap();
+    let index = if owner == "b0" { 0 } else { 1 };
+    let port = boxes[index].callers;
+    let first = "/q/00000000000000a1";
+    send(port, "POST", first, Some(&job(10))).unwrap();
+    until("the job is completed", || state(port, first) == "completed");
+    let relay = boxes.remove(1 - index);
+    relay.signal("-KILL");
+    let second = "/q/00000000000000a2";
+    send(port, "POST", second, Some(&job(10))).unwrap();
+    until("the next job is completed", || {
+        state(port, second) == "completed"
+    });
+    let seen = lock(&world.seen);
+    assert!(seen.doubled.is_empty());
+    assert_eq!(seen.starts.len(), 22);
+}
