Reckon with 48 hundredths of a serving task's processors in use, not 60

Cause: with 60 a sixth of what serving tasks leave unused stood empty while filling tasks waited; their load swings around 45, and filling tasks only get what is left.

--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -113,7 +113,7 @@
 const AVOID_FOR: u64 = 500;
 /// The share of a serving task's processors that it is reckoned to use, in hundredths: its load
 /// swings around 45.
-const SERVING_USE: u64 = 60;
+const SERVING_USE: u64 = 48;
 
 /// One worker.
 #[derive(Debug, Clone)]
