Stop filling tasks shortly before a target is passed

Cause: an order takes half a second to show, and a serving task over its target costs four times. Change: they stop at 88 hundredths of the target.

--- a/components/cell/src/pace.rs
+++ b/components/cell/src/pace.rs
@@ -1,6 +1,6 @@
 //! Slowing down filling tasks that disturb serving ones on the same worker.
 //!
-//! The tail of a serving task's answer times is known for the last half second. Over its target,
+//! The tail of a serving task's answer times is known for the last half second. Near its target,
 //! the filling tasks that disturb its image are stopped from working; well under it, they are sped
 //! up by a fixed amount. A serving task that stays over its target stops all of them, whatever was
 //! learned: what is learned may be wrong.
@@ -20,6 +20,9 @@
 const SETTLE: u64 = 650;
 /// Added to the pace when the tails that a task disturbs are low, in hundredths.
 const RAISE: u8 = 20;
+/// At this share of the target the filling tasks that disturb stop, in hundredths: before it is
+/// passed, since an order takes half a second to show.
+const STOP: u64 = 88;
 /// Tails under this share of their target are low, in hundredths.
 const LOW: u64 = 75;
 /// A serving task over its target for this long, in milliseconds, stops all filling tasks: a
@@ -121,7 +124,7 @@
 
 /// The pace of a filling task, by the worst tail that it disturbs; `None` when it stays.
 fn next_pace(slot: &Slot, worst: u64, now: u64) -> Option<u8> {
-    if worst > 100 {
+    if worst > STOP {
         return (slot.percent > 0).then_some(0);
     }
     if slot.percent == UNKNOWN_PACE {
