--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -6,6 +6,7 @@
         disturb::Disturbance,
         order::Order,
         timing::{self, Timing},
+        wave,
         worker::{Entry, Key, Worker},
     },
     job::{Id, Phase, Progress, Record, State},
@@ -140,6 +141,7 @@
     pub(crate) learned_due: bool,
     pub(crate) orders: Vec<(Arc<str>, Order)>,
     pub(crate) questions: Vec<Question>,
+    pub(crate) waves: BTreeMap<u64, wave::Progress>,
     pub(crate) recovery: Option<Recovery>,
     pub(crate) disturbance: Disturbance,
 }
@@ -160,6 +162,7 @@
             learned_due: false,
             orders: Vec::new(),
             questions: Vec::new(),
+            waves: BTreeMap::new(),
             recovery: None,
             disturbance: Disturbance::default(),
         }
--- a/components/cell/src/drain.rs
+++ b/components/cell/src/drain.rs
@@ -15,7 +15,9 @@
         let leaving: Vec<Arc<str>> = self
             .workers
             .iter()
-            .filter(|(_, worker)| worker.entry.leaving && !worker.slots.is_empty())
+            .filter(|(_, worker)| {
+                (worker.entry.leaving || worker.closing) && !worker.slots.is_empty()
+            })
             .map(|(id, _)| id.clone())
             .collect();
         for id in leaving {
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -16,6 +16,7 @@
 mod report;
 mod summary;
 mod timing;
+mod wave;
 mod worker;
 
 pub use advise::{Advice, Question};
@@ -24,4 +25,5 @@
 pub use order::{End, How, Order, Outcome, Reason, Report, Run, Start};
 pub use summary::Summary;
 pub use timing::Timing;
+pub use wave::{Machine, Standing, Upkeep, Wave};
 pub use worker::{Entry, Key};
--- /dev/null
+++ b/components/cell/src/wave.rs
@@ -0,0 +1,209 @@
+//! Waves of upkeep: each machine of a wave is emptied, goes down for a moment and comes back.
+
+use {
+    crate::{cell::Cell, worker::Worker},
+    std::{
+        collections::{BTreeMap, HashMap, HashSet},
+        sync::Arc,
+    },
+};
+
+/// How long tasks that do not last may go on on a machine that is to go down, in milliseconds:
+/// longer than most (their means are 1 to 2 s). After it their work is lost, which costs less than
+/// a wave that is late.
+const PATIENCE: u64 = 4_000;
+
+/// A wave as the operators ask for it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wave {
+    /// Its number.
+    pub number: u64,
+    /// The machines.
+    pub machines: Vec<Arc<str>>,
+    /// How many of them may be down at once.
+    pub limit: usize,
+    /// Machines that an owner noted as done.
+    pub done: Vec<Arc<str>>,
+}
+
+/// A machine as it is listed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Machine {
+    /// Its name, which outlives its workers.
+    pub name: Arc<str>,
+    /// It is up.
+    pub up: bool,
+    /// The present life of its worker, while it is up.
+    pub worker: Option<Arc<str>>,
+}
+
+/// An order to let a machine go down for its upkeep.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Upkeep {
+    /// The wave.
+    pub wave: u64,
+    /// The machine.
+    pub machine: Arc<str>,
+}
+
+/// How far a wave is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Standing {
+    /// The wave.
+    pub wave: u64,
+    /// Machines that are done.
+    pub done: Vec<Arc<str>>,
+    /// All of them are.
+    pub complete: bool,
+}
+
+/// What the owner knows of one wave.
+#[derive(Debug, Default)]
+pub(crate) struct Progress {
+    done: HashSet<Arc<str>>,
+    /// Machines that went down, and the life of their worker before.
+    begun: HashMap<Arc<str>, Option<Arc<str>>>,
+    /// Machines that are being emptied, and since when.
+    closing: HashMap<Arc<str>, u64>,
+}
+
+impl Cell {
+    /// Takes in the waves and the machines as they are, and returns what to order now.
+    pub fn upkeep(&mut self, waves: &[Wave], machines: &[Machine], now: u64) -> Vec<Upkeep> {
+        let listed: BTreeMap<&str, &Machine> = machines
+            .iter()
+            .map(|machine| (&*machine.name, machine))
+            .collect();
+        let mut orders = Vec::new();
+        for wave in waves {
+            let mut progress = self.waves.remove(&wave.number).unwrap_or_default();
+            progress.done.extend(wave.done.iter().cloned());
+            note_done(wave, &mut progress, &listed);
+            self.begin_emptying(wave, &mut progress, &listed, now);
+            for machine in self.emptied(&progress, &listed, now) {
+                let worker = listed[&*machine].worker.clone();
+                progress.closing.remove(&machine);
+                progress.begun.insert(machine.clone(), worker);
+                orders.push(Upkeep {
+                    wave: wave.number,
+                    machine,
+                });
+            }
+            self.waves.insert(wave.number, progress);
+        }
+        self.leave(now);
+        orders
+    }
+
+    /// Takes in that an order was surely not carried out.
+    pub fn upkeep_refused(&mut self, order: &Upkeep) {
+        if let Some(progress) = self.waves.get_mut(&order.wave) {
+            progress.begun.remove(&order.machine);
+        }
+    }
+
+    /// How far the waves are.
+    pub fn standings(&self, waves: &[Wave]) -> Vec<Standing> {
+        let mut standings = Vec::new();
+        for wave in waves {
+            let Some(progress) = self.waves.get(&wave.number) else {
+                continue;
+            };
+            let mut done: Vec<Arc<str>> = progress.done.iter().cloned().collect();
+            done.sort();
+            standings.push(Standing {
+                wave: wave.number,
+                complete: wave
+                    .machines
+                    .iter()
+                    .all(|name| progress.done.contains(name)),
+                done,
+            });
+        }
+        standings
+    }
+
+    /// Begins to empty machines, as many as may be down at once.
+    fn begin_emptying(
+        &mut self,
+        wave: &Wave,
+        progress: &mut Progress,
+        listed: &BTreeMap<&str, &Machine>,
+        now: u64,
+    ) {
+        let under_way = progress.begun.len() + progress.closing.len();
+        let mut room = wave.limit.saturating_sub(under_way);
+        for name in &wave.machines {
+            let is_under_way = progress.done.contains(name)
+                || progress.begun.contains_key(name)
+                || progress.closing.contains_key(name);
+            if room == 0 || is_under_way {
+                continue;
+            }
+            let Some(machine) = listed.get(&**name).filter(|machine| machine.up) else {
+                continue;
+            };
+            if let Some(worker) = self.worker_of(machine) {
+                worker.closing = true;
+            }
+            log::info!(target: "cell", wave = wave.number, machine = &**name; "A machine is emptied for its upkeep.");
+            progress.closing.insert(name.clone(), now);
+            room -= 1;
+        }
+    }
+
+    /// Machines that may go down now.
+    fn emptied(
+        &self,
+        progress: &Progress,
+        listed: &BTreeMap<&str, &Machine>,
+        now: u64,
+    ) -> Vec<Arc<str>> {
+        let mut emptied = Vec::new();
+        for (name, &since) in &progress.closing {
+            let Some(machine) = listed.get(&**name).filter(|machine| machine.up) else {
+                continue;
+            };
+            let id = machine.worker.as_ref();
+            let worker = id.and_then(|id| self.workers.get(id));
+            let is_patient = now < since + PATIENCE;
+            let must_wait = |worker: &Worker| {
+                worker.slots.iter().any(|(key, slot)| {
+                    let lasts = self
+                        .jobs
+                        .get(&key.job)
+                        .is_some_and(|job| job.progress.step(key.place).lasting);
+                    lasts || is_patient || slot.stopping.is_some()
+                })
+            };
+            if worker.is_none_or(|worker| !must_wait(worker)) {
+                emptied.push(name.clone());
+            }
+        }
+        emptied.sort();
+        emptied
+    }
+
+    fn worker_of(&mut self, machine: &Machine) -> Option<&mut Worker> {
+        self.workers.get_mut(machine.worker.as_ref()?)
+    }
+}
+
+/// Notes the machines that have come back with another worker, or are not there any more.
+fn note_done(wave: &Wave, progress: &mut Progress, listed: &BTreeMap<&str, &Machine>) {
+    for name in &wave.machines {
+        let Some(machine) = listed.get(&**name) else {
+            progress.closing.remove(name);
+            progress.begun.remove(name);
+            progress.done.insert(name.clone());
+            continue;
+        };
+        let is_back = progress.begun.get(name).is_some_and(|before| {
+            machine.up && machine.worker.is_some() && machine.worker != *before
+        });
+        if is_back {
+            progress.begun.remove(name);
+            progress.done.insert(name.clone());
+        }
+    }
+}
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -122,6 +122,8 @@
     pub entry: Entry,
     /// True while the listing has it.
     pub listed: bool,
+    /// It is emptied for the upkeep of its machine.
+    pub closing: bool,
     /// True once it answered under this owner's fence.
     pub fenced: bool,
     /// The last poll was answered.
@@ -166,6 +168,7 @@
         Worker {
             entry,
             listed: true,
+            closing: false,
             fenced: false,
             heard: false,
             clock: None,
@@ -202,7 +205,7 @@
 
     /// True when it may be given work.
     pub fn is_open(&self, now: u64) -> bool {
-        self.fenced && self.listed && !self.entry.leaving && now >= self.avoid
+        self.fenced && self.listed && !self.entry.leaving && !self.closing && now >= self.avoid
     }
 
     /// True when it may be given a task that has failed so often: a worker whose last run
--- a/components/cell/tests/decisions/main.rs
+++ b/components/cell/tests/decisions/main.rs
@@ -8,3 +8,4 @@
 mod ends;
 mod place;
 mod takeover;
+mod wave;
--- /dev/null
+++ b/components/cell/tests/decisions/wave.rs
@@ -0,0 +1,110 @@
+//! Waves of upkeep: limit, emptying, and what counts as done.
+
+use {
+    crate::common::{JOB, World, run, step},
+    magpie_cell::{Machine, Upkeep, Wave},
+};
+
+fn wave(limit: usize) -> Wave {
+    Wave {
+        number: 3,
+        machines: vec!["m1".into(), "m2".into()],
+        limit,
+        done: Vec::new(),
+    }
+}
+
+fn machine(name: &str, worker: Option<&str>) -> Machine {
+    Machine {
+        name: name.into(),
+        up: worker.is_some(),
+        worker: worker.map(Into::into),
+    }
+}
+
+fn both() -> [Machine; 2] {
+    [machine("m1", Some("w1")), machine("m2", Some("w2"))]
+}
+
+fn order(machine: &str) -> Upkeep {
+    Upkeep {
+        wave: 3,
+        machine: machine.into(),
+    }
+}
+
+#[test]
+fn limit_is_kept() {
+    let mut world = World::new(&["w1", "w2"]);
+    let orders = world.cell.upkeep(&[wave(1)], &both(), world.now);
+    assert_eq!(orders, [order("m1")]);
+    let down = [machine("m1", None), machine("m2", Some("w2"))];
+    assert!(world.cell.upkeep(&[wave(1)], &down, world.now).is_empty());
+    let back = [machine("m1", Some("w9")), machine("m2", Some("w2"))];
+    let orders = world.cell.upkeep(&[wave(1)], &back, world.now);
+    assert_eq!(orders, [order("m2")]);
+}
+
+#[test]
+fn complete_when_all_came_back() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.cell.upkeep(&[wave(2)], &both(), world.now);
+    assert!(!world.cell.standings(&[wave(2)])[0].complete);
+    let back = [machine("m1", Some("w8")), machine("m2", Some("w9"))];
+    world.cell.upkeep(&[wave(2)], &back, world.now);
+    assert!(world.cell.standings(&[wave(2)])[0].complete);
+}
+
+/// A machine that has left the fleet needs no upkeep; one that an owner noted is done.
+#[test]
+fn gone_and_noted_are_done() {
+    let mut world = World::new(&["w1"]);
+    let mut noted = wave(1);
+    noted.done = vec!["m1".into()];
+    let orders = world.cell.upkeep(&[noted.clone()], &both()[..1], world.now);
+    assert!(orders.is_empty());
+    assert!(world.cell.standings(&[noted])[0].complete);
+}
+
+#[test]
+fn lasting_task_is_moved_first() {
+    let mut world = World::new(&["w1", "w2"]);
+    let mut lasting = step(1, 1_000);
+    lasting.lasting = true;
+    lasting.may_miss = Some(1);
+    world.submit(JOB, vec![lasting]);
+    let (worker, start) = world.starts()[0].clone();
+    world.report(&worker, vec![run(JOB, 0, start.run)], vec![]);
+    let mut one = wave(1);
+    let name = if &*worker == "w1" { "m1" } else { "m2" };
+    one.machines = vec![name.into()];
+    assert!(
+        world
+            .cell
+            .upkeep(&[one.clone()], &both(), world.now)
+            .is_empty()
+    );
+    assert_eq!(world.stops(), [(worker.clone(), start.run)]);
+    world.now += 10_000;
+    world.report(&worker, vec![run(JOB, 0, start.run)], vec![]);
+    assert!(
+        world
+            .cell
+            .upkeep(&[one.clone()], &both(), world.now)
+            .is_empty()
+    );
+    let ended = crate::common::end(1, JOB, 0, start.run, magpie_cell::How::Stopped);
+    world.report(&worker, vec![], vec![ended]);
+    assert_ne!(world.starts()[0].0, worker);
+    let orders = world.cell.upkeep(&[one], &both(), world.now);
+    assert_eq!(orders, [order(name)]);
+}
+
+#[test]
+fn refused_order_is_given_again() {
+    let mut world = World::new(&["w1", "w2"]);
+    let orders = world.cell.upkeep(&[wave(1)], &both(), world.now);
+    world.cell.upkeep_refused(&orders[0]);
+    let again = world.cell.upkeep(&[wave(1)], &both(), world.now);
+    assert_eq!(again, orders);
+}
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -26,6 +26,6 @@
 
 pub use callers::{Call, Reply};
 pub use core::{Core, Node};
-pub use outside::{Advisor, Configs, Outside, Unheard, Workers};
+pub use outside::{Advisor, Configs, Machines, Outside, Unheard, Workers};
 pub use settings::Settings;
 pub use store::Store;
--- a/components/node/src/outside.rs
+++ b/components/node/src/outside.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::store::Store,
-    cell::{Advice, Entry, Order, Outcome, Poll, Question, Reason, Report},
+    cell::{
+        Advice, Entry, Machine, Order, Outcome, Poll, Question, Reason, Report, Standing, Upkeep,
+        Wave,
+    },
     job::Config,
     kernel::Failure,
     serde::{Deserialize, Serialize},
@@ -66,6 +69,34 @@
     fn advise(&self, question: &Question) -> Result<Advice, Failure>;
 }
 
+/// The machines that workers live on, and the operators' waves of upkeep.
+pub trait Machines: Send + Sync {
+    /// The waves that are not complete.
+    ///
+    /// # Errors
+    ///
+    /// They could not be read.
+    fn waves(&self) -> Result<Vec<Wave>, Failure>;
+
+    /// Lists all machines.
+    ///
+    /// # Errors
+    ///
+    /// The list could not be read.
+    fn list(&self) -> Result<Vec<Machine>, Failure>;
+
+    /// Lets a machine go down for its upkeep, under the fence of this owner. False when that was
+    /// surely not done.
+    fn upkeep(&self, order: &Upkeep, owner: &str, fence: u64) -> bool;
+
+    /// Tells the operators how far a wave is.
+    ///
+    /// # Errors
+    ///
+    /// It may not have been written.
+    fn tell(&self, standing: &Standing) -> Result<(), Failure>;
+}
+
 /// All that a box reaches outside of itself.
 #[derive(Clone)]
 pub struct Outside {
@@ -77,4 +108,6 @@
     pub configs: Arc<dyn Configs>,
     /// The service that advises on workers.
     pub advisor: Arc<dyn Advisor>,
+    /// The machines.
+    pub machines: Arc<dyn Machines>,
 }
--- a/components/node/src/owning.rs
+++ b/components/node/src/owning.rs
@@ -4,14 +4,15 @@
     crate::{
         core::Node,
         keys,
-        settings::{LEASE, LIST_GAP, RENEW, STORE_PAUSE, WATCH_WAIT},
+        settings::{LEASE, LIST_GAP, RENEW, STORE_PAUSE, WATCH_WAIT, WAVE_GAP},
         store::{Event, Watched, range_all},
         time,
     },
-    cell::{Cell, Question},
+    cell::{Cell, Question, Standing},
     job::Submission,
     kernel::{task, wall, wire},
     std::{
+        collections::HashMap,
         sync::mpsc::{self, Receiver, Sender},
         thread,
         time::Duration,
@@ -24,6 +25,53 @@
     start("intake", node, move |node| intake(&node, fence));
     start("write", node, move |node| write(&node, fence));
     start("list", node, move |node| list(&node, fence));
+    start("upkeep", node, move |node| upkeep(&node, fence));
+}
+
+/// Carries the operators' waves of upkeep out.
+fn upkeep(node: &Node, fence: u64) {
+    let machines = &node.outside.machines;
+    let mut told: HashMap<u64, Standing> = HashMap::new();
+    while !is_over(node, fence) {
+        let waves = machines.waves().unwrap_or_default();
+        if waves.is_empty() {
+            thread::sleep(WAVE_GAP);
+            continue;
+        }
+        let Ok(listed) = machines.list() else {
+            thread::sleep(LIST_GAP);
+            continue;
+        };
+        let asked = node.remote.ask(move |core, cx| {
+            let orders = core.upkeep(cx, fence, &waves, &listed);
+            (orders, core.standings(fence, &waves))
+        });
+        let Ok((orders, standings)) = asked else {
+            return;
+        };
+        for order in orders {
+            let is_done = machines.upkeep(&order, &node.settings.name, fence);
+            log::info!(target: "owner", wave = order.wave, machine = &*order.machine, fence, done = is_done; "A machine is told to go down for its upkeep.");
+            if !is_done {
+                node.remote
+                    .tell(move |core, _| core.upkeep_refused(fence, &order));
+            }
+        }
+        for standing in standings {
+            if told.get(&standing.wave) == Some(&standing) {
+                continue;
+            }
+            match machines.tell(&standing) {
+                Ok(()) => {
+                    told.insert(standing.wave, standing);
+                }
+                Err(failure) => {
+                    log::warn!(target: "owner", wave = standing.wave, error:% = failure; "How far a wave is was not told.");
+                }
+            }
+        }
+        thread::sleep(LIST_GAP);
+    }
 }
 
 /// Starts the task that asks for advice, one question at a time: the service handles each box's
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -41,6 +41,8 @@
 pub const TICK: Duration = Duration::from_millis(100);
 /// How often the workers are listed while owning: a worker that leaves must get no task 2 s later.
 pub const LIST_GAP: Duration = Duration::from_millis(700);
+/// How often the owner looks for a wave of upkeep while there is none; waves last tens of seconds.
+pub const WAVE_GAP: Duration = Duration::from_millis(2_000);
 /// How often the configuration is read besides watching it: a watch may hear nothing.
 pub const CONFIG_GAP: Duration = Duration::from_millis(2_000);
 /// How long a watch of the owner or of the intake waits; then the value itself is read.
--- a/components/node/src/tenure.rs
+++ b/components/node/src/tenure.rs
@@ -12,7 +12,10 @@
         store::{Applied, Event},
         time,
     },
-    cell::{Advice, Cell, Entry, Order, Outcome, Poll, Question, Reason, Report},
+    cell::{
+        Advice, Cell, Entry, Machine, Order, Outcome, Poll, Question, Reason, Report, Standing,
+        Upkeep, Wave,
+    },
     job::{Id, State, Submission},
     kernel::{
         Failure,
@@ -425,6 +428,35 @@
         self.settle(cx);
     }
 
+    /// Takes in waves and machines; returns the upkeep to order.
+    pub(crate) fn upkeep(
+        &mut self,
+        cx: &mut Cx<'_, Self>,
+        fence: u64,
+        waves: &[Wave],
+        machines: &[Machine],
+    ) -> Vec<Upkeep> {
+        let Some(tenure) = self.tenure_of(fence) else {
+            return Vec::new();
+        };
+        let orders = tenure.cell.upkeep(waves, machines, time::now());
+        self.settle(cx);
+        orders
+    }
+
+    /// How far the waves are.
+    pub(crate) fn standings(&mut self, fence: u64, waves: &[Wave]) -> Vec<Standing> {
+        self.tenure_of(fence)
+            .map_or(Vec::new(), |tenure| tenure.cell.standings(waves))
+    }
+
+    /// Takes in that an upkeep was surely not begun.
+    pub(crate) fn upkeep_refused(&mut self, fence: u64, order: &Upkeep) {
+        if let Some(tenure) = self.tenure_of(fence) {
+            tenure.cell.upkeep_refused(order);
+        }
+    }
+
     /// Takes in what has come from callers.
     pub(crate) fn intake(&mut self, cx: &mut Cx<'_, Self>, fence: u64, events: Vec<Event>) {
         let Some(tenure) = self.tenure_of(fence) else {
--- a/programs/box/src/cli.rs
+++ b/programs/box/src/cli.rs
@@ -52,6 +52,9 @@
     /// address of the service that advises on workers (MAGPIE_ADVISOR, default none)
     #[argh(option)]
     advisor: Option<String>,
+    /// address of the service for machines (MAGPIE_MACHINES, default none)
+    #[argh(option)]
+    machines: Option<String>,
     /// longest lease of a worker, in milliseconds (MAGPIE_LEASE_MS, default 6000)
     #[argh(option)]
     lease_ms: Option<String>,
@@ -92,6 +95,8 @@
     pub store: SocketAddr,
     /// The service that advises on workers.
     pub advisor: Option<SocketAddr>,
+    /// The service for machines.
+    pub machines: Option<SocketAddr>,
     /// The time for an orderly stop.
     pub grace: Duration,
     /// The level of the logs.
@@ -164,6 +169,7 @@
     let metrics = reader.optional("metrics", arguments.metrics, rule);
     let store = reader.address("store", arguments.store, "127.0.0.1:7100");
     let advisor = reader.optional("advisor", arguments.advisor, rule);
+    let machines = reader.optional("machines", arguments.machines, rule);
     let lease = reader.number("lease-ms", arguments.lease_ms, "6000", (1_000, 600_000));
     let stop = reader.number("stop-ms", arguments.stop_ms, "900", (1, 60_000));
     let pace = reader.number("pace-ms", arguments.pace_ms, "100", (1, 60_000));
@@ -192,6 +198,7 @@
             metrics,
             store: store?,
             advisor,
+            machines,
             grace: Duration::from_millis(grace?),
             level: common?.level,
         })
