Split report.rs and cell.rs of the cell by job

Change: ends.rs takes the ends of runs, answer.rs the answers to orders, write.rs the groups of records, turns.rs the queue of jobs. Public names stay. Conclusion: no change of behaviour.

--- /dev/null
+++ b/components/cell/src/answer.rs
@@ -0,0 +1,55 @@
+//! What a worker's answer to an order means.
+
+use {
+    crate::{
+        cell::Cell,
+        order::{Order, Outcome, Reason, Start},
+        worker::Stage,
+    },
+    std::sync::Arc,
+};
+
+impl Cell {
+    /// Takes in what came of an order. True when it shows that another owner has taken over.
+    pub fn answered(&mut self, id: &Arc<str>, order: &Order, outcome: Outcome, now: u64) -> bool {
+        if outcome == Outcome::Refused(Reason::Fence) {
+            return true;
+        }
+        if outcome == Outcome::Refused(Reason::OtherLife) {
+            self.lose(id, "another life answers");
+            return false;
+        }
+        if let Order::Start(start) = order {
+            self.started(id, start, outcome, now);
+        }
+        false
+    }
+
+    fn started(&mut self, id: &Arc<str>, start: &Start, outcome: Outcome, now: u64) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let Some(slot) = worker.slots.get_mut(&start.key) else {
+            return;
+        };
+        if slot.run != start.run {
+            return;
+        }
+        match outcome {
+            Outcome::Done => {
+                slot.stage = Stage::Running { at: now };
+                self.begun(&start.key);
+            }
+            Outcome::Unknown => worker.shun(now),
+            Outcome::Refused(reason) => {
+                log::info!(target: "cell", job = start.key.job.as_str(), place = start.key.place, worker = &**id, run = start.run, reason:? = reason; "A start is refused.");
+                worker.shun(now);
+                worker.release(&start.key);
+                if reason == Reason::Ticket {
+                    self.drop_ticket(&start.key.job, start.address, id);
+                }
+                self.free_if_placed_nowhere(&start.key);
+            }
+        }
+    }
+}
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -6,9 +6,11 @@
 
 mod admit;
 mod advise;
+mod answer;
 mod cell;
 mod disturb;
 mod drain;
+mod ends;
 mod lapse;
 mod order;
 mod pace;
@@ -16,12 +18,15 @@
 mod report;
 mod summary;
 mod timing;
+mod turns;
 mod worker;
+mod write;
 
 pub use advise::{Advice, Question};
-pub use cell::{Cell, Change, Poll};
+pub use cell::{Cell, Poll};
 pub use disturb::Disturbance;
 pub use order::{End, How, Order, Outcome, Reason, Report, Run, Start};
 pub use summary::Summary;
 pub use timing::Timing;
 pub use worker::{Entry, Key};
+pub use write::Change;
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -1,9 +1,9 @@
-//! What a worker's report, or its answer to an order, means for the tasks it holds.
+//! What a worker's report means for the tasks that it holds.
 
 use {
     crate::{
         cell::Cell,
-        order::{End, How, Order, Outcome, Reason, Report, Run, Start},
+        order::{Order, Report, Run},
         worker::{Clock, Key, Slot, Stage, UNKNOWN_PACE},
     },
     job::{Phase, State, spec::Size},
@@ -185,7 +185,7 @@
     }
 
     /// Notes that a task of the job has begun.
-    fn begun(&mut self, key: &Key) {
+    pub(crate) fn begun(&mut self, key: &Key) {
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
@@ -196,7 +196,7 @@
         }
     }
 
-    fn save(&mut self, key: &Key, saved: Option<&Arc<str>>) {
+    pub(crate) fn save(&mut self, key: &Key, saved: Option<&Arc<str>>) {
         let (Some(saved), Some(job)) = (saved, self.jobs.get_mut(&key.job)) else {
             return;
         };
@@ -206,180 +206,6 @@
         }
     }
 
-    /// Takes in one listed end, once.
-    fn end(&mut self, id: &Arc<str>, end: &End, moment: Moment) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        if end.number <= worker.read {
-            return;
-        }
-        worker.read = end.number;
-        worker.unwritten.push_back((end.number, end.job.clone()));
-        let Some(job) = self.jobs.get(&end.job) else {
-            let key = Key {
-                job: end.job.clone(),
-                place: end.address.index as usize,
-            };
-            self.vacate(id, &key, end.run);
-            return;
-        };
-        let Some(place) = job.progress.submission.spec.place(end.address) else {
-            return;
-        };
-        let key = Key {
-            job: end.job.clone(),
-            place,
-        };
-        log::info!(target: "cell", job = key.job.as_str(), place, worker = &**id, run = end.run, how:? = end.how; "A run has ended.");
-        let was_here = self.vacate(id, &key, end.run);
-        self.judge(id, end.how, moment.now);
-        self.save(&key, end.saved.as_ref());
-        match end.how {
-            How::Done => self.done(id, &key, was_here, moment),
-            How::Failed => self.failed(&key, end.run, was_here, moment),
-            _ if was_here => self.interrupted(&key),
-            _ => {}
-        }
-    }
-
-    /// Takes the slot of a run out. True when the worker held this very run.
-    fn vacate(&mut self, id: &Arc<str>, key: &Key, run: u64) -> bool {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return false;
-        };
-        if worker.slots.get(key).is_none_or(|slot| slot.run != run) {
-            return false;
-        }
-        worker.release(key).is_some()
-    }
-
-    fn judge(&mut self, id: &Arc<str>, how: How, now: u64) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        match how {
-            How::Done => worker.judge(false, now),
-            How::Failed => worker.judge(true, now),
-            _ => {}
-        }
-    }
-
-    fn interrupted(&mut self, key: &Key) {
-        self.dirty_if_open(key);
-        self.free_if_placed_nowhere(key);
-    }
-
-    fn dirty_if_open(&mut self, key: &Key) {
-        let is_open = self
-            .jobs
-            .get(&key.job)
-            .is_some_and(|job| !job.progress.state.is_final());
-        if is_open {
-            self.dirty.insert(key.job.clone());
-        }
-    }
-
-    /// Frees a task unless some worker still holds a slot for it.
-    fn free_if_placed_nowhere(&mut self, key: &Key) {
-        let Some(job) = self.jobs.get(&key.job) else {
-            return;
-        };
-        if let Phase::Placed(worker) = &job.progress.tasks[key.place].phase
-            && let Some(worker) = self.workers.get(worker)
-            && worker.slots.contains_key(key)
-        {
-            return;
-        }
-        self.free(key);
-    }
-
-    fn done(&mut self, id: &Arc<str>, key: &Key, was_here: bool, moment: Moment) {
-        let Some(job) = self.jobs.get_mut(&key.job) else {
-            return;
-        };
-        if job.progress.state.is_final() {
-            return;
-        }
-        let step = job.progress.step(key.place);
-        if step.lasting {
-            if was_here {
-                self.interrupted(key);
-            }
-            return;
-        }
-        let (is_gang, number) = (
-            step.gang,
-            job.progress.submission.spec.address(key.place).step,
-        );
-        let time = job.progress.submission.spec.address(key.place).time;
-        let places = if is_gang {
-            job.progress.places(time, number)
-        } else {
-            key.place..key.place + 1
-        };
-        let mut elsewhere = Vec::new();
-        for place in places {
-            if let Phase::Placed(worker) = &job.progress.tasks[place].phase
-                && (worker != id || place != key.place)
-                && !is_gang
-            {
-                elsewhere.push((worker.clone(), place));
-            }
-            job.ready.remove(&place);
-            job.progress.finish(place);
-        }
-        if job.ready.is_empty() {
-            self.line.remove(&job.rank);
-        }
-        let is_done = job.progress.is_done();
-        self.dirty.insert(key.job.clone());
-        for (worker, place) in elsewhere {
-            let key = Key {
-                job: key.job.clone(),
-                place,
-            };
-            self.stop(&worker, &key, moment.now);
-        }
-        if is_done {
-            self.finish(&key.job, State::Completed, moment.now, moment.wall);
-        } else {
-            self.open(&key.job, moment.wall);
-        }
-    }
-
-    fn failed(&mut self, key: &Key, run: u64, was_here: bool, moment: Moment) {
-        let Some(job) = self.jobs.get_mut(&key.job) else {
-            return;
-        };
-        if job.progress.state.is_final() {
-            return;
-        }
-        let attempts = job.progress.submission.queue.attempts;
-        let is_lasting = job.progress.step(key.place).lasting;
-        let is_done = job.progress.tasks[key.place].phase == Phase::Done;
-        // Lasting tasks may fail as often as they like. A former owner may have written this very
-        // failure down already.
-        if is_done || is_lasting || !job.progress.fail(key.place, run) {
-            if was_here {
-                self.free_if_placed_nowhere(key);
-            }
-            return;
-        }
-        let task = &mut job.progress.tasks[key.place];
-        task.run = task.run.max(run);
-        let failures = task.failed.len() as u32;
-        self.dirty.insert(key.job.clone());
-        if failures >= attempts {
-            log::info!(target: "cell", job = key.job.as_str(), place = key.place, failures; "A task has failed as often as it may.");
-            self.finish(&key.job, State::Failed, moment.now, moment.wall);
-            return;
-        }
-        if was_here {
-            self.free_if_placed_nowhere(key);
-        }
-    }
-
     /// Frees the tasks that the worker would list if it had them.
     fn missing(&mut self, id: &Arc<str>, listed: &HashSet<Key>, clock: u64, moment: Moment) {
         let Some(worker) = self.workers.get(id) else {
@@ -406,49 +232,6 @@
             self.free_if_placed_nowhere(&key);
         }
     }
-
-    /// Takes in what came of an order. True when it shows that another owner has taken over.
-    pub fn answered(&mut self, id: &Arc<str>, order: &Order, outcome: Outcome, now: u64) -> bool {
-        if outcome == Outcome::Refused(Reason::Fence) {
-            return true;
-        }
-        if outcome == Outcome::Refused(Reason::OtherLife) {
-            self.lose(id, "another life answers");
-            return false;
-        }
-        if let Order::Start(start) = order {
-            self.started(id, start, outcome, now);
-        }
-        false
-    }
-
-    fn started(&mut self, id: &Arc<str>, start: &Start, outcome: Outcome, now: u64) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        let Some(slot) = worker.slots.get_mut(&start.key) else {
-            return;
-        };
-        if slot.run != start.run {
-            return;
-        }
-        match outcome {
-            Outcome::Done => {
-                slot.stage = Stage::Running { at: now };
-                self.begun(&start.key);
-            }
-            Outcome::Unknown => worker.shun(now),
-            Outcome::Refused(reason) => {
-                log::info!(target: "cell", job = start.key.job.as_str(), place = start.key.place, worker = &**id, run = start.run, reason:? = reason; "A start is refused.");
-                worker.shun(now);
-                worker.release(&start.key);
-                if reason == Reason::Ticket {
-                    self.drop_ticket(&start.key.job, start.address, id);
-                }
-                self.free_if_placed_nowhere(&start.key);
-            }
-        }
-    }
 }
 
 fn stop_order(key: &Key, run: &Run) -> Order {
--- /dev/null
+++ b/components/cell/src/write.rs
@@ -0,0 +1,109 @@
+//! What the owner of a cell writes down, and what follows once it is written.
+
+use {
+    crate::{cell::Cell, disturb::Disturbance, worker::Entry},
+    job::{Id, Record},
+    std::sync::Arc,
+};
+
+/// One group of records to write, and what it covers.
+#[derive(Debug, Clone, Default)]
+pub struct Change {
+    /// Jobs and their records.
+    pub records: Vec<(Id, Record)>,
+    /// The workers that may hold tasks, when that set has changed.
+    pub fleet: Option<Vec<Entry>>,
+    /// What is known of disturbance, when it is due.
+    pub learned: Option<Disturbance>,
+    /// The ends that are written down with it, by worker.
+    pub ends: Vec<(Arc<str>, u64)>,
+}
+
+impl Change {
+    /// True when there is nothing to write.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty() && self.fleet.is_none() && self.learned.is_none()
+    }
+}
+
+impl Cell {
+    /// The next group to write, at most this many records.
+    pub fn take_change(&mut self, most: usize) -> Change {
+        let mut change = Change::default();
+        while change.records.len() < most {
+            let Some(id) = self.dirty.pop() else {
+                break;
+            };
+            if let Some(job) = self.jobs.get(&id) {
+                change.records.push((id, job.progress.record()));
+            }
+        }
+        if std::mem::take(&mut self.learned_due) {
+            change.learned = Some(self.disturbance.clone());
+        }
+        if std::mem::take(&mut self.fleet_dirty) {
+            let entries = self.workers.values().map(|worker| worker.entry.clone());
+            change.fleet = Some(entries.collect());
+        }
+        for (id, worker) in &self.workers {
+            let is_kept = |(_, job): &&(u64, Id)| !self.dirty.contains(job);
+            let last = worker.unwritten.iter().take_while(is_kept).last();
+            if let Some((number, _)) = last {
+                change.ends.push((id.clone(), *number));
+            }
+        }
+        change
+    }
+
+    /// Notes that a group is written. Returns the workers whose ends may now be acknowledged.
+    pub fn written(&mut self, change: &Change) -> Vec<Arc<str>> {
+        for (id, record) in &change.records {
+            self.show(id, record);
+        }
+        let mut kept = Vec::new();
+        for (id, number) in &change.ends {
+            let Some(worker) = self.workers.get_mut(id) else {
+                continue;
+            };
+            worker.kept = worker.kept.max(*number);
+            worker.unwritten.retain(|(end, _)| end > number);
+            if worker.unwritten.is_empty() {
+                kept.push(id.clone());
+            }
+        }
+        kept
+    }
+
+    fn show(&mut self, id: &Id, record: &Record) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.shown != record.state {
+            log::info!(target: "cell", job = id.as_str(), state = record.state.word(); "The state of a job is written down.");
+        }
+        job.shown = record.state;
+        if record.state.is_final() {
+            self.closed.insert(id.clone(), (record.state, record.ended));
+            self.jobs.remove(id);
+        }
+    }
+
+    /// Puts a group back that was surely not written, or whose fate is unknown.
+    pub fn unwritten(&mut self, change: Change) {
+        for (id, _) in change.records {
+            self.dirty.insert(id);
+        }
+        self.fleet_dirty |= change.fleet.is_some();
+        self.learned_due |= change.learned.is_some();
+    }
+
+    /// True when something is to be written.
+    pub fn is_dirty(&self) -> bool {
+        !self.dirty.is_empty() || self.fleet_dirty || self.learned_due
+    }
+
+    /// The number of records that wait to be written.
+    pub fn backlog(&self) -> usize {
+        self.dirty.len()
+    }
+}
