Split placing by job and make slots in one place

A slot was put together in two places field by field, and three places told in their own way whether a start is unconfirmed. Code is moved as it is. Conclusion: no change of behaviour.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -175,7 +175,7 @@
         let is_unsure = worker
             .slots
             .values()
-            .any(|slot| slot.stopping.is_some() || is_sent(slot));
+            .any(|slot| slot.stopping.is_some() || slot.is_sent());
         let wait = if worker.clock.is_none() {
             0
         } else if worker.serving > 0 || is_unsure {
@@ -241,7 +241,3 @@
         self.orders.push((id.clone(), order));
     }
 }
-
-fn is_sent(slot: &crate::worker::Slot) -> bool {
-    matches!(slot.stage, crate::worker::Stage::Sent { .. })
-}
--- /dev/null
+++ b/components/cell/src/choose.rs
@@ -0,0 +1,162 @@
+//! Which workers suit a task, and which of them suits it best.
+
+use {
+    crate::{
+        cell::{Cell, Job, Rank},
+        worker::{Key, Worker},
+    },
+    job::{Address, Step},
+    std::sync::Arc,
+};
+
+/// Work on a worker away from its data counts this much, in thousandths of a core of room that is
+/// left unused; so near room is taken first, unless none is there.
+const FAR: u64 = 1_000_000;
+/// Filling tasks count this much for each unit of the logarithm by which they raise a tail; see
+/// `FAR`.
+const DISTURBED: f64 = 200_000.0;
+/// Filling tasks beside serving ones count this much even if they disturb nothing; see `FAR`.
+const BESIDE: u64 = 4_000;
+/// A serving task counts this much on a worker that has none yet, and twice that beside other
+/// images: alike ones together leave workers where a filling image disturbs nothing.
+const UNLIKE: u64 = 100_000;
+/// The logarithm by which filling tasks may raise the tail of a serving one. Tails without them
+/// are 0.8 below the target in the logarithm, and their load swings by about 0.4.
+const MOST_DISTURBED: f64 = 0.3;
+
+impl Cell {
+    /// How often a task has failed.
+    pub(crate) fn failures(&self, rank: &Rank, place: usize) -> u32 {
+        self.jobs
+            .get(&rank.id)
+            .map_or(0, |job| job.progress.tasks[place].failed.len() as u32)
+    }
+
+    /// The best worker for a task of the step that has failed so often; `None` when none will do.
+    pub(crate) fn choose(
+        &self,
+        rank: &Rank,
+        address: Address,
+        step: &Step,
+        failures: u32,
+        now: u64,
+    ) -> Option<Arc<str>> {
+        let job = self.jobs.get(&rank.id)?;
+        let failures = if step.lasting { 0 } else { failures };
+        let mut best: Option<(u64, &Arc<str>)> = None;
+        for (id, worker) in &self.workers {
+            if !job.is_advised(address, id, now) {
+                continue;
+            }
+            if !worker.is_trusted(failures, now) || !self.suits(job, address, step, worker, 0, now)
+            {
+                continue;
+            }
+            let cost = self.cost(step, worker);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, id));
+            }
+        }
+        best.map(|(_, id)| id.clone())
+    }
+
+    /// True when a task of the step may run on the worker, beside `before` others of it that are
+    /// not started yet.
+    pub(crate) fn suits(
+        &self,
+        job: &Job,
+        address: Address,
+        step: &Step,
+        worker: &Worker,
+        before: u64,
+        now: u64,
+    ) -> bool {
+        let submission = &job.progress.submission;
+        if !worker.is_open(now) || worker.entry.pool != submission.queue.pool {
+            return false;
+        }
+        if let Some(label) = &step.label
+            && !worker.entry.bears(label)
+        {
+            return false;
+        }
+        if !has_room(step, worker, before) {
+            return false;
+        }
+        if step.fills && self.disturbed(step, worker, before + 1) > MOST_DISTURBED {
+            return false;
+        }
+        step.spread == 0 || self.held(job, address, worker) + before < u64::from(step.spread)
+    }
+
+    /// By how much the worst-hit serving image of a worker would be disturbed with this many more
+    /// tasks of the step beside it, as a logarithm.
+    fn disturbed(&self, step: &Step, worker: &Worker, more: u64) -> f64 {
+        if worker.serve_images.is_empty() {
+            return 0.0;
+        }
+        let image = self.disturbance.known(step.image.as_ref());
+        let capacity = worker.entry.size.cpu.max(1) as f64;
+        let added = (step.size.cpu * more) as f64;
+        let mut worst: f64 = 0.0;
+        for &serving in worker.serve_images.keys() {
+            let mut sum = added * self.disturbance.weight(serving, image);
+            for (&filling, &cpu) in &worker.fill_images {
+                sum += cpu as f64 * self.disturbance.weight(serving, filling);
+            }
+            worst = worst.max(sum / capacity);
+        }
+        worst
+    }
+
+    /// The least is the best: near its data, and for tasks that take room, the fullest worker with
+    /// serving tasks alike; for filling tasks, where they disturb least and have most room.
+    pub(crate) fn cost(&self, step: &Step, worker: &Worker) -> u64 {
+        let mut cost = 0;
+        if let Some(rack) = &step.rack
+            && !worker.entry.bears(rack)
+        {
+            cost += FAR;
+        }
+        if step.fills {
+            cost += (self.disturbed(step, worker, 1) * DISTURBED) as u64;
+            if worker.serving > 0 {
+                cost += BESIDE;
+            }
+            return cost + worker.entry.size.cpu.saturating_sub(worker.unused());
+        }
+        if step.target > 0 {
+            let image = self.disturbance.known(step.image.as_ref());
+            let others = worker.serve_images.keys().filter(|&&own| own != image);
+            cost += UNLIKE * (2 * others.count() as u64).min(3);
+            if worker.serve_images.is_empty() {
+                cost += UNLIKE;
+            }
+        }
+        cost + worker.free().cpu
+    }
+
+    /// The tasks of a step, at one of its times, that a worker holds.
+    fn held(&self, job: &Job, address: Address, worker: &Worker) -> u64 {
+        let submission = &job.progress.submission;
+        let places = job.progress.places(address.time, address.step);
+        let is_one = |key: &&Key| key.job == submission.id && places.contains(&key.place);
+        worker.slots.keys().filter(is_one).count() as u64
+    }
+}
+
+fn has_room(step: &Step, worker: &Worker, before: u64) -> bool {
+    let mut free = worker.free();
+    let size = step.size;
+    let (cpu, memory, gpus) = (size.cpu * before, size.memory * before, size.gpus * before);
+    free.memory = free.memory.saturating_sub(memory);
+    free.gpus = free.gpus.saturating_sub(gpus);
+    free.cpu = free.cpu.saturating_sub(cpu);
+    if !step.fills {
+        return size.fits(free);
+    }
+    if size.memory > free.memory || size.gpus > free.gpus || worker.over_since.is_some() {
+        return false;
+    }
+    worker.unused() >= size.cpu * (before + 1)
+}
--- a/components/cell/src/drain.rs
+++ b/components/cell/src/drain.rs
@@ -89,10 +89,6 @@
             .workers
             .get(at)
             .and_then(|worker| worker.slots.get(&key));
-        slot.is_none_or(|slot| {
-            slot.stopping.is_some()
-                || slot.percent < 100
-                || matches!(slot.stage, crate::worker::Stage::Sent { .. })
-        })
+        slot.is_none_or(|slot| slot.stopping.is_some() || slot.percent < 100 || slot.is_sent())
     }
 }
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -97,7 +97,7 @@
             self.stray(id, key, run, moment);
             return;
         }
-        if let Stage::Sent { .. } = slot.stage {
+        if slot.is_sent() {
             slot.stage = Stage::Running { at: moment.now };
         }
         slot.figure = run.figure;
@@ -130,17 +130,12 @@
             self.line.remove(&job.rank);
         }
         let step = job.progress.step(key.place);
+        let image = self.disturbance.number(step.image.as_ref());
+        let stage = Stage::Running { at: moment.now };
         let slot = Slot {
-            image: self.disturbance.number(step.image.as_ref()),
-            run: run.run,
-            size: step.size,
-            fills: step.fills,
-            target: step.target,
-            stage: Stage::Running { at: moment.now },
-            stopping: None,
             percent: UNKNOWN_PACE,
-            paced: 0,
             figure: run.figure,
+            ..Slot::new(step, image, run.run, stage)
         };
         log::info!(target: "cell", job = key.job.as_str(), place = key.place, worker = &**id, run = run.run; "A run is adopted.");
         if let Some(worker) = self.workers.get_mut(id) {
--- a/components/cell/src/summary.rs
+++ b/components/cell/src/summary.rs
@@ -1,6 +1,6 @@
 //! What a cell looks like at a moment, for logs and metrics.
 
-use crate::cell::Cell;
+use crate::{cell::Cell, worker::Slot};
 
 /// Sums over a cell. Processors are in thousandths of a core.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -53,7 +53,7 @@
             summary.open += 1;
             summary.mixed += usize::from(worker.serve_images.len() > 1);
             summary.unserving += usize::from(worker.serving == 0);
-            let is_paced = |slot: &&crate::worker::Slot| slot.percent < 100;
+            let is_paced = |slot: &&Slot| slot.percent < 100;
             summary.paced += worker.slots.values().filter(is_paced).count();
             summary.free += worker.free().cpu;
             summary.largest = summary.largest.max(worker.free().cpu);
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{disturb::Image, timing},
-    job::{Id, spec::Size},
+    job::{Id, Step, spec::Size},
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, HashMap, VecDeque},
@@ -95,6 +95,29 @@
     pub figure: u64,
 }
 
+impl Slot {
+    /// A run of a task of this step, at full speed.
+    pub fn new(step: &Step, image: Image, run: u64, stage: Stage) -> Self {
+        Slot {
+            run,
+            size: step.size,
+            fills: step.fills,
+            target: step.target,
+            image,
+            stage,
+            stopping: None,
+            percent: 100,
+            paced: 0,
+            figure: 0,
+        }
+    }
+
+    /// True when the worker has not confirmed the start.
+    pub fn is_sent(&self) -> bool {
+        matches!(self.stage, Stage::Sent { .. })
+    }
+}
+
 /// A reading of a worker's clock.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
