Read a box's share and inside address in functions of their own

Change: share and inside are split off. The order of reading, and so the order of faults, stays. Conclusion: no change of behaviour.

--- a/programs/box/src/cli.rs
+++ b/programs/box/src/cli.rs
@@ -9,7 +9,12 @@
     },
     log::LevelFilter,
     node::Settings,
-    std::{collections::HashMap, env, fs, net::SocketAddr, time::Duration},
+    std::{
+        collections::HashMap,
+        env, fs,
+        net::{IpAddr, SocketAddr},
+        time::Duration,
+    },
 };
 
 /// One box: takes jobs, and owns the cell of workers when it is its turn. Each flag has a variable;
@@ -139,23 +144,10 @@
     let common = daemon::common(&mut reader, arguments.log_level, None);
     let name = reader.name("name", arguments.name, None);
     let hall = reader.name("hall", arguments.hall, None);
-    let share: Option<f64> = reader.value("share", arguments.share, Some("1"), "a number above 0");
-    if let Some(wrong) = share.filter(|share| *share <= 0.0) {
-        reader.fault("share", &wrong.to_string(), "a number above 0");
-    }
+    let share = share(&mut reader, arguments.share);
     let callers = reader.address("callers", arguments.callers, "127.0.0.1:7000");
     let ready = reader.address("ready", arguments.ready, "127.0.0.1:7003");
-    let host: Option<std::net::IpAddr> = reader.value(
-        "inside",
-        arguments.inside,
-        Some("127.0.0.1"),
-        "an address by numbers",
-    );
-    let ports = reader.value::<String>("ports", arguments.ports, Some("7004"), "a port");
-    let port = ports.as_deref().and_then(first_port);
-    if let (Some(ports), None) = (&ports, port) {
-        reader.fault("ports", ports, "a port, or a first and a last one");
-    }
+    let inside = inside(&mut reader, arguments.inside, arguments.ports);
     let rule = "an address and a port, such as 10.0.0.5:9100";
     let metrics = reader.optional("metrics", arguments.metrics, rule);
     let store = reader.address("store", arguments.store, "127.0.0.1:7100");
@@ -166,7 +158,7 @@
     let retention = reader.number("retention", arguments.retention, "150", (1, 86_400));
     let grace = reader.number("grace-ms", arguments.grace_ms, "6000", (100, 600_000));
     reader.build(|| {
-        let inside = SocketAddr::new(host?, port?);
+        let inside = inside?;
         let node = Settings {
             name: name?.into(),
             hall: hall?.into(),
@@ -193,6 +185,32 @@
     })
 }
 
+/// The share of a core that the box has.
+fn share(reader: &mut Reader<'_>, flag: Option<String>) -> Option<f64> {
+    let rule = "a number above 0";
+    let share: Option<f64> = reader.value("share", flag, Some("1"), rule);
+    if let Some(wrong) = share.filter(|share| *share <= 0.0) {
+        reader.fault("share", &wrong.to_string(), rule);
+    }
+    share
+}
+
+/// The address of the port for other boxes.
+fn inside(
+    reader: &mut Reader<'_>,
+    address: Option<String>,
+    ports: Option<String>,
+) -> Option<SocketAddr> {
+    let rule = "an address by numbers";
+    let host: Option<IpAddr> = reader.value("inside", address, Some("127.0.0.1"), rule);
+    let ports = reader.value::<String>("ports", ports, Some("7004"), "a port");
+    let port = ports.as_deref().and_then(first_port);
+    if let (Some(ports), None) = (&ports, port) {
+        reader.fault("ports", ports, "a port, or a first and a last one");
+    }
+    Some(SocketAddr::new(host?, port?))
+}
+
 /// The first of one or more ports with commas between them.
 fn first_port(text: &str) -> Option<u16> {
     text.split(',').next()?.parse().ok()
