Say what the cell's functions do, and on which clock their times are

Change: find, drain and lose_former; comments. No name that other crates use is changed. Conclusion: no change of behaviour.

--- a/components/cell/src/admit.rs
+++ b/components/cell/src/admit.rs
@@ -30,6 +30,7 @@
         self.closed.insert(id, (record.state, record.ended));
     }
 
+    /// Puts a job in. False when it is known already.
     fn enter(&mut self, progress: Progress, unsure: bool, wall: u64) -> bool {
         let submission = progress.submission.clone();
         let id = submission.id.clone();
@@ -148,6 +149,7 @@
     }
 }
 
+/// Where a job stands in line.
 fn rank(progress: &Progress) -> Rank {
     let submission = &progress.submission;
     let queue = &submission.queue;
--- a/components/cell/src/answer.rs
+++ b/components/cell/src/answer.rs
@@ -25,6 +25,7 @@
         false
     }
 
+    /// Takes in the answer to an order to start.
     fn started(&mut self, id: &Arc<str>, start: &Start, outcome: Outcome, now: u64) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -95,7 +95,7 @@
         if worker.serve_images.is_empty() {
             return 0.0;
         }
-        let image = self.disturbance.known(step.image.as_ref());
+        let image = self.disturbance.find(step.image.as_ref());
         let capacity = worker.entry.size.cpu.max(1) as f64;
         let added = (step.size.cpu * more) as f64;
         let mut worst: f64 = 0.0;
@@ -126,7 +126,7 @@
             return cost + worker.entry.size.cpu.saturating_sub(worker.unused());
         }
         if step.target > 0 {
-            let image = self.disturbance.known(step.image.as_ref());
+            let image = self.disturbance.find(step.image.as_ref());
             let others = worker.serve_images.keys().filter(|&&own| own != image);
             cost += UNLIKE * (2 * others.count() as u64).min(3);
             if worker.serve_images.is_empty() {
@@ -145,6 +145,8 @@
     }
 }
 
+/// True when a task of the step fits on the worker beside `before` others of it that are not
+/// started yet.
 fn has_room(step: &Step, worker: &Worker, before: u64) -> bool {
     let mut free = worker.free();
     let size = step.size;
--- a/components/cell/src/disturb.rs
+++ b/components/cell/src/disturb.rs
@@ -70,7 +70,7 @@
     }
 
     /// The number of an image, where it has one already.
-    pub fn known(&self, image: Option<&Arc<str>>) -> Image {
+    pub fn find(&self, image: Option<&Arc<str>>) -> Image {
         let number = image.and_then(|image| self.numbers.get(image));
         number.copied().unwrap_or(Image::MAX)
     }
--- a/components/cell/src/drain.rs
+++ b/components/cell/src/drain.rs
@@ -11,7 +11,7 @@
 
 impl Cell {
     /// Moves tasks off workers that leave.
-    pub(crate) fn leave(&mut self, now: u64) {
+    pub(crate) fn drain(&mut self, now: u64) {
         let leaving: Vec<Arc<str>> = self
             .workers
             .iter()
@@ -23,6 +23,7 @@
         }
     }
 
+    /// Stops tasks of a leaving worker that can go on elsewhere, a few at a time.
     fn evacuate(&mut self, id: &Arc<str>, now: u64) {
         let Some(worker) = self.workers.get(id) else {
             return;
--- a/components/cell/src/ends.rs
+++ b/components/cell/src/ends.rs
@@ -60,6 +60,7 @@
         worker.release(key).is_some()
     }
 
+    /// Counts a run for or against its worker, where its end says something of it.
     fn judge(&mut self, id: &Arc<str>, how: How, now: u64) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -71,11 +72,13 @@
         }
     }
 
+    /// Lets a task wait again whose run has ended with work left.
     fn interrupted(&mut self, key: &Key) {
         self.dirty_if_open(key);
         self.free_if_placed_nowhere(key);
     }
 
+    /// Has the record of a job written, unless the job has ended.
     fn dirty_if_open(&mut self, key: &Key) {
         let is_open = self
             .jobs
@@ -100,6 +103,7 @@
         self.free(key);
     }
 
+    /// Takes in that a run is done: what waits for its task may start, or the job is complete.
     fn done(&mut self, id: &Arc<str>, key: &Key, was_here: bool, moment: Moment) {
         let Some(job) = self.jobs.get(&key.job) else {
             return;
@@ -159,6 +163,7 @@
         elsewhere
     }
 
+    /// Takes in that a run failed: its task waits again, or the job has failed.
     fn failed(&mut self, key: &Key, run: u64, was_here: bool, moment: Moment) {
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
--- a/components/cell/src/lapse.rs
+++ b/components/cell/src/lapse.rs
@@ -29,19 +29,19 @@
                 worker.entry = entry;
                 continue;
             }
-            self.succeed(&entry);
+            self.lose_former(&entry);
             log::info!(target: "cell", worker = &*entry.id, address = &*entry.address, rack = entry.rack(), cpu = entry.size.cpu; "A worker is new.");
             self.workers
                 .insert(entry.id.clone(), Worker::new(entry.clone()));
             self.fleet_dirty = true;
             added.push(entry);
         }
-        self.leave(now);
+        self.drain(now);
         added
     }
 
     /// A new life at an address means that the old one there is over.
-    fn succeed(&mut self, entry: &Entry) {
+    fn lose_former(&mut self, entry: &Entry) {
         let is_old = |worker: &&Worker| worker.entry.address == entry.address;
         let Some(old) = self.workers.values().find(is_old) else {
             return;
@@ -131,6 +131,7 @@
         gone
     }
 
+    /// Frees all tasks of a worker whose leases are over; it has to answer anew before it gets work.
     fn expire(&mut self, id: &Arc<str>) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
--- a/components/cell/src/pace.rs
+++ b/components/cell/src/pace.rs
@@ -53,6 +53,7 @@
     }
 }
 
+/// True when the worker has confirmed the run and was not told to stop it.
 fn is_running(slot: &Slot) -> bool {
     matches!(slot.stage, Stage::Running { .. }) && slot.stopping.is_none()
 }
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -21,6 +21,7 @@
         }
     }
 
+    /// Places the ready tasks of one job.
     fn place_job(&mut self, rank: &Rank, now: u64, stuck: &mut HashSet<Need>) {
         let Some(job) = self.jobs.get(&rank.id) else {
             self.line.remove(rank);
@@ -40,6 +41,8 @@
         }
     }
 
+    /// Places ready tasks of one step at one of its times. `stuck` has the needs for which no
+    /// worker was found in this pass.
     fn place_step(
         &mut self,
         rank: &Rank,
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -85,6 +85,7 @@
         Some(Key { job, place })
     }
 
+    /// Takes in a run that the worker lists as going on.
     fn running(&mut self, id: &Arc<str>, key: Key, run: &Run, moment: Moment) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -191,6 +192,7 @@
         }
     }
 
+    /// Keeps the newest checkpoint of a task.
     pub(crate) fn save(&mut self, key: &Key, saved: Option<&Arc<str>>) {
         let (Some(saved), Some(job)) = (saved, self.jobs.get_mut(&key.job)) else {
             return;
@@ -229,6 +231,7 @@
     }
 }
 
+/// The order to stop a run as its worker lists it.
 fn stop_order(key: &Key, run: &Run) -> Order {
     Order::Stop {
         key: key.clone(),
--- a/components/cell/src/timing.rs
+++ b/components/cell/src/timing.rs
@@ -23,8 +23,8 @@
 pub const CLOCK_DRIFT: u64 = 21;
 /// Added to every bound on a lease: timers fire late on boxes with a small share of a core.
 pub const LEASE_SLACK: u64 = 300;
-/// How long a poll of a worker is held when nothing has to be watched closely. The workers'
-/// interface allows 2,000; a lease of 6,000 then survives a lost poll.
+/// How long a poll of a worker is held when nothing has to be watched closely: the most that the
+/// workers' interface allows.
 pub const POLL_WAIT: u64 = 2_000;
 /// How long a poll is held on a worker with tasks that serve users: their figures are over the
 /// last half second, and filling tasks may be placed beside them meanwhile.
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -57,12 +57,12 @@
 pub enum Stage {
     /// Sent, not confirmed; it cannot begin after the deadline on the worker's clock.
     Sent {
-        /// See above.
+        /// On the worker's clock, in milliseconds.
         deadline: u64,
     },
     /// Confirmed at this time.
     Running {
-        /// See above.
+        /// On our clock, in milliseconds.
         at: u64,
     },
 }
@@ -85,11 +85,11 @@
     pub image: Image,
     /// How far its start has come.
     pub stage: Stage,
-    /// When it was last ordered to stop.
+    /// When it was last ordered to stop, on our clock.
     pub stopping: Option<u64>,
     /// The share of its speed that it was last ordered to, in hundredths.
     pub percent: u8,
-    /// When that was.
+    /// When that was, on our clock; 0 for a pace that was not ordered.
     pub paced: u64,
     /// See [`crate::order::Run::figure`].
     pub figure: u64,
@@ -171,11 +171,11 @@
     pub fill_images: BTreeMap<Image, u64>,
     /// The number of serving tasks, by image.
     pub serve_images: BTreeMap<Image, u32>,
-    /// No work before this time.
+    /// No work before this time, on our clock.
     pub avoid: u64,
     /// Ends in a row that failed.
     pub failures: u32,
-    /// When the last of them came.
+    /// When the last of them came, on our clock.
     pub failed: u64,
     /// The task that a faulty worker is tried with.
     pub probe: Option<Key>,
@@ -228,9 +228,9 @@
         self.fenced && self.listed && !self.entry.leaving && now >= self.avoid
     }
 
-    /// True when it may be given a task that has failed so often: a worker whose last run
-    /// failed just now gets none that has failed before, since attempts are few; a faulty one gets one task to try
-    /// it with.
+    /// True when it may be given a task that has failed so often. A worker whose last run failed
+    /// just now gets none that has failed before, since attempts are few. A faulty one gets one
+    /// task to try it with.
     pub fn is_trusted(&self, failures: u32, now: u64) -> bool {
         if self.failures > 0 && failures > 0 && now < self.failed + FAULTY_FOR {
             return false;
@@ -251,8 +251,8 @@
 
     /// Processors that nobody is reckoned to use.
     pub fn unused(&self) -> u64 {
-        let checks = self.firm.cpu - self.serving;
-        let used = checks + self.serving * SERVING_USE / 100 + self.filling;
+        let others = self.firm.cpu - self.serving;
+        let used = others + self.serving * SERVING_USE / 100 + self.filling;
         self.entry.size.cpu.saturating_sub(used)
     }
 
--- a/components/cell/src/write.rs
+++ b/components/cell/src/write.rs
@@ -74,6 +74,7 @@
         kept
     }
 
+    /// Shows the state of a job that is written down, and forgets the tasks of one that has ended.
     fn show(&mut self, id: &Id, record: &Record) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
