Write the stand-ins' answers in one place, and explain their fields

Cause: kv.rs and runner.rs had the same function reply, runner.rs asked twice in the same words whether a run is going on, and a bare 50 ms stood in a loop. Change: port::reply and Core::is_running serve all callers; LOOK names the pause, with its reason; fields whose meaning was not told have a comment. The tests of magpie-standin-core, magpie-platform and magpie-box pass. Conclusion: no change of behaviour.

--- a/components/standin/src/kv.rs
+++ b/components/standin/src/kv.rs
@@ -3,7 +3,7 @@
 //! It keeps to the protocol of their platform, whose names therefore stand here too.
 
 use {
-    crate::port::{self, Asked, Told},
+    crate::port::{self, Asked, Told, reply},
     kernel::{Reply, sync::lock},
     serde_json::{Value, json},
     std::{
@@ -21,6 +21,8 @@
 const PAGE: usize = 50;
 /// The most entries of a change.
 const MAX_ENTRIES: usize = 32;
+/// The longest pause between two looks at a watch: leases end without a change to wake it.
+const LOOK: Duration = Duration::from_millis(50);
 /// Keys that only the operators and the workers write.
 const RESERVED: [&str; 2] = ["op/", "servers/"];
 
@@ -41,13 +43,16 @@
 struct Item {
     value: String,
     revision: u64,
+    /// The revision at which the key came to be.
     made: u64,
+    /// 0 for a key that stays.
     lease: u64,
 }
 
 struct Change {
     revision: u64,
     key: String,
+    /// `None` for a key that was removed.
     item: Option<Item>,
 }
 
@@ -55,10 +60,12 @@
 struct Core {
     revision: u64,
     items: BTreeMap<String, Item>,
+    /// When each lease ends, and for how long it is renewed.
     leases: BTreeMap<u64, (Instant, Duration)>,
     history: VecDeque<Change>,
     /// The history up to this revision is gone.
     forgotten: u64,
+    /// Changes that wait for [`Kv::carry_out`].
     held: Vec<Value>,
     calls: u64,
     faults: Faults,
@@ -209,7 +216,7 @@
             if !events.is_empty() || left.is_zero() || core.faults.busy {
                 return reply(200, &json!({ "events": events, "at": core.revision }));
             }
-            let step = left.min(Duration::from_millis(50));
+            let step = left.min(LOOK);
             let waited = self.changed.wait_timeout(core, step);
             core = waited.unwrap_or_else(PoisonError::into_inner).0;
         }
@@ -375,7 +382,3 @@
         "lease": item.lease,
     })
 }
-
-fn reply(status: u16, body: &Value) -> Reply {
-    Reply::bytes(status, "application/json", body.to_string().into_bytes())
-}
--- a/components/standin/src/port.rs
+++ b/components/standin/src/port.rs
@@ -7,6 +7,7 @@
         edge::{self, Bounds},
     },
     oxhttp::model::{Body, Request, Response},
+    serde_json::Value,
     std::{io, io::Read, net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -116,3 +117,8 @@
     }
     builder.body(Body::from(reply.body)).unwrap_or_default()
 }
+
+/// An answer with a JSON body.
+pub fn reply(status: u16, body: &Value) -> Reply {
+    Reply::bytes(status, "application/json", body.to_string().into_bytes())
+}
--- a/components/standin/src/runner.rs
+++ b/components/standin/src/runner.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         kv::Kv,
-        port::{self, Asked, Told},
+        port::{self, Asked, Told, reply},
     },
     base64::{Engine, engine::general_purpose::STANDARD},
     kernel::{Reply, sync::lock},
@@ -61,15 +61,21 @@
 
 struct Core {
     id: String,
+    /// Processors, in thousandths of a core.
     size: u64,
     begun: Instant,
+    /// The highest fence seen.
     fence: u64,
+    /// Until when tasks may run, on this worker's clock in milliseconds.
     lease: u64,
+    /// How long each task runs.
     work: Duration,
     running: BTreeMap<String, Run>,
     /// The highest run that was stopped or has ended, by task.
     over: HashMap<String, u64>,
+    /// Number, task, run, and how it ended.
     ended: Vec<(u64, String, u64, &'static str)>,
+    /// The number of the last end.
     count: u64,
     seen: Arc<Mutex<Seen>>,
     faults: Faults,
@@ -220,6 +226,13 @@
         reply(200, &json!({ "clockMs": self.clock() }))
     }
 
+    /// True when this very run of the task is going on.
+    fn is_running(&self, name: &str, run: u64) -> bool {
+        let held = self.running.get(name);
+        held.is_some_and(|held| held.number == run)
+    }
+
+    /// Forgets the ends that are acknowledged, and extends the lease.
     fn renew(&mut self, body: &Value) {
         let seen = number(body, "lastSeen");
         self.ended.retain(|(count, ..)| *count > seen);
@@ -260,11 +273,7 @@
         let name = body["task"].as_str().unwrap_or_default().to_owned();
         let run = number(body, "run");
         let deadline = number(body, "deadlineMs");
-        if self
-            .running
-            .get(&name)
-            .is_some_and(|held| held.number == run)
-        {
+        if self.is_running(&name, run) {
             return self.done();
         }
         if self.running.contains_key(&name) || self.over.get(&name).is_some_and(|&over| run <= over)
@@ -300,11 +309,7 @@
     fn stop(&mut self, body: &Value) -> Reply {
         let name = body["task"].as_str().unwrap_or_default().to_owned();
         let run = number(body, "run");
-        if self
-            .running
-            .get(&name)
-            .is_some_and(|held| held.number == run)
-        {
+        if self.is_running(&name, run) {
             self.end(&name, "stopped");
         }
         let over = self.over.entry(name).or_default();
@@ -352,7 +357,3 @@
 pub fn decode(text: &str) -> Vec<u8> {
     STANDARD.decode(text).unwrap_or_default()
 }
-
-fn reply(status: u16, body: &Value) -> Reply {
-    Reply::bytes(status, "application/json", body.to_string().into_bytes())
-}
