Choose workers for single tasks and gangs by one loop

Cause: choose and choose_gang had the same loop for the cheapest worker. Change: Cell::cheapest serves both; each says which workers will do, with the same conditions in the same order. Conclusion: no change of behaviour.

--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -43,13 +43,22 @@
     ) -> Option<Arc<str>> {
         let job = self.jobs.get(&rank.id)?;
         let failures = if step.lasting { 0 } else { failures };
+        self.cheapest(step, |id, worker| {
+            job.is_advised(address, id, now)
+                && worker.is_trusted(failures, now)
+                && self.suits(job, address, step, worker, 0, now)
+        })
+    }
+
+    /// The worker of least cost among those that will do; the first of equal ones.
+    pub(crate) fn cheapest(
+        &self,
+        step: &Step,
+        will_do: impl Fn(&Arc<str>, &Worker) -> bool,
+    ) -> Option<Arc<str>> {
         let mut best: Option<(u64, &Arc<str>)> = None;
         for (id, worker) in &self.workers {
-            if !job.is_advised(address, id, now) {
-                continue;
-            }
-            if !worker.is_trusted(failures, now) || !self.suits(job, address, step, worker, 0, now)
-            {
+            if !will_do(id, worker) {
                 continue;
             }
             let cost = self.cost(step, worker);
--- a/components/cell/src/gang.rs
+++ b/components/cell/src/gang.rs
@@ -82,26 +82,17 @@
         let mut taken: HashMap<Arc<str>, u64> = HashMap::new();
         let mut choices = Vec::new();
         for &place in places {
-            let mut best: Option<(u64, &Arc<str>)> = None;
-            for (id, worker) in &self.workers {
-                let is_elsewhere = rack
+            let id = self.cheapest(step, |id, worker| {
+                let is_here = rack
                     .as_ref()
-                    .is_some_and(|rack| &**rack != worker.entry.rack());
+                    .is_none_or(|rack| &**rack == worker.entry.rack());
                 let before = taken.get(id).copied().unwrap_or_default();
-                if is_elsewhere || !job.is_advised(address, id, now) {
-                    continue;
-                }
-                if !self.suits(job, address, step, worker, before, now) {
-                    continue;
-                }
-                let cost = self.cost(step, worker);
-                if best.is_none_or(|(least, _)| cost < least) {
-                    best = Some((cost, id));
-                }
-            }
-            let (_, id) = best?;
+                is_here
+                    && job.is_advised(address, id, now)
+                    && self.suits(job, address, step, worker, before, now)
+            })?;
             *taken.entry(id.clone()).or_default() += 1;
-            choices.push((place, id.clone()));
+            choices.push((place, id));
         }
         Some(choices)
     }
