--- a/components/standin/src/kv.rs
+++ b/components/standin/src/kv.rs
@@ -4,6 +4,7 @@
 
 use {
     crate::port::{self, Asked, Told, reply},
+    base64::{Engine, engine::general_purpose::STANDARD},
     kernel::{Reply, sync::lock},
     serde_json::{Value, json},
     std::{
@@ -382,3 +383,13 @@
         "lease": item.lease,
     })
 }
+
+/// The text of a value as the store keeps it.
+pub fn encode(value: &Value) -> String {
+    STANDARD.encode(value.to_string())
+}
+
+/// The bytes of a value that the store keeps; none where it is not such a text.
+pub fn decode(text: &str) -> Vec<u8> {
+    STANDARD.decode(text).unwrap_or_default()
+}
--- a/components/standin/src/runner.rs
+++ b/components/standin/src/runner.rs
@@ -5,10 +5,9 @@
 
 use {
     crate::{
-        kv::Kv,
+        kv::{Kv, encode},
         port::{self, Asked, Told, reply},
     },
-    base64::{Engine, engine::general_purpose::STANDARD},
     kernel::{Reply, sync::lock},
     serde_json::{Value, json},
     std::{
@@ -347,13 +346,3 @@
 fn number(body: &Value, name: &str) -> u64 {
     body[name].as_u64().unwrap_or(0)
 }
-
-/// The text of a value as the store keeps it.
-pub fn encode(value: &Value) -> String {
-    STANDARD.encode(value.to_string())
-}
-
-/// The bytes of a value that the store keeps; none where it is not such a text.
-pub fn decode(text: &str) -> Vec<u8> {
-    STANDARD.decode(text).unwrap_or_default()
-}
--- a/programs/box/tests/whole_path.rs
+++ b/programs/box/tests/whole_path.rs
@@ -10,8 +10,8 @@
     serde_json::{Value, json},
     standin::{
         Kv, Runner,
-        kv::Faults,
-        runner::{Seen, decode, encode},
+        kv::{Faults, decode, encode},
+        runner::Seen,
     },
     std::{
         net::{SocketAddr, TcpListener},
