--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -6,9 +6,13 @@
 
 mod admit;
 mod advise;
+mod answer;
 mod cell;
+mod choose;
 mod disturb;
 mod drain;
+mod ends;
+mod gang;
 mod lapse;
 mod order;
 mod pace;
@@ -16,14 +20,17 @@
 mod report;
 mod summary;
 mod timing;
+mod turns;
 mod wave;
 mod worker;
+mod write;
 
 pub use advise::{Advice, Question};
-pub use cell::{Cell, Change, Poll};
+pub use cell::{Cell, Poll};
 pub use disturb::Disturbance;
 pub use order::{End, How, Order, Outcome, Reason, Report, Run, Start};
 pub use summary::Summary;
 pub use timing::Timing;
 pub use wave::{Machine, Standing, Upkeep, Wave};
 pub use worker::{Entry, Key};
+pub use write::Change;
