Try nothing that is at least as large as what found no room; judge no relay when late

Under a burst 500 waiting jobs were tried on 350 workers each in every pass; passes took up to 2 s, and the owner then took all relays for gone. Ruled out: a takeover (none near); a lost end (its worker was not polled from 25 s on). Change: a need that found no room covers larger ones of its kind (filling tasks by image: a disturbing one kept harmless ones of its size from being tried, too); after a gap of 400 ms between two looks the owner gives all relays a new term. Tests: larger_need_is_not_tried, late_owner_blames_no_relay. silent_relay_loses_workers now looks every 100 ms as the owner does.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -89,6 +89,8 @@
     pub(crate) learned_due: bool,
     pub(crate) orders: Vec<(Arc<str>, Order)>,
     pub(crate) questions: Vec<Question>,
+    /// How often all workers were looked through for a task.
+    pub(crate) tried: u64,
     pub(crate) waves: BTreeMap<u64, wave::Progress>,
     pub(crate) recovery: Option<Recovery>,
     pub(crate) disturbance: Disturbance,
@@ -110,6 +112,7 @@
             learned_due: false,
             orders: Vec::new(),
             questions: Vec::new(),
+            tried: 0,
             waves: BTreeMap::new(),
             recovery: None,
             disturbance: Disturbance::default(),
@@ -205,6 +208,11 @@
         self.workers.values().map(|worker| &worker.entry)
     }
 
+    /// How often all workers were looked through for a task, as a measure of work.
+    pub fn tried(&self) -> u64 {
+        self.tried
+    }
+
     /// A worker, as listed.
     pub fn entry(&self, id: &str) -> Option<&Entry> {
         self.workers.get(id).map(|worker| &worker.entry)
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -7,22 +7,22 @@
         timing,
         worker::{Key, Slot, Stage},
     },
-    job::{Address, Phase, Step},
-    std::{collections::HashSet, sync::Arc},
+    job::{Address, Phase, Step, spec::Size},
+    std::sync::Arc,
 };
 
 impl Cell {
     /// Places what can be placed now.
     pub fn place(&mut self, now: u64) {
         let line: Vec<Rank> = self.line.iter().cloned().collect();
-        let mut stuck = HashSet::new();
+        let mut stuck = Vec::new();
         for rank in line {
             self.place_job(&rank, now, &mut stuck);
         }
     }
 
     /// Places the ready tasks of one job.
-    fn place_job(&mut self, rank: &Rank, now: u64, stuck: &mut HashSet<Need>) {
+    fn place_job(&mut self, rank: &Rank, now: u64, stuck: &mut Vec<Need>) {
         let Some(job) = self.jobs.get(&rank.id) else {
             self.line.remove(rank);
             return;
@@ -49,7 +49,7 @@
         address: Address,
         places: &[usize],
         now: u64,
-        stuck: &mut HashSet<Need>,
+        stuck: &mut Vec<Need>,
     ) {
         let Some(job) = self.jobs.get(&rank.id) else {
             return;
@@ -57,7 +57,7 @@
         let submission = job.progress.submission.clone();
         let step = &submission.spec.steps[address.step as usize];
         let need = Need::of(step, &submission.queue.pool);
-        if stuck.contains(&need) {
+        if stuck.iter().any(|known| known.covers(&need)) {
             return;
         }
         if step.gang {
@@ -65,6 +65,7 @@
             return;
         }
         for &place in places {
+            self.tried += 1;
             let failures = self.failures(rank, place);
             let Some(id) = self.choose(rank, address, step, failures, now) else {
                 if failures > 0 {
@@ -75,7 +76,7 @@
                     return;
                 }
                 if step.spread == 0 {
-                    stuck.insert(need);
+                    stuck.push(need);
                 }
                 return;
             };
@@ -143,27 +144,35 @@
 }
 
 /// What makes one task as hard to place as another.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 struct Need {
     pool: Arc<str>,
-    cpu: u64,
-    memory: u64,
-    gpus: u64,
+    size: Size,
     fills: bool,
     label: Option<Arc<str>>,
+    /// Of a filling task: what it disturbs hangs on it.
+    image: Option<Arc<str>>,
 }
 
 impl Need {
     fn of(step: &Step, pool: &Arc<str>) -> Self {
         Need {
             pool: pool.clone(),
-            cpu: step.size.cpu,
-            memory: step.size.memory,
-            gpus: step.size.gpus,
+            size: step.size,
             fills: step.fills,
             label: step.label.clone(),
+            image: step.image.clone().filter(|_| step.fills),
         }
     }
+
+    /// True when no room for this means that there is none for the other either.
+    fn covers(&self, other: &Need) -> bool {
+        let is_like = self.pool == other.pool
+            && self.fills == other.fills
+            && self.label == other.label
+            && self.image == other.image;
+        is_like && self.size.fits(other.size)
+    }
 }
 
 /// The ready tasks of a job, by time and step.
--- a/components/cell/tests/decisions/place.rs
+++ b/components/cell/tests/decisions/place.rs
@@ -343,3 +343,22 @@
         .report(&"w1".into(), report, world.now, world.now, 1);
     assert_eq!(world.cell.poll("w1", world.now).unwrap().wait, 500);
 }
+
+/// Under a burst each waiting job was tried on each worker in each pass, for seconds. What is at
+/// least as large as something that has just found no room finds none either.
+#[test]
+fn larger_need_is_not_tried() {
+    let mut world = World::new(&["w1"]);
+    world.submit(JOB, vec![step(1, 3_500)]);
+    assert_eq!(workers(&mut world).len(), 1);
+    for (id, cpu) in [
+        ("00000000000000b2", 600),
+        ("00000000000000c3", 900),
+        ("00000000000000d4", 400),
+    ] {
+        world.submit(id, vec![step(1, cpu)]);
+    }
+    let before = world.cell.tried();
+    assert_eq!(workers(&mut world).len(), 1);
+    assert_eq!(world.cell.tried() - before, 2);
+}
--- a/components/node/src/relays.rs
+++ b/components/node/src/relays.rs
@@ -17,6 +17,8 @@
 /// A relay that has not been heard for this long, in milliseconds, is taken for gone. Exchanges are
 /// 25 ms apart; leases at workers of 4.5 s leave time for another to take over.
 const SILENT: u64 = 1_200;
+/// Looks are 100 ms apart; with a longer gap, in milliseconds, the owner itself was late.
+const LATE: u64 = 400;
 /// After this time, in milliseconds, the owner looks after workers itself that no relay has room
 /// for: boxes offer themselves every 0.4 s.
 const UNATTENDED: u64 = 1_500;
@@ -49,6 +51,8 @@
 pub struct Relays {
     by_name: HashMap<Arc<str>, Relay>,
     sessions: u64,
+    /// When silence was last looked for.
+    looked: u64,
     /// Orders on their way, by number.
     orders: HashMap<u64, (Arc<str>, Order)>,
     numbers: u64,
@@ -191,7 +195,16 @@
     }
 
     /// The workers of relays that have not been heard for too long.
+    ///
+    /// An owner that was late itself judges nobody: what relays sent meanwhile has not been read.
     pub fn lose_silent(&mut self, now: u64) -> Vec<Arc<str>> {
+        let is_late = now > self.looked + LATE;
+        self.looked = now;
+        if is_late {
+            for relay in self.by_name.values_mut() {
+                relay.seen = now;
+            }
+        }
         let silent = self.by_name.iter();
         let silent = silent.filter(|(_, relay)| now > relay.seen + SILENT);
         let names: Vec<Arc<str>> = silent.map(|(name, _)| name.clone()).collect();
--- a/components/node/tests/relays.rs
+++ b/components/node/tests/relays.rs
@@ -119,7 +119,9 @@
     let (mut relays, offer) = joined();
     relays.assign(entry("w1"), 1).unwrap();
     relays.take(&offer, 100);
-    assert!(relays.lose_silent(1_300).is_empty());
+    for now in (200..=1_300).step_by(100) {
+        assert!(relays.lose_silent(now).is_empty());
+    }
     assert_eq!(relays.lose_silent(1_301), ["w1".into()]);
     assert_eq!(relays.duty("b1", FENCE).session, 0);
 }
@@ -164,3 +166,18 @@
         matches!(&duty.commands[1], Command::Poll(id, 77, own) if &**id == "w1" && *own == poll)
     );
 }
+
+/// Seen on a grown site under a burst: the owner itself was late by seconds, took all relays for
+/// gone and gave their workers away.
+#[test]
+fn late_owner_blames_no_relay() {
+    let (mut relays, offer) = joined();
+    relays.assign(entry("w1"), 1).unwrap();
+    relays.take(&offer, 100);
+    assert!(relays.lose_silent(200).is_empty());
+    assert!(relays.lose_silent(2_500).is_empty());
+    for now in (2_600..=3_700).step_by(100) {
+        assert!(relays.lose_silent(now).is_empty());
+    }
+    assert_eq!(relays.lose_silent(3_800), ["w1".into()]);
+}
