Foresee the load of serving jobs; learn disturbance from differences; move slowed filling tasks

Raw figures of a trial showed why: (1) the load of a serving task swings with its job's, all tasks of a job alike, by far more than the noise; the model took it for noise and needed many seconds to tell pairs of images apart. (2) Stopped filling tasks kept their room. (3) Paces reacted to figures that are half a second old.

Ruled out: noise of the figures (0.05 in the load once the job's own swing is taken out); too little room in all (a fifth of the processors stood unused while work waited).

Change: tails are turned into loads as in a queue, in which filling tasks add up. Weights of pairs are fitted to what differs between the workers of one job at one time; the rest is the job's load, whose next second is foreseen. Paces are set in proportion to the room that is foreseen, with the stop near the target as a second line. Harmless filling tasks may go wherever the peak load bears them; harmful ones only where the next moments do. A filling task that was slowed for 0.8 s and saves its work moves to a worker where it is harmless, if there is one.

Placement tries a need that found no room on all workers only each half second, else on workers that have changed.

Also: a worker that was just not asked in time keeps its tasks for 2 s after its leases, since it may have ends to tell. The test silent_worker_frees_after_lease now says that the worker's poll has failed, which is what silent means.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -3,8 +3,9 @@
 use {
     crate::{
         advise::{Known, Question},
-        disturb::Disturbance,
+        disturb::{Disturbance, level::Levels},
         order::Order,
+        place::Stuck,
         timing::{self, Timing},
         turns::Turns,
         wave,
@@ -94,6 +95,9 @@
     pub(crate) waves: BTreeMap<u64, wave::Progress>,
     pub(crate) recovery: Option<Recovery>,
     pub(crate) disturbance: Disturbance,
+    pub(crate) levels: Levels,
+    /// Needs that found no room when all workers were looked through.
+    pub(crate) stuck: Vec<Stuck>,
 }
 
 impl Cell {
@@ -116,6 +120,8 @@
             waves: BTreeMap::new(),
             recovery: None,
             disturbance: Disturbance::default(),
+            levels: Levels::default(),
+            stuck: Vec::new(),
         }
     }
 
--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -12,18 +12,16 @@
 /// Work on a worker away from its data counts this much, in thousandths of a core of room that is
 /// left unused; so near room is taken first, unless none is there.
 const FAR: u64 = 1_000_000;
-/// Filling tasks count this much for each unit of the logarithm by which they raise a tail; see
-/// `FAR`.
-const DISTURBED: f64 = 200_000.0;
+/// Filling tasks count this much for each unit of load by which they take serving ones past the
+/// limit at the highest load; see `FAR`.
+const EXCESS: f64 = 2_000_000.0;
+/// Filling tasks that disturb serving ones count this much besides; see `FAR`.
+const HARMS: u64 = 200_000;
 /// Filling tasks beside serving ones count this much even if they disturb nothing; see `FAR`.
 const BESIDE: u64 = 4_000;
 /// A serving task counts this much on a worker that has none yet, and twice that beside other
 /// images: alike ones together leave workers where a filling image disturbs nothing.
 const UNLIKE: u64 = 100_000;
-/// The logarithm by which filling tasks may raise the tail of a serving one. Tails without them
-/// are 0.8 below the target in the logarithm, and their load swings by about 0.4.
-const MOST_DISTURBED: f64 = 0.3;
-
 impl Cell {
     /// How often a task has failed.
     pub(crate) fn failures(&self, rank: &Rank, place: usize) -> u32 {
@@ -32,32 +30,42 @@
             .map_or(0, |job| job.progress.tasks[place].failed.len() as u32)
     }
 
-    /// The best worker for a task of the step that has failed so often; `None` when none will do.
+    /// The best worker for a task of the step that has failed so often, of all or of some; `None`
+    /// when none will do.
     pub(crate) fn choose(
         &self,
         rank: &Rank,
         address: Address,
         step: &Step,
         failures: u32,
+        among: Option<&[Arc<str>]>,
         now: u64,
     ) -> Option<Arc<str>> {
         let job = self.jobs.get(&rank.id)?;
         let failures = if step.lasting { 0 } else { failures };
-        self.cheapest(step, |id, worker| {
+        let will_do = |id: &Arc<str>, worker: &Worker| {
             job.is_advised(address, id, now)
                 && worker.is_trusted(failures, now)
                 && self.suits(job, address, step, worker, 0, now)
-        })
+        };
+        match among {
+            None => self.cheapest(step, self.workers.iter(), will_do),
+            Some(ids) => {
+                let known = ids.iter().filter_map(|id| self.workers.get_key_value(id));
+                self.cheapest(step, known, will_do)
+            }
+        }
     }
 
     /// The worker of least cost among those that will do; the first of equal ones.
-    pub(crate) fn cheapest(
+    pub(crate) fn cheapest<'a>(
         &self,
         step: &Step,
+        workers: impl Iterator<Item = (&'a Arc<str>, &'a Worker)>,
         will_do: impl Fn(&Arc<str>, &Worker) -> bool,
     ) -> Option<Arc<str>> {
         let mut best: Option<(u64, &Arc<str>)> = None;
-        for (id, worker) in &self.workers {
+        for (id, worker) in workers {
             if !will_do(id, worker) {
                 continue;
             }
@@ -92,32 +100,12 @@
         if !has_room(step, worker, before) {
             return false;
         }
-        if step.fills && self.disturbed(step, worker, before + 1) > MOST_DISTURBED {
+        if step.fills && !self.effect(step, worker, before + 1).is_bearable() {
             return false;
         }
         step.spread == 0 || self.held(job, address, worker) + before < u64::from(step.spread)
     }
 
-    /// By how much the worst-hit serving image of a worker would be disturbed with this many more
-    /// tasks of the step beside it, as a logarithm.
-    fn disturbed(&self, step: &Step, worker: &Worker, more: u64) -> f64 {
-        if worker.serve_images.is_empty() {
-            return 0.0;
-        }
-        let image = self.disturbance.find(step.image.as_ref());
-        let capacity = worker.entry.size.cpu.max(1) as f64;
-        let added = (step.size.cpu * more) as f64;
-        let mut worst: f64 = 0.0;
-        for &serving in worker.serve_images.keys() {
-            let mut sum = added * self.disturbance.weight(serving, image);
-            for (&filling, &cpu) in &worker.fill_images {
-                sum += cpu as f64 * self.disturbance.weight(serving, filling);
-            }
-            worst = worst.max(sum / capacity);
-        }
-        worst
-    }
-
     /// The least is the best: near its data, and for tasks that take room, the fullest worker with
     /// serving tasks alike; for filling tasks, where they disturb least and have most room.
     pub(crate) fn cost(&self, step: &Step, worker: &Worker) -> u64 {
@@ -128,7 +116,11 @@
             cost += FAR;
         }
         if step.fills {
-            cost += (self.disturbed(step, worker, 1) * DISTURBED) as u64;
+            let effect = self.effect(step, worker, 1);
+            cost += (effect.excess() * EXCESS) as u64;
+            if effect.harms {
+                cost += HARMS;
+            }
             if worker.serving > 0 {
                 cost += BESIDE;
             }
--- /dev/null
+++ b/components/cell/src/disturb/sums.rs
@@ -0,0 +1,102 @@
+//! Least squares with a prior, kept as running sums.
+
+use serde::{Deserialize, Serialize};
+
+/// How strongly the prior holds, as the sum of squares of shares that weighs as much: the variance
+/// of a reading (0.05 squared, doubled for what the model leaves out) over that of weights (0.5).
+const HOLD: f64 = 0.01;
+/// What remains of old samples each time the sums are solved: half after about a minute and a half.
+const KEEP: f64 = 0.996;
+
+/// Sums of one serving image.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Sums {
+    /// Products of shares, by pair of columns.
+    square: Vec<Vec<f64>>,
+    /// Products of shares and loads.
+    result: Vec<f64>,
+    /// The solution.
+    weights: Vec<f64>,
+    fresh: bool,
+}
+
+impl Sums {
+    /// Adds one reading with this weight.
+    pub fn add(&mut self, load: f64, shares: &[f64], trust: f64) {
+        self.widen(shares.len());
+        for (a, x) in shares.iter().enumerate() {
+            if *x == 0.0 {
+                continue;
+            }
+            self.result[a] += trust * x * load;
+            for (b, y) in shares.iter().enumerate() {
+                self.square[a][b] += trust * x * y;
+            }
+        }
+        self.fresh = true;
+    }
+
+    /// The weight of a column, once one was solved.
+    pub fn weight(&self, column: usize) -> Option<f64> {
+        self.weights.get(column).copied()
+    }
+
+    /// Solves anew if samples have come.
+    pub fn solve(&mut self, prior: f64) {
+        if !std::mem::take(&mut self.fresh) {
+            return;
+        }
+        for row in &mut self.square {
+            row.iter_mut().for_each(|sum| *sum *= KEEP);
+        }
+        self.result.iter_mut().for_each(|sum| *sum *= KEEP);
+        let mut square = self.square.clone();
+        let mut result = self.result.clone();
+        for column in 0..square.len() {
+            square[column][column] += HOLD;
+            result[column] += HOLD * prior;
+        }
+        self.weights = eliminate(square, result);
+    }
+
+    fn widen(&mut self, width: usize) {
+        if self.result.len() >= width {
+            return;
+        }
+        for row in &mut self.square {
+            row.resize(width, 0.0);
+        }
+        self.square.resize(width, vec![0.0; width]);
+        self.result.resize(width, 0.0);
+    }
+}
+
+/// Solves a symmetric, positive system; a row without any sample gives 0.
+fn eliminate(mut square: Vec<Vec<f64>>, mut result: Vec<f64>) -> Vec<f64> {
+    let width = result.len();
+    for pivot in 0..width {
+        if square[pivot][pivot].abs() < f64::EPSILON {
+            continue;
+        }
+        let (head, tail) = square.split_at_mut(pivot + 1);
+        let top = &head[pivot];
+        for (offset, row) in tail.iter_mut().enumerate() {
+            let factor = row[pivot] / top[pivot];
+            for column in pivot..width {
+                row[column] -= factor * top[column];
+            }
+            result[pivot + 1 + offset] -= factor * result[pivot];
+        }
+    }
+    let mut solution = vec![0.0; width];
+    for row in (0..width).rev() {
+        let known: f64 = (row + 1..width)
+            .map(|column| square[row][column] * solution[column])
+            .sum();
+        if square[row][row].abs() >= f64::EPSILON {
+            solution[row] = (result[row] - known) / square[row][row];
+        }
+    }
+    solution
+}
--- a/components/cell/src/gang.rs
+++ b/components/cell/src/gang.rs
@@ -82,7 +82,7 @@
         let mut taken: HashMap<Arc<str>, u64> = HashMap::new();
         let mut choices = Vec::new();
         for &place in places {
-            let id = self.cheapest(step, |id, worker| {
+            let id = self.cheapest(step, self.workers.iter(), |id, worker| {
                 let is_here = rack
                     .as_ref()
                     .is_none_or(|rack| &**rack == worker.entry.rack());
--- a/components/cell/src/lapse.rs
+++ b/components/cell/src/lapse.rs
@@ -9,6 +9,10 @@
     std::{collections::HashSet, sync::Arc},
 };
 
+/// How long tasks that can be done are left alone when their worker was not asked in time, in
+/// milliseconds: a late owner catches up within about a second.
+const TELL: u64 = 2_000;
+
 impl Cell {
     /// Takes in the whole listing of workers. Returns those that are new.
     pub fn list(&mut self, entries: Vec<Entry>, now: u64) -> Vec<Entry> {
@@ -80,6 +84,7 @@
     /// Notes that a poll of a worker failed: it gets no work until one succeeds.
     pub fn unheard(&mut self, id: &str, now: u64) {
         if let Some(worker) = self.workers.get_mut(id) {
+            worker.failing = true;
             worker.shun(now);
         }
     }
@@ -107,20 +112,26 @@
     }
 
     /// Gives up what runs under leases that are over. Returns the workers that are gone.
+    ///
+    /// A worker that answers may have ends to tell, from before its leases were over: where it just
+    /// was not asked in time, tasks that can be done are left alone until it is.
     pub fn lapse(&mut self, now: u64) -> Vec<Arc<str>> {
         let mut over = Vec::new();
         for (id, worker) in &self.workers {
-            let is_over = match worker.lapses() {
-                Some(lapses) => now >= lapses,
-                None => !worker.listed && self.recovery.is_none(),
+            let (is_over, may_tell) = match worker.lapses() {
+                Some(lapses) => (
+                    now >= lapses,
+                    worker.listed && !worker.failing && now < lapses + TELL,
+                ),
+                None => (!worker.listed && self.recovery.is_none(), false),
             };
             if is_over && (!worker.slots.is_empty() || !worker.listed) {
-                over.push(id.clone());
+                over.push((id.clone(), may_tell));
             }
         }
         let mut gone = Vec::new();
-        for id in over {
-            self.expire(&id);
+        for (id, may_tell) in over {
+            self.expire(&id, may_tell);
             let is_listed = self.workers.get(&id).is_some_and(|worker| worker.listed);
             if !is_listed {
                 self.lose(&id, "its leases are over and it is not listed");
@@ -131,17 +142,30 @@
         gone
     }
 
-    /// Frees all tasks of a worker whose leases are over; it has to answer anew before it gets work.
-    fn expire(&mut self, id: &Arc<str>) {
+    /// Frees the tasks of a worker whose leases are over, or just its lasting ones; it has to answer
+    /// anew before it gets work.
+    fn expire(&mut self, id: &Arc<str>, lasting_only: bool) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let mut keys = Vec::new();
+        for key in worker.slots.keys() {
+            let is_lasting = self
+                .jobs
+                .get(&key.job)
+                .is_some_and(|job| job.progress.step(key.place).lasting);
+            if is_lasting || !lasting_only {
+                keys.push(key.clone());
+            }
+        }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let keys: Vec<Key> = worker.slots.keys().cloned().collect();
+        worker.fenced = false;
         if keys.is_empty() {
             return;
         }
-        log::warn!(target: "cell", worker = &**id, tasks = keys.len(); "All leases of a worker are over.");
-        worker.fenced = false;
+        log::warn!(target: "cell", worker = &**id, tasks = keys.len(), failing = worker.failing, lasting_only; "All leases of a worker are over.");
         for key in &keys {
             worker.release(key);
         }
--- a/components/cell/src/pace.rs
+++ b/components/cell/src/pace.rs
@@ -1,24 +1,27 @@
 //! Slowing down filling tasks that disturb serving ones on the same worker.
 //!
-//! The tail of a serving task's answer times is known for the last half second. Near its target,
-//! the filling tasks that disturb its image are stopped from working; well under it, they are sped
-//! up by a fixed amount. A serving task that stays over its target stops all of them, whatever was
-//! learned: what is learned may be wrong.
+//! The load of each serving job is foreseen, and what the filling tasks beside it add is known from
+//! their images: those that disturb get the pace at which the worker's serving tasks stay under
+//! their target. Figures are half a second old and foresight errs, so there is a second line: close
+//! to the target the filling tasks that disturb stop from working and come back in steps; and a
+//! serving task that stays over its target stops all of them, whatever was learned.
 
 use {
     crate::{
         cell::Cell,
-        disturb::{Disturbance, Image},
+        disturb::{Disturbance, Image, LOAD_AT_TARGET, level::Levels, load_of},
         order::Order,
         worker::{Key, Slot, Stage, UNKNOWN_PACE, Worker},
     },
-    std::{collections::BTreeMap, sync::Arc},
+    std::collections::BTreeMap,
+    std::sync::Arc,
 };
 
 /// From a change of pace until the figures show it: half a second of measurement, and the time
 /// for the order and the report, in milliseconds.
 const SETTLE: u64 = 650;
-/// Added to the pace when the tails that a task disturbs are low, in hundredths.
+/// Added to the pace of a task that was stopped near a target, when the tails that it disturbs are
+/// low, in hundredths.
 const RAISE: u8 = 20;
 /// At this share of the target the filling tasks that disturb stop, in hundredths: before it is
 /// passed, since an order takes half a second to show.
@@ -28,8 +31,18 @@
 /// A serving task over its target for this long, in milliseconds, stops all filling tasks: a
 /// target may be missed for 4 s, and an order takes half a second to show.
 const STUBBORN: u64 = 1_000;
-/// A pair of images with at least this weight disturbs; harmless ones are measured below 1.
-const HARMFUL: f64 = 1.0;
+/// A pair of images with at least this weight disturbs; harmless ones are measured below 0.3.
+pub(crate) const HARMFUL: f64 = 0.4;
+/// The load up to which serving tasks are filled: a little below the load at the target, for what
+/// foresight errs by.
+pub(crate) const LOAD_LIMIT: f64 = LOAD_AT_TARGET - 0.04;
+/// How far ahead the load is foreseen for a pace, in milliseconds: the next report, and the time
+/// for an order.
+const AHEAD: u64 = 700;
+/// Paces below this are not worth their memory, in hundredths.
+const LEAST: u8 = 15;
+/// Smaller changes of pace are not ordered, in hundredths.
+const CHANGE: u8 = 15;
 
 impl Cell {
     /// Learns from a worker's newest figures, and sets the pace of its filling tasks by them.
@@ -37,10 +50,12 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        learn(&mut self.disturbance, worker);
-        self.disturbance.solve(now);
+        learn(&mut self.disturbance, &mut self.levels, worker, now);
+        if self.disturbance.solve(now) {
+            self.levels.forget(now);
+        }
         self.learned_due |= self.disturbance.is_due(now);
-        for (key, run, percent) in set_paces(&self.disturbance, worker, now) {
+        for (key, run, percent) in set_paces(&self.disturbance, &self.levels, worker, now) {
             let Some(job) = self.jobs.get(&key.job) else {
                 continue;
             };
@@ -61,20 +76,31 @@
     matches!(slot.stage, Stage::Running { .. }) && slot.stopping.is_none()
 }
 
-/// Takes the figures of serving tasks as readings of what the filling ones beside them do.
-fn learn(known: &mut Disturbance, worker: &Worker) {
+/// Takes the figures of serving tasks as readings of their job's load, and of what the filling
+/// tasks beside them add.
+fn learn(known: &mut Disturbance, levels: &mut Levels, worker: &Worker, now: u64) {
     let capacity = worker.entry.size.cpu.max(1) as f64;
     let mut shares: Vec<(Image, f64)> = Vec::new();
-    for slot in worker.slots.values() {
-        if slot.fills && is_running(slot) {
+    let mut loads = BTreeMap::new();
+    for (key, slot) in &worker.slots {
+        if !is_running(slot) || slot.figure == 0 {
+            continue;
+        }
+        if slot.fills {
             shares.push((slot.image, slot.figure as f64 / capacity));
+        } else if slot.target > 0 {
+            let load = load_of(slot.figure as f64 / slot.target as f64);
+            let sum: &mut (f64, f64) = loads.entry((key.job.clone(), slot.image)).or_default();
+            sum.0 += load;
+            sum.1 += 1.0;
         }
     }
-    for slot in worker.slots.values() {
-        if slot.target > 0 && slot.figure > 0 && is_running(slot) {
-            let over = slot.figure as f64 / slot.target as f64;
-            known.sample(slot.image, over, &shares);
-        }
+    if loads.is_empty() {
+        return;
+    }
+    let row = known.row(&shares);
+    for (job, (sum, count)) in loads {
+        levels.read(known, job, sum / count, &row, now);
     }
 }
 
@@ -91,31 +117,71 @@
     tails
 }
 
+/// For each serving image on a worker, the pace in hundredths that keeps it under its target when
+/// all filling tasks that disturb it have it.
+fn limits(known: &Disturbance, levels: &Levels, worker: &Worker, now: u64) -> Vec<(Image, f64)> {
+    let mut loads: BTreeMap<Image, f64> = BTreeMap::new();
+    for key in worker.serve_jobs.keys() {
+        let (near, _) = levels.foresee(key, now, AHEAD);
+        let load = loads.entry(key.1).or_default();
+        *load = load.max(near);
+    }
+    let capacity = worker.entry.size.cpu.max(1) as f64;
+    let mut limits = Vec::with_capacity(loads.len());
+    for (serving, load) in loads {
+        let (mut harmful, mut harmless) = (0.0, 0.0);
+        for (&filling, &cpu) in &worker.fill_images {
+            let weight = known.weight(serving, filling);
+            let added = weight * cpu as f64 / capacity;
+            if weight >= HARMFUL {
+                harmful += added;
+            } else {
+                harmless += added;
+            }
+        }
+        let room = LOAD_LIMIT - load - harmless;
+        let limit = if harmful > room {
+            (room / harmful).max(0.0) * 100.0
+        } else {
+            100.0
+        };
+        limits.push((serving, limit));
+    }
+    limits
+}
+
 /// Sets the pace of each filling task. Returns the changes to order.
-fn set_paces(known: &Disturbance, worker: &mut Worker, now: u64) -> Vec<(Key, u64, u8)> {
+fn set_paces(
+    known: &Disturbance,
+    levels: &Levels,
+    worker: &mut Worker,
+    now: u64,
+) -> Vec<(Key, u64, u8)> {
     let tails = tails(worker);
-    let is_over = tails.values().any(|&tail| tail > 100);
-    if !is_over {
-        worker.over_since = None;
-    } else if worker.over_since.is_none() {
-        worker.over_since = Some(now);
+    note_over(worker, &tails, now);
+    if worker.filling == 0 {
+        return Vec::new();
     }
     let is_stubborn = worker
         .over_since
         .is_some_and(|since| now >= since + STUBBORN);
+    let limits = limits(known, levels, worker, now);
     let mut changes = Vec::new();
     for (key, slot) in &mut worker.slots {
         if !slot.fills || !is_running(slot) {
             continue;
         }
+        let harms = |serving: Image| known.weight(serving, slot.image) >= HARMFUL;
         let harmed = tails
             .iter()
-            .filter(|(serving, _)| is_stubborn || known.weight(**serving, slot.image) >= HARMFUL);
+            .filter(|(serving, _)| is_stubborn || harms(**serving));
         let worst = harmed.map(|(_, &tail)| tail).max().unwrap_or_default();
-        let Some(percent) = next_pace(slot, worst, now) else {
+        let limit = limits.iter().filter(|(serving, _)| harms(*serving));
+        let limit = limit.map(|&(_, limit)| limit).fold(100.0, f64::min) as u8;
+        let Some(percent) = next_pace(slot, worst, limit, now) else {
             continue;
         };
-        log::debug!(target: "cell", worker = &*worker.entry.id, job = key.job.as_str(), place = key.place, worst, from = slot.percent, to = percent; "A filling task changes its pace.");
+        log::debug!(target: "cell", worker = &*worker.entry.id, job = key.job.as_str(), place = key.place, worst, limit, from = slot.percent, to = percent; "A filling task changes its pace.");
         slot.percent = percent;
         slot.paced = now;
         changes.push((key.clone(), slot.run, percent));
@@ -123,14 +189,47 @@
     changes
 }
 
-/// The pace of a filling task, by the worst tail that it disturbs; `None` when it stays.
-fn next_pace(slot: &Slot, worst: u64, now: u64) -> Option<u8> {
+/// Notes since when some serving task has been over its target.
+fn note_over(worker: &mut Worker, tails: &BTreeMap<Image, u64>, now: u64) {
+    let is_over = tails.values().any(|&tail| tail > 100);
+    if !is_over {
+        worker.over_since = None;
+    } else if worker.over_since.is_none() {
+        worker.over_since = Some(now);
+    }
+}
+
+/// The pace of a filling task, by the worst tail that it disturbs and by the pace up to which its
+/// serving neighbours are foreseen to stay under their target; `None` when it stays.
+fn next_pace(slot: &mut Slot, worst: u64, limit: u8, now: u64) -> Option<u8> {
+    let limit = if limit < LEAST { 0 } else { limit };
+    let mut pace = limit;
     if worst > STOP {
-        return (slot.percent > 0).then_some(0);
+        slot.tripped = true;
+        pace = 0;
+    } else if slot.tripped && slot.percent != UNKNOWN_PACE {
+        let may_rise = worst < LOW && now >= slot.paced + SETTLE;
+        pace = if may_rise {
+            (slot.percent + RAISE).min(limit)
+        } else {
+            slot.percent.min(limit)
+        };
+        slot.tripped = pace < limit;
     }
+    note_slow(slot, pace, now);
     if slot.percent == UNKNOWN_PACE {
-        return Some(100);
+        return Some(pace);
+    }
+    let is_end = pace == 0 || pace == 100;
+    let is_worth = pace.abs_diff(slot.percent) >= CHANGE || (is_end && pace != slot.percent);
+    is_worth.then_some(pace)
+}
+
+/// Notes since when a filling task has worked at less than half its speed.
+fn note_slow(slot: &mut Slot, pace: u8, now: u64) {
+    if pace >= 50 {
+        slot.slow_since = None;
+    } else if slot.slow_since.is_none() {
+        slot.slow_since = Some(now);
     }
-    let may_rise = slot.percent < 100 && worst < LOW && now >= slot.paced + SETTLE;
-    may_rise.then(|| (slot.percent + RAISE).min(100))
 }
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -7,22 +7,28 @@
         timing,
         worker::{Key, Slot, Stage},
     },
-    job::{Address, Phase, Step, spec::Size},
-    std::sync::Arc,
+    job::{Address, Id, Phase, Step, Submission, spec::Size},
+    std::{ops::Range, sync::Arc},
 };
 
+/// A need that found no room is tried on all workers again after this time, in milliseconds; until
+/// then only on those that have changed. What changes by itself is that a worker is given work
+/// again after it was set aside.
+const TRY_ALL: u64 = 500;
+
 impl Cell {
     /// Places what can be placed now.
     pub fn place(&mut self, now: u64) {
+        let changed = self.take_changed(now);
+        self.stuck.retain(|known| now < known.since + TRY_ALL);
         let line: Vec<Rank> = self.line.iter().cloned().collect();
-        let mut stuck = Vec::new();
         for rank in line {
-            self.place_job(&rank, now, &mut stuck);
+            self.place_job(&rank, now, &changed);
         }
     }
 
     /// Places the ready tasks of one job.
-    fn place_job(&mut self, rank: &Rank, now: u64, stuck: &mut Vec<Need>) {
+    fn place_job(&mut self, rank: &Rank, now: u64, changed: &[Arc<str>]) {
         let Some(job) = self.jobs.get(&rank.id) else {
             self.line.remove(rank);
             return;
@@ -30,61 +36,94 @@
         if job.unsure && self.recovery.is_some() {
             return;
         }
-        for (address, places) in by_step(job) {
-            self.place_step(rank, address, &places, now, stuck);
+        let mut next = 0;
+        while let Some(address) = self.next_ready(rank, next) {
+            let places = self.places(rank, address);
+            next = places.end;
+            self.place_step(rank, address, places, now, changed);
         }
-        let Some(job) = self.jobs.get(&rank.id) else {
-            return;
-        };
-        if job.ready.is_empty() {
+        let is_placed = self
+            .jobs
+            .get(&rank.id)
+            .is_some_and(|job| job.ready.is_empty());
+        if is_placed {
             self.line.remove(rank);
         }
     }
 
-    /// Places ready tasks of one step at one of its times. `stuck` has the needs for which no
-    /// worker was found in this pass.
+    /// The first ready task of a job from this place on.
+    fn next_ready(&self, rank: &Rank, from: usize) -> Option<Address> {
+        let job = self.jobs.get(&rank.id)?;
+        let place = job.ready.range(from..).next()?;
+        Some(job.progress.submission.spec.address(*place))
+    }
+
+    /// The places of all tasks of a step.
+    fn places(&self, rank: &Rank, address: Address) -> Range<usize> {
+        self.jobs
+            .get(&rank.id)
+            .map_or(0..0, |job| job.progress.places(address.time, address.step))
+    }
+
+    /// Places ready tasks of one step at one of its times. `changed` has the workers that may have
+    /// more room than when all were last looked through.
     fn place_step(
         &mut self,
         rank: &Rank,
         address: Address,
-        places: &[usize],
+        places: Range<usize>,
         now: u64,
-        stuck: &mut Vec<Need>,
+        changed: &[Arc<str>],
     ) {
         let Some(job) = self.jobs.get(&rank.id) else {
             return;
         };
         let submission = job.progress.submission.clone();
         let step = &submission.spec.steps[address.step as usize];
-        let need = Need::of(step, &submission.queue.pool);
-        if stuck.iter().any(|known| known.covers(&need)) {
+        let need = Need::of(step, &submission, address);
+        let mut is_stuck = self.is_stuck(&need);
+        if is_stuck && changed.is_empty() {
             return;
         }
+        let ready: Vec<usize> = job.ready.range(places).copied().collect();
         if step.gang {
-            self.place_gang(rank, address, places, step, now);
+            if !is_stuck {
+                self.place_gang(rank, address, &ready, step, now);
+            }
             return;
         }
-        for &place in places {
-            self.tried += 1;
+        for place in ready {
             let failures = self.failures(rank, place);
-            let Some(id) = self.choose(rank, address, step, failures, now) else {
-                if failures > 0 {
-                    continue;
-                }
-                if submission.queue.advised {
-                    self.ask(rank, address, step, now);
-                    return;
-                }
-                if step.spread == 0 {
-                    stuck.push(need);
-                }
+            let among = is_stuck.then_some(changed);
+            self.tried += u64::from(among.is_none());
+            if let Some(id) = self.choose(rank, address, step, failures, among, now) {
+                let run = self.next_run(rank, place);
+                self.start(rank, place, run, &id, now);
+                continue;
+            }
+            if failures > 0 {
+                continue;
+            }
+            if submission.queue.advised {
+                self.ask(rank, address, step, now);
                 return;
-            };
-            let run = self.next_run(rank, place);
-            self.start(rank, place, run, &id, now);
+            }
+            if is_stuck {
+                return;
+            }
+            self.stuck.push(Stuck {
+                need: need.clone(),
+                since: now,
+            });
+            is_stuck = true;
         }
     }
 
+    /// True when a need at most as large has found no room lately.
+    fn is_stuck(&self, need: &Need) -> bool {
+        self.stuck.iter().any(|known| known.need.covers(need))
+    }
+
     /// The number of the next run of a task.
     pub(crate) fn next_run(&self, rank: &Rank, place: usize) -> u64 {
         self.jobs
@@ -116,6 +155,7 @@
         }
         let start = job.assign(key, run, id, deadline, now);
         self.orders.push((id.clone(), Order::Start(start)));
+        self.strain(id, now);
     }
 }
 
@@ -145,23 +185,34 @@
 
 /// What makes one task as hard to place as another.
 #[derive(Debug, Clone, PartialEq, Eq)]
-struct Need {
+pub(crate) struct Need {
     pool: Arc<str>,
     size: Size,
     fills: bool,
     label: Option<Arc<str>>,
     /// Of a filling task: what it disturbs hangs on it.
     image: Option<Arc<str>>,
+    /// The very step, where few of its tasks may be on one worker.
+    only: Option<(Id, u32, u16)>,
+}
+
+/// A need that found no room when all workers were looked through.
+#[derive(Debug)]
+pub(crate) struct Stuck {
+    need: Need,
+    since: u64,
 }
 
 impl Need {
-    fn of(step: &Step, pool: &Arc<str>) -> Self {
+    fn of(step: &Step, submission: &Submission, address: Address) -> Self {
+        let own = || (submission.id.clone(), address.time, address.step);
         Need {
-            pool: pool.clone(),
+            pool: submission.queue.pool.clone(),
             size: step.size,
             fills: step.fills,
             label: step.label.clone(),
             image: step.image.clone().filter(|_| step.fills),
+            only: (step.spread > 0).then(own),
         }
     }
 
@@ -171,22 +222,7 @@
             && self.fills == other.fills
             && self.label == other.label
             && self.image == other.image;
-        is_like && self.size.fits(other.size)
-    }
-}
-
-/// The ready tasks of a job, by time and step.
-fn by_step(job: &Job) -> Vec<(Address, Vec<usize>)> {
-    let spec = &job.progress.submission.spec;
-    let mut groups: Vec<(Address, Vec<usize>)> = Vec::new();
-    for &place in &job.ready {
-        let address = spec.address(place);
-        match groups.last_mut() {
-            Some((last, places)) if last.time == address.time && last.step == address.step => {
-                places.push(place);
-            }
-            _ => groups.push((address, vec![place])),
-        }
+        let is_general = self.only.is_none() || self.only == other.only;
+        is_like && is_general && self.size.fits(other.size)
     }
-    groups
 }
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -40,6 +40,8 @@
         }
         worker.fenced = true;
         worker.heard = true;
+        worker.failing = false;
+        worker.changed = true;
         worker.clock = Some(Clock {
             shown: report.clock,
             at: now,
@@ -175,6 +177,8 @@
             stopping: Some(moment.now),
             percent: UNKNOWN_PACE,
             paced: 0,
+            tripped: false,
+            slow_since: None,
             figure: 0,
         };
         worker.hold(key, slot);
--- /dev/null
+++ b/components/cell/src/strain.rs
@@ -0,0 +1,125 @@
+//! How loaded the serving tasks of each worker are, kept at hand for placement.
+
+use {
+    crate::{
+        cell::Cell,
+        disturb::{Disturbance, LOAD_AT_TARGET, level::Levels},
+        pace::{HARMFUL, LOAD_LIMIT},
+        worker::{Strain, Worker},
+    },
+    job::Step,
+    std::sync::Arc,
+};
+
+/// How far ahead the load is foreseen for a filling task that is to be placed, in milliseconds:
+/// they run for 2 s on average.
+const AHEAD: u64 = 1_500;
+
+impl Cell {
+    /// Brings the strain of all workers up to date that have changed since the last call. Returns
+    /// these workers.
+    pub(crate) fn take_changed(&mut self, now: u64) -> Vec<Arc<str>> {
+        let mut changed = Vec::new();
+        for (id, worker) in &mut self.workers {
+            if !std::mem::take(&mut worker.changed) {
+                continue;
+            }
+            worker.strain = strain(&self.disturbance, &self.levels, worker, now);
+            changed.push(id.clone());
+        }
+        changed
+    }
+
+    /// Brings the strain of one worker up to date.
+    pub(crate) fn strain(&mut self, id: &str, now: u64) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.strain = strain(&self.disturbance, &self.levels, worker, now);
+        }
+    }
+
+    /// What more tasks of a step would do to the serving tasks of a worker.
+    pub(crate) fn effect(&self, step: &Step, worker: &Worker, more: u64) -> Effect {
+        let mut effect = Effect::default();
+        if worker.strain.is_empty() {
+            return effect;
+        }
+        let image = self.disturbance.find(step.image.as_ref());
+        let share = (step.size.cpu * more) as f64 / worker.entry.size.cpu.max(1) as f64;
+        for strain in &worker.strain {
+            let weight = self.disturbance.weight(strain.image, image);
+            let added = strain.harmless + share * weight;
+            effect.peak = effect.peak.max(strain.peak + added);
+            if weight >= HARMFUL {
+                effect.harms = true;
+                effect.near = effect.near.max(strain.near + added + strain.harmful);
+            }
+        }
+        effect
+    }
+}
+
+/// What more filling tasks would do to the serving tasks of a worker. Those that are there already
+/// and harm are reckoned with only where the new ones harm too, since they are slowed down first.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Effect {
+    /// The new ones disturb some of the serving tasks much.
+    pub harms: bool,
+    /// Where they do, the worst load in a moment.
+    pub near: f64,
+    /// The worst load that is to be expected at all.
+    pub peak: f64,
+}
+
+impl Effect {
+    /// True when the serving tasks can bear it for now.
+    pub fn is_bearable(&self) -> bool {
+        if self.harms {
+            self.near <= LOAD_LIMIT
+        } else {
+            self.is_calm()
+        }
+    }
+
+    /// True when they can bear it at any time.
+    pub fn is_calm(&self) -> bool {
+        !self.harms && self.peak <= LOAD_AT_TARGET
+    }
+
+    /// By how much the worst load passes the limit at its highest.
+    pub fn excess(&self) -> f64 {
+        (self.peak - LOAD_LIMIT).max(0.0)
+    }
+}
+
+fn strain(known: &Disturbance, levels: &Levels, worker: &Worker, now: u64) -> Vec<Strain> {
+    let mut strains: Vec<Strain> = Vec::with_capacity(worker.serve_images.len());
+    for key in worker.serve_jobs.keys() {
+        let (near, peak) = levels.foresee(key, now, AHEAD);
+        match strains.iter_mut().find(|strain| strain.image == key.1) {
+            Some(strain) => {
+                strain.near = strain.near.max(near);
+                strain.peak = strain.peak.max(peak);
+            }
+            None => strains.push(Strain {
+                image: key.1,
+                near,
+                peak,
+                harmless: 0.0,
+                harmful: 0.0,
+            }),
+        }
+    }
+    let capacity = worker.entry.size.cpu.max(1) as f64;
+    for strain in &mut strains {
+        for (&filling, &cpu) in &worker.fill_images {
+            let weight = known.weight(strain.image, filling);
+            let added = weight * cpu as f64 / capacity;
+            if weight >= HARMFUL {
+                strain.harmful += added;
+            } else {
+                strain.harmless += added;
+            }
+        }
+    }
+    strains
+}
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -91,6 +91,11 @@
     pub percent: u8,
     /// When that was, on our clock; 0 for a pace that was not ordered.
     pub paced: u64,
+    /// It was stopped from working since a serving task came near its target: it comes back in
+    /// steps.
+    pub tripped: bool,
+    /// Since when it has been slowed down for the most part.
+    pub slow_since: Option<u64>,
     /// See [`crate::order::Run::figure`].
     pub figure: u64,
 }
@@ -108,6 +113,8 @@
             stopping: None,
             percent: 100,
             paced: 0,
+            tripped: false,
+            slow_since: None,
             figure: 0,
         }
     }
@@ -118,6 +125,22 @@
     }
 }
 
+/// The load of the serving tasks of one image on a worker, and what filling tasks there add to it
+/// when they all work at full speed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Strain {
+    /// The image.
+    pub image: Image,
+    /// The load in a moment, without filling tasks.
+    pub near: f64,
+    /// The highest load that was seen, without filling tasks.
+    pub peak: f64,
+    /// What filling tasks add that disturb little.
+    pub harmless: f64,
+    /// What the others add. They are slowed down when the load needs it.
+    pub harmful: f64,
+}
+
 /// A reading of a worker's clock.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
@@ -151,6 +174,8 @@
     pub fenced: bool,
     /// The last poll was answered.
     pub heard: bool,
+    /// The last poll that is over had no answer: the worker is not to be reached.
+    pub failing: bool,
     /// The last reading of its clock.
     pub clock: Option<Clock>,
     /// The highest deadline that it was sent, on its clock.
@@ -173,6 +198,12 @@
     pub fill_images: BTreeMap<Image, u64>,
     /// The number of serving tasks, by image.
     pub serve_images: BTreeMap<Image, u32>,
+    /// The number of serving tasks, by job and image.
+    pub serve_jobs: BTreeMap<(Id, Image), u32>,
+    /// How loaded its serving tasks are, by image.
+    pub strain: Vec<Strain>,
+    /// Something has changed since the last pass that may make room.
+    pub changed: bool,
     /// No work before this time, on our clock.
     pub avoid: u64,
     /// Ends in a row that failed.
@@ -194,6 +225,7 @@
             closing: false,
             fenced: false,
             heard: false,
+            failing: false,
             clock: None,
             granted: 0,
             read: 0,
@@ -205,6 +237,9 @@
             serving: 0,
             fill_images: BTreeMap::new(),
             serve_images: BTreeMap::new(),
+            serve_jobs: BTreeMap::new(),
+            strain: Vec::new(),
+            changed: true,
             over_since: None,
             avoid: 0,
             failures: 0,
@@ -272,6 +307,8 @@
         if slot.target > 0 {
             self.serving += firm.cpu;
             *self.serve_images.entry(slot.image).or_default() += 1;
+            let job = (key.job.clone(), slot.image);
+            *self.serve_jobs.entry(job).or_default() += 1;
         }
         self.firm = self.firm.plus(firm);
         self.slots.insert(key, slot);
@@ -280,6 +317,7 @@
     /// Takes a slot out.
     pub fn release(&mut self, key: &Key) -> Option<Slot> {
         let slot = self.slots.remove(key)?;
+        self.changed = true;
         let cpu = slot.size.cpu;
         let mut firm = slot.size;
         if slot.fills {
@@ -290,6 +328,7 @@
         if slot.target > 0 {
             self.serving -= firm.cpu;
             drop_from(&mut self.serve_images, slot.image, 1);
+            drop_from(&mut self.serve_jobs, (key.job.clone(), slot.image), 1);
         }
         self.firm = self.firm.minus(firm);
         Some(slot)
@@ -315,16 +354,17 @@
     }
 }
 
-/// Takes an amount off an image, and the image out when nothing is left.
-fn drop_from<T>(images: &mut BTreeMap<Image, T>, image: Image, amount: T)
+/// Takes an amount off an entry, and the entry out when nothing is left.
+fn drop_from<K, T>(entries: &mut BTreeMap<K, T>, key: K, amount: T)
 where
+    K: Ord,
     T: Copy + Default + PartialEq + std::ops::SubAssign,
 {
-    let Some(held) = images.get_mut(&image) else {
+    let Some(held) = entries.get_mut(&key) else {
         return;
     };
     *held -= amount;
     if *held == T::default() {
-        images.remove(&image);
+        entries.remove(&key);
     }
 }
--- a/components/cell/tests/decisions/ends.rs
+++ b/components/cell/tests/decisions/ends.rs
@@ -230,6 +230,7 @@
     world.cell.poll(&worker, world.now);
     let other = if &*worker == "w1" { "w2" } else { "w1" };
     world.now += 4_800;
+    world.cell.unheard(&worker, world.now);
     world.report(other, vec![], vec![]);
     world.cell.lapse(world.now);
     assert!(world.starts().is_empty());
@@ -347,3 +348,53 @@
     world.cell.report(&id, report, world.now, world.now, 1);
     assert_eq!(world.cell.poll("w1", world.now).unwrap().wait, 2_000);
 }
+
+/// Seen under a burst: a late owner had not asked a worker for 5 s, took its leases for over and
+/// started a task again whose end the worker had listed 3 s before.
+#[test]
+fn lapse_waits_for_worker_not_asked() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    let (worker, start) = world.starts()[0].clone();
+    world.answer(&worker, &start, Outcome::Done);
+    let other = if &*worker == "w1" { "w2" } else { "w1" };
+    world.now += 5_200;
+    world.report(other, vec![], vec![]);
+    world.cell.lapse(world.now);
+    assert!(world.starts().is_empty());
+    let done = end(1, JOB, 0, start.run, How::Done);
+    world.report(&worker, vec![], vec![done]);
+    world.write();
+    let state = world.cell.state(&job::Id::new(JOB).unwrap());
+    assert_eq!(state, Some(job::State::Completed));
+}
+
+#[test]
+fn lapse_waits_for_no_silent_worker() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    let (worker, start) = world.starts()[0].clone();
+    world.answer(&worker, &start, Outcome::Done);
+    let other = if &*worker == "w1" { "w2" } else { "w1" };
+    world.now += 5_200;
+    world.cell.unheard(&worker, world.now);
+    world.report(other, vec![], vec![]);
+    world.cell.lapse(world.now);
+    assert_eq!(world.starts().len(), 1);
+}
+
+/// A lasting task has no end to wait for, and has to run again soon.
+#[test]
+fn lapse_frees_lasting_at_once() {
+    let mut world = World::new(&["w1", "w2"]);
+    let mut lasting = step(1, 1_000);
+    lasting.lasting = true;
+    world.submit(JOB, vec![lasting]);
+    let (worker, start) = world.starts()[0].clone();
+    world.answer(&worker, &start, Outcome::Done);
+    let other = if &*worker == "w1" { "w2" } else { "w1" };
+    world.now += 5_200;
+    world.report(other, vec![], vec![]);
+    world.cell.lapse(world.now);
+    assert_eq!(world.starts().len(), 1);
+}
--- a/components/node/src/tenure/mod.rs
+++ b/components/node/src/tenure/mod.rs
@@ -192,6 +192,7 @@
         tenure.cell.open_due(wall::millis());
         tenure.cell.rerank(wall::millis());
         tenure.cell.expire_tickets(time::now());
+        tenure.cell.relocate(time::now());
         for id in tenure.cell.lapse(time::now()) {
             tenure.unlink(&id);
         }
