Leave all talk with workers to relays in a large cell; measure the owner's time by size

Ruled out: decisions alone; logs (600 lines a second at most).

Room is looked at before all else in a choice, and the image of a step is looked up once.

--- a/components/cell/src/advise.rs
+++ b/components/cell/src/advise.rs
@@ -82,13 +82,14 @@
         if known.is_some_and(|known| now < known.quiet) {
             return;
         }
+        let image = self.image(step);
         let mut found = Vec::new();
         for (id, worker) in &self.workers {
             let is_asked = known.is_some_and(|known| known.asked.contains(id));
-            if is_asked || !self.suits(job, address, step, worker, 0, now) {
+            if is_asked || !self.suits(job, address, image, worker, 0, now) {
                 continue;
             }
-            found.push((self.cost(step, worker), id.clone()));
+            found.push((self.cost(step, image, worker), id.clone()));
         }
         if found.is_empty() {
             return;
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -209,6 +209,11 @@
             .is_some_and(|worker| worker.read > worker.kept)
     }
 
+    /// How many workers are known.
+    pub fn size(&self) -> usize {
+        self.workers.len()
+    }
+
     /// The workers, as listed.
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
         self.workers.values().map(|worker| &worker.entry)
--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         cell::{Cell, Job, Rank},
+        disturb::Image,
         worker::{Key, Worker},
     },
     job::{Address, Step},
@@ -43,24 +44,31 @@
     ) -> Option<Arc<str>> {
         let job = self.jobs.get(&rank.id)?;
         let failures = if step.lasting { 0 } else { failures };
+        let image = self.image(step);
         let will_do = |id: &Arc<str>, worker: &Worker| {
-            job.is_advised(address, id, now)
+            self.suits(job, address, image, worker, 0, now)
                 && worker.is_trusted(failures, now)
-                && self.suits(job, address, step, worker, 0, now)
+                && job.is_advised(address, id, now)
         };
         match among {
-            None => self.cheapest(step, self.workers.iter(), will_do),
+            None => self.cheapest(step, image, self.workers.iter(), will_do),
             Some(ids) => {
                 let known = ids.iter().filter_map(|id| self.workers.get_key_value(id));
-                self.cheapest(step, known, will_do)
+                self.cheapest(step, image, known, will_do)
             }
         }
     }
 
+    /// The number of a step's image.
+    pub(crate) fn image(&self, step: &Step) -> Image {
+        self.disturbance.find(step.image.as_ref())
+    }
+
     /// The worker of least cost among those that will do; the first of equal ones.
     pub(crate) fn cheapest<'a>(
         &self,
         step: &Step,
+        image: Image,
         workers: impl Iterator<Item = (&'a Arc<str>, &'a Worker)>,
         will_do: impl Fn(&Arc<str>, &Worker) -> bool,
     ) -> Option<Arc<str>> {
@@ -69,7 +77,7 @@
             if !will_do(id, worker) {
                 continue;
             }
-            let cost = self.cost(step, worker);
+            let cost = self.cost(step, image, worker);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, id));
             }
@@ -77,19 +85,23 @@
         best.map(|(_, id)| id.clone())
     }
 
-    /// True when a task of the step may run on the worker, beside `before` others of it that are
-    /// not started yet.
+    /// True when a task of the step, which has this image, may run on the worker, beside `before`
+    /// others of it that are not started yet.
     pub(crate) fn suits(
         &self,
         job: &Job,
         address: Address,
-        step: &Step,
+        image: Image,
         worker: &Worker,
         before: u64,
         now: u64,
     ) -> bool {
-        let submission = &job.progress.submission;
-        if !worker.is_open(now) || worker.entry.pool != submission.queue.pool {
+        let step = &job.progress.submission.spec.steps[address.step as usize];
+        // Room goes first: it is what most workers lack, and quick to see.
+        if !has_room(step, worker, before) || !worker.is_open(now) {
+            return false;
+        }
+        if worker.entry.pool != job.progress.submission.queue.pool {
             return false;
         }
         if let Some(label) = &step.label
@@ -97,10 +109,7 @@
         {
             return false;
         }
-        if !has_room(step, worker, before) {
-            return false;
-        }
-        if step.fills && !self.effect(step, worker, before + 1).is_bearable() {
+        if step.fills && !self.effect(step, image, worker, before + 1).is_bearable() {
             return false;
         }
         step.spread == 0 || self.held(job, address, worker) + before < u64::from(step.spread)
@@ -108,7 +117,7 @@
 
     /// The least is the best: near its data, and for tasks that take room, the fullest worker with
     /// serving tasks alike; for filling tasks, where they disturb least and have most room.
-    pub(crate) fn cost(&self, step: &Step, worker: &Worker) -> u64 {
+    pub(crate) fn cost(&self, step: &Step, image: Image, worker: &Worker) -> u64 {
         let mut cost = 0;
         if let Some(rack) = &step.rack
             && !worker.entry.bears(rack)
@@ -116,7 +125,7 @@
             cost += FAR;
         }
         if step.fills {
-            let effect = self.effect(step, worker, 1);
+            let effect = self.effect(step, image, worker, 1);
             cost += (effect.excess() * EXCESS) as u64;
             if effect.harms {
                 cost += HARMS;
@@ -127,7 +136,6 @@
             return cost + worker.entry.size.cpu.saturating_sub(worker.unused());
         }
         if step.target > 0 {
-            let image = self.disturbance.find(step.image.as_ref());
             let others = worker.serve_images.keys().filter(|&&own| own != image);
             cost += UNLIKE * (2 * others.count() as u64).min(3);
             if worker.serve_images.is_empty() {
--- a/components/cell/src/gang.rs
+++ b/components/cell/src/gang.rs
@@ -79,17 +79,18 @@
         now: u64,
     ) -> Option<Vec<Choice>> {
         let job = self.jobs.get(&rank.id)?;
+        let image = self.image(step);
         let mut taken: HashMap<Arc<str>, u64> = HashMap::new();
         let mut choices = Vec::new();
         for &place in places {
-            let id = self.cheapest(step, self.workers.iter(), |id, worker| {
+            let id = self.cheapest(step, image, self.workers.iter(), |id, worker| {
                 let is_here = rack
                     .as_ref()
                     .is_none_or(|rack| &**rack == worker.entry.rack());
                 let before = taken.get(id).copied().unwrap_or_default();
                 is_here
                     && job.is_advised(address, id, now)
-                    && self.suits(job, address, step, worker, before, now)
+                    && self.suits(job, address, image, worker, before, now)
             })?;
             *taken.entry(id.clone()).or_default() += 1;
             choices.push((place, id));
--- a/components/cell/src/relocate.rs
+++ b/components/cell/src/relocate.rs
@@ -43,12 +43,13 @@
         }
         let address = job.progress.submission.spec.address(key.place);
         let failures = job.progress.tasks[key.place].failed.len() as u32;
+        let image = self.image(step);
         let is_calm = self.workers.iter().any(|(other, worker)| {
             other != id
                 && job.is_advised(address, other, now)
                 && worker.is_trusted(failures, now)
-                && self.suits(job, address, step, worker, 0, now)
-                && self.effect(step, worker, 1).is_calm()
+                && self.suits(job, address, image, worker, 0, now)
+                && self.effect(step, image, worker, 1).is_calm()
         });
         if !is_calm {
             return;
--- a/components/cell/src/strain.rs
+++ b/components/cell/src/strain.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         cell::Cell,
-        disturb::{Disturbance, LOAD_AT_TARGET, level::Levels},
+        disturb::{Disturbance, Image, LOAD_AT_TARGET, level::Levels},
         pace::{HARMFUL, LOAD_LIMIT},
         worker::{Strain, Worker},
     },
@@ -37,13 +37,9 @@
         }
     }
 
-    /// What more tasks of a step would do to the serving tasks of a worker.
-    pub(crate) fn effect(&self, step: &Step, worker: &Worker, more: u64) -> Effect {
+    /// What more tasks of a step with this image would do to the serving tasks of a worker.
+    pub(crate) fn effect(&self, step: &Step, image: Image, worker: &Worker, more: u64) -> Effect {
         let mut effect = Effect::default();
-        if worker.strain.is_empty() {
-            return effect;
-        }
-        let image = self.disturbance.find(step.image.as_ref());
         let share = (step.size.cpu * more) as f64 / worker.entry.size.cpu.max(1) as f64;
         for strain in &worker.strain {
             let weight = self.disturbance.weight(strain.image, image);
--- a/components/node/src/tenure/mod.rs
+++ b/components/node/src/tenure/mod.rs
@@ -100,11 +100,6 @@
 }
 
 impl Tenure {
-    fn own_workers(&self) -> usize {
-        let here = |link: &&Link| matches!(link, Link::Here(_));
-        self.links.values().filter(here).count()
-    }
-
     /// Nobody talks to a worker any more.
     fn unlink(&mut self, id: &Arc<str>) {
         if let Some(Link::Relay(name)) = self.links.remove(id) {
--- a/components/node/src/tenure/talk.rs
+++ b/components/node/src/tenure/talk.rs
@@ -21,13 +21,13 @@
 const UNWRITTEN_PAUSE: Duration = Duration::from_millis(1_000);
 
 impl Core {
-    /// Finds somebody to talk to a worker: this box, or a relay when it has enough.
+    /// Finds somebody to talk to a worker: this box in a small cell, a relay in a large one.
     pub(super) fn tend(&mut self, fence: u64, entry: Entry) {
         let most = self.node.settings.own_workers;
         let Some(tenure) = self.tenure_of(fence) else {
             return;
         };
-        if tenure.own_workers() < most {
+        if tenure.cell.size() <= most {
             self.tend_here(fence, entry);
             return;
         }
@@ -57,7 +57,7 @@
             return Duty::default();
         };
         let fence = tenure.fence;
-        let is_large = tenure.cell.entries().count() > self.node.settings.own_workers;
+        let is_large = tenure.cell.size() > self.node.settings.own_workers;
         if let Some(former) = tenure.relays.join(&offer, is_large, now) {
             self.retend(fence, former);
         }
--- a/programs/load/src/cli.rs
+++ b/programs/load/src/cli.rs
@@ -50,7 +50,7 @@
 }
 
 /// Measure how a cost grows with a size, and fit a line: what, or all of decide, book, memory,
-/// messages, exchange, list, limits, pick, spread, summaries, writes.
+/// messages, exchange, list, limits, owner, pick, spread, summaries, writes.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "slope")]
 pub struct Slope {
--- a/programs/load/src/slope/mod.rs
+++ b/programs/load/src/slope/mod.rs
@@ -7,6 +7,7 @@
 mod list;
 mod memory;
 mod messages;
+mod owner;
 mod pick;
 mod rig;
 mod spread;
@@ -26,7 +27,7 @@
 }
 
 /// All experiments. Memory goes first, before others leave memory behind.
-const EXPERIMENTS: [Experiment; 11] = [
+const EXPERIMENTS: [Experiment; 12] = [
     Experiment {
         name: "memory",
         run: memory::run,
@@ -55,6 +56,10 @@
         name: "limits",
         run: limits::run,
     },
+    Experiment {
+        name: "owner",
+        run: owner::run,
+    },
     Experiment {
         name: "pick",
         run: pick::run,
