Count serving images as alike that the same filling ones disturb

Where these are disturbed by different filling images, no filling task is harmless there.

Change: serving tasks go beside images that the same filling images are known to disturb as if they were of one image.

--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -136,7 +136,8 @@
             return cost + worker.entry.size.cpu.saturating_sub(worker.unused());
         }
         if step.target > 0 {
-            let others = worker.serve_images.keys().filter(|&&own| own != image);
+            let is_unlike = |own: &&Image| !self.disturbance.is_alike(**own, image);
+            let others = worker.serve_images.keys().filter(is_unlike);
             cost += UNLIKE * (2 * others.count() as u64).min(3);
             if worker.serve_images.is_empty() {
                 cost += UNLIKE;
--- a/components/cell/src/disturb/mod.rs
+++ b/components/cell/src/disturb/mod.rs
@@ -40,6 +40,9 @@
 /// Tails longer than this many targets tell no more of the load.
 const LONGEST: f64 = 3.0;
 
+/// A pair of images with at least this weight disturbs; harmless ones are measured below 0.3.
+pub const HARMFUL: f64 = 0.4;
+
 /// The load at which a serving task just meets its target.
 pub const LOAD_AT_TARGET: f64 = 1.0 - IDLE;
 
@@ -58,6 +61,9 @@
     width: usize,
     /// By serving image.
     pairs: Vec<Sums>,
+    /// By pair of serving images: the same filling images disturb them. Found anew with each solution.
+    #[serde(skip)]
+    alike: Vec<Vec<bool>>,
     /// When the sums were last solved, on the owner's clock.
     #[serde(skip)]
     solved: u64,
@@ -127,9 +133,29 @@
         for sums in &mut self.pairs {
             sums.solve(PRIOR);
         }
+        self.compare();
         true
     }
 
+    /// Finds the pairs of serving images that the same filling images disturb.
+    fn compare(&mut self) {
+        let count = self.pairs.len();
+        self.alike = vec![vec![false; count]; count];
+        for a in 0..count {
+            for b in 0..a {
+                let is_alike = self.pairs[a].is_like(&self.pairs[b], self.width);
+                self.alike[a][b] = is_alike;
+                self.alike[b][a] = is_alike;
+            }
+        }
+    }
+
+    /// True when the same filling images are known to disturb both serving images.
+    pub fn is_alike(&self, a: Image, b: Image) -> bool {
+        let row = self.alike.get(usize::from(a));
+        a == b || row.and_then(|row| row.get(usize::from(b))) == Some(&true)
+    }
+
     /// True, once, when what is known is due to be written down.
     pub fn is_due(&mut self, now: u64) -> bool {
         if self.pairs.is_empty() || now < self.written + WRITE_GAP {
@@ -202,6 +228,26 @@
         assert_eq!(known.number(None), 0);
     }
 
+    #[test]
+    fn is_alike_same_disturbers() {
+        let mut known = Disturbance::default();
+        let row = known.row(&[(7, 0.1), (8, 0.1)]);
+        for serving in [1, 2, 3] {
+            let weights = if serving == 3 { [0.1, 1.6] } else { [1.6, 0.1] };
+            for (column, weight) in weights.into_iter().enumerate() {
+                let mut one = vec![0.0; row.len()];
+                one[column] = 0.2;
+                for _ in 0..5 {
+                    known.sample(serving, weight * 0.2, &one, 1.0);
+                }
+            }
+        }
+        known.solve(SOLVE_GAP);
+        assert!(known.is_alike(1, 2));
+        assert!(!known.is_alike(1, 3));
+        assert!(!known.is_alike(1, 4));
+    }
+
     #[test]
     fn load_of_target() {
         assert!((load_of(1.0) - LOAD_AT_TARGET).abs() < 1e-9);
--- a/components/cell/src/disturb/sums.rs
+++ b/components/cell/src/disturb/sums.rs
@@ -1,6 +1,9 @@
 //! Least squares with a prior, kept as running sums.
 
-use serde::{Deserialize, Serialize};
+use {
+    super::HARMFUL,
+    serde::{Deserialize, Serialize},
+};
 
 /// How strongly the prior holds, as the sum of squares of shares that weighs as much: the variance
 /// of a reading (0.05 squared, doubled for what the model leaves out) over that of weights (0.5).
@@ -8,6 +11,11 @@
 /// What remains of old samples each time the sums are solved: half after about a minute and a half.
 const KEEP: f64 = 0.996;
 
+/// A weight counts as known from this sum of squares of shares on: five times what holds the prior.
+const SEEN: f64 = 5.0 * HOLD;
+/// One in so many columns must be known of two images that are compared.
+const KNOWN_OF: usize = 2;
+
 /// Sums of one serving image.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(default)]
@@ -60,6 +68,27 @@
         self.weights = eliminate(square, result);
     }
 
+    /// True when the weights of both are known for enough of the columns, and the same ones disturb.
+    pub fn is_like(&self, other: &Sums, width: usize) -> bool {
+        let mut known = 0;
+        for column in 0..width {
+            let (Some(a), Some(b)) = (self.known(column), other.known(column)) else {
+                continue;
+            };
+            if (a >= HARMFUL) != (b >= HARMFUL) {
+                return false;
+            }
+            known += 1;
+        }
+        known * KNOWN_OF >= width && known > 0
+    }
+
+    /// The weight of a column that was seen enough to be told from the prior.
+    fn known(&self, column: usize) -> Option<f64> {
+        let seen = self.square.get(column)?.get(column)?;
+        (*seen >= SEEN).then(|| self.weight(column)).flatten()
+    }
+
     fn widen(&mut self, width: usize) {
         if self.result.len() >= width {
             return;
--- a/components/cell/src/pace.rs
+++ b/components/cell/src/pace.rs
@@ -9,7 +9,7 @@
 use {
     crate::{
         cell::Cell,
-        disturb::{Disturbance, Image, LOAD_AT_TARGET, level::Levels, load_of},
+        disturb::{Disturbance, HARMFUL, Image, LOAD_AT_TARGET, level::Levels, load_of},
         order::Order,
         worker::{Key, Slot, Stage, UNKNOWN_PACE, Worker},
     },
@@ -31,8 +31,6 @@
 /// A serving task over its target for this long, in milliseconds, stops all filling tasks: a
 /// target may be missed for 4 s, and an order takes half a second to show.
 const STUBBORN: u64 = 1_000;
-/// A pair of images with at least this weight disturbs; harmless ones are measured below 0.3.
-pub(crate) const HARMFUL: f64 = 0.4;
 /// The load up to which serving tasks are filled: a little below the load at the target, for what
 /// foresight errs by.
 pub(crate) const LOAD_LIMIT: f64 = LOAD_AT_TARGET - 0.04;
--- a/components/cell/src/strain.rs
+++ b/components/cell/src/strain.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         cell::Cell,
-        disturb::{Disturbance, Image, LOAD_AT_TARGET, level::Levels},
-        pace::{HARMFUL, LOAD_LIMIT},
+        disturb::{Disturbance, HARMFUL, Image, LOAD_AT_TARGET, level::Levels},
+        pace::LOAD_LIMIT,
         worker::{Strain, Worker},
     },
     job::Step,
