Place harmful filling tasks only with room to spare

Cause: filling tasks that disturb were placed up to the limit and slowed down a moment later; they hold room that harmless ones could use.

Change: they are placed only where the load stays 0.12 below the limit.

--- a/components/cell/src/strain.rs
+++ b/components/cell/src/strain.rs
@@ -15,6 +15,10 @@
 /// they run for 2 s on average.
 const AHEAD: u64 = 1_500;
 
+/// The load up to which a filling task that disturbs much is placed beside serving ones: far below
+/// the limit, or it is slowed down soon and holds room in which others could work.
+const HARM_LIMIT: f64 = LOAD_LIMIT - 0.12;
+
 impl Cell {
     /// Brings the strain of all workers up to date that have changed since the last call. Returns
     /// these workers.
@@ -70,7 +74,7 @@
     /// True when the serving tasks can bear it for now.
     pub fn is_bearable(&self) -> bool {
         if self.harms {
-            self.near <= LOAD_LIMIT
+            self.near <= HARM_LIMIT
         } else {
             self.is_calm()
         }
