--- a/components/cell/src/admit.rs
+++ b/components/cell/src/admit.rs
@@ -12,6 +12,9 @@
     },
 };
 
+/// A job is hurried for the last part of its time to the objective: one in so many.
+const HURRY_PART: u64 = 4;
+
 impl Cell {
     /// Takes in an accepted job. False when it is known already.
     pub fn admit(&mut self, submission: Submission, wall: u64) -> bool {
@@ -40,6 +43,7 @@
         let steps = submission.spec.steps.len() * submission.spec.times() as usize;
         let job = Job {
             rank: rank(&progress),
+            hurried: false,
             advice: HashMap::new(),
             ready: BTreeSet::new(),
             opened: vec![false; steps],
@@ -92,10 +96,14 @@
         }
     }
 
-    /// Puts jobs back in line that have missed their objective.
+    /// Hurries jobs that are about to miss their objective, and puts those back in line that have.
     pub fn rerank(&mut self, wall: u64) {
         let mut late = Vec::new();
         for rank in &self.line {
+            let is_near = wall + rank.span / HURRY_PART > rank.objective;
+            if is_near && let Some(job) = self.jobs.get_mut(&rank.id) {
+                job.hurried = true;
+            }
             if !rank.late && !rank.lasting && wall > rank.objective {
                 late.push(rank.clone());
             }
@@ -160,6 +168,7 @@
         lasting: submission.spec.is_lasting(),
         late: false,
         objective: submission.accepted.max(submission.spec.due(0)) + span,
+        span,
         id: submission.id.clone(),
     }
 }
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -35,6 +35,8 @@
     pub unsure: bool,
     /// Where it stands in line.
     pub rank: Rank,
+    /// It is about to miss its objective: its filling tasks may also go where they disturb.
+    pub hurried: bool,
     /// What is known of which workers may run its steps, by time and step.
     pub advice: HashMap<(u32, u16), Known>,
 }
@@ -51,6 +53,8 @@
     pub late: bool,
     /// When the job ought to be done, in milliseconds since 1970.
     pub objective: u64,
+    /// The time from its acceptance to then, in milliseconds.
+    pub span: u64,
     /// Tells equal ones apart.
     pub id: Id,
 }
--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -109,7 +109,11 @@
         {
             return false;
         }
-        if step.fills && !self.effect(step, image, worker, before + 1).is_bearable() {
+        if step.fills
+            && !self
+                .effect(step, image, worker, before + 1)
+                .is_bearable(job.hurried)
+        {
             return false;
         }
         step.spread == 0 || self.held(job, address, worker) + before < u64::from(step.spread)
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -80,7 +80,7 @@
         };
         let submission = job.progress.submission.clone();
         let step = &submission.spec.steps[address.step as usize];
-        let need = Need::of(step, &submission, address);
+        let need = Need::of(step, &submission, address, job.hurried);
         let mut is_stuck = self.is_stuck(&need);
         if is_stuck && changed.is_empty() {
             return;
@@ -192,6 +192,8 @@
     label: Option<Arc<str>>,
     /// Of a filling task: what it disturbs hangs on it.
     image: Option<Arc<str>>,
+    /// Of a filling task: it may go where it disturbs.
+    hurried: bool,
     /// The very step, where few of its tasks may be on one worker.
     only: Option<(Id, u32, u16)>,
 }
@@ -204,7 +206,7 @@
 }
 
 impl Need {
-    fn of(step: &Step, submission: &Submission, address: Address) -> Self {
+    fn of(step: &Step, submission: &Submission, address: Address, hurried: bool) -> Self {
         let own = || (submission.id.clone(), address.time, address.step);
         Need {
             pool: submission.queue.pool.clone(),
@@ -212,6 +214,7 @@
             fills: step.fills,
             label: step.label.clone(),
             image: step.image.clone().filter(|_| step.fills),
+            hurried: hurried && step.fills,
             only: (step.spread > 0).then(own),
         }
     }
@@ -223,6 +226,7 @@
             && self.label == other.label
             && self.image == other.image;
         let is_general = self.only.is_none() || self.only == other.only;
-        is_like && is_general && self.size.fits(other.size)
+        let is_freer = self.hurried || !other.hurried;
+        is_like && is_general && is_freer && self.size.fits(other.size)
     }
 }
--- a/components/cell/src/strain.rs
+++ b/components/cell/src/strain.rs
@@ -17,7 +17,9 @@
 
 /// The load up to which a filling task that disturbs much is placed beside serving ones: far below
 /// the limit, or it is slowed down soon and holds room in which others could work.
-const HARM_LIMIT: f64 = LOAD_LIMIT - 0.12;
+const HARM_LIMIT: f64 = LOAD_LIMIT - 0.27;
+/// The same for tasks of jobs that are about to miss their objective.
+const HURRIED_LIMIT: f64 = LOAD_LIMIT - 0.12;
 
 impl Cell {
     /// Brings the strain of all workers up to date that have changed since the last call. Returns
@@ -71,10 +73,11 @@
 }
 
 impl Effect {
-    /// True when the serving tasks can bear it for now.
-    pub fn is_bearable(&self) -> bool {
+    /// True when the serving tasks can bear it for now; a hurried job may come closer to the limit.
+    pub fn is_bearable(&self, hurried: bool) -> bool {
+        let limit = if hurried { HURRIED_LIMIT } else { HARM_LIMIT };
         if self.harms {
-            self.near <= HARM_LIMIT
+            self.near <= limit
         } else {
             self.is_calm()
         }
