--- a/components/cell/src/disturb/mod.rs
+++ b/components/cell/src/disturb/mod.rs
@@ -173,6 +173,13 @@
         weight.unwrap_or(PRIOR).max(0.0)
     }
 
+    /// True when the weight of a pair was seen enough to be told from the prior.
+    pub fn is_known(&self, serving: Image, filling: Image) -> bool {
+        let column = self.columns.get(usize::from(filling)).copied().flatten();
+        let sums = self.pairs.get(usize::from(serving));
+        column.is_some_and(|column| sums.is_some_and(|sums| sums.known(column).is_some()))
+    }
+
     /// What a row of shares adds to the load of a serving image.
     pub fn added(&self, serving: Image, row: &[f64]) -> f64 {
         let sums = self.pairs.get(usize::from(serving));
@@ -216,6 +223,8 @@
         let known = learned();
         assert_eq!(known.weight(2, 7), PRIOR);
         assert_eq!(known.weight(1, 9), PRIOR);
+        assert!(known.is_known(1, 7));
+        assert!(!known.is_known(1, 9) && !known.is_known(2, 7));
     }
 
     #[test]
--- a/components/cell/src/disturb/sums.rs
+++ b/components/cell/src/disturb/sums.rs
@@ -84,7 +84,7 @@
     }
 
     /// The weight of a column that was seen enough to be told from the prior.
-    fn known(&self, column: usize) -> Option<f64> {
+    pub fn known(&self, column: usize) -> Option<f64> {
         let seen = self.square.get(column)?.get(column)?;
         (*seen >= SEEN).then(|| self.weight(column)).flatten()
     }
--- a/components/cell/src/strain.rs
+++ b/components/cell/src/strain.rs
@@ -18,7 +18,7 @@
 /// The load up to which a filling task that disturbs much is placed beside serving ones: far below
 /// the limit, or it is slowed down soon and holds room in which others could work.
 const HARM_LIMIT: f64 = LOAD_LIMIT - 0.27;
-/// The same for tasks of jobs that are about to miss their objective.
+/// The same for tasks of jobs that are about to miss their objective, and for pairs not seen yet.
 const HURRIED_LIMIT: f64 = LOAD_LIMIT - 0.12;
 
 impl Cell {
@@ -53,6 +53,7 @@
             effect.peak = effect.peak.max(strain.peak + added);
             if weight >= HARMFUL {
                 effect.harms = true;
+                effect.is_known |= self.disturbance.is_known(strain.image, image);
                 effect.near = effect.near.max(strain.near + added + strain.harmful);
             }
         }
@@ -64,8 +65,10 @@
 /// and harm are reckoned with only where the new ones harm too, since they are slowed down first.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Effect {
-    /// The new ones disturb some of the serving tasks much.
+    /// The new ones disturb some of the serving tasks much, or may.
     pub harms: bool,
+    /// That they do is not just reckoned with: it was seen.
+    pub is_known: bool,
     /// Where they do, the worst load in a moment.
     pub near: f64,
     /// The worst load that is to be expected at all.
@@ -73,14 +76,18 @@
 }
 
 impl Effect {
-    /// True when the serving tasks can bear it for now; a hurried job may come closer to the limit.
+    /// True when the serving tasks can bear it for now. A hurried job may come closer to the limit;
+    /// so may one of which it is not known what it does, or nobody would ever learn.
     pub fn is_bearable(&self, hurried: bool) -> bool {
-        let limit = if hurried { HURRIED_LIMIT } else { HARM_LIMIT };
-        if self.harms {
-            self.near <= limit
-        } else {
-            self.is_calm()
+        if !self.harms {
+            return self.is_calm();
         }
+        let limit = if hurried || !self.is_known {
+            HURRIED_LIMIT
+        } else {
+            HARM_LIMIT
+        };
+        self.near <= limit
     }
 
     /// True when they can bear it at any time.
