Put jobs behind that surely miss their objective

Cause: where filling work finds half the room it needs, jobs next to their objective went first, also when their remaining steps could not be done by then; so nearly all missed it by a little.

Change: a job whose remaining chain, at half its estimates, ends after its objective counts as late.

--- a/components/cell/src/admit.rs
+++ b/components/cell/src/admit.rs
@@ -15,6 +15,10 @@
 /// A job is hurried for the last part of its time to the objective: one in so many.
 const HURRY_PART: u64 = 4;
 
+/// The part of a job's estimates, in hundredths, that it surely takes: estimates are off by up to
+/// nine tenths.
+const SURE_PART: u64 = 50;
+
 impl Cell {
     /// Takes in an accepted job. False when it is known already.
     pub fn admit(&mut self, submission: Submission, wall: u64) -> bool {
@@ -96,15 +100,18 @@
         }
     }
 
-    /// Hurries jobs that are about to miss their objective, and puts those back in line that have.
+    /// Hurries jobs that are about to miss their objective, and puts those back in line that have, or
+    /// surely will: in front they would make others miss theirs too.
     pub fn rerank(&mut self, wall: u64) {
         let mut late = Vec::new();
         for rank in &self.line {
             let is_near = wall + rank.span / HURRY_PART > rank.objective;
-            if is_near && let Some(job) = self.jobs.get_mut(&rank.id) {
-                job.hurried = true;
-            }
-            if !rank.late && !rank.lasting && wall > rank.objective {
+            let Some(job) = self.jobs.get_mut(&rank.id) else {
+                continue;
+            };
+            job.hurried |= is_near;
+            let least = job.progress.rest() * SURE_PART / 100;
+            if !rank.late && !rank.lasting && wall + least > rank.objective {
                 late.push(rank.clone());
             }
         }
--- a/components/job/src/progress.rs
+++ b/components/job/src/progress.rs
@@ -197,6 +197,14 @@
             .all(|&earlier| self.open[base + earlier as usize] == 0)
     }
 
+    /// The longest chain of estimates that is still to be run of any time, in milliseconds.
+    pub fn rest(&self) -> u64 {
+        let steps = self.chains.len().max(1);
+        let open = self.open.iter().enumerate().filter(|(_, open)| **open > 0);
+        let chains = open.map(|(number, _)| self.chains[number % steps]);
+        chains.max().unwrap_or_default()
+    }
+
     /// The tasks of a step not done at this time.
     pub fn left(&self, time: u32, step: u16) -> u32 {
         let steps = self.submission.spec.steps.len();
