--- /dev/null
+++ b/components/cell/tests/decisions/fill.rs
@@ -0,0 +1,193 @@
+//! Filling tasks beside serving ones: where they go, and when they move.
+
+use {
+    crate::common::{JOB, World, entry, run, step, submission},
+    job::Step,
+    magpie_cell::{Disturbance, Order, Outcome, Report},
+    std::sync::Arc,
+};
+
+const FILL: &str = "00000000000000b2";
+const OTHER: &str = "00000000000000c3";
+
+fn serving() -> Step {
+    Step {
+        lasting: true,
+        target: 50,
+        image: Some("s".into()),
+        ..step(1, 1_000)
+    }
+}
+
+fn filling(image: &str, cpu: u64) -> Step {
+    Step {
+        fills: true,
+        checkpoints: true,
+        image: Some(image.into()),
+        ..step(1, cpu)
+    }
+}
+
+/// A worker with a serving task and a filling one, both running.
+fn shared_world(fill: Step) -> World {
+    let mut world = World::new(&["w1"]);
+    world.submit(JOB, vec![serving()]);
+    world.submit(FILL, vec![fill]);
+    let starts = world.starts();
+    assert_eq!(starts.len(), 2);
+    for (worker, start) in starts {
+        world.answer(&worker, &start, Outcome::Done);
+    }
+    world
+}
+
+/// The worker reports both tasks, with this tail of the serving one.
+fn figures(world: &mut World, tail: u64) {
+    let (mut serving, filling) = (run(JOB, 0, 1), run(FILL, 0, 1));
+    serving.figure = tail;
+    world.report("w1", vec![serving, filling], vec![]);
+}
+
+fn add_worker(world: &mut World) {
+    let entries = vec![entry("w1", 4), entry("w2", 4)];
+    world.cell.list(entries, world.now);
+    world.report("w2", vec![], vec![]);
+}
+
+/// The serving image s is disturbed by f and not by g. Images get their numbers in the order in which
+/// the tasks of a world start.
+fn learned(order: [&str; 3]) -> Disturbance {
+    let mut known = Disturbance::default();
+    for name in order {
+        known.number(Some(&name.into()));
+    }
+    let [serving, harmful, harmless] = ["s", "f", "g"].map(|name| known.find(Some(&name.into())));
+    known.row(&[(harmful, 0.2), (harmless, 0.2)]);
+    for _ in 0..40 {
+        known.sample(serving, 1.6 * 0.2, &[0.2, 0.0], 1.0);
+        known.sample(serving, 0.0, &[0.0, 0.2], 1.0);
+    }
+    known.solve(1_000);
+    known
+}
+
+/// Seen on the larger deployments: hundreds of filling tasks stood still beside serving ones that
+/// they disturb, while other workers had room.
+#[test]
+fn slowed_task_moves_to_calm_worker() {
+    let mut world = shared_world(filling("f", 500));
+    world.now += 500;
+    figures(&mut world, 60);
+    add_worker(&mut world);
+    world.cell.relocate(world.now + 500);
+    assert!(world.stops().is_empty());
+    world.cell.relocate(world.now + 900);
+    assert_eq!(world.stops(), [("w1".into(), 1)]);
+}
+
+#[test]
+fn slowed_task_stays_without_calm_worker() {
+    let mut world = shared_world(filling("f", 500));
+    world.now += 500;
+    figures(&mut world, 60);
+    world.cell.relocate(world.now + 900);
+    assert!(world.stops().is_empty());
+}
+
+#[test]
+fn slowed_task_without_checkpoints_stays() {
+    let step = Step {
+        checkpoints: false,
+        ..filling("f", 500)
+    };
+    let mut world = shared_world(step);
+    world.now += 500;
+    figures(&mut world, 60);
+    add_worker(&mut world);
+    world.cell.relocate(world.now + 900);
+    assert!(world.stops().is_empty());
+}
+
+#[test]
+fn harmless_goes_beside_harmful() {
+    let mut world = shared_world(filling("f", 500));
+    world.cell.recall(learned(["f", "s", "g"]));
+    figures(&mut world, 25);
+    world.submit(OTHER, vec![filling("g", 500)]);
+    assert_eq!(world.starts().len(), 1);
+}
+
+#[test]
+fn harmful_waits_for_room_to_spare() {
+    let mut world = shared_world(filling("g", 500));
+    world.cell.recall(learned(["g", "s", "f"]));
+    figures(&mut world, 25);
+    world.submit(OTHER, vec![filling("f", 500)]);
+    assert!(world.starts().is_empty());
+    // Two seconds later the load is known, and low.
+    for _ in 0..5 {
+        world.now += 500;
+        figures(&mut world, 13);
+    }
+    assert_eq!(world.starts().len(), 1);
+}
+
+/// A pace is set by the load that is foreseen, before a tail comes near its target.
+#[test]
+fn pace_falls_ahead_of_the_load() {
+    let mut world = shared_world(filling("f", 1_500));
+    world.cell.recall(learned(["f", "s", "g"]));
+    let mut paces = Vec::new();
+    for tail in [20, 22, 25, 28, 32, 36] {
+        world.now += 500;
+        let (mut serving, mut filling) = (run(JOB, 0, 1), run(FILL, 0, 1));
+        (serving.figure, filling.figure) = (tail, 100);
+        let report = Report {
+            clock: world.now + 50_000,
+            running: vec![serving, filling],
+            ended: vec![],
+        };
+        let worker: Arc<str> = "w1".into();
+        world.cell.report(&worker, report, world.now, world.now, 1);
+        for (_, order) in world.cell.take_orders() {
+            if let Order::Pace { percent, .. } = order {
+                paces.push(percent);
+            }
+        }
+    }
+    let last = paces.last().copied().unwrap_or(100);
+    assert!(last < 70, "{paces:?}");
+}
+
+/// A job that surely misses its objective is no reason for another to miss its own.
+#[test]
+fn hopeless_job_goes_behind() {
+    let mut world = World::new(&["w1"]);
+    let mut long = submission(JOB, vec![step(1, 4_000)]);
+    long.spec.steps[0].estimate = 10_000;
+    let mut short = submission(OTHER, vec![step(1, 4_000)]);
+    short.spec.steps[0].estimate = 3_000;
+    short.accepted = 15_900;
+    assert!(world.cell.admit(long, 16_000));
+    assert!(world.cell.admit(short, 16_000));
+    world.cell.rerank(16_000);
+    let starts = world.starts();
+    assert_eq!(starts[0].1.key.job.as_str(), OTHER);
+}
+
+/// What found no room is not tried on all workers in each pass, but on those with news.
+#[test]
+fn stuck_need_tries_changed_workers() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.submit(JOB, vec![step(3, 4_000)]);
+    assert_eq!(world.starts().len(), 2);
+    let before = world.cell.tried();
+    world.now += 50;
+    assert!(world.starts().is_empty());
+    assert_eq!(world.cell.tried(), before);
+    add_worker(&mut world);
+    world.cell.list(vec![entry("w3", 4)], world.now);
+    world.report("w3", vec![], vec![]);
+    assert_eq!(world.starts().len(), 1);
+    assert_eq!(world.cell.tried(), before);
+}
--- a/components/cell/tests/decisions/main.rs
+++ b/components/cell/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod common;
 mod drain;
 mod ends;
+mod fill;
 mod place;
 mod takeover;
 mod wave;
