--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -14,7 +14,7 @@
     pub hall: Arc<str>,
     /// Its share of a core, in thousandths.
     pub share: u32,
-    /// Workers that it talks to itself when it owns the cell, before it asks relays to.
+    /// The most workers that it talks to alone when it owns the cell; with more, relays talk to all.
     pub own_workers: usize,
     /// The address and port that other boxes reach it by.
     pub address: Arc<str>,
--- a/programs/box/src/cli.rs
+++ b/programs/box/src/cli.rs
@@ -33,7 +33,7 @@
     /// share of a core that this box has, such as 0.25 (MAGPIE_SHARE, default 1)
     #[argh(option)]
     share: Option<String>,
-    /// workers that it talks to itself as the owner, before others help (MAGPIE_OWN_WORKERS, default 70)
+    /// most workers that it talks to alone as the owner; with more, others do (MAGPIE_OWN_WORKERS, default 70)
     #[argh(option)]
     own_workers: Option<String>,
     /// address of the callers' port (MAGPIE_CALLERS)
