Stop starts that have no answer, and place their tasks anew at once

Ruled out: shorter deadlines of starts, which a late owner would spend on the way.

Workers in doubt are asked each 0.1 s.

--- a/components/cell/src/answer.rs
+++ b/components/cell/src/answer.rs
@@ -4,7 +4,7 @@
     crate::{
         cell::Cell,
         order::{Order, Outcome, Reason, Start},
-        worker::Stage,
+        worker::{Key, Stage},
     },
     std::sync::Arc,
 };
@@ -19,12 +19,30 @@
             self.lose(id, "another life answers");
             return false;
         }
-        if let Order::Start(start) = order {
-            self.started(id, start, outcome, now);
+        match order {
+            Order::Start(start) => self.started(id, start, outcome, now),
+            Order::Stop { key, run, .. } if outcome == Outcome::Done => {
+                self.stopped(id, key, *run, now);
+            }
+            Order::Stop { .. } | Order::Pace { .. } => {}
         }
         false
     }
 
+    /// Takes in that a worker has confirmed an order to stop.
+    fn stopped(&mut self, id: &Arc<str>, key: &Key, run: u64, now: u64) {
+        let slot = self
+            .workers
+            .get_mut(id)
+            .and_then(|worker| worker.slots.get_mut(key));
+        if let Some(slot) = slot
+            && slot.run == run
+            && slot.is_sent()
+        {
+            slot.barred = Some(now);
+        }
+    }
+
     /// Takes in the answer to an order to start.
     fn started(&mut self, id: &Arc<str>, start: &Start, outcome: Outcome, now: u64) {
         let Some(worker) = self.workers.get_mut(id) else {
@@ -41,7 +59,10 @@
                 slot.stage = Stage::Running { at: now };
                 self.begun(&start.key);
             }
-            Outcome::Unknown => worker.shun(now),
+            Outcome::Unknown => {
+                slot.unanswered = Some(now);
+                worker.shun(now);
+            }
             Outcome::Refused(reason) => {
                 log::info!(target: "cell", job = start.key.job.as_str(), place = start.key.place, worker = &**id, run = start.run, reason:? = reason; "A start is refused.");
                 worker.shun(now);
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -198,8 +198,14 @@
             .slots
             .values()
             .any(|slot| slot.stopping.is_some() || slot.is_sent());
+        let is_doubtful = worker
+            .slots
+            .values()
+            .any(|slot| slot.is_sent() && slot.unanswered.is_some());
         let wait = if worker.clock.is_none() || !was_heard {
             0
+        } else if is_doubtful {
+            timing::POLL_DOUBT
         } else if worker.serving > 0 || is_unsure {
             timing::POLL_SHARED
         } else {
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -174,6 +174,8 @@
             fills: true,
             target: 0,
             stage: Stage::Running { at: moment.now },
+            unanswered: None,
+            barred: None,
             stopping: Some(moment.now),
             percent: UNKNOWN_PACE,
             paced: 0,
@@ -213,18 +215,27 @@
             return;
         };
         let mut gone = Vec::new();
+        let mut doubtful = Vec::new();
         for (key, slot) in &worker.slots {
             if listed.contains(key) {
                 continue;
             }
+            let is_before = |at: u64| at < moment.sent;
             let is_gone = match slot.stage {
-                Stage::Sent { deadline } => clock > deadline,
-                Stage::Running { at } => at < moment.sent,
+                Stage::Sent { deadline } => clock > deadline || slot.barred.is_some_and(is_before),
+                Stage::Running { at } => is_before(at),
             };
             if is_gone {
                 gone.push((key.clone(), slot.stage));
+            } else if slot.unanswered.is_some_and(is_before) && slot.stopping.is_none() {
+                doubtful.push(key.clone());
             }
         }
+        // A run that is stopped before it has begun cannot begin later: its task need not wait until
+        // the deadline of its start.
+        for key in doubtful {
+            self.stop(id, &key, moment.now);
+        }
         for (key, stage) in gone {
             log::info!(target: "cell", job = key.job.as_str(), place = key.place, worker = &**id, stage:? = stage; "A worker does not list a run that it was given.");
             if let Some(worker) = self.workers.get_mut(id) {
--- a/components/cell/src/timing.rs
+++ b/components/cell/src/timing.rs
@@ -26,6 +26,9 @@
 /// How long a poll of a worker is held when nothing has to be watched closely: the most that the
 /// workers' interface allows.
 pub const POLL_WAIT: u64 = 2_000;
+/// How long a poll is held on a worker that has not answered an order to start: its next report tells
+/// whether the run is there.
+pub const POLL_DOUBT: u64 = 100;
 /// How long a poll is held on a worker with tasks that serve users: their figures are over the
 /// last half second, and filling tasks may be placed beside them meanwhile.
 pub const POLL_SHARED: u64 = 500;
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -85,6 +85,11 @@
     pub image: Image,
     /// How far its start has come.
     pub stage: Stage,
+    /// When the order to start it was given up on without an answer, on our clock.
+    pub unanswered: Option<u64>,
+    /// When the worker confirmed an order to stop it before it had begun, on our clock: it cannot
+    /// begin any more.
+    pub barred: Option<u64>,
     /// When it was last ordered to stop, on our clock.
     pub stopping: Option<u64>,
     /// The share of its speed that it was last ordered to, in hundredths.
@@ -110,6 +115,8 @@
             target: step.target,
             image,
             stage,
+            unanswered: None,
+            barred: None,
             stopping: None,
             percent: 100,
             paced: 0,
--- a/components/cell/tests/decisions/ends.rs
+++ b/components/cell/tests/decisions/ends.rs
@@ -398,3 +398,52 @@
     world.cell.lapse(world.now);
     assert_eq!(world.starts().len(), 1);
 }
+
+/// Workers that carry orders out late kept tasks of a second's work waiting for two more. A run that
+/// is stopped before it has begun cannot begin, and its task starts elsewhere at once.
+#[test]
+fn unknown_start_is_barred() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    let (worker, start) = world.starts()[0].clone();
+    world.now += 500;
+    world.answer(&worker, &start, Outcome::Unknown);
+    world.now += 100;
+    world.report(&worker, vec![], vec![]);
+    assert_eq!(world.stops(), [(worker.clone(), start.run)]);
+    assert!(world.starts().is_empty());
+    let stop = magpie_cell::Order::Stop {
+        key: start.key.clone(),
+        address: start.address,
+        run: start.run,
+    };
+    world
+        .cell
+        .answered(&worker, &stop, Outcome::Done, world.now);
+    assert!(world.starts().is_empty());
+    world.now += 100;
+    world.report(&worker, vec![], vec![]);
+    let again = world.starts();
+    assert_eq!(again.len(), 1);
+    assert!(again[0].1.run > start.run);
+}
+
+/// The start came through after all, between the report and the order to stop.
+#[test]
+fn barred_start_found_running() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    let (worker, start) = world.starts()[0].clone();
+    world.now += 500;
+    world.answer(&worker, &start, Outcome::Unknown);
+    world.now += 100;
+    world.report(&worker, vec![], vec![]);
+    assert_eq!(world.stops().len(), 1);
+    world.now += 100;
+    world.report(&worker, vec![run(JOB, 0, start.run)], vec![]);
+    assert!(world.starts().is_empty());
+    world.now += 100;
+    let stopped = end(1, JOB, 0, start.run, How::Stopped);
+    world.report(&worker, vec![], vec![stopped]);
+    assert_eq!(world.starts().len(), 1);
+}
