--- a/components/node/src/group.rs
+++ b/components/node/src/group.rs
@@ -31,7 +31,9 @@
     /// Takes the next group of a tenure.
     pub fn build(settings: &Settings, tenure: &mut Tenure, forgotten: Vec<Id>) -> Self {
         let covers = tenure.cell.take_change(GROUP_RECORDS);
-        let is_last = tenure.leaving.is_some() && covers.is_empty();
+        // What is not written by then stays listed by its workers, and the next owner takes it from
+        // there: under load there is always something more to write.
+        let is_last = tenure.leaving.is_some();
         let mut change = Change {
             expect: vec![(keys::head(CELL), tenure.head)],
             ..Change::default()
@@ -102,3 +104,83 @@
     let value = kernel::wire::encode(value).unwrap_or_default();
     Put { key, value, lease }
 }
+
+#[cfg(test)]
+mod tests {
+    use {
+        super::*,
+        cell::{Cell, Timing},
+        job::{Queue, Spec, Step, Submission, spec::Size},
+        kernel::host::Answerer,
+        std::time::Duration,
+    };
+
+    fn settings() -> Settings {
+        Settings {
+            name: "b1".into(),
+            hall: "h1".into(),
+            share: 500,
+            own_workers: 70,
+            address: "127.0.0.1:1".into(),
+            timing: TIMING,
+            retention: Duration::from_secs(150),
+        }
+    }
+
+    const TIMING: Timing = Timing {
+        lease: 6_000,
+        stop: 900,
+        pace: 100,
+    };
+
+    /// A cell in which two jobs were cancelled, which is to be written down.
+    fn dirty_cell() -> Cell {
+        let mut cell = Cell::new(TIMING);
+        for id in ["00000000000000a1", "00000000000000b2"] {
+            let step = Step {
+                count: 1,
+                size: Size {
+                    cpu: 1_000,
+                    ..Size::default()
+                },
+                ..Step::default()
+            };
+            let submission = Submission {
+                id: Id::new(id).unwrap(),
+                spec: Spec {
+                    text: "text".into(),
+                    steps: vec![step],
+                    timetable: None,
+                },
+                queue: Queue {
+                    name: "queue".into(),
+                    host: "host".into(),
+                    prefix: "/".into(),
+                    pool: "pool".into(),
+                    priority: 0,
+                    attempts: 1,
+                    stretch: 1.0,
+                    target: 1,
+                    advised: false,
+                },
+                accepted: 1,
+            };
+            let id = submission.id.clone();
+            cell.admit(submission, 1);
+            cell.cancel(&id, 1, 1);
+        }
+        cell
+    }
+
+    /// Seen while all boxes were restarted in turn under load: new ends came all the time, and the
+    /// owner waited in vain until there was nothing to write.
+    #[test]
+    fn build_last_with_records() {
+        let mut tenure = Tenure::new(1, 2, dirty_cell());
+        let (leaving, _released) = Answerer::pair();
+        tenure.leaving = Some(leaving);
+        let group = Group::build(&settings(), &mut tenure, Vec::new());
+        assert!(group.is_last && !group.covers.records.is_empty());
+        assert!(group.change.remove.contains(&keys::owner(CELL)));
+    }
+}
