Let relays go on with workers that the owner had to take

Change: when a poll of the owner's own comes back in a large cell and a relay has room, the relay goes on with that worker.

--- a/components/node/src/relays.rs
+++ b/components/node/src/relays.rs
@@ -77,6 +77,12 @@
         Some(name.clone())
     }
 
+    /// True when some relay has room for another worker.
+    pub fn has_room(&self) -> bool {
+        let mut relays = self.by_name.values();
+        relays.any(|relay| relay.workers.len() < relay.most())
+    }
+
     /// Workers that wait for somebody to look after them.
     pub fn take_unattended(&mut self) -> Vec<Entry> {
         let waiting = std::mem::take(&mut self.unattended);
--- a/components/node/src/tenure/talk.rs
+++ b/components/node/src/tenure/talk.rs
@@ -118,6 +118,25 @@
         }
     }
 
+    /// In a large cell, lets a relay with room talk to a worker from now on that this box had to talk
+    /// to itself. False when it goes on.
+    fn pass_on(&mut self, fence: u64, id: &Arc<str>) -> bool {
+        let most = self.node.settings.own_workers;
+        let Some(tenure) = self.tenure_of(fence) else {
+            return false;
+        };
+        if tenure.cell.size() <= most || !tenure.relays.has_room() {
+            return false;
+        }
+        let Some(entry) = tenure.cell.entry(id).cloned() else {
+            return false;
+        };
+        // The task for orders ends once it has sent those that it has.
+        tenure.links.remove(id);
+        self.tend(fence, entry);
+        true
+    }
+
     /// Takes in a report that a task of this box brought, and answers what to ask the worker next
     /// once it may be asked.
     pub(crate) fn polled(
@@ -130,6 +149,10 @@
         answerer: Answerer<Option<Poll>>,
     ) {
         let next = self.reported(cx, fence, id, sent, result);
+        if next == Next::Poll && self.pass_on(fence, id) {
+            answerer.send(None);
+            return;
+        }
         let Some(tenure) = self.tenure_of(fence) else {
             answerer.send(None);
             return;
--- a/components/node/tests/relays.rs
+++ b/components/node/tests/relays.rs
@@ -72,6 +72,19 @@
     assert_eq!(relays.take_unattended().len(), 1);
 }
 
+/// A box with half a core looks after 90 workers.
+#[test]
+fn has_room_until_full() {
+    let mut relays = Relays::default();
+    assert!(!relays.has_room());
+    relays.join(&offer("b1", 500), true, 1);
+    for number in 0..90 {
+        assert!(relays.has_room());
+        relays.assign(entry(&format!("w{number}")), 1).unwrap();
+    }
+    assert!(!relays.has_room());
+}
+
 #[test]
 fn duty_repeated_until_acknowledged() {
     let (mut relays, mut offer) = joined();
