Keep the room of a cancelled task until its worker lists its end

Cause: a worker's tasks of a job that is written down as cancelled, and so forgotten, were looked up by their index alone. For a later step that is another key than the one under which the room was taken: the slot was released at once, and a second one without any size took its place. Starts were refused for want of room, and a worker that does not guard its room would have been filled beyond it.

Change: a slot knows the name of its task, and a task of a forgotten job is found by it.

Test: cancelled_task_takes_room_until_its_end (failed before).

--- a/components/cell/src/ends.rs
+++ b/components/cell/src/ends.rs
@@ -22,21 +22,14 @@
         }
         worker.read = end.number;
         worker.unwritten.push_back((end.number, end.job.clone()));
-        let Some(job) = self.jobs.get(&end.job) else {
-            let key = Key {
-                job: end.job.clone(),
-                place: end.address.index as usize,
-            };
-            self.vacate(id, &key, end.run);
+        let Some(key) = self.key(id, &end.job, end.address) else {
             return;
         };
-        let Some(place) = job.progress.submission.spec.place(end.address) else {
+        if !self.jobs.contains_key(&end.job) {
+            self.vacate(id, &key, end.run);
             return;
-        };
-        let key = Key {
-            job: end.job.clone(),
-            place,
-        };
+        }
+        let place = key.place;
         log::info!(target: "cell", job = key.job.as_str(), place, worker = &**id, run = end.run, how:? = end.how; "A run has ended.");
         let was_here = self.vacate(id, &key, end.run);
         self.judge(id, end.how, moment.now);
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -147,8 +147,9 @@
             place,
         };
         let step = job.progress.step(place);
+        let address = job.progress.submission.spec.address(place);
         let image = self.disturbance.number(step.image.as_ref());
-        let slot = Slot::new(step, image, run, Stage::Sent { deadline });
+        let slot = Slot::new(step, address, image, run, Stage::Sent { deadline });
         worker.hold(key.clone(), slot);
         if worker.is_faulty() {
             worker.probe = Some(key.clone());
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -6,7 +6,7 @@
         order::{Order, Report, Run},
         worker::{Clock, Key, Slot, Stage, UNKNOWN_PACE},
     },
-    job::{Phase, State, spec::Size},
+    job::{Address, Id, Phase, State, spec::Size},
     std::{collections::HashSet, sync::Arc},
 };
 
@@ -54,7 +54,7 @@
         }
         let mut listed = HashSet::new();
         for run in &report.running {
-            if let Some(key) = self.key(run) {
+            if let Some(key) = self.key(id, &run.job, run.address) {
                 listed.insert(key.clone());
                 self.running(id, key, run, moment);
             }
@@ -77,14 +77,23 @@
         }
     }
 
-    /// The key of a run, also of a job that is not known here, so that it can be stopped.
-    fn key(&self, run: &Run) -> Option<Key> {
-        let job = run.job.clone();
-        let place = match self.jobs.get(&job) {
-            Some(known) => known.progress.submission.spec.place(run.address)?,
-            None => run.address.index as usize,
-        };
-        Some(Key { job, place })
+    /// The key of a task that a worker tells of, also of a job that is not known any more: then it is
+    /// the one under which the worker's room is taken.
+    pub(crate) fn key(&self, id: &str, job: &Id, address: Address) -> Option<Key> {
+        let known = self.jobs.get(job);
+        if let Some(known) = known {
+            let place = known.progress.submission.spec.place(address)?;
+            let job = job.clone();
+            return Some(Key { job, place });
+        }
+        let held = self
+            .workers
+            .get(id)
+            .and_then(|worker| worker.key_of(job, address));
+        held.or_else(|| {
+            let (job, place) = (job.clone(), address.index as usize);
+            Some(Key { job, place })
+        })
     }
 
     /// Takes in a run that the worker lists as going on.
@@ -138,7 +147,7 @@
         let slot = Slot {
             percent: UNKNOWN_PACE,
             figure: run.figure,
-            ..Slot::new(step, image, run.run, stage)
+            ..Slot::new(step, run.address, image, run.run, stage)
         };
         log::info!(target: "cell", job = key.job.as_str(), place = key.place, worker = &**id, run = run.run; "A run is adopted.");
         if let Some(worker) = self.workers.get_mut(id) {
@@ -169,6 +178,7 @@
         }
         let slot = Slot {
             image: 0,
+            address: run.address,
             run: run.run,
             size,
             fills: true,
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{disturb::Image, timing},
-    job::{Id, Step, spec::Size},
+    job::{Address, Id, Step, spec::Size},
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, HashMap, VecDeque},
@@ -73,6 +73,8 @@
 /// What a worker holds for one task.
 #[derive(Debug, Clone)]
 pub struct Slot {
+    /// The name of its task within its job.
+    pub address: Address,
     /// The number of the run.
     pub run: u64,
     /// What it takes.
@@ -107,8 +109,9 @@
 
 impl Slot {
     /// A run of a task of this step, at full speed.
-    pub fn new(step: &Step, image: Image, run: u64, stage: Stage) -> Self {
+    pub fn new(step: &Step, address: Address, image: Image, run: u64, stage: Stage) -> Self {
         Slot {
+            address,
             run,
             size: step.size,
             fills: step.fills,
@@ -292,6 +295,12 @@
         self.failures >= FAULTY_AFTER
     }
 
+    /// The key under which it holds a task of a job that is not known any more.
+    pub fn key_of(&self, job: &Id, address: Address) -> Option<Key> {
+        let is_it = |(key, slot): &(&Key, &Slot)| key.job == *job && slot.address == address;
+        self.slots.iter().find(is_it).map(|(key, _)| key.clone())
+    }
+
     /// What is free for tasks that take room.
     pub fn free(&self) -> Size {
         self.entry.size.minus(self.firm)
--- a/components/cell/tests/decisions/ends.rs
+++ b/components/cell/tests/decisions/ends.rs
@@ -447,3 +447,32 @@
     world.report(&worker, vec![], vec![stopped]);
     assert_eq!(world.starts().len(), 1);
 }
+
+/// The room of a cancelled task is taken until its worker lists its end, also when its job is written
+/// down as cancelled and forgotten by then.
+#[test]
+fn cancelled_task_takes_room_until_its_end() {
+    let mut world = World::new(&["w1"]);
+    let mut second = step(1, 4_000);
+    second.after = vec![0];
+    world.submit(JOB, vec![step(1, 1_000), second]);
+    let (worker, start) = world.starts()[0].clone();
+    world.answer(&worker, &start, Outcome::Done);
+    let done = end(1, JOB, 0, start.run, How::Done);
+    world.report(&worker, vec![], vec![done]);
+    world.write();
+    let (worker, start) = world.starts()[0].clone();
+    world.answer(&worker, &start, Outcome::Done);
+    world.cell.cancel(&start.key.job, world.now, 1);
+    world.write();
+    let mut going = run(JOB, 0, start.run);
+    going.address.step = 1;
+    world.now += 100;
+    world.report(&worker, vec![going], vec![]);
+    world.submit("00000000000000b2", vec![step(1, 4_000)]);
+    assert!(world.starts().is_empty());
+    let stopped = end(2, JOB, 1, start.run, How::Stopped);
+    world.now += 100;
+    world.report(&worker, vec![], vec![stopped]);
+    assert_eq!(world.starts().len(), 1);
+}
