Give slots and strain of workers files of their own

Slot and Stage are in slot.rs now, Strain is where it is reckoned out. Moved only; no line of logic is changed.

--- a/components/cell/src/answer.rs
+++ b/components/cell/src/answer.rs
@@ -4,7 +4,8 @@
     crate::{
         cell::Cell,
         order::{Order, Outcome, Reason, Start},
-        worker::{Key, Stage},
+        slot::Stage,
+        worker::Key,
     },
     std::sync::Arc,
 };
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -19,6 +19,7 @@
 mod place;
 mod relocate;
 mod report;
+mod slot;
 mod strain;
 mod summary;
 mod timing;
--- a/components/cell/src/pace.rs
+++ b/components/cell/src/pace.rs
@@ -11,10 +11,10 @@
         cell::Cell,
         disturb::{Disturbance, HARMFUL, Image, LOAD_AT_TARGET, level::Levels, load_of},
         order::Order,
-        worker::{Key, Slot, Stage, UNKNOWN_PACE, Worker},
+        slot::{Slot, Stage, UNKNOWN_PACE},
+        worker::{Key, Worker},
     },
-    std::collections::BTreeMap,
-    std::sync::Arc,
+    std::{collections::BTreeMap, sync::Arc},
 };
 
 /// From a change of pace until the figures show it: half a second of measurement, and the time
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -4,8 +4,9 @@
     crate::{
         cell::{Cell, Job, Rank},
         order::{Order, Start},
+        slot::{Slot, Stage},
         timing,
-        worker::{Key, Slot, Stage},
+        worker::Key,
     },
     job::{Address, Id, Phase, Step, Submission, spec::Size},
     std::{ops::Range, sync::Arc},
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -4,7 +4,8 @@
     crate::{
         cell::Cell,
         order::{Order, Report, Run},
-        worker::{Clock, Key, Slot, Stage, UNKNOWN_PACE},
+        slot::{Slot, Stage, UNKNOWN_PACE},
+        worker::{Clock, Key},
     },
     job::{Phase, State, spec::Size},
     std::{collections::HashSet, sync::Arc},
--- /dev/null
+++ b/components/cell/src/slot.rs
@@ -0,0 +1,86 @@
+//! What a worker holds for one task, and how far the start of the task has come.
+
+use {
+    crate::disturb::Image,
+    job::{Step, spec::Size},
+};
+
+/// How far an order to start has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// Sent, not confirmed; it cannot begin after the deadline on the worker's clock.
+    Sent {
+        /// On the worker's clock, in milliseconds.
+        deadline: u64,
+    },
+    /// Confirmed at this time.
+    Running {
+        /// On our clock, in milliseconds.
+        at: u64,
+    },
+}
+
+/// The pace of a run that was taken over: nobody here has ordered one.
+pub const UNKNOWN_PACE: u8 = u8::MAX;
+
+/// What a worker holds for one task.
+#[derive(Debug, Clone)]
+pub struct Slot {
+    /// The number of the run.
+    pub run: u64,
+    /// What it takes.
+    pub size: Size,
+    /// It takes no room for processors.
+    pub fills: bool,
+    /// See [`job::Step::target`].
+    pub target: u64,
+    /// What it runs.
+    pub image: Image,
+    /// How far its start has come.
+    pub stage: Stage,
+    /// When the order to start it was given up on without an answer, on our clock.
+    pub unanswered: Option<u64>,
+    /// When the worker confirmed an order to stop it before it had begun, on our clock: it cannot
+    /// begin any more.
+    pub barred: Option<u64>,
+    /// When it was last ordered to stop, on our clock.
+    pub stopping: Option<u64>,
+    /// The share of its speed that it was last ordered to, in hundredths.
+    pub percent: u8,
+    /// When that was, on our clock; 0 for a pace that was not ordered.
+    pub paced: u64,
+    /// It was stopped from working since a serving task came near its target: it comes back in
+    /// steps.
+    pub tripped: bool,
+    /// Since when it has been slowed down for the most part.
+    pub slow_since: Option<u64>,
+    /// See [`crate::order::Run::figure`].
+    pub figure: u64,
+}
+
+impl Slot {
+    /// A run of a task of this step, at full speed.
+    pub fn new(step: &Step, image: Image, run: u64, stage: Stage) -> Self {
+        Slot {
+            run,
+            size: step.size,
+            fills: step.fills,
+            target: step.target,
+            image,
+            stage,
+            unanswered: None,
+            barred: None,
+            stopping: None,
+            percent: 100,
+            paced: 0,
+            tripped: false,
+            slow_since: None,
+            figure: 0,
+        }
+    }
+
+    /// True when the worker has not confirmed the start.
+    pub fn is_sent(&self) -> bool {
+        matches!(self.stage, Stage::Sent { .. })
+    }
+}
--- a/components/cell/src/strain.rs
+++ b/components/cell/src/strain.rs
@@ -5,7 +5,7 @@
         cell::Cell,
         disturb::{Disturbance, HARMFUL, Image, LOAD_AT_TARGET, level::Levels},
         pace::LOAD_LIMIT,
-        worker::{Strain, Worker},
+        worker::Worker,
     },
     job::Step,
     std::sync::Arc,
@@ -21,6 +21,22 @@
 /// The same for tasks of jobs that are about to miss their objective, and for pairs not seen yet.
 const HURRIED_LIMIT: f64 = LOAD_LIMIT - 0.12;
 
+/// The load of the serving tasks of one image on a worker, and what filling tasks there add to it
+/// when they all work at full speed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Strain {
+    /// The image.
+    pub image: Image,
+    /// The load in a moment, without filling tasks.
+    pub near: f64,
+    /// The highest load that was seen, without filling tasks.
+    pub peak: f64,
+    /// What filling tasks add that disturb little.
+    pub harmless: f64,
+    /// What the others add. They are slowed down when the load needs it.
+    pub harmful: f64,
+}
+
 impl Cell {
     /// Brings the strain of all workers up to date that have changed since the last call. Returns
     /// these workers.
--- a/components/cell/src/summary.rs
+++ b/components/cell/src/summary.rs
@@ -1,6 +1,6 @@
 //! What a cell looks like at a moment, for logs and metrics.
 
-use crate::{cell::Cell, worker::Slot};
+use crate::{cell::Cell, slot::Slot};
 
 /// Sums over a cell. Processors are in thousandths of a core.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
