--- a/components/cell/src/pace.rs
+++ b/components/cell/src/pace.rs
@@ -12,6 +12,7 @@
         disturb::{Disturbance, HARMFUL, Image, LOAD_AT_TARGET, level::Levels, load_of},
         order::Order,
         slot::{Slot, Stage, UNKNOWN_PACE},
+        strain::added_by_all,
         worker::{Key, Worker},
     },
     std::{collections::BTreeMap, sync::Arc},
@@ -124,19 +125,9 @@
         let load = loads.entry(key.1).or_default();
         *load = load.max(near);
     }
-    let capacity = worker.entry.size.cpu.max(1) as f64;
     let mut limits = Vec::with_capacity(loads.len());
     for (serving, load) in loads {
-        let (mut harmful, mut harmless) = (0.0, 0.0);
-        for (&filling, &cpu) in &worker.fill_images {
-            let weight = known.weight(serving, filling);
-            let added = weight * cpu as f64 / capacity;
-            if weight >= HARMFUL {
-                harmful += added;
-            } else {
-                harmless += added;
-            }
-        }
+        let (harmful, harmless) = added_by_all(known, serving, worker);
         let room = LOAD_LIMIT - load - harmless;
         let limit = if harmful > room {
             (room / harmful).max(0.0) * 100.0
--- a/components/cell/src/strain.rs
+++ b/components/cell/src/strain.rs
@@ -117,6 +117,7 @@
     }
 }
 
+/// The strain of a worker, by serving image.
 fn strain(known: &Disturbance, levels: &Levels, worker: &Worker, now: u64) -> Vec<Strain> {
     let mut strains: Vec<Strain> = Vec::with_capacity(worker.serve_images.len());
     for key in worker.serve_jobs.keys() {
@@ -135,17 +136,25 @@
             }),
         }
     }
-    let capacity = worker.entry.size.cpu.max(1) as f64;
     for strain in &mut strains {
-        for (&filling, &cpu) in &worker.fill_images {
-            let weight = known.weight(strain.image, filling);
-            let added = weight * cpu as f64 / capacity;
-            if weight >= HARMFUL {
-                strain.harmful += added;
-            } else {
-                strain.harmless += added;
-            }
-        }
+        (strain.harmful, strain.harmless) = added_by_all(known, strain.image, worker);
     }
     strains
 }
+
+/// What the filling tasks of a worker add to the load of a serving image when they all work at full
+/// speed: first those that disturb it much, then the others.
+pub(crate) fn added_by_all(known: &Disturbance, serving: Image, worker: &Worker) -> (f64, f64) {
+    let capacity = worker.entry.size.cpu.max(1) as f64;
+    let (mut harmful, mut harmless) = (0.0, 0.0);
+    for (&filling, &cpu) in &worker.fill_images {
+        let weight = known.weight(serving, filling);
+        let added = weight * cpu as f64 / capacity;
+        if weight >= HARMFUL {
+            harmful += added;
+        } else {
+            harmless += added;
+        }
+    }
+    (harmful, harmless)
+}
