Split the bounds of a filling task's pace from its setting

set_paces found out what bounds a pace, decided it and noted it in one long loop. What the serving tasks of a worker bear is a type of its own now; the conditions are the same.

--- a/components/cell/src/pace.rs
+++ b/components/cell/src/pace.rs
@@ -139,6 +139,31 @@
     limits
 }
 
+/// What the serving tasks of a worker set bounds to the paces of filling ones by.
+struct Bounds {
+    /// The worst tail of each serving image, in hundredths of its target.
+    tails: BTreeMap<Image, u64>,
+    /// Some serving task has been over its target for long: all filling tasks count as disturbing.
+    is_stubborn: bool,
+    /// For each serving image, the pace in hundredths up to which it is not disturbed too much.
+    limits: Vec<(Image, f64)>,
+}
+
+impl Bounds {
+    /// The worst tail that a filling image disturbs, and the pace that it may have.
+    fn of(&self, known: &Disturbance, filling: Image) -> (u64, u8) {
+        let harms = |serving: Image| known.weight(serving, filling) >= HARMFUL;
+        let harmed = self
+            .tails
+            .iter()
+            .filter(|(serving, _)| self.is_stubborn || harms(**serving));
+        let worst = harmed.map(|(_, &tail)| tail).max().unwrap_or_default();
+        let limits = self.limits.iter().filter(|(serving, _)| harms(*serving));
+        let limit = limits.map(|&(_, limit)| limit).fold(100.0, f64::min);
+        (worst, limit as u8)
+    }
+}
+
 /// Sets the pace of each filling task. Returns the changes to order.
 fn set_paces(
     known: &Disturbance,
@@ -151,22 +176,19 @@
     if worker.filling == 0 {
         return Vec::new();
     }
-    let is_stubborn = worker
-        .over_since
-        .is_some_and(|since| now >= since + STUBBORN);
-    let limits = limits(known, levels, worker, now);
+    let bounds = Bounds {
+        tails,
+        is_stubborn: worker
+            .over_since
+            .is_some_and(|since| now >= since + STUBBORN),
+        limits: limits(known, levels, worker, now),
+    };
     let mut changes = Vec::new();
     for (key, slot) in &mut worker.slots {
         if !slot.fills || !is_running(slot) {
             continue;
         }
-        let harms = |serving: Image| known.weight(serving, slot.image) >= HARMFUL;
-        let harmed = tails
-            .iter()
-            .filter(|(serving, _)| is_stubborn || harms(**serving));
-        let worst = harmed.map(|(_, &tail)| tail).max().unwrap_or_default();
-        let limit = limits.iter().filter(|(serving, _)| harms(*serving));
-        let limit = limit.map(|&(_, limit)| limit).fold(100.0, f64::min) as u8;
+        let (worst, limit) = bounds.of(known, slot.image);
         let Some(percent) = next_pace(slot, worst, limit, now) else {
             continue;
         };
