--- a/components/cell/src/disturb/level.rs
+++ b/components/cell/src/disturb/level.rs
@@ -35,10 +35,12 @@
 #[derive(Debug, Clone, Default)]
 struct Mean {
     value: f64,
+    /// How many readings it stands for; old ones count for less than one.
     weight: f64,
 }
 
 impl Mean {
+    /// Adds a reading; `keep` is the part of the older ones' weight that remains.
     fn add(&mut self, value: f64, keep: f64) {
         self.weight = self.weight * keep + 1.0;
         self.value += (value - self.value) / self.weight;
@@ -58,10 +60,43 @@
     /// The load without filling tasks, over a short time and over a longer one.
     fast: Mean,
     slow: Mean,
+    /// The highest short mean that was seen.
     peak: f64,
 }
 
 impl Level {
+    /// Notes that a reading with shares in so many columns has come. Returns the time since the
+    /// last one, in milliseconds.
+    fn begin_reading(&mut self, width: usize, now: u64) -> f64 {
+        if self.first == 0 {
+            self.first = now;
+        }
+        let gap = now.saturating_sub(self.last) as f64;
+        self.last = now;
+        let width = width.max(self.beside.len());
+        self.beside.resize(width, 0.0);
+        gap
+    }
+
+    /// By how much a row of shares differs from the mean of recent readings.
+    fn difference(&self, row: &[f64]) -> Vec<f64> {
+        let mut shares = row.to_vec();
+        for (share, mean) in shares.iter_mut().zip(&self.beside) {
+            *share -= mean;
+        }
+        shares
+    }
+
+    /// Adds a reading to the means of the load that shows and of the shares beside it.
+    fn show(&mut self, load: f64, row: &[f64], keep: f64) {
+        self.shown.add(load, keep);
+        let part = 1.0 / self.shown.weight;
+        for (column, mean) in self.beside.iter_mut().enumerate() {
+            let share = row.get(column).copied().unwrap_or_default();
+            *mean += (share - *mean) * part;
+        }
+    }
+
     /// The load at a later time, in milliseconds from the last reading.
     fn forecast(&self, ahead: f64) -> f64 {
         let trend = (self.fast.value - self.slow.value) / (SLOW - FAST);
@@ -89,32 +124,15 @@
     ) {
         let image = key.1;
         let level = self.jobs.entry(key).or_default();
-        if level.first == 0 {
-            level.first = now;
-        }
-        let gap = now.saturating_sub(level.last) as f64;
-        level.last = now;
-        level.beside.resize(row.len().max(level.beside.len()), 0.0);
+        let gap = level.begin_reading(row.len(), now);
         let keep = (-gap / FAST).exp();
         let others = level.shown.weight * keep;
         if others >= ENOUGH {
-            let mut shares = row.to_vec();
-            for (share, mean) in shares.iter_mut().zip(&level.beside) {
-                *share -= mean;
-            }
-            known.sample(
-                image,
-                load - level.shown.value,
-                &shares,
-                others / (others + 1.0),
-            );
-        }
-        level.shown.add(load, keep);
-        let part = 1.0 / level.shown.weight;
-        for (column, mean) in level.beside.iter_mut().enumerate() {
-            let share = row.get(column).copied().unwrap_or_default();
-            *mean += (share - *mean) * part;
+            let shares = level.difference(row);
+            let trust = others / (others + 1.0);
+            known.sample(image, load - level.shown.value, &shares, trust);
         }
+        level.show(load, row, keep);
         let mut own = load - known.added(image, row);
         if others >= ENOUGH {
             let now_is = level.fast.value;
