Split the building of a group into its parts

Group::build wrote the head, the records and the owner's key in one function of 50 lines, and the test's submission was built within its cell. The order of entries in a change is the same.

--- a/components/node/src/group.rs
+++ b/components/node/src/group.rs
@@ -34,28 +34,8 @@
         // What is not written by then stays listed by its workers, and the next owner takes it from
         // there: under load there is always something more to write.
         let is_last = tenure.leaving.is_some();
-        let mut change = Change {
-            expect: vec![(keys::head(CELL), tenure.head)],
-            ..Change::default()
-        };
-        let head = Head {
-            fence: tenure.fence,
-            claim: 0,
-        };
-        change.put.push(put(keys::head(CELL), &head, 0));
-        for (id, record) in &covers.records {
-            change.put.push(put(keys::state(id), record, 0));
-            if record.state.is_final() {
-                change.remove.push(keys::job(id));
-            }
-        }
-        if let Some(fleet) = &covers.fleet {
-            let members: Vec<Member> = fleet.iter().cloned().map(Member::from).collect();
-            change.put.push(put(keys::fleet(CELL), &members, 0));
-        }
-        if let Some(learned) = &covers.learned {
-            change.put.push(put(keys::learned(CELL), learned, 0));
-        }
+        let mut change = guarded(tenure);
+        put_records(&mut change, &covers);
         if is_last {
             change.remove.push(keys::owner(CELL));
         }
@@ -90,6 +70,36 @@
     }
 }
 
+/// A change that writes the head anew, on the condition that nobody else has written it.
+fn guarded(tenure: &Tenure) -> Change {
+    let head = Head {
+        fence: tenure.fence,
+        claim: 0,
+    };
+    Change {
+        expect: vec![(keys::head(CELL), tenure.head)],
+        put: vec![put(keys::head(CELL), &head, 0)],
+        ..Change::default()
+    }
+}
+
+/// Adds what has changed of the cell: states of jobs, the list of workers and what was learned.
+fn put_records(change: &mut Change, covers: &cell::Change) {
+    for (id, record) in &covers.records {
+        change.put.push(put(keys::state(id), record, 0));
+        if record.state.is_final() {
+            change.remove.push(keys::job(id));
+        }
+    }
+    if let Some(fleet) = &covers.fleet {
+        let members: Vec<Member> = fleet.iter().cloned().map(Member::from).collect();
+        change.put.push(put(keys::fleet(CELL), &members, 0));
+    }
+    if let Some(learned) = &covers.learned {
+        change.put.push(put(keys::learned(CELL), learned, 0));
+    }
+}
+
 /// The record of this box as an owner.
 pub fn own(settings: &Settings) -> Owner {
     Owner {
@@ -133,40 +143,43 @@
         pace: 100,
     };
 
+    fn submission(id: Id) -> Submission {
+        let step = Step {
+            count: 1,
+            size: Size {
+                cpu: 1_000,
+                ..Size::default()
+            },
+            ..Step::default()
+        };
+        Submission {
+            id,
+            spec: Spec {
+                text: "text".into(),
+                steps: vec![step],
+                timetable: None,
+            },
+            queue: Queue {
+                name: "queue".into(),
+                host: "host".into(),
+                prefix: "/".into(),
+                pool: "pool".into(),
+                priority: 0,
+                attempts: 1,
+                stretch: 1.0,
+                target: 1,
+                advised: false,
+            },
+            accepted: 1,
+        }
+    }
+
     /// A cell in which two jobs were cancelled, which is to be written down.
     fn dirty_cell() -> Cell {
         let mut cell = Cell::new(TIMING);
         for id in ["00000000000000a1", "00000000000000b2"] {
-            let step = Step {
-                count: 1,
-                size: Size {
-                    cpu: 1_000,
-                    ..Size::default()
-                },
-                ..Step::default()
-            };
-            let submission = Submission {
-                id: Id::new(id).unwrap(),
-                spec: Spec {
-                    text: "text".into(),
-                    steps: vec![step],
-                    timetable: None,
-                },
-                queue: Queue {
-                    name: "queue".into(),
-                    host: "host".into(),
-                    prefix: "/".into(),
-                    pool: "pool".into(),
-                    priority: 0,
-                    attempts: 1,
-                    stretch: 1.0,
-                    target: 1,
-                    advised: false,
-                },
-                accepted: 1,
-            };
-            let id = submission.id.clone();
-            cell.admit(submission, 1);
+            let id = Id::new(id).unwrap();
+            cell.admit(submission(id.clone()), 1);
             cell.cancel(&id, 1, 1);
         }
         cell
