Split the placing of one task from that of its step

The choice reads the step where it stands, so that callers need not hand it in. The order of decisions is the same.

--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -23,6 +23,7 @@
 /// A serving task counts this much on a worker that has none yet, and twice that beside other
 /// images: alike ones together leave workers where a filling image disturbs nothing.
 const UNLIKE: u64 = 100_000;
+
 impl Cell {
     /// How often a task has failed.
     pub(crate) fn failures(&self, rank: &Rank, place: usize) -> u32 {
@@ -31,18 +32,18 @@
             .map_or(0, |job| job.progress.tasks[place].failed.len() as u32)
     }
 
-    /// The best worker for a task of the step that has failed so often, of all or of some; `None`
-    /// when none will do.
+    /// The best worker for a task of the step at this address, which has failed so often, of all
+    /// workers or of some; `None` when none will do.
     pub(crate) fn choose(
         &self,
         rank: &Rank,
         address: Address,
-        step: &Step,
         failures: u32,
         among: Option<&[Arc<str>]>,
         now: u64,
     ) -> Option<Arc<str>> {
         let job = self.jobs.get(&rank.id)?;
+        let step = &job.progress.submission.spec.steps[address.step as usize];
         let failures = if step.lasting { 0 } else { failures };
         let image = self.image(step);
         let will_do = |id: &Arc<str>, worker: &Worker| {
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -94,15 +94,10 @@
             return;
         }
         for place in ready {
-            let failures = self.failures(rank, place);
             let among = is_stuck.then_some(changed);
-            self.tried += u64::from(among.is_none());
-            if let Some(id) = self.choose(rank, address, step, failures, among, now) {
-                let run = self.next_run(rank, place);
-                self.start(rank, place, run, &id, now);
-                continue;
-            }
-            if failures > 0 {
+            let is_placed = self.place_task(rank, address, place, among, now);
+            // Fewer workers will do for a task that has failed: the others may find room.
+            if is_placed || self.failures(rank, place) > 0 {
                 continue;
             }
             if submission.queue.advised {
@@ -120,6 +115,25 @@
         }
     }
 
+    /// Places one task on the best of all workers, or of some. False when none of them will do.
+    fn place_task(
+        &mut self,
+        rank: &Rank,
+        address: Address,
+        place: usize,
+        among: Option<&[Arc<str>]>,
+        now: u64,
+    ) -> bool {
+        self.tried += u64::from(among.is_none());
+        let failures = self.failures(rank, place);
+        let Some(id) = self.choose(rank, address, failures, among, now) else {
+            return false;
+        };
+        let run = self.next_run(rank, place);
+        self.start(rank, place, run, &id, now);
+        true
+    }
+
     /// True when a need at most as large has found no room lately.
     fn is_stuck(&self, need: &Need) -> bool {
         self.stuck.iter().any(|known| known.need.covers(need))
