--- a/components/cell/src/lapse.rs
+++ b/components/cell/src/lapse.rs
@@ -6,6 +6,7 @@
         timing,
         worker::{Entry, Key, Worker},
     },
+    job::Phase,
     std::{collections::HashSet, sync::Arc},
 };
 
@@ -24,19 +25,7 @@
             self.steady = now;
         }
         self.listed = now;
-        let ids: HashSet<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
-        for (id, worker) in &mut self.workers {
-            let is_listed = ids.contains(id);
-            if is_listed {
-                worker.vanished = None;
-            } else if worker.vanished.is_none() {
-                worker.vanished = Some(now);
-            }
-            if worker.listed != is_listed {
-                log::info!(target: "cell", worker = &**id, listed = is_listed; "The listing of a worker has changed.");
-            }
-            worker.listed = is_listed;
-        }
+        self.note_listed(&entries, now);
         let mut added = Vec::new();
         for entry in entries {
             if let Some(worker) = self.workers.get_mut(&entry.id) {
@@ -57,6 +46,23 @@
         added
     }
 
+    /// Notes which of the known workers are listed.
+    fn note_listed(&mut self, entries: &[Entry], now: u64) {
+        let ids: HashSet<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
+        for (id, worker) in &mut self.workers {
+            let is_listed = ids.contains(id);
+            if is_listed {
+                worker.vanished = None;
+            } else if worker.vanished.is_none() {
+                worker.vanished = Some(now);
+            }
+            if worker.listed != is_listed {
+                log::info!(target: "cell", worker = &**id, listed = is_listed; "The listing of a worker has changed.");
+            }
+            worker.listed = is_listed;
+        }
+    }
+
     /// A new life at an address means that the old one there is over.
     fn lose_former(&mut self, entry: &Entry) {
         let is_old = |worker: &&Worker| worker.entry.address == entry.address;
@@ -132,10 +138,10 @@
         let mut over = Vec::new();
         for (id, worker) in &self.workers {
             let (is_over, may_tell) = match worker.lapses() {
-                Some(lapses) => (
-                    now >= lapses,
-                    worker.listed && !worker.failing && now < lapses + TELL,
-                ),
+                Some(lapses) => {
+                    let is_reached = worker.listed && !worker.failing;
+                    (now >= lapses, is_reached && now < lapses + TELL)
+                }
                 None => (!worker.listed && self.recovery.is_none(), false),
             };
             if is_over && (!worker.slots.is_empty() || !worker.listed) {
@@ -189,9 +195,9 @@
 
     /// Frees a task if it was placed on this worker.
     fn free_from(&mut self, id: &Arc<str>, key: &Key) {
-        let is_here = self.jobs.get(&key.job).is_some_and(|job| {
-            matches!(&job.progress.tasks[key.place].phase, job::Phase::Placed(at) if at == id)
-        });
+        let is_here = self.jobs.get(&key.job).is_some_and(
+            |job| matches!(&job.progress.tasks[key.place].phase, Phase::Placed(at) if at == id),
+        );
         if is_here {
             self.free(key);
         }
