Let the worker tell how long its poll is held and what is unwritten

Cell::poll looked through the slots twice, and two places compared the numbers of ends. The lengths of polls and what decides them are the same.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -194,22 +194,10 @@
         };
         worker.granted = worker.granted.max(deadline);
         let was_heard = std::mem::take(&mut worker.heard);
-        let is_unsure = worker
-            .slots
-            .values()
-            .any(|slot| slot.stopping.is_some() || slot.is_sent());
-        let is_doubtful = worker
-            .slots
-            .values()
-            .any(|slot| slot.is_sent() && slot.unanswered.is_some());
         let wait = if worker.clock.is_none() || !was_heard {
             0
-        } else if is_doubtful {
-            timing::POLL_DOUBT
-        } else if worker.serving > 0 || is_unsure {
-            timing::POLL_SHARED
         } else {
-            timing::POLL_WAIT
+            worker.poll_wait()
         };
         Some(Poll {
             deadline,
@@ -220,9 +208,7 @@
 
     /// True when ends of the worker were taken in and are not written down yet.
     pub fn is_unwritten(&self, id: &str) -> bool {
-        self.workers
-            .get(id)
-            .is_some_and(|worker| worker.read > worker.kept)
+        self.workers.get(id).is_some_and(Worker::is_unwritten)
     }
 
     /// How many workers are known.
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -47,7 +47,7 @@
             shown: report.clock,
             at: now,
         });
-        let had_unwritten = worker.read > worker.kept;
+        let had_unwritten = worker.is_unwritten();
         let moment = Moment { sent, now, wall };
         let dirty_before = self.dirty.len();
         for end in &report.ended {
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -162,6 +162,29 @@
         }
     }
 
+    /// True when ends were taken in that are not written down yet.
+    pub fn is_unwritten(&self) -> bool {
+        self.read > self.kept
+    }
+
+    /// How long a poll is held when it has nothing to report, in milliseconds: less when its next
+    /// report is wanted soon.
+    pub fn poll_wait(&self) -> u64 {
+        let mut wait = timing::POLL_WAIT;
+        if self.serving > 0 {
+            wait = timing::POLL_SHARED;
+        }
+        for slot in self.slots.values() {
+            if slot.is_sent() && slot.unanswered.is_some() {
+                return timing::POLL_DOUBT;
+            }
+            if slot.is_sent() || slot.stopping.is_some() {
+                wait = timing::POLL_SHARED;
+            }
+        }
+        wait
+    }
+
     /// Its clock now, as reckoned from the last reading.
     pub fn clock_at(&self, now: u64) -> Option<u64> {
         self.clock
