--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -7,7 +7,7 @@
         slot::{Slot, Stage, UNKNOWN_PACE},
         worker::{Clock, Key},
     },
-    job::{Phase, State, spec::Size},
+    job::{Phase, State, Step, spec::Size},
     std::{collections::HashSet, sync::Arc},
 };
 
@@ -168,21 +168,17 @@
         if worker.slots.contains_key(&key) {
             return;
         }
-        let slot = Slot {
-            image: 0,
-            run: run.run,
+        // It counts as a filling task, which takes no processors from tasks that take room.
+        let step = Step {
             size,
             fills: true,
-            target: 0,
-            stage: Stage::Running { at: moment.now },
-            unanswered: None,
-            barred: None,
+            ..Step::default()
+        };
+        let stage = Stage::Running { at: moment.now };
+        let slot = Slot {
             stopping: Some(moment.now),
             percent: UNKNOWN_PACE,
-            paced: 0,
-            tripped: false,
-            slow_since: None,
-            figure: 0,
+            ..Slot::new(&step, 0, run.run, stage)
         };
         worker.hold(key, slot);
     }
