--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -103,6 +103,7 @@
     pub(crate) waves: BTreeMap<u64, wave::Progress>,
     pub(crate) recovery: Option<Recovery>,
     pub(crate) disturbance: Disturbance,
+    /// The load of serving jobs.
     pub(crate) levels: Levels,
     /// Needs that found no room when all workers were looked through.
     pub(crate) stuck: Vec<Stuck>,
--- a/components/cell/src/disturb/mod.rs
+++ b/components/cell/src/disturb/mod.rs
@@ -55,11 +55,13 @@
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Disturbance {
+    /// The numbers of images, by name.
     numbers: HashMap<Arc<str>, Image>,
     /// Filling images have columns, in the order of their first sample; by image.
     columns: Vec<Option<usize>>,
+    /// The number of columns.
     width: usize,
-    /// By serving image.
+    /// The sums of each serving image, by its number.
     pairs: Vec<Sums>,
     /// By pair of serving images: the same filling images disturb them. Found anew with each solution.
     #[serde(skip)]
@@ -67,6 +69,7 @@
     /// When the sums were last solved, on the owner's clock.
     #[serde(skip)]
     solved: u64,
+    /// When it was last due to be written down, on the owner's clock.
     #[serde(skip)]
     written: u64,
 }
--- a/components/cell/src/disturb/sums.rs
+++ b/components/cell/src/disturb/sums.rs
@@ -10,7 +10,6 @@
 const HOLD: f64 = 0.01;
 /// What remains of old samples each time the sums are solved: half after about a minute and a half.
 const KEEP: f64 = 0.996;
-
 /// A weight counts as known from this sum of squares of shares on: five times what holds the prior.
 const SEEN: f64 = 5.0 * HOLD;
 /// One in so many columns must be known of two images that are compared.
@@ -26,6 +25,7 @@
     result: Vec<f64>,
     /// The solution.
     weights: Vec<f64>,
+    /// Samples have come since the last solution.
     fresh: bool,
 }
 
--- a/components/cell/src/lapse.rs
+++ b/components/cell/src/lapse.rs
@@ -100,7 +100,7 @@
         self.settle(now);
     }
 
-    /// Notes that a poll of a worker failed: it gets no work until one succeeds.
+    /// Notes that a poll of a worker failed: it gets no work for a moment.
     pub fn unheard(&mut self, id: &str, now: u64) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.failing = true;
--- a/components/cell/src/strain.rs
+++ b/components/cell/src/strain.rs
@@ -14,7 +14,6 @@
 /// How far ahead the load is foreseen for a filling task that is to be placed, in milliseconds:
 /// they run for 2 s on average.
 const AHEAD: u64 = 1_500;
-
 /// The load up to which a filling task that disturbs much is placed beside serving ones: far below
 /// the limit, or it is slowed down soon and holds room in which others could work.
 const HARM_LIMIT: f64 = LOAD_LIMIT - 0.27;
--- a/components/node/src/tenure/mod.rs
+++ b/components/node/src/tenure/mod.rs
@@ -122,6 +122,7 @@
         }
     }
 }
+
 impl Core {
     /// The tenure of this fence, if it still is the one.
     pub(crate) fn tenure_of(&mut self, fence: u64) -> Option<&mut Tenure> {
