--- a/components/cell/tests/decisions/common.rs
+++ b/components/cell/tests/decisions/common.rs
@@ -153,6 +153,31 @@
     }
 }
 
+/// The state of the job that most tests submit.
+pub fn state(world: &World) -> Option<State> {
+    world.cell.state(&Id::new(JOB).unwrap())
+}
+
+/// A world whose first task was ordered to start, without an answer yet; its worker and the order.
+pub fn ordered(workers: &[&str], step: Step) -> (World, Arc<str>, Start) {
+    let mut world = World::new(workers);
+    world.submit(JOB, vec![step]);
+    let (worker, start) = world.starts()[0].clone();
+    (world, worker, start)
+}
+
+/// The same, with the order confirmed.
+pub fn running(workers: &[&str], step: Step) -> (World, Arc<str>, Start) {
+    let (mut world, worker, start) = ordered(workers, step);
+    world.answer(&worker, &start, Outcome::Done);
+    (world, worker, start)
+}
+
+/// The other one of the workers `w1` and `w2`.
+pub fn other_than(worker: &str) -> &'static str {
+    if worker == "w1" { "w2" } else { "w1" }
+}
+
 pub fn run(job: &str, index: u32, number: u64) -> Run {
     Run {
         job: Id::new(job).unwrap(),
--- a/components/cell/tests/decisions/ends.rs
+++ b/components/cell/tests/decisions/ends.rs
@@ -1,16 +1,12 @@
-//! What reports and answers to orders mean for tasks.
+//! What reports mean for tasks: ends, runs that must not be, and what is written down.
 
 use {
-    crate::common::{JOB, World, end, run, step},
+    crate::common::{JOB, World, end, run, state, step},
     job::{Id, State},
-    magpie_cell::{How, Outcome, Reason},
+    magpie_cell::{How, Order, Outcome},
     test_case::test_case,
 };
 
-fn state(world: &World) -> Option<State> {
-    world.cell.state(&Id::new(JOB).unwrap())
-}
-
 /// Starts the only task of the job on `w1`, and returns its run.
 fn started(world: &mut World) -> u64 {
     let starts = world.starts();
@@ -112,74 +108,6 @@
     assert_eq!(starts[0].1.saved.as_deref(), Some("point"));
 }
 
-/// An order without an answer may be carried out until its deadline on the worker's clock.
-#[test]
-fn unknown_start_waits_for_deadline() {
-    let mut world = World::new(&["w1", "w2"]);
-    world.submit(JOB, vec![step(1, 1_000)]);
-    let starts = world.starts();
-    let (worker, start) = starts[0].clone();
-    world.answer(&worker, &start, Outcome::Unknown);
-    world.now += 1_000;
-    world.report(&worker, vec![], vec![]);
-    assert!(world.starts().is_empty());
-    world.now += 600;
-    world.report(&worker, vec![], vec![]);
-    let again = world.starts();
-    assert_eq!(again.len(), 1);
-    assert!(again[0].1.run > start.run);
-}
-
-#[test]
-fn unknown_start_found_running() {
-    let mut world = World::new(&["w1"]);
-    world.submit(JOB, vec![step(1, 1_000)]);
-    let (worker, start) = world.starts()[0].clone();
-    world.answer(&worker, &start, Outcome::Unknown);
-    world.now += 5_000;
-    world.report(&worker, vec![run(JOB, 0, start.run)], vec![]);
-    assert!(world.starts().is_empty());
-    assert_eq!(state(&world), Some(State::Running));
-}
-
-#[test_case(Reason::Room; "room")]
-#[test_case(Reason::Late; "late")]
-#[test_case(Reason::Old; "old")]
-#[test_case(Reason::Unwell; "unwell")]
-#[test_case(Reason::NotSent; "not sent")]
-fn refused_start_goes_elsewhere(reason: Reason) {
-    let mut world = World::new(&["w1", "w2"]);
-    world.submit(JOB, vec![step(1, 1_000)]);
-    let (worker, start) = world.starts()[0].clone();
-    world.answer(&worker, &start, Outcome::Refused(reason));
-    let again = world.starts();
-    assert_eq!(again.len(), 1);
-    assert_ne!(again[0].0, worker);
-    assert!(again[0].1.run > start.run);
-}
-
-#[test]
-fn refused_for_fence_deposes() {
-    let mut world = World::new(&["w1"]);
-    world.submit(JOB, vec![step(1, 1_000)]);
-    let (worker, start) = world.starts()[0].clone();
-    let order = magpie_cell::Order::Start(start);
-    let outcome = Outcome::Refused(Reason::Fence);
-    assert!(world.cell.answered(&worker, &order, outcome, world.now));
-}
-
-#[test]
-fn other_life_frees_all() {
-    let mut world = World::new(&["w1", "w2"]);
-    world.submit(JOB, vec![step(1, 1_000)]);
-    let (worker, start) = world.starts()[0].clone();
-    let order = magpie_cell::Order::Start(start);
-    let outcome = Outcome::Refused(Reason::OtherLife);
-    assert!(!world.cell.answered(&worker, &order, outcome, world.now));
-    assert!(!world.cell.knows(&worker));
-    assert_eq!(world.starts().len(), 1);
-}
-
 #[test]
 fn cancel_stops_and_stays() {
     let mut world = World::new(&["w1"]);
@@ -221,60 +149,6 @@
     assert_eq!(world.stops(), [("w2".into(), 1)]);
 }
 
-#[test]
-fn silent_worker_frees_after_lease() {
-    let mut world = World::new(&["w1", "w2"]);
-    world.submit(JOB, vec![step(1, 1_000)]);
-    let (worker, start) = world.starts()[0].clone();
-    world.answer(&worker, &start, Outcome::Done);
-    world.cell.poll(&worker, world.now);
-    let other = if &*worker == "w1" { "w2" } else { "w1" };
-    world.now += 4_800;
-    world.cell.unheard(&worker, world.now);
-    world.report(other, vec![], vec![]);
-    world.cell.lapse(world.now);
-    assert!(world.starts().is_empty());
-    world.now += 200;
-    world.cell.lapse(world.now);
-    assert_eq!(world.starts().len(), 1);
-}
-
-/// Seen on a day with workers that go at short notice: each failed poll asked for a new lease and
-/// put off the moment at which all leases were surely over.
-#[test]
-fn failed_polls_extend_nothing() {
-    let mut world = World::new(&["w1", "w2"]);
-    world.submit(JOB, vec![step(1, 1_000)]);
-    let (worker, start) = world.starts()[0].clone();
-    world.answer(&worker, &start, Outcome::Done);
-    let other = if &*worker == "w1" { "w2" } else { "w1" };
-    for _ in 0..12 {
-        world.cell.poll(&worker, world.now);
-        world.cell.unheard(&worker, world.now);
-        world.now += 420;
-        world.report(other, vec![], vec![]);
-        world.cell.lapse(world.now);
-    }
-    assert_eq!(world.starts().len(), 1);
-}
-
-#[test]
-fn new_life_frees_at_once() {
-    let mut world = World::new(&["w1", "w2"]);
-    world.submit(JOB, vec![step(1, 4_000)]);
-    let (worker, start) = world.starts()[0].clone();
-    world.answer(&worker, &start, Outcome::Done);
-    let mut new = crate::common::entry("w9", 4);
-    new.address = crate::common::entry(&worker, 4).address;
-    let other = if &*worker == "w1" { "w2" } else { "w1" };
-    let added = world
-        .cell
-        .list(vec![new, crate::common::entry(other, 4)], world.now);
-    assert_eq!(added.len(), 1);
-    assert!(!world.cell.knows(&worker));
-    assert_eq!(world.starts().len(), 1);
-}
-
 /// Seen on a fleet of 490 workers: as long as any record waited to be written, no end was
 /// acknowledged, and a fifth of all ends never were.
 #[test]
@@ -328,122 +202,6 @@
     world.resume(JOB, vec![filling]);
     world.report("w1", vec![run(JOB, 0, 1)], vec![]);
     let orders = world.cell.take_orders();
-    let is_pace =
-        |order: &magpie_cell::Order| matches!(order, magpie_cell::Order::Pace { percent: 100, .. });
+    let is_pace = |order: &Order| matches!(order, Order::Pace { percent: 100, .. });
     assert!(orders.iter().any(|(_, order)| is_pace(order)));
 }
-
-/// A poll whose answer was lost takes 2.8 s; the next one must be answered at once, or the lease
-/// runs out while it is held.
-#[test]
-fn poll_after_lost_one_is_not_held() {
-    let mut world = World::new(&["w1"]);
-    world.report("w1", vec![], vec![]);
-    assert_eq!(world.cell.poll("w1", world.now).unwrap().wait, 0);
-    let report = magpie_cell::Report {
-        clock: world.now + 50_000,
-        ..magpie_cell::Report::default()
-    };
-    let id: std::sync::Arc<str> = "w1".into();
-    world.cell.report(&id, report, world.now, world.now, 1);
-    assert_eq!(world.cell.poll("w1", world.now).unwrap().wait, 2_000);
-}
-
-/// Seen under a burst: a late owner had not asked a worker for 5 s, took its leases for over and
-/// started a task again whose end the worker had listed 3 s before.
-#[test]
-fn lapse_waits_for_worker_not_asked() {
-    let mut world = World::new(&["w1", "w2"]);
-    world.submit(JOB, vec![step(1, 1_000)]);
-    let (worker, start) = world.starts()[0].clone();
-    world.answer(&worker, &start, Outcome::Done);
-    let other = if &*worker == "w1" { "w2" } else { "w1" };
-    world.now += 5_200;
-    world.report(other, vec![], vec![]);
-    world.cell.lapse(world.now);
-    assert!(world.starts().is_empty());
-    let done = end(1, JOB, 0, start.run, How::Done);
-    world.report(&worker, vec![], vec![done]);
-    world.write();
-    let state = world.cell.state(&job::Id::new(JOB).unwrap());
-    assert_eq!(state, Some(job::State::Completed));
-}
-
-#[test]
-fn lapse_waits_for_no_silent_worker() {
-    let mut world = World::new(&["w1", "w2"]);
-    world.submit(JOB, vec![step(1, 1_000)]);
-    let (worker, start) = world.starts()[0].clone();
-    world.answer(&worker, &start, Outcome::Done);
-    let other = if &*worker == "w1" { "w2" } else { "w1" };
-    world.now += 5_200;
-    world.cell.unheard(&worker, world.now);
-    world.report(other, vec![], vec![]);
-    world.cell.lapse(world.now);
-    assert_eq!(world.starts().len(), 1);
-}
-
-/// A lasting task has no end to wait for, and has to run again soon.
-#[test]
-fn lapse_frees_lasting_at_once() {
-    let mut world = World::new(&["w1", "w2"]);
-    let mut lasting = step(1, 1_000);
-    lasting.lasting = true;
-    world.submit(JOB, vec![lasting]);
-    let (worker, start) = world.starts()[0].clone();
-    world.answer(&worker, &start, Outcome::Done);
-    let other = if &*worker == "w1" { "w2" } else { "w1" };
-    world.now += 5_200;
-    world.report(other, vec![], vec![]);
-    world.cell.lapse(world.now);
-    assert_eq!(world.starts().len(), 1);
-}
-
-/// Workers that carry orders out late kept tasks of a second's work waiting for two more. A run that
-/// is stopped before it has begun cannot begin, and its task starts elsewhere at once.
-#[test]
-fn unknown_start_is_barred() {
-    let mut world = World::new(&["w1", "w2"]);
-    world.submit(JOB, vec![step(1, 1_000)]);
-    let (worker, start) = world.starts()[0].clone();
-    world.now += 500;
-    world.answer(&worker, &start, Outcome::Unknown);
-    world.now += 100;
-    world.report(&worker, vec![], vec![]);
-    assert_eq!(world.stops(), [(worker.clone(), start.run)]);
-    assert!(world.starts().is_empty());
-    let stop = magpie_cell::Order::Stop {
-        key: start.key.clone(),
-        address: start.address,
-        run: start.run,
-    };
-    world
-        .cell
-        .answered(&worker, &stop, Outcome::Done, world.now);
-    assert!(world.starts().is_empty());
-    world.now += 100;
-    world.report(&worker, vec![], vec![]);
-    let again = world.starts();
-    assert_eq!(again.len(), 1);
-    assert!(again[0].1.run > start.run);
-}
-
-/// The start came through after all, between the report and the order to stop.
-#[test]
-fn barred_start_found_running() {
-    let mut world = World::new(&["w1", "w2"]);
-    world.submit(JOB, vec![step(1, 1_000)]);
-    let (worker, start) = world.starts()[0].clone();
-    world.now += 500;
-    world.answer(&worker, &start, Outcome::Unknown);
-    world.now += 100;
-    world.report(&worker, vec![], vec![]);
-    assert_eq!(world.stops().len(), 1);
-    world.now += 100;
-    world.report(&worker, vec![run(JOB, 0, start.run)], vec![]);
-    assert!(world.starts().is_empty());
-    world.now += 100;
-    let stopped = end(1, JOB, 0, start.run, How::Stopped);
-    world.report(&worker, vec![], vec![stopped]);
-    assert_eq!(world.starts().len(), 1);
-}
--- a/components/cell/tests/decisions/main.rs
+++ b/components/cell/tests/decisions/main.rs
@@ -8,5 +8,7 @@
 mod ends;
 mod fill;
 mod place;
+mod silence;
+mod starts;
 mod takeover;
 mod wave;
