--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         core::Node,
-        message::{Command, Duty, Heard, Offer},
+        message::{Command, Duty, Heard, Offer, Owner},
         outside::Unheard,
         settings::{POLL_PAUSE, RELAY_BUSY, RELAY_IDLE, RELAY_TIMEOUT},
     },
@@ -59,10 +59,7 @@
         let offer = unanswered
             .take()
             .unwrap_or_else(|| offer(node, session.as_mut()));
-        let url = format!("http://{}{PATH}", owner.address);
-        let exchanged: Result<Duty, Failure> = wire::encode_compact(&offer)
-            .and_then(|body| node.client.post_encoded(&url, &body, RELAY_TIMEOUT));
-        let duty = match exchanged {
+        let duty = match exchange(node, &owner, &offer) {
             Ok(duty) => duty,
             Err(failure) => {
                 log::debug!(target: "relay", owner = &*owner.name, error:% = failure; "An exchange with the owner failed.");
@@ -71,23 +68,36 @@
                 continue;
             }
         };
-        if duty.session == 0 {
-            session = None;
-            thread::sleep(RELAY_IDLE);
-            continue;
-        }
-        if session
-            .as_ref()
-            .is_none_or(|own| own.number != duty.session)
-        {
-            log::info!(target: "relay", owner = &*owner.name, session = duty.session, fence = duty.fence; "This box talks to workers for the owner.");
-            session = Some(Session::new(&duty));
-        }
-        if let Some(session) = &mut session {
-            session.carry_out(node, duty);
-        }
-        thread::sleep(RELAY_BUSY);
+        session = take_on(node, &owner, session, duty);
+        let pause = if session.is_some() {
+            RELAY_BUSY
+        } else {
+            RELAY_IDLE
+        };
+        thread::sleep(pause);
+    }
+}
+
+/// Makes an offer to the owner, and returns what it wants done.
+fn exchange(node: &Node, owner: &Owner, offer: &Offer) -> Result<Duty, Failure> {
+    let url = format!("http://{}{PATH}", owner.address);
+    let body = wire::encode_compact(offer)?;
+    node.client.post_encoded(&url, &body, RELAY_TIMEOUT)
+}
+
+/// Carries a duty out, in a new session where it belongs to one. Returns the session; `None` when the
+/// owner wants nothing done.
+fn take_on(node: &Node, owner: &Owner, session: Option<Session>, duty: Duty) -> Option<Session> {
+    if duty.session == 0 {
+        return None;
     }
+    let known = session.filter(|own| own.number == duty.session);
+    let mut session = known.unwrap_or_else(|| {
+        log::info!(target: "relay", owner = &*owner.name, session = duty.session, fence = duty.fence; "This box talks to workers for the owner.");
+        Session::new(&duty)
+    });
+    session.carry_out(node, duty);
+    Some(session)
 }
 
 fn offer(node: &Node, session: Option<&mut Session>) -> Offer {
