--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -94,14 +94,20 @@
     pub(crate) listed: u64,
     /// Since when listings have come without a gap.
     pub(crate) steady: u64,
+    /// The list of workers is to be written.
     pub(crate) fleet_dirty: bool,
+    /// What was learned of disturbance is to be written.
     pub(crate) learned_due: bool,
+    /// Orders to send, by worker.
     pub(crate) orders: Vec<(Arc<str>, Order)>,
+    /// Questions to the advising service.
     pub(crate) questions: Vec<Question>,
     /// How often all workers were looked through for a task.
     pub(crate) tried: u64,
     pub(crate) waves: BTreeMap<u64, wave::Progress>,
+    /// What a takeover still waits for.
     pub(crate) recovery: Option<Recovery>,
+    /// Which filling images disturb which serving ones.
     pub(crate) disturbance: Disturbance,
     /// The load of serving jobs.
     pub(crate) levels: Levels,
--- a/components/cell/src/relocate.rs
+++ b/components/cell/src/relocate.rs
@@ -33,6 +33,7 @@
         }
     }
 
+    /// Stops one slowed task, if it can go on where it disturbs nobody.
     fn move_off(&mut self, id: &Arc<str>, key: &Key, now: u64) {
         let Some(job) = self.jobs.get(&key.job) else {
             return;
--- a/components/cell/src/strain.rs
+++ b/components/cell/src/strain.rs
@@ -1,4 +1,5 @@
-//! How loaded the serving tasks of each worker are, kept at hand for placement.
+//! How loaded the serving tasks of each worker are, kept at hand for placement, and what more filling
+//! tasks would do to them.
 
 use {
     crate::{
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -100,6 +100,7 @@
     Some(session)
 }
 
+/// The next offer: what was heard in the session, where there is one.
 fn offer(node: &Node, session: Option<&mut Session>) -> Offer {
     let mut offer = Offer {
         name: node.settings.name.clone(),
--- a/components/node/src/relays.rs
+++ b/components/node/src/relays.rs
@@ -25,7 +25,9 @@
 
 /// One relay.
 struct Relay {
+    /// The number of its session: a box that offers itself anew gets another.
     session: u64,
+    /// Its share of a core, in thousandths.
     share: u32,
     /// When it was last heard.
     seen: u64,
@@ -41,6 +43,7 @@
 }
 
 impl Relay {
+    /// How many workers it looks after at the most.
     fn most(&self) -> usize {
         MOST_A_CORE * self.share as usize / 1_000
     }
@@ -215,6 +218,7 @@
         workers
     }
 
+    /// Takes a relay out. Returns the workers that it looked after.
     fn drop(&mut self, name: &str) -> Vec<Arc<str>> {
         let Some(relay) = self.by_name.remove(name) else {
             return Vec::new();
--- a/components/node/src/tenure/mod.rs
+++ b/components/node/src/tenure/mod.rs
@@ -46,7 +46,9 @@
     pub announce: bool,
     /// The cell is to be given up once all is written.
     pub leaving: Option<Answerer<bool>>,
+    /// Who talks to each worker.
     links: HashMap<Arc<str>, Link>,
+    /// The boxes that talk to workers for this one.
     relays: Relays,
     /// The way for questions to the advising service, once there was one.
     advice: Option<Sender<Question>>,
@@ -54,12 +56,17 @@
     pollers: HashMap<Arc<str>, Answerer<Option<Poll>>>,
     /// Workers whose next poll waits until their ends are written.
     waiting: HashSet<Arc<str>>,
+    /// The writer, while it waits for its next group.
     writer: Option<Answerer<Option<Group>>>,
+    /// When the last group went to the writer.
     written: u64,
+    /// When the last pass of placement was over.
     passed: u64,
     /// How long the last pass took, in milliseconds.
     pass_took: u64,
+    /// A timer will run the next pass.
     pass_due: bool,
+    /// A timer will wake the writer.
     group_due: bool,
 }
 
--- a/components/node/src/tenure/pass.rs
+++ b/components/node/src/tenure/pass.rs
@@ -35,6 +35,7 @@
         });
     }
 
+    /// Places, unless the cell is to be given up, and sends what was decided.
     pub(super) fn pass(&mut self, cx: &mut Cx<'_, Self>) {
         let Some(tenure) = &mut self.tenure else {
             return;
@@ -61,6 +62,7 @@
         self.wake_writer(cx);
     }
 
+    /// Hands the cell's questions to the task that asks for advice.
     pub(super) fn ask_advice(&mut self) {
         let node = self.node.clone();
         let Some(tenure) = &mut self.tenure else {
--- a/components/node/src/tenure/talk.rs
+++ b/components/node/src/tenure/talk.rs
@@ -76,6 +76,7 @@
         })
     }
 
+    /// Takes in one thing that a relay heard from a worker.
     pub(super) fn hear(&mut self, cx: &mut Cx<'_, Self>, fence: u64, heard: Heard) {
         match heard {
             Heard::Report(id, sent, result) => {
--- a/components/node/src/tenure/write.rs
+++ b/components/node/src/tenure/write.rs
@@ -37,6 +37,7 @@
         self.wake_writer(cx);
     }
 
+    /// Gives the writer a group if it waits for one and there is something to write.
     pub(crate) fn wake_writer(&mut self, cx: &mut Cx<'_, Self>) {
         let settings = self.node.settings.clone();
         let Some(tenure) = &mut self.tenure else {
@@ -79,6 +80,7 @@
         });
     }
 
+    /// Jobs that ended so long ago that their records go.
     pub(super) fn forgotten(&mut self) -> Vec<Id> {
         let retention = self.node.settings.retention.as_millis() as u64;
         let before = wall::millis().saturating_sub(retention);
