--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -94,15 +94,22 @@
     pub(crate) listed: u64,
     /// Since when listings have come without a gap.
     pub(crate) steady: u64,
+    /// The list of workers is to be written.
     pub(crate) fleet_dirty: bool,
+    /// What was learned of disturbance is to be written.
     pub(crate) learned_due: bool,
+    /// Orders to send, by worker.
     pub(crate) orders: Vec<(Arc<str>, Order)>,
+    /// Questions to the advising service.
     pub(crate) questions: Vec<Question>,
     /// How often all workers were looked through for a task.
     pub(crate) tried: u64,
     pub(crate) waves: BTreeMap<u64, wave::Progress>,
+    /// What a takeover still waits for.
     pub(crate) recovery: Option<Recovery>,
+    /// Which filling images disturb which serving ones.
     pub(crate) disturbance: Disturbance,
+    /// The load of serving jobs.
     pub(crate) levels: Levels,
     /// Needs that found no room when all workers were looked through.
     pub(crate) stuck: Vec<Stuck>,
@@ -194,22 +201,10 @@
         };
         worker.granted = worker.granted.max(deadline);
         let was_heard = std::mem::take(&mut worker.heard);
-        let is_unsure = worker
-            .slots
-            .values()
-            .any(|slot| slot.stopping.is_some() || slot.is_sent());
-        let is_doubtful = worker
-            .slots
-            .values()
-            .any(|slot| slot.is_sent() && slot.unanswered.is_some());
         let wait = if worker.clock.is_none() || !was_heard {
             0
-        } else if is_doubtful {
-            timing::POLL_DOUBT
-        } else if worker.serving > 0 || is_unsure {
-            timing::POLL_SHARED
         } else {
-            timing::POLL_WAIT
+            worker.poll_wait()
         };
         Some(Poll {
             deadline,
@@ -220,9 +215,7 @@
 
     /// True when ends of the worker were taken in and are not written down yet.
     pub fn is_unwritten(&self, id: &str) -> bool {
-        self.workers
-            .get(id)
-            .is_some_and(|worker| worker.read > worker.kept)
+        self.workers.get(id).is_some_and(Worker::is_unwritten)
     }
 
     /// How many workers are known.
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -4,9 +4,10 @@
     crate::{
         cell::Cell,
         order::{Order, Report, Run},
-        worker::{Clock, Key, Slot, Stage, UNKNOWN_PACE},
+        slot::{Slot, Stage, UNKNOWN_PACE},
+        worker::{Clock, Key},
     },
-    job::{Address, Id, Phase, State, spec::Size},
+    job::{Address, Id, Phase, State, Step, spec::Size},
     std::{collections::HashSet, sync::Arc},
 };
 
@@ -46,7 +47,7 @@
             shown: report.clock,
             at: now,
         });
-        let had_unwritten = worker.read > worker.kept;
+        let had_unwritten = worker.is_unwritten();
         let moment = Moment { sent, now, wall };
         let dirty_before = self.dirty.len();
         for end in &report.ended {
@@ -176,22 +177,17 @@
         if worker.slots.contains_key(&key) {
             return;
         }
-        let slot = Slot {
-            image: 0,
-            address: run.address,
-            run: run.run,
+        // It counts as a filling task, which takes no processors from tasks that take room.
+        let step = Step {
             size,
             fills: true,
-            target: 0,
-            stage: Stage::Running { at: moment.now },
-            unanswered: None,
-            barred: None,
+            ..Step::default()
+        };
+        let stage = Stage::Running { at: moment.now };
+        let slot = Slot {
             stopping: Some(moment.now),
             percent: UNKNOWN_PACE,
-            paced: 0,
-            tripped: false,
-            slow_since: None,
-            figure: 0,
+            ..Slot::new(&step, run.address, 0, run.run, stage)
         };
         worker.hold(key, slot);
     }
--- a/components/cell/src/strain.rs
+++ b/components/cell/src/strain.rs
@@ -1,11 +1,12 @@
-//! How loaded the serving tasks of each worker are, kept at hand for placement.
+//! How loaded the serving tasks of each worker are, kept at hand for placement, and what more filling
+//! tasks would do to them.
 
 use {
     crate::{
         cell::Cell,
         disturb::{Disturbance, HARMFUL, Image, LOAD_AT_TARGET, level::Levels},
         pace::LOAD_LIMIT,
-        worker::{Strain, Worker},
+        worker::Worker,
     },
     job::Step,
     std::sync::Arc,
@@ -14,13 +15,28 @@
 /// How far ahead the load is foreseen for a filling task that is to be placed, in milliseconds:
 /// they run for 2 s on average.
 const AHEAD: u64 = 1_500;
-
 /// The load up to which a filling task that disturbs much is placed beside serving ones: far below
 /// the limit, or it is slowed down soon and holds room in which others could work.
 const HARM_LIMIT: f64 = LOAD_LIMIT - 0.27;
 /// The same for tasks of jobs that are about to miss their objective, and for pairs not seen yet.
 const HURRIED_LIMIT: f64 = LOAD_LIMIT - 0.12;
 
+/// The load of the serving tasks of one image on a worker, and what filling tasks there add to it
+/// when they all work at full speed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Strain {
+    /// The image.
+    pub image: Image,
+    /// The load in a moment, without filling tasks.
+    pub near: f64,
+    /// The highest load that was seen, without filling tasks.
+    pub peak: f64,
+    /// What filling tasks add that disturb little.
+    pub harmless: f64,
+    /// What the others add. They are slowed down when the load needs it.
+    pub harmful: f64,
+}
+
 impl Cell {
     /// Brings the strain of all workers up to date that have changed since the last call. Returns
     /// these workers.
@@ -101,6 +117,7 @@
     }
 }
 
+/// The strain of a worker, by serving image.
 fn strain(known: &Disturbance, levels: &Levels, worker: &Worker, now: u64) -> Vec<Strain> {
     let mut strains: Vec<Strain> = Vec::with_capacity(worker.serve_images.len());
     for key in worker.serve_jobs.keys() {
@@ -119,17 +136,25 @@
             }),
         }
     }
-    let capacity = worker.entry.size.cpu.max(1) as f64;
     for strain in &mut strains {
-        for (&filling, &cpu) in &worker.fill_images {
-            let weight = known.weight(strain.image, filling);
-            let added = weight * cpu as f64 / capacity;
-            if weight >= HARMFUL {
-                strain.harmful += added;
-            } else {
-                strain.harmless += added;
-            }
-        }
+        (strain.harmful, strain.harmless) = added_by_all(known, strain.image, worker);
     }
     strains
 }
+
+/// What the filling tasks of a worker add to the load of a serving image when they all work at full
+/// speed: first those that disturb it much, then the others.
+pub(crate) fn added_by_all(known: &Disturbance, serving: Image, worker: &Worker) -> (f64, f64) {
+    let capacity = worker.entry.size.cpu.max(1) as f64;
+    let (mut harmful, mut harmless) = (0.0, 0.0);
+    for (&filling, &cpu) in &worker.fill_images {
+        let weight = known.weight(serving, filling);
+        let added = weight * cpu as f64 / capacity;
+        if weight >= HARMFUL {
+            harmful += added;
+        } else {
+            harmless += added;
+        }
+    }
+    (harmful, harmless)
+}
