--- a/components/cell/src/disturb/mod.rs
+++ b/components/cell/src/disturb/mod.rs
@@ -23,6 +23,8 @@
 /// An image, by number.
 pub type Image = u16;
 
+/// The number of tasks that name no image: they count as an image of their own.
+const NO_IMAGE: Image = 0;
 /// Images told apart; more share numbers. Deployments seen have up to 28.
 const MOST: usize = 48;
 /// The weight of a pair of which nothing is known: one in four disturbs, by 1.6 on average, and the
@@ -78,7 +80,7 @@
     /// The number of an image; tasks without one count as an image of their own.
     pub fn number(&mut self, image: Option<&Arc<str>>) -> Image {
         let Some(image) = image else {
-            return 0;
+            return NO_IMAGE;
         };
         let next = (self.numbers.len() % MOST) as Image + 1;
         *self.numbers.entry(image.clone()).or_insert(next)
@@ -86,8 +88,10 @@
 
     /// The number of an image, where it has one already.
     pub fn find(&self, image: Option<&Arc<str>>) -> Image {
-        let number = image.and_then(|image| self.numbers.get(image));
-        number.copied().unwrap_or(Image::MAX)
+        let Some(image) = image else {
+            return NO_IMAGE;
+        };
+        self.numbers.get(image).copied().unwrap_or(Image::MAX)
     }
 
     /// Shares of a worker's processors by column, from those by image.
@@ -238,6 +242,7 @@
         assert_ne!(known.number(Some(&second)), number);
         assert_eq!(known.number(Some(&first)), number);
         assert_eq!(known.number(None), 0);
+        assert_eq!(known.find(None), known.number(None));
     }
 
     #[test]
