Forget old jobs once their records are removed from the store

Change: a group takes old jobs where it has room, and the cell forgets them when it is written.

Test: build_forgets_with_the_write (the cell had forgotten them at the first group before).

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -173,19 +173,17 @@
         self.jobs.values().filter(is_waiting).count()
     }
 
-    /// Jobs that ended before this time, in milliseconds since 1970; they are forgotten here.
-    pub fn forget(&mut self, before: u64, most: usize) -> Vec<Id> {
-        let old = self
-            .closed
-            .iter()
-            .filter(|(_, (_, ended))| *ended < before)
-            .map(|(id, _)| id.clone())
-            .take(most)
-            .collect::<Vec<_>>();
-        for id in &old {
+    /// Jobs that ended before this time, in milliseconds since 1970; so many at most.
+    pub fn outdated(&self, before: u64, most: usize) -> Vec<Id> {
+        let old = self.closed.iter().filter(|(_, (_, ended))| *ended < before);
+        old.map(|(id, _)| id.clone()).take(most).collect()
+    }
+
+    /// Forgets jobs that have ended.
+    pub fn forget(&mut self, ids: &[Id]) {
+        for id in ids {
             self.closed.remove(id);
         }
-        old
     }
 
     /// What to ask a worker next; `None` when it is not known any more.
--- a/components/node/src/group.rs
+++ b/components/node/src/group.rs
@@ -12,6 +12,9 @@
     serde::Serialize,
 };
 
+/// How many records of old jobs go with one group.
+const FORGET_AT_ONCE: usize = 2;
+
 /// The only cell so far; keys carry its number.
 pub const CELL: u32 = 0;
 
@@ -25,11 +28,14 @@
     pub announces: bool,
     /// It gives the cell up.
     pub is_last: bool,
+    /// Jobs that ended long ago, whose records it removes.
+    pub forgets: Vec<Id>,
 }
 
 impl Group {
-    /// Takes the next group of a tenure.
-    pub fn build(settings: &Settings, tenure: &mut Tenure, forgotten: Vec<Id>) -> Self {
+    /// Takes the next group of a tenure. Records of jobs that ended before a time, in milliseconds
+    /// since 1970, are removed with it where it has room.
+    pub fn build(settings: &Settings, tenure: &mut Tenure, before: u64) -> Self {
         let covers = tenure.cell.take_change(GROUP_RECORDS);
         // What is not written by then stays listed by its workers, and the next owner takes it from
         // there: under load there is always something more to write.
@@ -47,17 +53,20 @@
                 .put
                 .push(put(keys::owner(CELL), &owner, tenure.lease));
         }
+        let mut forgets = Vec::new();
         if covers.records.len() <= GROUP_RECORDS / 2 {
-            for id in &forgotten {
-                change.remove.push(keys::state(id));
-                change.remove.push(keys::cancel(id));
-            }
+            forgets = tenure.cell.outdated(before, FORGET_AT_ONCE);
+        }
+        for id in &forgets {
+            change.remove.push(keys::state(id));
+            change.remove.push(keys::cancel(id));
         }
         Group {
             change,
             covers,
             announces,
             is_last,
+            forgets,
         }
     }
 
@@ -192,8 +201,34 @@
         let mut tenure = Tenure::new(1, 2, dirty_cell());
         let (leaving, _released) = Answerer::pair();
         tenure.leaving = Some(leaving);
-        let group = Group::build(&settings(), &mut tenure, Vec::new());
+        let group = Group::build(&settings(), &mut tenure, 0);
         assert!(group.is_last && !group.covers.records.is_empty());
         assert!(group.change.remove.contains(&keys::owner(CELL)));
     }
+
+    /// Records of old jobs stayed in the store for good when the group that removed them had no room
+    /// or was not written: the cell had forgotten them by then.
+    #[test]
+    fn build_forgets_with_the_write() {
+        let mut tenure = Tenure::new(1, 2, dirty_cell());
+        let first = Group::build(&settings(), &mut tenure, 0);
+        tenure.cell.written(&first.covers);
+        assert!(first.forgets.is_empty());
+        let second = Group::build(&settings(), &mut tenure, 10);
+        assert_eq!(second.forgets.len(), 2);
+        assert!(
+            second
+                .change
+                .remove
+                .contains(&keys::state(&second.forgets[0]))
+        );
+        let again = Group::build(&settings(), &mut tenure, 10);
+        assert_eq!(again.forgets.len(), 2);
+        tenure.cell.forget(&again.forgets);
+        assert!(
+            Group::build(&settings(), &mut tenure, 10)
+                .forgets
+                .is_empty()
+        );
+    }
 }
--- a/components/node/src/tenure/write.rs
+++ b/components/node/src/tenure/write.rs
@@ -8,7 +8,6 @@
         store::Applied,
         time,
     },
-    job::Id,
     kernel::{
         Failure,
         host::Answerer,
@@ -18,9 +17,6 @@
     std::time::Duration,
 };
 
-/// How many records of old jobs go with one group.
-const FORGET_AT_ONCE: usize = 2;
-
 impl Core {
     /// Hands the writer its next group, now or when the gap has passed.
     pub(crate) fn next_group(
@@ -56,11 +52,9 @@
             GROUP_GAP.as_millis() as u64
         };
         if since >= gap {
-            let forgotten = self.forgotten();
-            let Some(tenure) = &mut self.tenure else {
-                return;
-            };
-            let group = Group::build(&settings, tenure, forgotten);
+            let retention = settings.retention.as_millis() as u64;
+            let before = wall::millis().saturating_sub(retention);
+            let group = Group::build(&settings, tenure, before);
             tenure.written = time::now();
             if let Some(writer) = tenure.writer.take() {
                 writer.send(Some(group));
@@ -81,14 +75,6 @@
     }
 
     /// Jobs that ended so long ago that their records go.
-    pub(super) fn forgotten(&mut self) -> Vec<Id> {
-        let retention = self.node.settings.retention.as_millis() as u64;
-        let before = wall::millis().saturating_sub(retention);
-        self.tenure.as_mut().map_or(Vec::new(), |tenure| {
-            tenure.cell.forget(before, FORGET_AT_ONCE)
-        })
-    }
-
     /// Takes in what came of writing a group.
     pub(crate) fn wrote(
         &mut self,
@@ -107,6 +93,7 @@
                     self.depose("it is handed over");
                     return;
                 }
+                tenure.cell.forget(&group.forgets);
                 let kept = tenure.cell.written(&group.covers);
                 for id in kept {
                     self.let_poll(fence, &id);
