Let workers that no relay has room for come to the owner

Cause: the wait of a worker that no relay had room for began anew at each look, ten times a second, so the owner never took it.

Change: a worker keeps the time since when it waits.

--- a/components/node/src/relays.rs
+++ b/components/node/src/relays.rs
@@ -64,15 +64,15 @@
 }
 
 impl Relays {
-    /// Chooses the relay that looks after a worker; none when all are full. Then it is kept until
-    /// one has room.
-    pub fn assign(&mut self, entry: Entry, now: u64) -> Option<Arc<str>> {
+    /// Chooses the relay that looks after a worker that has waited for one since a time; none when all
+    /// are full. Then it is kept until one has room.
+    pub fn assign(&mut self, entry: Entry, since: u64) -> Option<Arc<str>> {
         let open = self.by_name.iter_mut();
         let open = open.filter(|(_, relay)| relay.workers.len() < relay.most());
         let load = |relay: &Relay| relay.workers.len() * 1_000 / relay.share.max(1) as usize;
         let best = open.min_by_key(|(name, relay)| (load(relay), (*name).clone()));
         let Some((name, relay)) = best else {
-            self.unattended.push((entry, now));
+            self.unattended.push((entry, since));
             return None;
         };
         relay.workers.insert(entry.id.clone());
@@ -86,10 +86,9 @@
         relays.any(|relay| relay.workers.len() < relay.most())
     }
 
-    /// Workers that wait for somebody to look after them.
-    pub fn take_unattended(&mut self) -> Vec<Entry> {
-        let waiting = std::mem::take(&mut self.unattended);
-        waiting.into_iter().map(|(entry, _)| entry).collect()
+    /// Workers that wait for somebody to look after them, and since when.
+    pub fn take_unattended(&mut self) -> Vec<(Entry, u64)> {
+        std::mem::take(&mut self.unattended)
     }
 
     /// Workers that have waited for too long.
--- a/components/node/src/tenure/talk.rs
+++ b/components/node/src/tenure/talk.rs
@@ -23,6 +23,11 @@
 impl Core {
     /// Finds somebody to talk to a worker: this box in a small cell, a relay in a large one.
     pub(super) fn tend(&mut self, fence: u64, entry: Entry) {
+        self.tend_since(fence, entry, time::now());
+    }
+
+    /// The same for a worker that has waited for somebody since a time.
+    fn tend_since(&mut self, fence: u64, entry: Entry, since: u64) {
         let most = self.node.settings.own_workers;
         let Some(tenure) = self.tenure_of(fence) else {
             return;
@@ -32,7 +37,7 @@
             return;
         }
         let id = entry.id.clone();
-        if let Some(name) = tenure.relays.assign(entry, time::now()) {
+        if let Some(name) = tenure.relays.assign(entry, since) {
             tenure.links.insert(id.clone(), Link::Relay(name));
             tenure.allow_poll(&id);
         }
@@ -102,19 +107,20 @@
         let Some(tenure) = self.tenure_of(fence) else {
             return;
         };
+        let now = time::now();
         let mut entries = tenure.relays.take_unattended();
         for id in workers {
             tenure.links.remove(&id);
             if let Some(entry) = tenure.cell.entry(&id) {
-                entries.push(entry.clone());
+                entries.push((entry.clone(), now));
             }
         }
-        for entry in entries {
+        for (entry, since) in entries {
             let is_known = self
                 .tenure_of(fence)
                 .is_some_and(|tenure| tenure.cell.knows(&entry.id));
             if is_known {
-                self.tend(fence, entry);
+                self.tend_since(fence, entry, since);
             }
         }
     }
--- a/components/node/tests/relays.rs
+++ b/components/node/tests/relays.rs
@@ -194,3 +194,18 @@
     }
     assert_eq!(relays.lose_silent(3_800), ["w1".into()]);
 }
+
+/// Workers that nobody has room for are tried again and again; that must not start their wait anew,
+/// or nobody ever talks to them.
+#[test]
+fn take_neglected_after_tries() {
+    let mut relays = Relays::default();
+    assert!(relays.assign(entry("w1"), 1).is_none());
+    for now in (100..1_500).step_by(100) {
+        assert!(relays.take_neglected(now).is_empty());
+        for (entry, since) in relays.take_unattended() {
+            assert!(relays.assign(entry, since).is_none());
+        }
+    }
+    assert_eq!(relays.take_neglected(1_600).len(), 1);
+}
