Let tasks that last go first once they have waited two seconds

Quick checks of the same priority go first and took each piece of room for 12 s.

Change: a lasting job whose tasks have waited for 2 s goes by its objective like the others, that is first, until all of them are placed; it is never late.

Test: lasting_task_waits_two_seconds_behind_short_ones.

--- a/components/cell/src/admit.rs
+++ b/components/cell/src/admit.rs
@@ -19,6 +19,10 @@
 /// nine tenths.
 const SURE_PART: u64 = 50;
 
+/// Tasks that last go before short ones of their priority once they have waited this long, in
+/// milliseconds: one that has ended has to run again within 6 s.
+const LAST_WAIT: u64 = 2_000;
+
 impl Cell {
     /// Takes in an accepted job. False when it is known already.
     pub fn admit(&mut self, submission: Submission, wall: u64) -> bool {
@@ -47,6 +51,7 @@
         let steps = submission.spec.steps.len() * submission.spec.times() as usize;
         let job = Job {
             rank: rank(&progress),
+            lined: None,
             hurried: false,
             advice: HashMap::new(),
             ready: BTreeSet::new(),
@@ -104,17 +109,29 @@
     /// surely will: in front they would make others miss theirs too.
     pub fn rerank(&mut self, wall: u64) {
         let mut late = Vec::new();
+        let mut waiting = Vec::new();
         for rank in &self.line {
             let is_near = wall + rank.span / HURRY_PART > rank.objective;
             let Some(job) = self.jobs.get_mut(&rank.id) else {
                 continue;
             };
             job.hurried |= is_near;
+            if rank.lasting && wall > *job.lined.get_or_insert(wall) + LAST_WAIT {
+                waiting.push(rank.clone());
+            }
             let least = job.progress.rest() * SURE_PART / 100;
-            if !rank.late && !rank.lasting && wall + least > rank.objective {
+            let is_short = job.lined.is_none() && !rank.lasting;
+            if is_short && !rank.late && wall + least > rank.objective {
                 late.push(rank.clone());
             }
         }
+        for rank in waiting {
+            self.line.remove(&rank);
+            if let Some(job) = self.jobs.get_mut(&rank.id) {
+                job.rank.lasting = false;
+                self.line.insert(job.rank.clone());
+            }
+        }
         for rank in late {
             self.line.remove(&rank);
             if let Some(job) = self.jobs.get_mut(&rank.id) {
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -35,6 +35,8 @@
     pub unsure: bool,
     /// Where it stands in line.
     pub rank: Rank,
+    /// Since when tasks of it that last wait for room, in milliseconds since 1970.
+    pub lined: Option<u64>,
     /// It is about to miss its objective: its filling tasks may also go where they disturb.
     pub hurried: bool,
     /// What is known of which workers may run its steps, by time and step.
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -43,12 +43,13 @@
             next = places.end;
             self.place_step(rank, address, places, now, changed);
         }
-        let is_placed = self
-            .jobs
-            .get(&rank.id)
-            .is_some_and(|job| job.ready.is_empty());
-        if is_placed {
+        let Some(job) = self.jobs.get_mut(&rank.id) else {
+            return;
+        };
+        if job.ready.is_empty() {
             self.line.remove(rank);
+            job.lined = None;
+            job.rank.lasting = job.progress.submission.spec.is_lasting();
         }
     }
 
--- a/components/cell/tests/decisions/fill.rs
+++ b/components/cell/tests/decisions/fill.rs
@@ -191,3 +191,27 @@
     assert_eq!(world.starts().len(), 1);
     assert_eq!(world.cell.tried(), before);
 }
+
+/// Seen on a grown site: quick checks took each piece of room for 12 s, and a task that is to last was
+/// not started again.
+#[test]
+fn lasting_task_waits_two_seconds_behind_short_ones() {
+    let mut world = World::new(&["w1"]);
+    let lasting = Step {
+        lasting: true,
+        ..step(1, 4_000)
+    };
+    world.submit(JOB, vec![lasting]);
+    world.submit(OTHER, vec![step(1, 4_000)]);
+    world.submit(FILL, vec![step(1, 4_000)]);
+    world.cell.rerank(1_000);
+    let (worker, start) = world.starts()[0].clone();
+    assert_eq!(start.key.job.as_str(), FILL);
+    world.answer(&worker, &start, Outcome::Done);
+    world.cell.rerank(3_100);
+    world.cell.rerank(3_200);
+    let done = crate::common::end(1, FILL, 0, 1, magpie_cell::How::Done);
+    world.now += 2_100;
+    world.report(&worker, vec![], vec![done]);
+    assert_eq!(world.starts()[0].1.key.job.as_str(), JOB);
+}
