Find silent connections out in time, and let no write leave to a failing store

Open connections may go silent for good while new ones work. After the store has failed, each submission still wrote, so that it ended with 504 though it never reached the store; a caller cannot send unsafe work again after that.

Ruled out: keep-alive probes alone (they find a dead peer, not a silenced connection of a live one, and cost bytes); sending each submission to the owner besides the store (some 2 KB a job between halls, which are dear).

Change: a time-out distrusts every connection to that receiver that has brought nothing since. Watches of the intake wait 0.6 s (5 before), of the owner 2.5 s, of the configuration 1.4 s. The box that takes a cancellation tells the owner at once. Once the store has failed a box, a cheap read has to come back before a write leaves; refusals before that are true, and given at once while a probe hangs.

Left: relays learn of a new owner by their watch of 2.5 s.

--- a/components/gate/src/forward.rs
+++ b/components/gate/src/forward.rs
@@ -304,7 +304,7 @@
         url: &url,
         headers: &headers,
         body: &asked.body,
-        timeout: left,
+        time: left.into(),
     };
     let answer = shared.client.send(&call)?;
     let reason = answer.header(NOT_RUN_HEADER);
--- a/components/infra/src/boxes.rs
+++ b/components/infra/src/boxes.rs
@@ -122,7 +122,7 @@
             url: &url,
             headers: &[],
             body: &[],
-            timeout: TIMEOUT,
+            time: TIMEOUT.into(),
         };
         let answer = self.client.send(&call)?;
         match answer.status {
--- a/components/infra/src/store.rs
+++ b/components/infra/src/store.rs
@@ -91,7 +91,7 @@
             url: &url,
             headers: &[],
             body: &[],
-            timeout,
+            time: timeout.into(),
         };
         let answer = self.client.send(&call)?;
         match answer.status {
@@ -120,7 +120,7 @@
             url: &url,
             headers: &[],
             body: bytes,
-            timeout: TIMEOUT,
+            time: TIMEOUT.into(),
         };
         let answer = self.client.send(&call)?;
         let version = || version_of(answer.header(VERSION_HEADER));
--- a/components/kernel/src/client.rs
+++ b/components/kernel/src/client.rs
@@ -6,11 +6,17 @@
 use {
     crate::{
         token::Token,
+        trust::Trust,
         verdict::{Cause, Failure},
         wire,
     },
     serde::{Serialize, de::DeserializeOwned},
-    std::{cell::Cell, fmt, io, time::Duration},
+    std::{
+        cell::Cell,
+        fmt, io,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     ureq::{
         Agent, Error, RequestExt, Timeout,
         config::Config,
@@ -43,8 +49,39 @@
     pub headers: &'a [(&'a str, &'a str)],
     /// The body.
     pub body: &'a [u8],
-    /// The time for all of it.
-    pub timeout: Duration,
+    /// The time for it.
+    pub time: Time,
+}
+
+/// The time that a call has.
+#[derive(Debug, Clone, Copy)]
+pub struct Time {
+    /// For all of it.
+    whole: Duration,
+    /// Without an answer within this time, or when the connection breaks, the call is made again on a
+    /// new connection in the time that is left.
+    patience: Option<Duration>,
+}
+
+impl Time {
+    /// The time for a call that may be made twice; without an answer after `patience`, or on a
+    /// broken connection, it is made again on a new one.
+    pub const fn twice(whole: Duration, patience: Duration) -> Self {
+        Time {
+            whole,
+            patience: Some(patience),
+        }
+    }
+}
+
+impl From<Duration> for Time {
+    /// The time for a call that is made once.
+    fn from(whole: Duration) -> Self {
+        Time {
+            whole,
+            patience: None,
+        }
+    }
 }
 
 /// One whole answer.
@@ -94,6 +131,7 @@
 pub struct Client {
     agent: Agent,
     token: Option<Token>,
+    trust: Arc<Trust>,
 }
 
 impl fmt::Debug for Client {
@@ -122,12 +160,15 @@
             .max_idle_age(limits.age)
             .allow_non_standard_methods(true)
             .build();
+        let trust = Arc::new(Trust::new(limits.age));
         let connector = CountingConnector {
             tcp: TcpConnector::default(),
+            trust: trust.clone(),
         };
         Client {
             agent: Agent::with_parts(config, connector, NumbersOnly),
             token,
+            trust,
         }
     }
 
@@ -138,12 +179,32 @@
     /// `not-run` only when no byte left for the receiver; else `may-have-run`. An answer without
     /// a length of its own, or one that is cut, is `BadAnswer`.
     pub fn send(&self, call: &Call) -> Result<Answer, Failure> {
+        let Some(patience) = call.time.patience else {
+            return self.attempt(call, call.time.whole);
+        };
+        let begun = Instant::now();
+        let first = match self.attempt(call, patience) {
+            Err(failure) if failure.is_silence() => failure,
+            result => return result,
+        };
+        let left = call.time.whole.saturating_sub(begun.elapsed());
+        self.attempt(call, left)
+            .map_err(|second| second.after(&first))
+    }
+
+    /// Makes the call once, within this time.
+    fn attempt(&self, call: &Call, time: Duration) -> Result<Answer, Failure> {
         SENT.set(0);
-        self.exchange(call)
-            .map_err(|error| classify(&error, SENT.get()))
+        let result = self.exchange(call, time);
+        result.map_err(|error| {
+            if matches!(error, Error::Timeout(_)) {
+                self.trust.distrust(receiver(call.url));
+            }
+            classify(&error, SENT.get())
+        })
     }
 
-    fn exchange(&self, call: &Call) -> Result<Answer, Error> {
+    fn exchange(&self, call: &Call, time: Duration) -> Result<Answer, Error> {
         let mut builder = http::Request::builder().method(call.method).uri(call.url);
         for (name, value) in call.headers {
             builder = builder.header(*name, *value);
@@ -155,7 +216,7 @@
         let mut response = request
             .with_agent(&self.agent)
             .configure()
-            .timeout_global(Some(call.timeout))
+            .timeout_global(Some(time))
             .run()?;
         refuse_endless(response.headers(), response.status().as_u16())?;
         let body = response
@@ -180,9 +241,9 @@
         &self,
         url: &str,
         message: &T,
-        timeout: Duration,
+        time: impl Into<Time>,
     ) -> Result<R, Failure> {
-        self.post_encoded(url, &wire::encode(message)?, timeout)
+        self.post_encoded(url, &wire::encode(message)?, time)
     }
 
     /// Like [`Client::post`], for a message that is encoded already.
@@ -194,7 +255,7 @@
         &self,
         url: &str,
         body: &[u8],
-        timeout: Duration,
+        time: impl Into<Time>,
     ) -> Result<R, Failure> {
         let headers = [("content-type", wire::CONTENT_TYPE)];
         let answer = self.send(&Call {
@@ -202,7 +263,7 @@
             url,
             headers: &headers,
             body,
-            timeout,
+            time: time.into(),
         })?;
         if answer.status == 200 {
             return wire::decode(&answer.body).map_err(|e| as_answer(&e));
@@ -222,6 +283,12 @@
     Failure::may_have_run(Cause::BadAnswer, failure.text.clone())
 }
 
+/// The address and port in a whole address.
+fn receiver(url: &str) -> &str {
+    let rest = url.split_once("://").map_or(url, |(_, rest)| rest);
+    rest.split('/').next().unwrap_or(rest)
+}
+
 /// Refuses an answer whose end is only the end of the connection: it may be cut unseen.
 fn refuse_endless(headers: &HeaderMap, status: u16) -> Result<(), Error> {
     let bodiless = status == 204 || status == 304;
@@ -273,6 +340,7 @@
 #[derive(Debug)]
 struct CountingConnector {
     tcp: TcpConnector,
+    trust: Arc<Trust>,
 }
 
 impl Connector<()> for CountingConnector {
@@ -284,14 +352,24 @@
         chained: Option<()>,
     ) -> Result<Option<Self::Out>, Error> {
         let inner = self.tcp.connect(details, chained)?;
-        Ok(inner.map(|inner| Counting { inner }))
+        let authority = details.uri.authority();
+        Ok(inner.map(|inner| Counting {
+            inner,
+            receiver: authority.map_or("", |own| own.as_str()).into(),
+            proven: Instant::now(),
+            trust: self.trust.clone(),
+        }))
     }
 }
 
-/// A connection that notes each hand-over of bytes before it happens.
+/// A connection that notes each hand-over of bytes before it happens, and when it last brought some.
 #[derive(Debug)]
 struct Counting<T> {
     inner: T,
+    receiver: Box<str>,
+    /// When it was opened, or last brought bytes.
+    proven: Instant,
+    trust: Arc<Trust>,
 }
 
 impl<T: Transport> Transport for Counting<T> {
@@ -305,10 +383,13 @@
     }
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
-        self.inner.await_input(timeout)
+        let is_more = self.inner.await_input(timeout)?;
+        self.proven = Instant::now();
+        Ok(is_more)
     }
 
+    /// The pool asks this before it uses a connection again.
     fn is_open(&mut self) -> bool {
-        self.inner.is_open()
+        self.trust.is_trusted(&self.receiver, self.proven) && self.inner.is_open()
     }
 }
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod sync;
 pub mod task;
 pub mod token;
+mod trust;
 pub mod verdict;
 pub mod wall;
 pub mod wire;
--- a/components/kernel/src/server.rs
+++ b/components/kernel/src/server.rs
@@ -359,7 +359,7 @@
             url: &url,
             headers: &[],
             body: &[],
-            timeout: std::time::Duration::from_secs(5),
+            time: std::time::Duration::from_secs(5).into(),
         };
         assert_eq!(client.send(&call).unwrap().status, status);
     }
--- a/components/kernel/src/verdict.rs
+++ b/components/kernel/src/verdict.rs
@@ -97,6 +97,22 @@
     pub fn is_not_run(&self) -> bool {
         self.verdict == Verdict::NotRun
     }
+
+    /// True for a failure that a new connection may not have: the one that was used was silent or broken.
+    pub fn is_silence(&self) -> bool {
+        matches!(self.cause, Cause::Timeout | Cause::Broken)
+    }
+
+    /// This failure of the second of two tries: where the first may have run, so may both.
+    pub fn after(self, first: &Failure) -> Failure {
+        match first.verdict {
+            Verdict::NotRun => self,
+            _ => Failure {
+                verdict: Verdict::MayHaveRun,
+                ..self
+            },
+        }
+    }
 }
 
 #[cfg(test)]
--- a/components/node/src/accept.rs
+++ b/components/node/src/accept.rs
@@ -3,13 +3,14 @@
 use {
     crate::{
         callers::Reply,
+        comeback::SOONEST,
         core::Node,
         group::put,
         keys,
         message::{Ask, Told},
         peer,
-        settings::COME_BACK,
         store::{Applied, Change, MAX_ENTRIES},
+        time,
     },
     job::{Id, Submission},
     kernel::{Verdict, wall},
@@ -54,10 +55,12 @@
 /// Hands a job to the accepting task. A box that is cut off from the store sends nothing and says
 /// so at once, instead of letting callers wait for a silent store.
 fn submit_here(node: &Node, submission: &Submission) -> Reply {
-    if node.shared.is_cut_off() {
-        log::warn!(target: "accept", job = submission.id.as_str(); "A job is refused: the store does not answer this box. Nothing was sent.");
-        metrics::counter!("magpie_refused_total").increment(1);
-        return Reply::Busy(COME_BACK);
+    if node.shared.is_cut_off() || node.shared.is_probe_long() {
+        return refusal(
+            node,
+            submission,
+            "the store does not answer this box, nothing was sent",
+        );
     }
     let (answer, answered) = mpsc::sync_channel(1);
     let knock = Knock {
@@ -66,10 +69,21 @@
     };
     match node.acceptor.send(knock) {
         Ok(()) => answered.recv().unwrap_or(Reply::Unsure),
-        Err(_) => Reply::Busy(COME_BACK),
+        Err(_) => refusal(node, submission, "the box is stopping"),
     }
 }
 
+/// Refuses a job that surely does not run, and says when to come back.
+fn refusal(node: &Node, submission: &Submission, cause: &str) -> Reply {
+    log::warn!(target: "accept", job = submission.id.as_str(), cause; "A job is refused; it surely does not run.");
+    metrics::counter!("magpie_refused_total").increment(1);
+    let wait = node
+        .shared
+        .comeback
+        .wait(time::now(), submission.queue.priority);
+    Reply::Busy(wait)
+}
+
 /// Lets the owner do what this box cannot. Without an owner that answers, nothing was sent.
 fn pass_on(node: &Node, ask: &Ask, reply: Reply) -> Reply {
     let Some(owner) = node.shared.owner.load_full() else {
@@ -107,7 +121,17 @@
     }
 }
 
+/// Accepts a group of jobs in one change.
+///
+/// Once the store has failed this box, no write leaves until a read has come back: a write without an
+/// answer leaves the caller unsure, while without one the refusal is a true "not run".
 fn accept(node: &Node, mut group: Vec<Knock>) {
+    if node.shared.is_failing()
+        && let Err(failure) = node.shared.probe(&*node.outside.store)
+    {
+        refuse(node, &group, &format!("nothing was sent: {failure}"));
+        return;
+    }
     for _ in 0..TRIES {
         if group.is_empty() {
             return;
@@ -133,7 +157,7 @@
             }
             Ok(Applied::NoLease) => break,
             Err(failure) if failure.verdict == Verdict::NotRun => {
-                refuse(&group, &failure.to_string());
+                refuse(node, &group, &failure.to_string());
                 return;
             }
             Err(_) => {
@@ -142,7 +166,7 @@
             }
         }
     }
-    refuse(&group, "its conditions do not come true");
+    refuse(node, &group, "its conditions do not come true");
 }
 
 fn change_of(group: &[Knock]) -> Change {
@@ -166,11 +190,9 @@
         .tell(move |core, cx| core.accepted(cx, submission));
 }
 
-fn refuse(group: &[Knock], cause: &str) {
+fn refuse(node: &Node, group: &[Knock], cause: &str) {
     for knock in group {
-        log::warn!(target: "accept", job = knock.submission.id.as_str(), cause; "A job is refused; it surely does not run.");
-        metrics::counter!("magpie_refused_total").increment(1);
-        answer(knock, Reply::Busy(COME_BACK));
+        answer(knock, refusal(node, &knock.submission, cause));
     }
 }
 
@@ -206,13 +228,13 @@
 
 fn cancel_here(node: &Node, id: &Id) -> Reply {
     if node.shared.is_cut_off() {
-        return Reply::Busy(COME_BACK);
+        return Reply::Busy(SOONEST);
     }
     let store = &node.outside.store;
     let job = match store.get(&keys::job(id)) {
         Ok(Some(item)) => item,
         Ok(None) => return cancel_ended(node, id),
-        Err(_) => return Reply::Busy(COME_BACK),
+        Err(_) => return Reply::Busy(SOONEST),
     };
     let change = Change {
         expect: vec![(job.key, job.revision)],
@@ -222,20 +244,35 @@
     match store.apply(&change) {
         Ok(Applied::Done(_)) => {
             log::info!(target: "accept", job = id.as_str(); "A job is cancelled.");
+            tell_owner(node, id);
             Reply::Cancelled
         }
         Ok(Applied::Conflict(_)) => cancel_ended(node, id),
         Ok(Applied::NoLease) => Reply::Unsure,
-        Err(failure) if failure.verdict == Verdict::NotRun => Reply::Busy(COME_BACK),
+        Err(failure) if failure.verdict == Verdict::NotRun => Reply::Busy(SOONEST),
         Err(_) => Reply::Unsure,
     }
 }
 
+/// Tells the owner at once of a cancellation that is written down: its watch brings it too, but may
+/// have gone silent.
+fn tell_owner(node: &Node, id: &Id) {
+    if !cancelled_here(node, id) {
+        peer::ask_owner(node, &Ask::Cancelled(id.clone()));
+    }
+}
+
+/// Takes in a cancellation that is written down. False when this box does not own the cell.
+pub(crate) fn cancelled_here(node: &Node, id: &Id) -> bool {
+    let id = id.clone();
+    node.remote.ask(move |core, cx| core.cancelled(cx, &id)) == Ok(true)
+}
+
 /// A job that has ended has nothing left to cancel; one that never was cannot be.
 fn cancel_ended(node: &Node, id: &Id) -> Reply {
     match node.outside.store.get(&keys::state(id)) {
         Ok(Some(_)) => Reply::Cancelled,
         Ok(None) => Reply::Gone,
-        Err(_) => Reply::Busy(COME_BACK),
+        Err(_) => Reply::Busy(SOONEST),
     }
 }
--- a/components/node/src/callers.rs
+++ b/components/node/src/callers.rs
@@ -3,11 +3,11 @@
 use {
     crate::{
         accept,
+        comeback::SOONEST,
         core::Node,
         keys,
         message::{Ask, Told},
         peer,
-        settings::COME_BACK,
     },
     job::{Id, Queue, Record, Spec, State, Submission},
     kernel::{Failure, wall, wire},
@@ -88,7 +88,7 @@
         }
         self.kept_state(id).unwrap_or_else(|failure| {
             log::info!(target: "callers", job = id.as_str(), error:% = failure; "The state of a job cannot be read.");
-            Reply::Busy(COME_BACK)
+            Reply::Busy(SOONEST)
         })
     }
 
@@ -125,7 +125,7 @@
         }
         match peer::ask_owner(self, &Ask::Waiting(queue.name.clone())) {
             Some(Told::Waiting(Some(waiting))) => Reply::Waiting(waiting),
-            _ => Reply::Busy(COME_BACK),
+            _ => Reply::Busy(SOONEST),
         }
     }
 }
--- a/components/node/src/core.rs
+++ b/components/node/src/core.rs
@@ -2,11 +2,13 @@
 
 use {
     crate::{
-        accept, follow,
+        accept,
+        comeback::Comeback,
+        follow,
         message::Owner,
         outside::Outside,
         peer, relay,
-        settings::{CUT_OFF, Settings},
+        settings::{CUT_OFF, PROBE_LONG, Settings},
         store::{Applied, Change, Item, Page, Store, Watched},
         tenure::Tenure,
         time,
@@ -37,6 +39,10 @@
     failing: AtomicBool,
     /// The box is being stopped.
     stopping: AtomicBool,
+    /// Since when a probe of the store has been on its way; 0 for none.
+    probing: AtomicU64,
+    /// How callers that are refused are told to come back.
+    pub comeback: Comeback,
 }
 
 impl Shared {
@@ -50,6 +56,25 @@
         time::now().saturating_sub(stored) > CUT_OFF.as_millis() as u64
     }
 
+    /// True when the last call of the store failed, in whichever way.
+    pub fn is_failing(&self) -> bool {
+        self.failing.load(Ordering::Acquire)
+    }
+
+    /// True when a probe of the store takes so long that nothing good is to be expected of it.
+    pub fn is_probe_long(&self) -> bool {
+        let since = self.probing.load(Ordering::Acquire);
+        since != 0 && time::now().saturating_sub(since) > PROBE_LONG
+    }
+
+    /// Sees whether the store answers.
+    pub fn probe(&self, store: &dyn Store) -> Result<(), Failure> {
+        self.probing.store(time::now().max(1), Ordering::Release);
+        let result = store.probe();
+        self.probing.store(0, Ordering::Release);
+        result
+    }
+
     /// True when the box is being stopped.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
@@ -104,6 +129,10 @@
         self.note("apply", self.inner.apply(change))
     }
 
+    fn probe(&self) -> Result<(), Failure> {
+        self.note("probe", self.inner.probe())
+    }
+
     fn grant(&self, length: Duration) -> Result<u64, Failure> {
         self.note("grant", self.inner.grant(length))
     }
--- a/components/node/src/follow.rs
+++ b/components/node/src/follow.rs
@@ -7,7 +7,7 @@
         group::CELL,
         keys,
         message::Owner,
-        settings::{CONFIG_GAP, STORE_PAUSE, WATCH_WAIT},
+        settings::{CONFIG_GAP, OWNER_WAIT, STORE_PAUSE},
         store::Item,
     },
     job::Config,
@@ -100,7 +100,7 @@
             log::error!(target: "owner", error:% = error; "The record of the owner cannot be read.");
         }
     }
-    let watched = node.outside.store.watch(&item.key, item.at, WATCH_WAIT);
+    let watched = node.outside.store.watch(&item.key, item.at, OWNER_WAIT);
     if watched.is_err() {
         thread::sleep(STORE_PAUSE);
     }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod accept;
 pub mod callers;
 pub mod claim;
+pub mod comeback;
 pub mod core;
 pub mod follow;
 pub mod group;
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -76,6 +76,8 @@
     Submit(Box<Submission>),
     /// To cancel a job, for the same reason.
     Cancel(Id),
+    /// To take in that a job is cancelled, which is written down already.
+    Cancelled(Id),
     /// Whether it owns the cell.
     Probe {
         /// It is to give the cell up if it is cut off from the store.
@@ -90,7 +92,7 @@
     State(Option<State>),
     /// See [`Ask::Waiting`]; `None` from a box that does not own the cell.
     Waiting(Option<usize>),
-    /// See [`Ask::Submit`] and [`Ask::Cancel`].
+    /// See [`Ask::Submit`], [`Ask::Cancel`] and [`Ask::Cancelled`].
     Reply(Reply),
     /// See [`Ask::Probe`].
     Owning {
--- a/components/node/src/owning.rs
+++ b/components/node/src/owning.rs
@@ -4,7 +4,7 @@
     crate::{
         core::Node,
         keys,
-        settings::{LEASE, LIST_GAP, RENEW, STORE_PAUSE, WATCH_WAIT, WAVE_GAP},
+        settings::{INTAKE_WAIT, LEASE, LIST_GAP, RENEW, STORE_PAUSE, WAVE_GAP},
         store::{Event, Watched, range_all},
         time,
     },
@@ -138,7 +138,7 @@
 fn intake(node: &Node, fence: u64) {
     let mut after = fence;
     loop {
-        let watched = node.outside.store.watch(keys::INTAKE, after, WATCH_WAIT);
+        let watched = node.outside.store.watch(keys::INTAKE, after, INTAKE_WAIT);
         if is_over(node, fence) {
             return;
         }
--- a/components/node/src/peer.rs
+++ b/components/node/src/peer.rs
@@ -3,11 +3,12 @@
 use {
     crate::{
         accept,
+        callers::Reply,
         core::Node,
         message::{Ask, Offer, Told},
-        settings::PEER_TIMEOUT,
+        settings::{PEER_TIMEOUT, PEER_TWICE},
     },
-    kernel::{Failure, Request, server::Reply},
+    kernel::{Failure, Request, server},
     std::sync::Arc,
 };
 
@@ -21,7 +22,11 @@
 /// It gave no usable answer.
 pub fn ask(node: &Node, address: &str, ask: &Ask) -> Result<Told, Failure> {
     let url = format!("http://{address}{PATH}");
-    node.client.post(&url, ask, PEER_TIMEOUT)
+    match ask {
+        // Its refusal has to be true, and that of a second try says nothing of the first.
+        Ask::Submit(_) | Ask::Cancel(_) => node.client.post(&url, ask, PEER_TIMEOUT),
+        _ => node.client.post(&url, ask, PEER_TWICE),
+    }
 }
 
 /// Asks the owner of the cell, when it is another box.
@@ -42,7 +47,7 @@
 /// Answers another box.
 pub fn answer(node: &Node, request: Request) {
     let result = request.message().and_then(|ask: Ask| told(node, ask));
-    request.respond(Reply::message(&result));
+    request.respond(server::Reply::message(&result));
 }
 
 /// Answers a relay.
@@ -50,7 +55,7 @@
     let result = request
         .message()
         .and_then(|offer: Offer| node.remote.ask(move |core, cx| core.take_offer(cx, offer)));
-    request.respond(Reply::compact(&result));
+    request.respond(server::Reply::compact(&result));
 }
 
 fn told(node: &Node, ask: Ask) -> Result<Told, Failure> {
@@ -62,6 +67,14 @@
         Ask::Waiting(queue) => Ok(Told::Waiting(waiting(node, queue)?)),
         Ask::Submit(submission) => Ok(Told::Reply(accept::submit(node, *submission, false))),
         Ask::Cancel(id) => Ok(Told::Reply(accept::cancel(node, &id, false))),
+        Ask::Cancelled(id) => {
+            let is_owner = accept::cancelled_here(node, &id);
+            Ok(Told::Reply(if is_owner {
+                Reply::Cancelled
+            } else {
+                Reply::Gone
+            }))
+        }
         Ask::Probe { release } => probe(node, release),
     }
 }
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -9,7 +9,7 @@
         core::Node,
         message::{Command, Duty, Heard, Offer, Owner},
         outside::Unheard,
-        settings::{POLL_PAUSE, RELAY_BUSY, RELAY_IDLE, RELAY_TIMEOUT},
+        settings::{POLL_PAUSE, RELAY_BUSY, RELAY_IDLE, RELAY_TIME},
     },
     cell::{Entry, Order, Poll},
     kernel::{Failure, sync::lock, task, wire},
@@ -82,7 +82,7 @@
 fn exchange(node: &Node, owner: &Owner, offer: &Offer) -> Result<Duty, Failure> {
     let url = format!("http://{}{PATH}", owner.address);
     let body = wire::encode_compact(offer)?;
-    node.client.post_encoded(&url, &body, RELAY_TIMEOUT)
+    node.client.post_encoded(&url, &body, RELAY_TIME)
 }
 
 /// Carries a duty out, in a new session where it belongs to one. Returns the session; `None` when the
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -2,6 +2,7 @@
 
 use {
     cell::Timing,
+    kernel::client::Time,
     std::{sync::Arc, time::Duration},
 };
 
@@ -43,27 +44,35 @@
 pub const LIST_GAP: Duration = Duration::from_millis(700);
 /// How often the owner looks for a wave of upkeep while there is none; waves last tens of seconds.
 pub const WAVE_GAP: Duration = Duration::from_millis(2_000);
-/// How often the configuration is read besides watching it: a watch may hear nothing.
-pub const CONFIG_GAP: Duration = Duration::from_millis(2_000);
-/// How long a watch of the owner or of the intake waits; then the value itself is read.
-pub const WATCH_WAIT: Duration = Duration::from_millis(5_000);
+/// How often the configuration is read besides watching it: a watch may hear nothing. Boxes have to be
+/// up to date 3 s after their connections went silent, the time-out of the watch included.
+pub const CONFIG_GAP: Duration = Duration::from_millis(1_400);
+/// How long a watch of the owner waits; then its key is read. A watch whose connection has gone silent
+/// is found out after this time, and until then the death of the owner is not seen.
+pub const OWNER_WAIT: Duration = Duration::from_millis(2_500);
+/// How long a watch of the intake waits. Jobs come several times a second, so that a wait that brings
+/// nothing is rare, and a watch that has gone silent holds what callers sent back for no longer.
+pub const INTAKE_WAIT: Duration = Duration::from_millis(600);
 /// The pause after a call of the store that failed.
 pub const STORE_PAUSE: Duration = Duration::from_millis(250);
 /// The pause after a poll of a worker that failed.
 pub const POLL_PAUSE: Duration = Duration::from_millis(300);
 /// The time for one call to another box.
 pub const PEER_TIMEOUT: Duration = Duration::from_millis(400);
+/// The time for one that may be made twice.
+pub const PEER_TWICE: Time = Time::twice(PEER_TIMEOUT, Duration::from_millis(200));
 /// An owner that has had no answer of the store for this long is cut off from it.
 pub const CUT_OFF: Duration = Duration::from_millis(1_500);
-/// When a refused caller is told to come back, in seconds.
-pub const COME_BACK: u64 = 1;
+/// While a probe of a failing store has taken this long, in milliseconds, callers are refused without
+/// waiting for it; on a connection that works it takes 8 ms.
+pub const PROBE_LONG: u64 = 100;
 /// Between two exchanges of a relay with the owner: a task is started and its end known that much
 /// later, and each exchange costs the owner some 0.3 ms.
 pub const RELAY_BUSY: Duration = Duration::from_millis(25);
 /// Between two offers of a box that is not needed as a relay.
 pub const RELAY_IDLE: Duration = Duration::from_millis(400);
-/// The time for one exchange of a relay.
-pub const RELAY_TIMEOUT: Duration = Duration::from_millis(800);
+/// The time for one exchange of a relay. It may be made twice: the owner takes each offer once.
+pub const RELAY_TIME: Time = Time::twice(Duration::from_millis(800), Duration::from_millis(400));
 /// Boxes with less than this share of a core, in thousandths, leave the cell to stronger ones.
 pub const WEAK: u32 = 200;
 /// How long they wait for these.
--- a/components/node/src/store.rs
+++ b/components/node/src/store.rs
@@ -114,6 +114,13 @@
     /// later while its conditions hold.
     fn apply(&self, change: &Change) -> Result<Applied, Failure>;
 
+    /// Sees whether the store answers, as cheaply as can be.
+    ///
+    /// # Errors
+    ///
+    /// It does not.
+    fn probe(&self) -> Result<(), Failure>;
+
     /// Opens a lease of about this length.
     ///
     /// # Errors
--- a/components/node/src/tenure/take.rs
+++ b/components/node/src/tenure/take.rs
@@ -38,6 +38,17 @@
         }
     }
 
+    /// Takes in a cancellation that is written down. False when this box does not own the cell.
+    pub(crate) fn cancelled(&mut self, cx: &mut Cx<'_, Self>, id: &Id) -> bool {
+        let Some(tenure) = &mut self.tenure else {
+            return false;
+        };
+        // A job that is not known yet comes with its cancellation from the store.
+        tenure.cell.cancel(id, time::now(), wall::millis());
+        self.settle(cx);
+        true
+    }
+
     /// The state of a job; `None` where it is not known.
     pub(crate) fn state(&self, id: &Id) -> Option<State> {
         self.tenure.as_ref()?.cell.state(id)
--- a/components/standin/src/kv.rs
+++ b/components/standin/src/kv.rs
@@ -8,7 +8,7 @@
     kernel::{Reply, sync::lock},
     serde_json::{Value, json},
     std::{
-        collections::{BTreeMap, VecDeque},
+        collections::{BTreeMap, HashSet, VecDeque},
         io,
         net::SocketAddr,
         sync::{Arc, Condvar, Mutex, PoisonError},
@@ -38,6 +38,23 @@
     pub lost: u32,
     /// This many changes are not answered, and made only by [`Kv::carry_out`].
     pub late: u32,
+    /// Watches hear nothing: each waits its time and brings no change.
+    pub deaf: bool,
+    /// Once as many answers were lost or late, the store is busy.
+    pub then_busy: bool,
+}
+
+impl Faults {
+    /// Takes one off a count of faults to come. True when there was one.
+    fn strike(&mut self, count: fn(&mut Faults) -> &mut u32) -> bool {
+        let left = count(self);
+        if *left == 0 {
+            return false;
+        }
+        *left -= 1;
+        self.busy |= self.then_busy && self.lost == 0 && self.late == 0;
+        true
+    }
 }
 
 #[derive(Clone)]
@@ -69,6 +86,8 @@
     /// Changes that wait for [`Kv::carry_out`].
     held: Vec<Value>,
     calls: u64,
+    /// The keys that some change wanted to write, whatever came of it.
+    tried: HashSet<String>,
     faults: Faults,
 }
 
@@ -100,6 +119,11 @@
         lock(&self.core).calls
     }
 
+    /// True when a change that would write this key has arrived, whatever came of it.
+    pub fn was_tried(&self, key: &str) -> bool {
+        lock(&self.core).tried.contains(key)
+    }
+
     /// Writes a key as the operators or a worker would.
     pub fn put(&self, key: &str, value: &str) {
         let mut core = lock(&self.core);
@@ -151,6 +175,7 @@
         let faults = {
             let mut core = lock(&self.core);
             core.calls += 1;
+            core.note(asked);
             core.lapse();
             core.faults
         };
@@ -212,10 +237,18 @@
             if after < core.forgotten {
                 return reply(410, &json!({}));
             }
-            let events = core.events(prefix, after);
+            let events = match core.faults.deaf {
+                true => Vec::new(),
+                false => core.events(prefix, after),
+            };
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() || core.faults.busy {
-                return reply(200, &json!({ "events": events, "at": core.revision }));
+                let at = if core.faults.deaf {
+                    after
+                } else {
+                    core.revision
+                };
+                return reply(200, &json!({ "events": events, "at": at }));
             }
             let step = left.min(LOOK);
             let waited = self.changed.wait_timeout(core, step);
@@ -228,15 +261,13 @@
             return reply(400, &json!({})).into();
         };
         let mut core = lock(&self.core);
-        if core.faults.late > 0 {
-            core.faults.late -= 1;
+        if core.faults.strike(|faults| &mut faults.late) {
             core.held.push(change);
             return Told::Cut;
         }
         let answer = core.apply(&change);
         self.changed.notify_all();
-        if core.faults.lost > 0 {
-            core.faults.lost -= 1;
+        if core.faults.strike(|faults| &mut faults.lost) {
             return Told::Cut;
         }
         answer.into()
@@ -267,6 +298,18 @@
 }
 
 impl Core {
+    /// Notes which keys a change wants to write.
+    fn note(&mut self, asked: &Asked) {
+        if asked.path != "/kv-txn" {
+            return;
+        }
+        let change: Value = serde_json::from_slice(&asked.body).unwrap_or_default();
+        for entry in change["put"].as_array().into_iter().flatten() {
+            let key = entry["privateKey"].as_str().unwrap_or_default();
+            self.tried.insert(key.to_owned());
+        }
+    }
+
     /// Ends leases whose time is over, with their keys.
     fn lapse(&mut self) {
         let now = Instant::now();
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod deploy;
 pub mod kv;
 pub mod ledger;
+pub mod line;
 pub mod port;
 pub mod runner;
 pub mod store;
--- a/components/trial/tests/whole_path.rs
+++ b/components/trial/tests/whole_path.rs
@@ -147,7 +147,7 @@
         url: &url,
         headers: &headers,
         body: &body,
-        timeout,
+        time: timeout.into(),
     };
     let answer = fleet.client.send(&call).unwrap();
     assert_eq!(answer.header("x-magpie-verdict"), "ran");
@@ -318,7 +318,7 @@
                         url,
                         headers: &headers,
                         body: b"x",
-                        timeout: TIMEOUT,
+                        time: TIMEOUT.into(),
                     };
                     let whole = backend::expected(&id, b"x").into_bytes();
                     client.send(&call).is_ok_and(|answer| answer.body == whole)
@@ -345,7 +345,7 @@
         url: &url,
         headers: &headers,
         body: &[],
-        timeout,
+        time: timeout.into(),
     };
     let refused = fleet.client.send(&call).unwrap();
     assert_eq!(
--- a/programs/box/tests/whole_path.rs
+++ b/programs/box/tests/whole_path.rs
@@ -20,6 +20,7 @@
         thread,
         time::{Duration, Instant},
     },
+    test_case::test_case,
 };
 
 /// A wait that lasts this long has failed, on any machine.
@@ -111,7 +112,7 @@
         url: &url,
         headers: &headers,
         body: &bytes,
-        timeout: Duration::from_secs(5),
+        time: Duration::from_secs(5).into(),
     };
     Client::new(None).send(&call).ok()
 }
@@ -289,6 +290,50 @@
     assert_eq!(gone.status, 410);
 }
 
+/// A cancellation that any box took is told to the owner at once: its watch may have gone silent.
+#[test_case(0; "taken by one box")]
+#[test_case(1; "taken by the other")]
+fn cancelled_job_stops_without_watch(taker: usize) {
+    let world = World::new(FOREVER);
+    let boxes = world.boxes(2);
+    let path = "/q/00000000000000a1";
+    send(boxes[0].callers, "POST", path, Some(&job(4))).unwrap();
+    let running = || world.runners.iter().map(Runner::running).sum::<usize>();
+    until("its tasks run", || running() == 4);
+    world.kv.fail(Faults {
+        deaf: true,
+        ..Faults::default()
+    });
+    let answer = send(boxes[taker].callers, "DELETE", path, None).unwrap();
+    assert_eq!(answer.status, 200);
+    until("nothing of it runs", || running() == 0);
+}
+
+/// Once the store has failed a box, refusals are true: no write leaves until a read has come back.
+#[test_case(Faults { reset: true, ..Faults::default() }; "reset")]
+#[test_case(Faults { busy: true, ..Faults::default() }; "busy")]
+fn refused_job_was_never_sent(faults: Faults) {
+    let world = World::new(WORK);
+    let boxes = world.boxes(1);
+    let port = boxes[0].callers;
+    until("the cell has an owner", || world.owner().is_some());
+    world.kv.fail(faults);
+    let submit = |id: &str| {
+        let path = format!("/q/{id}");
+        send(port, "POST", &path, Some(&job(1))).unwrap().status
+    };
+    // The first one may meet the failure itself.
+    submit("00000000000000a0");
+    for id in ["00000000000000a1", "00000000000000a2", "00000000000000a3"] {
+        assert_eq!(submit(id), 503);
+        assert!(!world.kv.was_tried(&format!("magpie/in/job/{id}")));
+    }
+    world.kv.fail(Faults::default());
+    until("the refused job is taken", || {
+        submit("00000000000000a1") == 200
+    });
+}
+
 #[test]
 fn configuration_follows_without_restart() {
     let world = World::new(WORK);
--- a/programs/load/src/added.rs
+++ b/programs/load/src/added.rs
@@ -166,7 +166,7 @@
         url: &url,
         headers: &headers,
         body: &[7; 500],
-        timeout: Duration::from_secs(5),
+        time: Duration::from_secs(5).into(),
     };
     let started = Instant::now();
     let answer = client.send(&call).map_err(io::Error::other)?;
