Keep room in the logs for every kind of line, and tell placements by job

Ruled out: a higher rate alone; writing costs processor time on small boxes.

Change: each kind of line (by its place in the code) may take half of the rate; drops are told once a second at most; the tasks of a job that one pass places are one line, as PLACE.RUN@WORKER.

Tests: take_leaves_room_for_other_kinds and may_note_once_a_second fail before; take_bounded_by_rate now takes its lines from two kinds and is as strict.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -115,6 +115,8 @@
     pub(crate) levels: Levels,
     /// Needs that found no room when all workers were looked through.
     pub(crate) stuck: Vec<Stuck>,
+    /// What the present pass has placed of a job: place, run and worker.
+    pub(crate) placed: Vec<(usize, u64, Arc<str>)>,
 }
 
 impl Cell {
@@ -141,6 +143,7 @@
             disturbance: Disturbance::default(),
             levels: Levels::default(),
             stuck: Vec::new(),
+            placed: Vec::new(),
         }
     }
 
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -28,8 +28,22 @@
         }
     }
 
-    /// Places the ready tasks of one job.
+    /// Places the ready tasks of one job, and tells which in one line.
     fn place_job(&mut self, rank: &Rank, now: u64, changed: &[Arc<str>]) {
+        self.place_ready(rank, now, changed);
+        if self.placed.is_empty() {
+            return;
+        }
+        let told: Vec<String> = self
+            .placed
+            .drain(..)
+            .map(|(place, run, id)| format!("{place}.{run}@{id}"))
+            .collect();
+        log::info!(target: "cell", job = rank.id.as_str(), count = told.len(), tasks = told.join(" "); "Tasks are placed.");
+    }
+
+    /// Places the ready tasks of one job.
+    fn place_ready(&mut self, rank: &Rank, now: u64, changed: &[Arc<str>]) {
         let Some(job) = self.jobs.get(&rank.id) else {
             self.line.remove(rank);
             return;
@@ -171,6 +185,7 @@
             worker.probe = Some(key.clone());
         }
         let start = job.assign(key, run, id, deadline, now);
+        self.placed.push((place, run, id.clone()));
         self.orders.push((id.clone(), Order::Start(start)));
         self.strain(id, now);
     }
@@ -185,7 +200,6 @@
         task.phase = Phase::Placed(id.clone());
         self.ready.remove(&place);
         let saved = task.saved.clone();
-        log::info!(target: "cell", job = key.job.as_str(), place, run, worker = &**id, saved = saved.is_some(); "A task is placed.");
         let spec = &self.progress.submission.spec;
         let address = spec.address(place);
         Start {
--- a/components/kernel/src/logs.rs
+++ b/components/kernel/src/logs.rs
@@ -19,13 +19,14 @@
         },
     },
     std::{
+        collections::HashMap,
         io::{self, Write},
         sync::{
             Mutex, OnceLock,
             atomic::{AtomicU64, Ordering},
             mpsc::{self, Receiver, SyncSender},
         },
-        time::Instant,
+        time::{Duration, Instant},
     },
 };
 
@@ -37,6 +38,11 @@
 const RATE: f64 = 600.0;
 /// Lines at once beyond the rate.
 const BURST: f64 = 1_200.0;
+/// Lines of one kind, that is from one place in the code, may take this part of the room: a flood of
+/// one kind leaves the others.
+const SHARE: f64 = 0.5;
+/// The least time between two notes of how many lines were dropped.
+const NOTE_GAP: Duration = Duration::from_secs(1);
 
 static HANDLE: OnceLock<Handle> = OnceLock::new();
 
@@ -64,7 +70,7 @@
     let bounded = Bounded {
         sender,
         encoder: JsonEncoder::new(),
-        bucket: Mutex::new(Bucket::full(Instant::now())),
+        room: Mutex::new(Room::full(Instant::now())),
         dropped: AtomicU64::new(0),
     };
     install(level, Box::new(bounded))
@@ -87,29 +93,71 @@
 /// Room for lines, refilled at a steady rate.
 #[derive(Debug)]
 struct Bucket {
+    /// The part of the whole rate that it has.
+    share: f64,
     room: f64,
     filled: Instant,
 }
 
 impl Bucket {
-    fn full(now: Instant) -> Self {
+    fn full(share: f64, now: Instant) -> Self {
         Bucket {
-            room: BURST,
+            share,
+            room: BURST * share,
             filled: now,
         }
     }
 
-    /// Takes room for one line; false when there is none.
-    fn take(&mut self, now: Instant) -> bool {
+    /// True when there is room for a line.
+    fn has_room(&mut self, now: Instant) -> bool {
         let passed = now.saturating_duration_since(self.filled).as_secs_f64();
-        self.room = (self.room + passed * RATE).min(BURST);
+        self.room = (self.room + passed * RATE * self.share).min(BURST * self.share);
         self.filled = now;
-        if self.room < 1.0 {
+        self.room >= 1.0
+    }
+}
+
+/// The place in the code that a line comes from.
+type Kind = (Option<&'static str>, Option<u32>);
+
+/// The room of all lines, and that of each kind.
+#[derive(Debug)]
+struct Room {
+    all: Bucket,
+    kinds: HashMap<Kind, Bucket>,
+    /// When it was last told how many lines were dropped.
+    noted: Option<Instant>,
+}
+
+impl Room {
+    fn full(now: Instant) -> Self {
+        Room {
+            all: Bucket::full(1.0, now),
+            kinds: HashMap::new(),
+            noted: None,
+        }
+    }
+
+    /// Takes room for one line of a kind; false when there is none.
+    fn take(&mut self, kind: Kind, now: Instant) -> bool {
+        let own = self.kinds.entry(kind);
+        let own = own.or_insert_with(|| Bucket::full(SHARE, now));
+        if !self.all.has_room(now) || !own.has_room(now) {
             return false;
         }
-        self.room -= 1.0;
+        self.all.room -= 1.0;
+        own.room -= 1.0;
         true
     }
+
+    /// True, once in a while, when it may be told how many lines were dropped.
+    fn may_note(&mut self, now: Instant) -> bool {
+        let may = self.noted.is_none_or(|at| now >= at + NOTE_GAP);
+        if may {
+            self.noted = Some(now);
+        }
+        may
+    }
 }
 
 /// Encodes lines and hands them to the writing task.
@@ -117,13 +165,15 @@
 struct Bounded {
     sender: SyncSender<Vec<u8>>,
     encoder: JsonEncoder,
-    bucket: Mutex<Bucket>,
+    room: Mutex<Room>,
     dropped: AtomicU64,
 }
 
 impl Append for Bounded {
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
-        if !lock(&self.bucket).take(Instant::now()) {
+        let now = Instant::now();
+        let kind = (record.file_static(), record.line());
+        if !lock(&self.room).take(kind, now) {
             self.dropped.fetch_add(1, Ordering::Relaxed);
             return Ok(());
         }
@@ -133,8 +183,8 @@
             self.dropped.fetch_add(1, Ordering::Relaxed);
             return Ok(());
         }
-        let dropped = self.dropped.swap(0, Ordering::Relaxed);
-        if dropped > 0 {
+        if self.dropped.load(Ordering::Relaxed) > 0 && lock(&self.room).may_note(now) {
+            let dropped = self.dropped.swap(0, Ordering::Relaxed);
             let note = format!(
                 "{{\"target\":\"log\",\"message\":\"Lines were dropped.\",\"attributes\":{{\"lines\":{dropped}}}}}\n"
             );
@@ -162,17 +212,43 @@
 
 #[cfg(test)]
 mod tests {
-    use {super::*, std::time::Duration};
+    use super::*;
+
+    const ONE: Kind = (Some("one.rs"), Some(1));
+    const OTHER: Kind = (Some("one.rs"), Some(2));
+
+    /// How many of 5,000 lines are taken, whose kinds take turns.
+    fn taken(room: &mut Room, kinds: &[Kind], now: Instant) -> usize {
+        let lines = kinds.iter().cycle().take(5_000);
+        lines.filter(|kind| room.take(**kind, now)).count()
+    }
 
     #[test]
     fn take_bounded_by_rate() {
         let start = Instant::now();
-        let mut bucket = Bucket::full(start);
-        let taken = (0..5_000).filter(|_| bucket.take(start)).count();
-        assert_eq!(taken, BURST as usize);
+        let mut room = Room::full(start);
+        assert_eq!(taken(&mut room, &[ONE, OTHER], start), BURST as usize);
         let later = start + Duration::from_secs(1);
-        let taken = (0..5_000).filter(|_| bucket.take(later)).count();
-        assert_eq!(taken, RATE as usize);
+        assert_eq!(taken(&mut room, &[ONE, OTHER], later), RATE as usize);
+    }
+
+    /// Seen on a grown site: placements and ends of the busy seconds left no room for what an engineer
+    /// looks for.
+    #[test]
+    fn take_leaves_room_for_other_kinds() {
+        let start = Instant::now();
+        let mut room = Room::full(start);
+        assert_eq!(taken(&mut room, &[ONE], start), (BURST * SHARE) as usize);
+        assert!(room.take(OTHER, start));
+    }
+
+    #[test]
+    fn may_note_once_a_second() {
+        let start = Instant::now();
+        let mut room = Room::full(start);
+        assert!(room.may_note(start));
+        assert!(!room.may_note(start + NOTE_GAP / 2));
+        assert!(room.may_note(start + NOTE_GAP));
     }
 
     #[test]
@@ -181,7 +257,7 @@
         let bounded = Bounded {
             sender,
             encoder: JsonEncoder::new(),
-            bucket: Mutex::new(Bucket::full(Instant::now())),
+            room: Mutex::new(Room::full(Instant::now())),
             dropped: AtomicU64::new(0),
         };
         let record = Record::builder().args(format_args!("x")).build();
