--- a/components/node/src/follow.rs
+++ b/components/node/src/follow.rs
@@ -85,8 +85,29 @@
     }
 }
 
+/// Reads who the owner is, for a box whose owner does not answer or wants nothing any more: the watch
+/// may have gone silent, and a new owner needs its relays at once.
+pub fn look(node: &Node) {
+    match node.outside.store.get(&keys::owner(CELL)) {
+        Ok(Some(item)) => note(node, &item),
+        Ok(None) => {}
+        Err(failure) => {
+            log::debug!(target: "owner", error:% = failure; "The owner was not read.");
+        }
+    }
+}
+
 /// Notes the owner and waits until its key changes.
 fn see(node: &Node, item: &Item) {
+    note(node, item);
+    let watched = node.outside.store.watch(&item.key, item.at, OWNER_WAIT);
+    if watched.is_err() {
+        thread::sleep(STORE_PAUSE);
+    }
+}
+
+/// Notes the owner.
+fn note(node: &Node, item: &Item) {
     let owner: Result<Owner, Failure> = wire::decode(&item.value);
     match owner {
         Ok(owner) => {
@@ -100,10 +121,6 @@
             log::error!(target: "owner", error:% = error; "The record of the owner cannot be read.");
         }
     }
-    let watched = node.outside.store.watch(&item.key, item.at, OWNER_WAIT);
-    if watched.is_err() {
-        thread::sleep(STORE_PAUSE);
-    }
 }
 
 /// True for a key that this box wrote in an earlier life or tenure.
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -7,6 +7,7 @@
 use {
     crate::{
         core::Node,
+        follow,
         message::{Command, Duty, Heard, Offer, Owner},
         outside::Unheard,
         settings::{POLL_PAUSE, RELAY_BUSY, RELAY_IDLE, RELAY_TIME},
@@ -64,11 +65,16 @@
             Err(failure) => {
                 log::debug!(target: "relay", owner = &*owner.name, error:% = failure; "An exchange with the owner failed.");
                 unanswered = Some(offer);
+                follow::look(node);
                 thread::sleep(RELAY_BUSY);
                 continue;
             }
         };
+        let had_session = session.is_some();
         session = take_on(node, &owner, session, duty);
+        if had_session && session.is_none() {
+            follow::look(node);
+        }
         let pause = if session.is_some() {
             RELAY_BUSY
         } else {
--- a/components/standin/src/runner.rs
+++ b/components/standin/src/runner.rs
@@ -49,6 +49,8 @@
     pub lost: u32,
     /// Starts are refused with 503.
     pub unwell: bool,
+    /// Once as many answers were lost, starts are refused so.
+    pub then_unwell: bool,
 }
 
 struct Run {
@@ -177,6 +179,7 @@
         let answer = core.start(body);
         if core.faults.lost > 0 {
             core.faults.lost -= 1;
+            core.faults.unwell |= core.faults.then_unwell && core.faults.lost == 0;
             return Told::Cut;
         }
         answer.into()
