Let lasting tasks that have waited go to workers set aside, and first after 4 s

Change: tasks that last and have waited for 2 s may also go to a worker that is set aside for failures: they may fail as often as they like. After 4 s they go first however short room is, which leaves 5 s until the rule is broken.

Tests (fail before): lasting_task_takes_worker_set_aside, lasting_task_goes_first_after_long.

--- a/components/cell/src/admit.rs
+++ b/components/cell/src/admit.rs
@@ -23,6 +23,8 @@
 /// milliseconds, where there is room for more than one of them: then one that has ended has to run again
 /// within 6 s. Where room is short, a short task earns several times as much with it.
 const LAST_WAIT: u64 = 2_000;
+/// Once they have waited this long, in milliseconds, they go first however short room is.
+const LAST_LONG: u64 = 4_000;
 
 impl Cell {
     /// Takes in an accepted job. False when it is known already.
@@ -54,6 +56,7 @@
             rank: rank(&progress),
             lined: None,
             hurried: false,
+            pressed: false,
             advice: HashMap::new(),
             ready: BTreeSet::new(),
             opened: vec![false; steps],
@@ -120,8 +123,10 @@
             };
             job.hurried |= is_near;
             if job.progress.submission.spec.is_lasting() {
-                if wall > *job.lined.get_or_insert(wall) + LAST_WAIT {
-                    waiting.push(rank.clone());
+                let since = *job.lined.get_or_insert(wall);
+                job.pressed = wall > since + LAST_WAIT;
+                if job.pressed {
+                    waiting.push((rank.clone(), wall > since + LAST_LONG));
                 }
                 continue;
             }
@@ -130,8 +135,8 @@
                 late.push(rank.clone());
             }
         }
-        for rank in waiting {
-            let goes_last = !self.has_spare(&rank, now);
+        for (rank, is_long) in waiting {
+            let goes_last = !is_long && !self.has_spare(&rank, now);
             self.line.remove(&rank);
             if let Some(job) = self.jobs.get_mut(&rank.id) {
                 job.rank.lasting = goes_last;
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -37,6 +37,9 @@
     pub rank: Rank,
     /// Since when tasks of it that last wait for room, in milliseconds since 1970.
     pub lined: Option<u64>,
+    /// Tasks of it that last have waited for long: they may also go to workers that are set aside, since
+    /// they may fail as often as they like.
+    pub pressed: bool,
     /// It is about to miss its objective: its filling tasks may also go where they disturb.
     pub hurried: bool,
     /// What is known of which workers may run its steps, by time and step.
--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -99,7 +99,10 @@
     ) -> bool {
         let step = &job.progress.submission.spec.steps[address.step as usize];
         // Room goes first: it is what most workers lack, and quick to see.
-        if !has_room(step, worker, before) || !worker.is_open(now) {
+        if !has_room(step, worker, before) {
+            return false;
+        }
+        if !worker.is_open(now) && !(job.pressed && worker.is_set_aside()) {
             return false;
         }
         if worker.entry.pool != job.progress.submission.queue.pool {
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -64,6 +64,7 @@
         if job.ready.is_empty() {
             self.line.remove(rank);
             job.lined = None;
+            job.pressed = false;
             job.rank.lasting = job.progress.submission.spec.is_lasting();
         }
     }
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -203,6 +203,11 @@
         self.fenced && self.listed && !self.entry.leaving && !self.closing && now >= self.avoid
     }
 
+    /// True when it may be given work but for the failures that it was set aside for.
+    pub fn is_set_aside(&self) -> bool {
+        self.is_faulty() && !self.failing && self.is_open(u64::MAX)
+    }
+
     /// True when it may be given a task that has failed so often. A worker whose last run failed
     /// just now gets none that has failed before, since attempts are few. A faulty one gets one
     /// task to try it with.
--- a/components/cell/tests/decisions/fill.rs
+++ b/components/cell/tests/decisions/fill.rs
@@ -253,3 +253,43 @@
     world.cell.rerank(3_200, world.now);
     assert_eq!(world.starts()[0].1.key.job.as_str(), FILL);
 }
+
+/// The bound on lasting tasks holds however full the workers are, after 9 s at the least.
+#[test]
+fn lasting_task_goes_first_after_long() {
+    let mut world = lasting_behind_short(&["w1", "w2"]);
+    world.cell.rerank(3_200, world.now);
+    world.now += 2_000;
+    world.cell.rerank(5_100, world.now);
+    end_short(&mut world, "w1", 0);
+    assert_eq!(world.starts()[0].1.key.job.as_str(), JOB);
+}
+
+/// Seen on a grown site: 2 in 100 workers were set aside at any time since two tasks in a row had failed there
+/// by themselves, and lasting tasks waited for room beside them for 9 s.
+#[test]
+fn lasting_task_takes_worker_set_aside() {
+    let mut world = World::new(&["w1"]);
+    world.submit(OTHER, vec![step(2, 1_000)]);
+    for (worker, start) in world.starts() {
+        world.answer(&worker, &start, Outcome::Done);
+    }
+    let mut ends = [0, 1].map(|index| {
+        let mut end =
+            crate::common::end(1 + u64::from(index), OTHER, 0, 1, magpie_cell::How::Failed);
+        end.address.index = index;
+        end
+    });
+    ends[0].number = 1;
+    world.report("w1", vec![], ends.to_vec());
+    let lasting = Step {
+        lasting: true,
+        ..step(1, 3_000)
+    };
+    world.submit(JOB, vec![lasting]);
+    world.cell.rerank(1_000, world.now);
+    assert!(world.starts().is_empty());
+    world.now += 2_100;
+    world.cell.rerank(3_100, world.now);
+    assert_eq!(world.starts()[0].1.key.job.as_str(), JOB);
+}
