Let harmful filling tasks come close to the limit only while work is crowded

Change: 0.27 is kept back again, 0.12 for pairs not seen yet, 0.07 while more filling work waits than runs in the whole cell, 0.02 for jobs close to their objective.

Test: harmful_goes_where_work_is_crowded (its first row fails before).

--- a/components/cell/src/admit.rs
+++ b/components/cell/src/admit.rs
@@ -114,6 +114,7 @@
     /// waited, where there is room for more than one of their tasks. The times are since 1970 and on our
     /// clock.
     pub fn rerank(&mut self, wall: u64, now: u64) {
+        self.weigh();
         let mut late = Vec::new();
         let mut waiting = Vec::new();
         for rank in &self.line {
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -116,6 +116,8 @@
     pub(crate) disturbance: Disturbance,
     /// The load of serving jobs.
     pub(crate) levels: Levels,
+    /// More filling work waits than runs.
+    pub(crate) crowded: bool,
     /// Needs that found no room when all workers were looked through.
     pub(crate) stuck: Vec<Stuck>,
     /// What the present pass has placed of a job: place, run and worker.
@@ -145,6 +147,7 @@
             recovery: None,
             disturbance: Disturbance::default(),
             levels: Levels::default(),
+            crowded: false,
             stuck: Vec::new(),
             placed: Vec::new(),
         }
--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -102,7 +102,8 @@
         if !has_room(step, worker, before) {
             return false;
         }
-        if !worker.is_open(now) && !(job.pressed && worker.is_set_aside()) {
+        let is_open = worker.is_open(now) || (job.pressed && worker.is_set_aside());
+        if !is_open {
             return false;
         }
         if worker.entry.pool != job.progress.submission.queue.pool {
@@ -116,7 +117,7 @@
         if step.fills
             && !self
                 .effect(step, image, worker, before + 1)
-                .is_bearable(job.hurried)
+                .is_bearable(self.press(job))
         {
             return false;
         }
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -5,6 +5,7 @@
         cell::{Cell, Job, Rank},
         order::{Order, Start},
         slot::{Slot, Stage},
+        strain::Press,
         timing,
         worker::Key,
     },
@@ -98,7 +99,7 @@
         };
         let submission = job.progress.submission.clone();
         let step = &submission.spec.steps[address.step as usize];
-        let need = Need::of(step, &submission, address, job.hurried);
+        let need = Need::of(step, &submission, address, self.press(job));
         let mut is_stuck = self.is_stuck(&need);
         if is_stuck && changed.is_empty() {
             return;
@@ -225,8 +226,8 @@
     label: Option<Arc<str>>,
     /// Of a filling task: what it disturbs hangs on it.
     image: Option<Arc<str>>,
-    /// Of a filling task: it may go where it disturbs.
-    hurried: bool,
+    /// Of a filling task: how much it is wanted where it disturbs.
+    press: Press,
     /// The very step, where few of its tasks may be on one worker.
     only: Option<(Id, u32, u16)>,
 }
@@ -239,7 +240,7 @@
 }
 
 impl Need {
-    fn of(step: &Step, submission: &Submission, address: Address, hurried: bool) -> Self {
+    fn of(step: &Step, submission: &Submission, address: Address, press: Press) -> Self {
         let own = || (submission.id.clone(), address.time, address.step);
         Need {
             pool: submission.queue.pool.clone(),
@@ -247,7 +248,7 @@
             fills: step.fills,
             label: step.label.clone(),
             image: step.image.clone().filter(|_| step.fills),
-            hurried: hurried && step.fills,
+            press: if step.fills { press } else { Press::None },
             only: (step.spread > 0).then(own),
         }
     }
@@ -259,7 +260,7 @@
             && self.label == other.label
             && self.image == other.image;
         let is_general = self.only.is_none() || self.only == other.only;
-        let is_freer = self.hurried || !other.hurried;
+        let is_freer = self.press >= other.press;
         is_like && is_general && is_freer && self.size.fits(other.size)
     }
 }
--- a/components/cell/src/strain.rs
+++ b/components/cell/src/strain.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        cell::Cell,
+        cell::{Cell, Job},
         disturb::{Disturbance, HARMFUL, Image, LOAD_AT_TARGET, level::Levels},
         pace::LOAD_LIMIT,
         worker::Worker,
@@ -15,13 +15,27 @@
 /// How far ahead the load is foreseen for a filling task that is to be placed, in milliseconds:
 /// they run for 2 s on average.
 const AHEAD: u64 = 1_500;
-/// The load up to which a filling task that disturbs much is placed beside serving ones: somewhat below
-/// the limit, or it is slowed down soon. Where most pairs disturb, work that waits for harmless room waits
-/// for good, so that little is kept back (0.27 lost 0.015 of worth on one site of two).
-const HARM_LIMIT: f64 = LOAD_LIMIT - 0.07;
-/// The same for tasks of jobs that are about to miss their objective, and for pairs not seen yet.
+/// The load up to which a filling task that disturbs much is placed beside serving ones: far below
+/// the limit, or it is slowed down soon and serving tasks pay for it.
+const HARM_LIMIT: f64 = LOAD_LIMIT - 0.27;
+/// The same for pairs not seen yet, or nobody would ever learn.
+const EXPLORE_LIMIT: f64 = LOAD_LIMIT - 0.12;
+/// The same while more filling work waits than runs: what waits for harmless room then waits for good.
+const CROWDED_LIMIT: f64 = LOAD_LIMIT - 0.07;
+/// The same for tasks of jobs that are about to miss their objective.
 const HURRIED_LIMIT: f64 = LOAD_LIMIT - 0.02;
 
+/// How much a filling task that disturbs is wanted beside serving ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Press {
+    /// It can wait for room where it disturbs nobody.
+    None,
+    /// More filling work waits than runs.
+    Crowded,
+    /// Its job is about to miss its objective.
+    Hurried,
+}
+
 /// The load of the serving tasks of one image on a worker, and what filling tasks there add to it
 /// when they all work at full speed.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -39,6 +53,36 @@
 }
 
 impl Cell {
+    /// How much a job's filling tasks that disturb are wanted.
+    pub(crate) fn press(&self, job: &Job) -> Press {
+        if job.hurried {
+            Press::Hurried
+        } else if self.crowded {
+            Press::Crowded
+        } else {
+            Press::None
+        }
+    }
+
+    /// Finds out whether more filling work waits than runs.
+    pub(crate) fn weigh(&mut self) {
+        let running: u64 = self.workers.values().map(|worker| worker.filling).sum();
+        let mut waiting = 0;
+        for rank in &self.line {
+            let Some(job) = self.jobs.get(&rank.id) else {
+                continue;
+            };
+            let Some(&place) = job.ready.first() else {
+                continue;
+            };
+            let step = job.progress.step(place);
+            if step.fills {
+                waiting += step.size.cpu * job.ready.len() as u64;
+            }
+        }
+        self.crowded = waiting > running;
+    }
+
     /// Brings the strain of all workers up to date that have changed since the last call. Returns
     /// these workers.
     pub(crate) fn take_changed(&mut self, now: u64) -> Vec<Arc<str>> {
@@ -97,17 +141,17 @@
 
 impl Effect {
     /// True when the serving tasks can bear it for now. Tasks that disturb little may run wherever the load
-    /// foreseen bears them: a load that passes the limit later does so by itself. Of the others, a hurried
-    /// job may come closer to the limit; so may one of which it is not known what it does, or nobody would
-    /// ever learn.
-    pub fn is_bearable(&self, hurried: bool) -> bool {
+    /// foreseen bears them: a load that passes the limit later does so by itself. The others come the
+    /// closer to the limit the more they are wanted.
+    pub fn is_bearable(&self, press: Press) -> bool {
         if !self.harms {
             return self.is_calm() || self.soon <= LOAD_LIMIT;
         }
-        let limit = if hurried || !self.is_known {
-            HURRIED_LIMIT
-        } else {
-            HARM_LIMIT
+        let limit = match press {
+            Press::Hurried => HURRIED_LIMIT,
+            Press::Crowded => CROWDED_LIMIT,
+            Press::None if !self.is_known => EXPLORE_LIMIT,
+            Press::None => HARM_LIMIT,
         };
         self.near <= limit
     }
--- a/components/cell/tests/decisions/fill.rs
+++ b/components/cell/tests/decisions/fill.rs
@@ -5,6 +5,7 @@
     job::Step,
     magpie_cell::{Disturbance, Order, Outcome, Report},
     std::sync::Arc,
+    test_case::test_case,
 };
 
 const FILL: &str = "00000000000000b2";
@@ -146,6 +147,25 @@
     assert_eq!(world.starts().len(), 1);
 }
 
+/// Where more filling work waits than runs, little is kept back for what harmful tasks may do.
+#[test_case(1, 0; "little waits")]
+#[test_case(20, 1; "more waits than runs")]
+fn harmful_goes_where_work_is_crowded(count: u32, least: usize) {
+    let mut world = shared_world(filling("g", 500));
+    world.cell.recall(learned(["g", "s", "f"]));
+    for _ in 0..8 {
+        world.now += 500;
+        figures(&mut world, 23);
+    }
+    let many = Step {
+        count,
+        ..filling("f", 100)
+    };
+    world.submit(OTHER, vec![many]);
+    world.cell.rerank(1, world.now);
+    assert_eq!(world.starts().len().min(1), least);
+}
+
 /// A pace is set by the load that is foreseen, before a tail comes near its target.
 #[test]
 fn pace_falls_ahead_of_the_load() {
