Gather unlike serving tasks on workers that are mixed already

Change: a serving task that has to stand beside unlike ones goes to a worker that several unlike images share already before it spoils one where some filling image still disturbs nothing; beside one of its own kind in a mixed worker it costs little.

Test (fails before): unlike_serving_tasks_gather.

Left: serving tasks are still placed once and not moved.

--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -20,9 +20,17 @@
 const HARMS: u64 = 200_000;
 /// Filling tasks beside serving ones count this much even if they disturb nothing; see `FAR`.
 const BESIDE: u64 = 4_000;
-/// A serving task counts this much on a worker that has none yet, and twice that beside other
-/// images: alike ones together leave workers where a filling image disturbs nothing.
-const UNLIKE: u64 = 100_000;
+/// A serving task counts this much beside others that the same filling images disturb, where there are also
+/// others; see `FAR`. Workers with serving tasks alike are where a filling image disturbs nothing.
+const MIXED_ALIKE: u64 = 50_000;
+/// A serving task counts this much on a worker that has none yet; see `FAR`.
+const EMPTY: u64 = 100_000;
+/// A serving task counts this much beside several unlike ones; see `FAR`. Such a worker is lost to most
+/// filling images already.
+const MIXED: u64 = 200_000;
+/// A serving task counts this much beside a single unlike image; see `FAR`. It spoils a worker where some
+/// filling image disturbs nothing.
+const MIXES: u64 = 300_000;
 
 impl Cell {
     /// How often a task has failed.
@@ -145,16 +153,27 @@
             return cost + worker.entry.size.cpu.saturating_sub(worker.unused());
         }
         if step.target > 0 {
-            let is_unlike = |own: &&Image| !self.disturbance.is_alike(**own, image);
-            let others = worker.serve_images.keys().filter(is_unlike);
-            cost += UNLIKE * (2 * others.count() as u64).min(3);
-            if worker.serve_images.is_empty() {
-                cost += UNLIKE;
-            }
+            cost += self.mixing(image, worker);
         }
         cost + worker.free().cpu
     }
 
+    /// What a serving task of an image costs by the company that it has on a worker.
+    fn mixing(&self, image: Image, worker: &Worker) -> u64 {
+        let images = worker.serve_images.keys();
+        let unlike = images
+            .filter(|own| !self.disturbance.is_alike(**own, image))
+            .count();
+        let has_alike = worker.serve_images.len() > unlike;
+        match (has_alike, unlike) {
+            (true, 0) => 0,
+            (true, _) => MIXED_ALIKE,
+            (false, 0) => EMPTY,
+            (false, 1) => MIXES,
+            (false, _) => MIXED,
+        }
+    }
+
     /// The tasks of a step, at one of its times, that a worker holds.
     fn held(&self, job: &Job, address: Address, worker: &Worker) -> u64 {
         let submission = &job.progress.submission;
--- a/components/cell/tests/decisions/fill.rs
+++ b/components/cell/tests/decisions/fill.rs
@@ -166,6 +166,24 @@
     assert_eq!(world.starts().len().min(1), least);
 }
 
+/// The fewer workers hold unlike serving images, the more are left where a filling image disturbs nothing:
+/// what has to be mixed goes where it is mixed already.
+#[test]
+fn unlike_serving_tasks_gather() {
+    let mut world = World::new(&["w1", "w2"]);
+    let mut placed = Vec::new();
+    for (number, image) in ["a", "b", "c", "d"].into_iter().enumerate() {
+        let step = Step {
+            image: Some(image.into()),
+            ..serving()
+        };
+        world.submit(&format!("{number:016x}"), vec![step]);
+        placed.extend(world.starts().into_iter().map(|(worker, _)| worker));
+    }
+    assert_ne!(placed[0], placed[1]);
+    assert_eq!(placed[2], placed[3]);
+}
+
 /// A pace is set by the load that is foreseen, before a tail comes near its target.
 #[test]
 fn pace_falls_ahead_of_the_load() {
