--- a/components/cell/tests/decisions/fill.rs
+++ b/components/cell/tests/decisions/fill.rs
@@ -1,9 +1,9 @@
 //! Filling tasks beside serving ones: where they go, and when they move.
 
 use {
-    crate::common::{JOB, World, entry, run, step, submission},
+    crate::common::{JOB, World, end, entry, run, step, submission},
     job::Step,
-    magpie_cell::{Disturbance, Order, Outcome, Report},
+    magpie_cell::{Disturbance, How, Order, Outcome, Report},
     std::sync::Arc,
     test_case::test_case,
 };
@@ -266,7 +266,7 @@
 
 /// The short task that runs on a worker ends.
 fn end_short(world: &mut World, worker: &str, index: u32) {
-    let mut done = crate::common::end(1, OTHER, 0, 1, magpie_cell::How::Done);
+    let mut done = end(1, OTHER, 0, 1, How::Done);
     done.address.index = index;
     world.report(worker, vec![], vec![done]);
 }
@@ -312,13 +312,11 @@
     for (worker, start) in world.starts() {
         world.answer(&worker, &start, Outcome::Done);
     }
-    let mut ends = [0, 1].map(|index| {
-        let mut end =
-            crate::common::end(1 + u64::from(index), OTHER, 0, 1, magpie_cell::How::Failed);
+    let ends = [0, 1].map(|index| {
+        let mut end = end(1 + u64::from(index), OTHER, 0, 1, How::Failed);
         end.address.index = index;
         end
     });
-    ends[0].number = 1;
     world.report("w1", vec![], ends.to_vec());
     let lasting = Step {
         lasting: true,
--- a/components/cell/tests/decisions/place.rs
+++ b/components/cell/tests/decisions/place.rs
@@ -313,11 +313,15 @@
             let mut running = Vec::new();
             for (worker, start) in held.iter().filter(|(worker, _)| &**worker == name) {
                 let mut run = run(start.key.job.as_str(), start.address.index, 1);
-                run.figure = match () {
-                    () if start.key.job.as_str() != JOB => 1_500,
-                    () if *worker != beside => 15,
-                    () if round == 6 => 46,
-                    () => 25,
+                let is_beside = *worker == beside;
+                run.figure = if start.key.job.as_str() != JOB {
+                    1_500
+                } else if is_beside && round == 6 {
+                    46
+                } else if is_beside {
+                    25
+                } else {
+                    15
                 };
                 running.push(run);
             }
