Take a listing for no proof that a worker's life is over at its address

The cell took whichever of the two it did not know for the newer one and gave the other up. Asked, the crashed one's address answers that another life is there; it was dropped, was 'new' again with the next listing 0.7 s later, and pushed the living one out, whose tasks were started elsewhere while they ran. Class: identity by address, and news taken from a record that outlives what it describes.

Ruled out: leases taken for over too early, and reports read wrongly (no such line before the second starts). Weighed: the store's revision at which each entry was made, as the order of lives. It is a hint only: a crashed worker's last write may be carried out late.

Change: a listing tells whom to ask. A life is over when its address answers that another one is there, or when another life there answers a poll that was sent after the first one's last answer. It is remembered until it is listed no more. A takeover asks both lives too (inherit left one out by its address). Workers that are forgotten are unlinked at one place; before, those lost by a listing kept their two tasks. Listings and lives have a file of their own, lives.rs.

Tests: lives.rs (5 of 7 cases failed before) and whole_path restarted_worker_runs_nothing_twice with the real box (failed before). new_life_frees_at_once now lets the new life answer before it expects the tasks to be free: the listing alone was what broke; that no other answer is needed is still checked.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -89,6 +89,12 @@
     /// Jobs that have ended, and when, in milliseconds since 1970.
     pub(crate) closed: HashMap<Id, (State, u64)>,
     pub(crate) workers: BTreeMap<Arc<str>, Worker>,
+    /// Lives of workers that are proven to be over and are still listed.
+    pub(crate) over: HashSet<Arc<str>>,
+    /// Addresses at which more than one life is known.
+    pub(crate) shared: HashSet<Arc<str>>,
+    /// Workers that were forgotten and that somebody may still talk to.
+    pub(crate) gone: Vec<Arc<str>>,
     /// Jobs with tasks that may start.
     pub(crate) line: BTreeSet<Rank>,
     /// Jobs whose record is to be written.
@@ -133,6 +139,9 @@
             jobs: HashMap::new(),
             closed: HashMap::new(),
             workers: BTreeMap::new(),
+            over: HashSet::new(),
+            shared: HashSet::new(),
+            gone: Vec::new(),
             line: BTreeSet::new(),
             dirty: Turns::default(),
             timed: HashSet::new(),
--- a/components/cell/src/lapse.rs
+++ b/components/cell/src/lapse.rs
@@ -1,96 +1,20 @@
-//! Workers that come and go, and leases that are over.
+//! Workers that are not heard, and leases that are over.
 
 use {
     crate::{
         cell::{Cell, Recovery},
         timing,
-        worker::{Entry, Key, Worker},
+        worker::Key,
     },
     job::Phase,
-    std::{collections::HashSet, sync::Arc},
+    std::sync::Arc,
 };
 
 /// How long tasks that can be done are left alone when their worker was not asked in time, in
 /// milliseconds: a late owner catches up within about a second.
 const TELL: u64 = 2_000;
 
-/// Listings further apart than this, in milliseconds, have a gap: the store was away. They are
-/// 0.7 s apart.
-const LIST_LATE: u64 = 2_000;
-
 impl Cell {
-    /// Takes in the whole listing of workers. Returns those that are new.
-    pub fn list(&mut self, entries: Vec<Entry>, now: u64) -> Vec<Entry> {
-        if now > self.listed + LIST_LATE {
-            self.steady = now;
-        }
-        self.listed = now;
-        self.note_listed(&entries, now);
-        let mut added = Vec::new();
-        for entry in entries {
-            if let Some(worker) = self.workers.get_mut(&entry.id) {
-                if worker.entry.leaving != entry.leaving {
-                    log::info!(target: "cell", worker = &*entry.id, leaving = entry.leaving, remaining:? = entry.remaining; "A worker changes its state.");
-                }
-                worker.entry = entry;
-                continue;
-            }
-            self.lose_former(&entry);
-            log::info!(target: "cell", worker = &*entry.id, address = &*entry.address, rack = entry.rack(), cpu = entry.size.cpu; "A worker is new.");
-            self.workers
-                .insert(entry.id.clone(), Worker::new(entry.clone()));
-            self.fleet_dirty = true;
-            added.push(entry);
-        }
-        self.drain(now);
-        added
-    }
-
-    /// Notes which of the known workers are listed.
-    fn note_listed(&mut self, entries: &[Entry], now: u64) {
-        let ids: HashSet<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
-        for (id, worker) in &mut self.workers {
-            let is_listed = ids.contains(id);
-            if is_listed {
-                worker.vanished = None;
-            } else if worker.vanished.is_none() {
-                worker.vanished = Some(now);
-            }
-            if worker.listed != is_listed {
-                log::info!(target: "cell", worker = &**id, listed = is_listed; "The listing of a worker has changed.");
-            }
-            worker.listed = is_listed;
-        }
-    }
-
-    /// A new life at an address means that the old one there is over.
-    fn lose_former(&mut self, entry: &Entry) {
-        let is_old = |worker: &&Worker| worker.entry.address == entry.address;
-        let Some(old) = self.workers.values().find(is_old) else {
-            return;
-        };
-        let id = old.entry.id.clone();
-        self.lose(&id, "a new life at its address");
-    }
-
-    /// Takes over workers that a former owner knew and that are not listed now.
-    pub fn inherit(&mut self, entries: Vec<Entry>) -> Vec<Entry> {
-        let mut added = Vec::new();
-        for entry in entries {
-            let same = |worker: &Worker| {
-                worker.entry.id == entry.id || worker.entry.address == entry.address
-            };
-            if self.workers.values().any(same) {
-                continue;
-            }
-            let mut worker = Worker::new(entry.clone());
-            worker.listed = false;
-            self.workers.insert(entry.id.clone(), worker);
-            added.push(entry);
-        }
-        added
-    }
-
     /// Holds the tasks of resumed jobs back until each worker has answered, or until any lease
     /// that the former owner may have given is over.
     pub fn recover(&mut self, now: u64) {
@@ -130,11 +54,11 @@
         }
     }
 
-    /// Gives up what runs under leases that are over. Returns the workers that are gone.
+    /// Gives up what runs under leases that are over, and workers that are not listed besides.
     ///
     /// A worker that answers may have ends to tell, from before its leases were over: where it just
     /// was not asked in time, tasks that can be done are left alone until it is.
-    pub fn lapse(&mut self, now: u64) -> Vec<Arc<str>> {
+    pub fn lapse(&mut self, now: u64) {
         let mut over = Vec::new();
         for (id, worker) in &self.workers {
             let (is_over, may_tell) = match worker.lapses() {
@@ -148,17 +72,14 @@
                 over.push((id.clone(), may_tell));
             }
         }
-        let mut gone = Vec::new();
         for (id, may_tell) in over {
             self.expire(&id, may_tell);
             let is_listed = self.workers.get(&id).is_some_and(|worker| worker.listed);
             if !is_listed {
                 self.lose(&id, "its leases are over and it is not listed");
-                gone.push(id);
             }
         }
         self.settle(now);
-        gone
     }
 
     /// Frees the tasks of a worker whose leases are over, or just its lasting ones; it has to answer
@@ -194,7 +115,7 @@
     }
 
     /// Frees a task if it was placed on this worker.
-    fn free_from(&mut self, id: &Arc<str>, key: &Key) {
+    pub(crate) fn free_from(&mut self, id: &Arc<str>, key: &Key) {
         let is_here = self.jobs.get(&key.job).is_some_and(
             |job| matches!(&job.progress.tasks[key.place].phase, Phase::Placed(at) if at == id),
         );
@@ -202,22 +123,4 @@
             self.free(key);
         }
     }
-
-    /// Forgets a worker whose life is over, and frees all that it had.
-    pub fn lose(&mut self, id: &Arc<str>, cause: &str) {
-        let Some(worker) = self.workers.remove(id) else {
-            return;
-        };
-        log::warn!(target: "cell", worker = &**id, cause, tasks = worker.slots.len(); "A worker is gone.");
-        self.fleet_dirty = true;
-        self.heard(id);
-        for key in worker.slots.keys() {
-            self.free_from(id, key);
-        }
-    }
-
-    /// True when the worker is still known.
-    pub fn knows(&self, id: &str) -> bool {
-        self.workers.contains_key(id)
-    }
 }
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -14,6 +14,7 @@
 mod ends;
 mod gang;
 mod lapse;
+mod lives;
 mod order;
 mod pace;
 mod place;
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -48,6 +48,7 @@
             at: now,
         });
         let had_unwritten = worker.is_unwritten();
+        self.outlive(id, sent);
         let moment = Moment { sent, now, wall };
         let dirty_before = self.dirty.len();
         for end in &report.ended {
--- a/components/cell/tests/decisions/lives.rs
+++ b/components/cell/tests/decisions/lives.rs
@@ -131,7 +131,9 @@
     world.cell.recover(world.now);
     refuse(&mut world.cell, "w1", world.now);
     world.report("w9", vec![], vec![]);
+    world.cell.lapse(world.now);
     assert!(world.starts().is_empty());
     world.report("w2", vec![], vec![]);
+    world.cell.lapse(world.now);
     assert_eq!(world.starts().len(), 1);
 }
--- a/components/cell/tests/decisions/silence.rs
+++ b/components/cell/tests/decisions/silence.rs
@@ -112,6 +112,8 @@
     let other = other_than(&worker);
     let added = world.cell.list(vec![new, entry(other, 4)], world.now);
     assert_eq!(added.len(), 1);
+    world.now += 1;
+    world.report("w9", vec![], vec![]);
     assert!(!world.cell.knows(&worker));
     assert_eq!(world.starts().len(), 1);
 }
--- a/components/node/src/tenure/mod.rs
+++ b/components/node/src/tenure/mod.rs
@@ -114,6 +114,14 @@
         }
     }
 
+    /// Nobody talks to the workers any more that the cell has forgotten. This is done before the
+    /// next listing, which may bring one of them back.
+    fn unlink_gone(&mut self) {
+        for id in self.cell.take_gone() {
+            self.unlink(&id);
+        }
+    }
+
     /// Lets a worker be polled by whoever talks to it.
     fn allow_poll(&mut self, id: &Arc<str>) {
         let now = time::now();
@@ -196,9 +204,8 @@
         tenure.cell.rerank(wall::millis(), time::now());
         tenure.cell.expire_tickets(time::now());
         tenure.cell.relocate(time::now());
-        for id in tenure.cell.lapse(time::now()) {
-            tenure.unlink(&id);
-        }
+        tenure.cell.lapse(time::now());
+        tenure.unlink_gone();
         let orphans = tenure.relays.lose_silent(time::now());
         let neglected = tenure.relays.take_neglected(time::now());
         self.retend(fence, orphans);
--- a/components/node/src/tenure/talk.rs
+++ b/components/node/src/tenure/talk.rs
@@ -193,10 +193,11 @@
                 return Next::Never;
             }
             Err(Unheard::Refused(Reason::OtherLife)) => {
-                tenure.cell.lose(id, "another life answers");
+                tenure.cell.end_life(id, "another life answers");
             }
             Err(_) => tenure.cell.unheard(id, now),
         }
+        tenure.unlink_gone();
         let next = if !tenure.cell.knows(id) {
             tenure.unlink(id);
             Next::Never
@@ -243,6 +244,7 @@
             self.depose("a worker has seen a higher fence");
             return;
         }
+        tenure.unlink_gone();
         self.settle(cx);
     }
 }
--- a/components/standin/src/runner.rs
+++ b/components/standin/src/runner.rs
@@ -143,6 +143,26 @@
         lock(&self.core).faults = faults;
     }
 
+    /// Crashes and starts again at once: a new life at the same address, which records itself in the
+    /// store. The entry of the former one stays.
+    pub fn restart(&self, kv: &Kv, id: &str) {
+        let mut core = lock(&self.core);
+        let names: Vec<String> = core.running.keys().cloned().collect();
+        for name in names {
+            core.end(&name, "lapsed");
+        }
+        let entry = kv.value(&format!("servers/{}", core.id));
+        core.id = id.to_owned();
+        core.begun = Instant::now();
+        core.fence = 0;
+        core.lease = 0;
+        core.over.clear();
+        core.ended.clear();
+        core.count = 0;
+        drop(core);
+        kv.put(&format!("servers/{id}"), &entry.unwrap_or_default());
+    }
+
     /// The number of tasks that run.
     pub fn running(&self) -> usize {
         let mut core = lock(&self.core);
--- a/programs/box/tests/whole_path.rs
+++ b/programs/box/tests/whole_path.rs
@@ -376,6 +376,28 @@
     assert!(seen.starts.values().all(|&starts| starts == 1));
 }
 
+/// A worker crashes and starts again at its address while its former entry stays listed. What runs
+/// on the new life goes on there, though another worker has room. Some 40 calls of a box take six
+/// listings.
+#[test]
+fn restarted_worker_runs_nothing_twice() {
+    let world = World::new(FOREVER);
+    let boxes = world.boxes(1);
+    let path = "/q/00000000000000a1";
+    send(boxes[0].callers, "POST", path, Some(&job(12))).unwrap();
+    until("its tasks fill all workers", || world.running() == 12);
+    world.runners[0].restart(&world.kv, "i-new");
+    until("what was lost runs again", || world.running() == 12);
+    let _empty = Runner::open(&world.kv, "pool", "i-other", 4, FOREVER, &world.seen).unwrap();
+    let before = world.kv.calls();
+    until("the workers were listed several times", || {
+        world.kv.calls() > before + 40
+    });
+    let seen = lock(&world.seen);
+    assert!(seen.doubled.is_empty(), "{:?}", seen.doubled);
+    assert_eq!(seen.starts.values().sum::<u32>(), 16);
+}
+
 /// A box that is asked to stop hands the cell over, answers on, and ends with 0.
 #[test]
 fn stopped_owner_hands_over() {
