Logs: one event as one short line of JSON, and no line lost in a burst

Cause: what keeps the output of a box kept its last 200 KB. A line took 340 bytes, most of them module, file, line, thread, an empty mdc and the nesting of `attributes` by log4rs's JsonEncoder.

Ruled out for the torn lines: an output that would block, and a short write. Writing to a duplicate of the descriptor is refused where boxes run (EPERM, another trial); it goes through the standard output as before.

Change: `line::Compact` implements `Encode`: time in UTC to the millisecond, level, target, message, then the key-values beside them; u64, i64, finite f64 and bool as such, all else as text. A key that is in the line already gets `_` at its end. A text that fails on its way ends in "(cannot be written)"; key-values that break off are told under `missing`. The note on dropped lines goes through it. The writing task writes 4,096 bytes (PIPE_BUF) of whole lines at once at most. Queue, rates and shares are as they were. log4rs's feature json_encoder is gone; chrono, which log4rs brings, is named by us. The version of the configuration in a line of `callers` is a number now.

--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod daemon;
 pub mod edge;
 pub mod host;
+mod line;
 pub mod logs;
 pub mod ops;
 pub mod plugin;
--- a/components/kernel/src/logs.rs
+++ b/components/kernel/src/logs.rs
@@ -5,8 +5,8 @@
 //! own, and what is too much is dropped and counted.
 
 use {
-    crate::{sync::lock, task},
-    log::{LevelFilter, Record},
+    crate::{line::Compact, sync::lock, task},
+    log::{Level, LevelFilter, Record},
     log4rs::{
         Handle,
         append::{
@@ -14,9 +14,7 @@
             console::{ConsoleAppender, Target},
         },
         config::{Appender, Config, Root},
-        encode::{
-            Encode, json::JsonEncoder, pattern::PatternEncoder, writer::simple::SimpleWriter,
-        },
+        encode::{Encode, pattern::PatternEncoder, writer::simple::SimpleWriter},
     },
     std::{
         collections::HashMap,
@@ -32,7 +30,7 @@
 
 /// Time in UTC, level, prefix of the part, text.
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l:<5} {t}: {m}{n}";
-/// Lines that may wait to be written; some 200 KB.
+/// Lines that may wait to be written; some 100 KB.
 const QUEUE: usize = 512;
 /// Lines a second; the busiest box of today's sites writes 400.
 const RATE: f64 = 600.0;
@@ -43,6 +41,9 @@
 const SHARE: f64 = 0.5;
 /// The least time between two notes of how many lines were dropped.
 const NOTE_GAP: Duration = Duration::from_secs(1);
+/// Bytes that one write takes at most: a pipe keeps so many together (`PIPE_BUF` on Linux), while of a
+/// longer write a reader was seen to keep the beginning only. A longer line is a write of its own.
+const WHOLE: usize = 4_096;
 
 static HANDLE: OnceLock<Handle> = OnceLock::new();
 
@@ -66,14 +67,9 @@
 /// As for [`start`]; or the system has no room for the writing task.
 pub fn start_json(level: LevelFilter) -> Result<(), String> {
     let (sender, lines) = mpsc::sync_channel(QUEUE);
-    task::spawn("log", move || write(&lines)).map_err(|error| error.to_string())?;
-    let bounded = Bounded {
-        sender,
-        encoder: JsonEncoder::new(),
-        room: Mutex::new(Room::full(Instant::now())),
-        dropped: AtomicU64::new(0),
-    };
-    install(level, Box::new(bounded))
+    task::spawn("log", move || write(&lines, &mut io::stdout().lock()))
+        .map_err(|error| error.to_string())?;
+    install(level, Box::new(Bounded::new(sender)))
 }
 
 fn install(level: LevelFilter, appender: Box<dyn Append>) -> Result<(), String> {
@@ -164,11 +160,20 @@
 #[derive(Debug)]
 struct Bounded {
     sender: SyncSender<Vec<u8>>,
-    encoder: JsonEncoder,
     room: Mutex<Room>,
     dropped: AtomicU64,
 }
 
+impl Bounded {
+    fn new(sender: SyncSender<Vec<u8>>) -> Self {
+        Bounded {
+            sender,
+            room: Mutex::new(Room::full(Instant::now())),
+            dropped: AtomicU64::new(0),
+        }
+    }
+}
+
 impl Append for Bounded {
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
         let now = Instant::now();
@@ -177,18 +182,21 @@
             self.dropped.fetch_add(1, Ordering::Relaxed);
             return Ok(());
         }
-        let mut line = Vec::with_capacity(320);
-        self.encoder.encode(&mut SimpleWriter(&mut line), record)?;
-        if self.sender.try_send(line).is_err() {
+        if self.sender.try_send(encode(record)?).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
             return Ok(());
         }
         if self.dropped.load(Ordering::Relaxed) > 0 && lock(&self.room).may_note(now) {
             let dropped = self.dropped.swap(0, Ordering::Relaxed);
-            let note = format!(
-                "{{\"target\":\"log\",\"message\":\"Lines were dropped.\",\"attributes\":{{\"lines\":{dropped}}}}}\n"
-            );
-            if self.sender.try_send(note.into_bytes()).is_err() {
+            let note = encode(
+                &Record::builder()
+                    .level(Level::Warn)
+                    .target("log")
+                    .args(format_args!("Lines were dropped."))
+                    .key_values(&("lines", dropped))
+                    .build(),
+            )?;
+            if self.sender.try_send(note).is_err() {
                 self.dropped.fetch_add(dropped, Ordering::Relaxed);
             }
         }
@@ -198,18 +206,32 @@
     fn flush(&self) {}
 }
 
-/// Writes lines out, as many at a time as wait.
-fn write(lines: &Receiver<Vec<u8>>) {
-    let mut output = io::stdout().lock();
+/// An event as a line.
+fn encode(record: &Record<'_>) -> anyhow::Result<Vec<u8>> {
+    let mut line = Vec::new();
+    Compact.encode(&mut SimpleWriter(&mut line), record)?;
+    Ok(line)
+}
+
+/// Writes lines out, as many at a time as wait and stay whole.
+fn write(lines: &Receiver<Vec<u8>>, output: &mut impl Write) {
     while let Ok(mut text) = lines.recv() {
-        while let Ok(more) = lines.try_recv() {
-            text.extend_from_slice(&more);
+        while let Ok(line) = lines.try_recv() {
+            if text.len() + line.len() > WHOLE {
+                put(output, &text);
+                text.clear();
+            }
+            text.extend_from_slice(&line);
         }
-        // A reader that has gone leaves nobody to tell.
-        let _ = output.write_all(&text).and_then(|()| output.flush());
+        put(output, &text);
     }
 }
 
+fn put(output: &mut impl Write, text: &[u8]) {
+    // A reader that has gone leaves nobody to tell.
+    let _ = output.write_all(text).and_then(|()| output.flush());
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -217,6 +239,21 @@
     const ONE: Kind = (Some("one.rs"), Some(1));
     const OTHER: Kind = (Some("one.rs"), Some(2));
 
+    /// What was written, write by write.
+    #[derive(Default)]
+    struct Writes(Vec<Vec<u8>>);
+
+    impl Write for Writes {
+        fn write(&mut self, text: &[u8]) -> io::Result<usize> {
+            self.0.push(text.to_vec());
+            Ok(text.len())
+        }
+
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+
     /// How many of 5,000 lines are taken, whose kinds take turns.
     fn taken(room: &mut Room, kinds: &[Kind], now: Instant) -> usize {
         let lines = kinds.iter().cycle().take(5_000);
@@ -254,12 +291,7 @@
     #[test]
     fn append_full_queue_drops() {
         let (sender, lines) = mpsc::sync_channel(1);
-        let bounded = Bounded {
-            sender,
-            encoder: JsonEncoder::new(),
-            room: Mutex::new(Room::full(Instant::now())),
-            dropped: AtomicU64::new(0),
-        };
+        let bounded = Bounded::new(sender);
         let record = Record::builder().args(format_args!("x")).build();
         for _ in 0..3 {
             bounded.append(&record).unwrap();
@@ -268,4 +300,44 @@
         let line = lines.recv().unwrap();
         assert!(line.starts_with(b"{") && line.ends_with(b"\n"));
     }
+
+    #[test]
+    fn append_tells_how_many_were_dropped() {
+        let (sender, lines) = mpsc::sync_channel(2);
+        let bounded = Bounded::new(sender);
+        bounded.dropped.store(7, Ordering::Relaxed);
+        let record = Record::builder().args(format_args!("x")).build();
+        bounded.append(&record).unwrap();
+        let note = lines.iter().nth(1).unwrap();
+        let note: serde_json::Value = serde_json::from_slice(&note).unwrap();
+        let keys: Vec<&String> = note.as_object().unwrap().keys().collect();
+        assert_eq!(keys, ["level", "lines", "message", "target", "time"]);
+        assert_eq!(note["message"], "Lines were dropped.");
+        assert_eq!(note["lines"], 7);
+        assert_eq!(bounded.dropped.load(Ordering::Relaxed), 0);
+    }
+
+    /// Seen on a busy box: of a write of more than 8,192 bytes the rest was lost, in the middle of a line.
+    #[test]
+    fn write_keeps_lines_whole() {
+        // What a pipe keeps together on Linux.
+        const PIPE: usize = 4_096;
+        let (sender, lines) = mpsc::sync_channel(QUEUE);
+        let sent: Vec<Vec<u8>> = (0..100)
+            .map(|i| format!("{i:0width$}\n", width = 10 + 7 * i).into_bytes())
+            .chain([vec![b'x'; 2 * PIPE], b"last\n".to_vec()])
+            .collect();
+        for line in &sent {
+            sender.send(line.clone()).unwrap();
+        }
+        drop(sender);
+        let mut output = Writes::default();
+        write(&lines, &mut output);
+        assert_eq!(output.0.concat(), sent.concat());
+        for text in &output.0 {
+            let is_whole = text.len() <= PIPE && text.ends_with(b"\n");
+            assert!(is_whole || text == &sent[100], "{} bytes", text.len());
+        }
+        assert!(output.0.len() < sent.len() / 2);
+    }
 }
