Logs: runs that are done are told together, and an order without its job's whole text

Cause: with short lines, 59% of the owner's bytes were still `A run has ended.`, nearly all of them ends that went well. `An order has no answer.` held the whole specification of the job, and its ticket: 927 bytes on average, 1,463 at most.

Change: ends that went well are told once a tick (100 ms) for all jobs, `Runs are done.` with JOB/PLACE.RUN@WORKER:AGE, the age in milliseconds before the line, so the moment at which the owner took the end in is kept. What ended otherwise keeps its line at once. What waits is told before leases are looked through and before a tenure ends; an owner that is killed leaves up to 100 ms of them untold, and workers list to its successor those that it did not write down. A line tells 80 runs at most, placements too, so that it stays whole. An order without an answer is told as its kind, job, place, run and, for a start, the deadline.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -7,6 +7,7 @@
         order::Order,
         place::Stuck,
         timing::{self, Timing},
+        told::Done,
         turns::Turns,
         wave,
         worker::{Entry, Key, Worker},
@@ -128,6 +129,8 @@
     pub(crate) stuck: Vec<Stuck>,
     /// What the present pass has placed of a job: place, run and worker.
     pub(crate) placed: Vec<(usize, u64, Arc<str>)>,
+    /// Runs that are done and were not told yet.
+    pub(crate) done: Vec<Done>,
 }
 
 impl Cell {
@@ -159,6 +162,7 @@
             crowded: false,
             stuck: Vec::new(),
             placed: Vec::new(),
+            done: Vec::new(),
         }
     }
 
--- a/components/cell/src/ends.rs
+++ b/components/cell/src/ends.rs
@@ -5,6 +5,7 @@
         cell::Cell,
         order::{End, How},
         report::Moment,
+        told::Done,
         worker::Key,
     },
     job::{Phase, State},
@@ -29,8 +30,7 @@
             self.vacate(id, &key, end.run);
             return;
         }
-        let place = key.place;
-        log::info!(target: "cell", job = key.job.as_str(), place, worker = &**id, run = end.run, how:? = end.how; "A run has ended.");
+        self.tell_end(id, &key, end, moment);
         let was_here = self.vacate(id, &key, end.run);
         self.judge(id, end.how, moment.now);
         self.save(&key, end.saved.as_ref());
@@ -42,6 +42,21 @@
         }
     }
 
+    /// Tells of an end: by itself where the run was cut short or failed, with others where it is done.
+    fn tell_end(&mut self, id: &Arc<str>, key: &Key, end: &End, moment: Moment) {
+        if end.how == How::Done {
+            self.tell_later(Done {
+                key: key.clone(),
+                run: end.run,
+                worker: id.clone(),
+                at: moment.now,
+            });
+            return;
+        }
+        let place = key.place;
+        log::info!(target: "cell", job = key.job.as_str(), place, worker = &**id, run = end.run, how:? = end.how; "A run has ended.");
+    }
+
     /// Takes the slot of a run out. True when the worker held this very run.
     fn vacate(&mut self, id: &Arc<str>, key: &Key, run: u64) -> bool {
         let Some(worker) = self.workers.get_mut(id) else {
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -24,6 +24,7 @@
 mod strain;
 mod summary;
 mod timing;
+mod told;
 mod turns;
 mod wave;
 mod worker;
--- a/components/cell/src/order.rs
+++ b/components/cell/src/order.rs
@@ -4,7 +4,7 @@
     crate::worker::Key,
     job::{Address, Id},
     serde::{Deserialize, Serialize},
-    std::sync::Arc,
+    std::{fmt, sync::Arc},
 };
 
 /// An order to start a task.
@@ -53,6 +53,23 @@
     },
 }
 
+/// What an order asks of which run, without what the worker needs besides.
+impl fmt::Display for Order {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (word, key, run) = match self {
+            Order::Start(start) => ("start", &start.key, start.run),
+            Order::Stop { key, run, .. } => ("stop", key, *run),
+            Order::Pace { key, run, .. } => ("pace", key, *run),
+        };
+        write!(f, "{word} {}/{}.{run}", key.job.as_str(), key.place)?;
+        match self {
+            Order::Start(start) => write!(f, " by {}", start.deadline),
+            Order::Stop { .. } => Ok(()),
+            Order::Pace { percent, .. } => write!(f, " at {percent}%"),
+        }
+    }
+}
+
 /// Why a worker refused an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reason {
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -7,6 +7,7 @@
         slot::{Slot, Stage},
         strain::Press,
         timing,
+        told::TOGETHER,
         worker::Key,
     },
     job::{Address, Id, Phase, Step, Submission, spec::Size},
@@ -29,7 +30,7 @@
         }
     }
 
-    /// Places the ready tasks of one job, and tells which in one line.
+    /// Places the ready tasks of one job, and tells which.
     fn place_job(&mut self, rank: &Rank, now: u64, changed: &[Arc<str>]) {
         self.place_ready(rank, now, changed);
         if self.placed.is_empty() {
@@ -40,8 +41,10 @@
             .drain(..)
             .map(|(place, run, id)| format!("{place}.{run}@{id}"))
             .collect();
-        let tasks = told.join(" ");
-        log::info!(target: "cell", job = rank.id.as_str(), count = told.len(), tasks = tasks.as_str(); "Tasks are placed.");
+        for told in told.chunks(TOGETHER) {
+            let tasks = told.join(" ");
+            log::info!(target: "cell", job = rank.id.as_str(), count = told.len(), tasks = tasks.as_str(); "Tasks are placed.");
+        }
     }
 
     /// Places the ready tasks of one job.
--- a/components/cell/tests/decisions/main.rs
+++ b/components/cell/tests/decisions/main.rs
@@ -12,4 +12,5 @@
 mod silence;
 mod starts;
 mod takeover;
+mod told;
 mod wave;
--- a/components/node/src/tenure/mod.rs
+++ b/components/node/src/tenure/mod.rs
@@ -176,9 +176,10 @@
 
     /// Ends the tenure: another owner has taken over, or this box gives it up.
     pub(crate) fn depose(&mut self, cause: &str) {
-        let Some(tenure) = self.tenure.take() else {
+        let Some(mut tenure) = self.tenure.take() else {
             return;
         };
+        tenure.cell.tell_done(time::now());
         log::warn!(target: "owner", fence = tenure.fence, cause; "The cell is no longer owned here.");
         metrics::counter!("magpie_tenures_lost_total").increment(1);
         if let Some(answerer) = tenure.leaving {
@@ -200,6 +201,7 @@
         let Some(tenure) = self.tenure_of(fence) else {
             return;
         };
+        tenure.cell.tell_done(time::now());
         tenure.cell.open_due(wall::millis());
         tenure.cell.rerank(wall::millis(), time::now());
         tenure.cell.expire_tickets(time::now());
--- a/components/node/src/worker.rs
+++ b/components/node/src/worker.rs
@@ -53,7 +53,7 @@
         let outcome = node.outside.workers.order(entry, fence, &order);
         metrics::counter!("magpie_orders_total").increment(1);
         if outcome == Outcome::Unknown {
-            log::info!(target: "owner", worker = &*entry.id, order:? = order; "An order has no answer.");
+            log::info!(target: "owner", worker = &*entry.id, order:% = order; "An order has no answer.");
         }
         let id = entry.id.clone();
         let is_told = node
