Let reads of the store go on while bytes of the answer come

A read of the store had 0.9 s in all, 0.4 s for its first try, and a watch its wait and 0.7 s, whatever the answer weighs. 1 MB takes 0.84 s of a link of 10 Mbit/s. Each try was given up in the middle and begun anew, for ever, at four fifths of the link.

Ruled out: longer times alone, which would let a silent connection hold a call for as long; the library's own limit for a single read, which cannot tell the wait for an answer to begin (2.1 s for a watch) from a pause within it.

Change: a call can be told to flow (kernel::client::Time::flowing). Its answer must begin within the time that an attempt had before, for connecting, sending and waiting together; then it goes on while no pause is longer than 0.4 s, for up to 8 s beyond its whole time. The largest value that the store takes has 1 MiB, 1.4 MB as sent: 5.6 s at 2 Mbit/s, the slowest link of any site. A receiver that says nothing costs what it did; one that stops midway is found out after 0.4 s and asked again on a new connection. Lists, watches and the new Store::get_large use it (the configuration; the fleet and what was learned, at a takeover). Store::get, which callers wait for (state of a job, settling a submission, cancelling), and the owner's key, ends after 0.9 s in all as before, but is no longer broken off after 0.4 s while bytes come.

What is left is the cost: the whole value again after each watch that heard nothing.

--- a/components/kernel/src/client.rs
+++ b/components/kernel/src/client.rs
@@ -5,6 +5,7 @@
 
 use {
     crate::{
+        time::{Quiet, Span},
         token::Token,
         trust::Trust,
         verdict::{Cause, Failure, once_more},
@@ -31,12 +32,21 @@
     xxhash_rust::xxh3::xxh3_64,
 };
 
+pub use crate::time::Time;
+
 /// The largest answer that a call takes in, in bytes.
 pub const MAX_ANSWER: u64 = 16 * 1024 * 1024;
 
 thread_local! {
     /// Bytes that the present call of this thread handed to the system.
     static SENT: Cell<usize> = const { Cell::new(0) };
+    /// How long the present call of this thread may hear nothing; `None` where only its whole time counts.
+    static QUIET: Cell<Option<Quiet>> = const { Cell::new(None) };
+}
+
+/// Bounds a time-out of the library by the quiet time of the present call of this thread, if it has one.
+fn bound(timeout: NextTimeout) -> NextTimeout {
+    QUIET.get().map_or(timeout, |quiet| quiet.bound(timeout))
 }
 
 /// One request.
@@ -54,37 +64,6 @@
     pub time: Time,
 }
 
-/// The time that a call has.
-#[derive(Debug, Clone, Copy)]
-pub struct Time {
-    /// For all of it.
-    whole: Duration,
-    /// Without an answer within this time, or when the connection breaks, the call is made again on a
-    /// new connection in the time that is left.
-    patience: Option<Duration>,
-}
-
-impl Time {
-    /// The time for a call that may be made twice; without an answer after `patience`, or on a
-    /// broken connection, it is made again on a new one.
-    pub const fn twice(whole: Duration, patience: Duration) -> Self {
-        Time {
-            whole,
-            patience: Some(patience),
-        }
-    }
-}
-
-impl From<Duration> for Time {
-    /// The time for a call that is made once.
-    fn from(whole: Duration) -> Self {
-        Time {
-            whole,
-            patience: None,
-        }
-    }
-}
-
 /// One whole answer.
 #[derive(Debug, Clone)]
 pub struct Answer {
@@ -188,14 +167,13 @@
     /// `not-run` only when no byte left for the receiver; else `may-have-run`. An answer without
     /// a length of its own, or one that is cut, is `BadAnswer`.
     pub fn send(&self, call: &Call) -> Result<Answer, Failure> {
-        let Some(patience) = call.time.patience else {
-            return self.attempt(call, call.time.whole);
-        };
+        let time = call.time;
         let begun = Instant::now();
-        once_more(self.attempt(call, patience), || {
-            let left = call.time.whole.saturating_sub(begun.elapsed());
-            self.attempt(call, left)
-        })
+        let result = self.attempt(call, time.first());
+        if !time.is_twice() {
+            return result;
+        }
+        once_more(result, || self.attempt(call, time.second(begun.elapsed())))
     }
 
     /// The agent whose pool has the connections to a receiver.
@@ -205,9 +183,10 @@
     }
 
     /// Makes the call once, within this time.
-    fn attempt(&self, call: &Call, time: Duration) -> Result<Answer, Failure> {
+    fn attempt(&self, call: &Call, span: Span) -> Result<Answer, Failure> {
         SENT.set(0);
-        let result = self.exchange(call, time);
+        QUIET.set(span.quiet(Instant::now()));
+        let result = self.exchange(call, span);
         result.map_err(|error| {
             if matches!(error, Error::Timeout(_)) {
                 self.trust.distrust(receiver(call.url), Instant::now());
@@ -216,7 +195,7 @@
         })
     }
 
-    fn exchange(&self, call: &Call, time: Duration) -> Result<Answer, Error> {
+    fn exchange(&self, call: &Call, span: Span) -> Result<Answer, Error> {
         let mut builder = http::Request::builder().method(call.method).uri(call.url);
         for (name, value) in call.headers {
             builder = builder.header(*name, *value);
@@ -228,7 +207,8 @@
         let mut response = request
             .with_agent(self.agent(call.url))
             .configure()
-            .timeout_global(Some(time))
+            .timeout_connect(span.connect())
+            .timeout_global(Some(span.end))
             .run()?;
         refuse_endless(response.headers(), response.status().as_u16())?;
         let body = response
@@ -391,12 +371,13 @@
 
     fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
         SENT.set(SENT.get() + amount);
-        self.inner.transmit_output(amount, timeout)
+        self.inner.transmit_output(amount, bound(timeout))
     }
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
-        let is_more = self.inner.await_input(timeout)?;
+        let is_more = self.inner.await_input(bound(timeout))?;
         self.proven = Instant::now();
+        QUIET.set(QUIET.get().map(|quiet| quiet.heard(self.proven)));
         Ok(is_more)
     }
 
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod stop;
 pub mod sync;
 pub mod task;
+mod time;
 pub mod token;
 mod trust;
 pub mod verdict;
--- /dev/null
+++ b/components/kernel/src/time.rs
@@ -0,0 +1,208 @@
+//! The time that a call has: in all, and without hearing anything.
+
+use {
+    std::time::{Duration, Instant},
+    ureq::{
+        Timeout,
+        unversioned::transport::{NextTimeout, time::Duration as Left},
+    },
+};
+
+/// The time that a call has.
+#[derive(Debug, Clone, Copy)]
+pub struct Time {
+    /// For all of it; for one that flows, until its answer begins.
+    whole: Duration,
+    /// Without an answer within this time, or when the connection breaks, the call is made again on a
+    /// new connection in the time that is left.
+    patience: Option<Duration>,
+    /// How it goes on once its answer comes.
+    flow: Option<Flow>,
+}
+
+/// The time for an answer that has begun to come.
+#[derive(Debug, Clone, Copy)]
+struct Flow {
+    /// The longest pause between two of its pieces.
+    pause: Duration,
+    /// Added to the whole time.
+    bulk: Duration,
+}
+
+impl Time {
+    /// The time for a call that may be made twice; without an answer after `patience`, or on a
+    /// broken connection, it is made again on a new one.
+    pub const fn twice(whole: Duration, patience: Duration) -> Self {
+        Time {
+            whole,
+            patience: Some(patience),
+            flow: None,
+        }
+    }
+
+    /// Lets the call go on while its answer comes, with no pause longer than `pause`, for up to `bulk`
+    /// beyond its whole time.
+    ///
+    /// How long an answer takes depends on its size and on the link. A call that is given up in the
+    /// middle of it, and begun anew, may never end. A receiver that says nothing costs no more than
+    /// without this.
+    #[must_use]
+    pub const fn flowing(self, pause: Duration, bulk: Duration) -> Self {
+        Time {
+            flow: Some(Flow { pause, bulk }),
+            ..self
+        }
+    }
+
+    /// True for a call that may be made twice.
+    pub(crate) const fn is_twice(&self) -> bool {
+        self.patience.is_some()
+    }
+
+    /// The time for the first attempt.
+    pub(crate) fn first(&self) -> Span {
+        self.span(self.patience.unwrap_or(self.whole), Duration::ZERO)
+    }
+
+    /// The time for the second one, when the first has taken so long.
+    pub(crate) fn second(&self, spent: Duration) -> Span {
+        // While an answer came, the time until it begins was not used up.
+        let waited = self.patience.map_or(spent, |patience| spent.min(patience));
+        self.span(self.whole.saturating_sub(waited), spent)
+    }
+
+    /// The time for an attempt whose answer must begin within `head`.
+    fn span(&self, head: Duration, spent: Duration) -> Span {
+        let bulk = self.flow.map_or(Duration::ZERO, |flow| flow.bulk);
+        let left = (self.whole + bulk).saturating_sub(spent);
+        let head = head.min(left);
+        Span {
+            head,
+            pause: self.flow.map(|flow| flow.pause),
+            end: self.flow.map_or(head, |_| left),
+        }
+    }
+}
+
+impl From<Duration> for Time {
+    /// The time for a call that is made once.
+    fn from(whole: Duration) -> Self {
+        Time {
+            whole,
+            patience: None,
+            flow: None,
+        }
+    }
+}
+
+/// The time for one attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Span {
+    /// Until the answer begins: for connecting, sending and waiting together.
+    head: Duration,
+    /// The longest pause after that; `None` where only the end counts.
+    pause: Option<Duration>,
+    /// For all of it.
+    pub end: Duration,
+}
+
+impl Span {
+    /// The time for connecting, where it is not bounded by the end alone.
+    pub fn connect(&self) -> Option<Duration> {
+        self.pause.map(|_| self.head)
+    }
+
+    /// How long an attempt that begins now may hear nothing; `None` where only the end counts.
+    pub fn quiet(&self, now: Instant) -> Option<Quiet> {
+        self.pause.map(|pause| Quiet {
+            until: now + self.head,
+            pause,
+        })
+    }
+}
+
+/// How long an attempt may hear nothing.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Quiet {
+    /// By then the next bytes must have come.
+    until: Instant,
+    /// The time for those after them.
+    pause: Duration,
+}
+
+impl Quiet {
+    /// Bytes have come.
+    pub fn heard(self, now: Instant) -> Self {
+        Quiet {
+            until: now + self.pause,
+            ..self
+        }
+    }
+
+    /// A time-out of the library, no later than the end of the quiet time.
+    pub fn bound(self, timeout: NextTimeout) -> NextTimeout {
+        let left = Left::from(self.until.saturating_duration_since(Instant::now()));
+        if timeout.after <= left {
+            return timeout;
+        }
+        NextTimeout {
+            after: left,
+            reason: Timeout::PerRead,
+            ..timeout
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use {super::*, test_case::test_case};
+
+    const fn ms(number: u64) -> Duration {
+        Duration::from_millis(number)
+    }
+
+    const ONCE: Time = Time {
+        whole: ms(900),
+        patience: None,
+        flow: None,
+    };
+    const TWICE: Time = Time::twice(ms(900), ms(400));
+    const FLOWING: Time = TWICE.flowing(ms(300), ms(8_000));
+
+    /// Until the answer begins, and in all.
+    fn parts(span: Span) -> (u64, u64) {
+        (span.head.as_millis() as u64, span.end.as_millis() as u64)
+    }
+
+    #[test_case(ONCE, (900, 900); "once")]
+    #[test_case(TWICE, (400, 400); "twice")]
+    #[test_case(ONCE.flowing(ms(300), ms(8_000)), (900, 8_900); "once and flowing")]
+    #[test_case(FLOWING, (400, 8_900); "twice and flowing")]
+    #[test_case(TWICE.flowing(ms(300), ms(0)), (400, 900); "flowing within the whole")]
+    fn first_span(time: Time, expected: (u64, u64)) {
+        assert_eq!(parts(time.first()), expected);
+    }
+
+    #[test_case(TWICE, 400, (500, 500); "after silence")]
+    #[test_case(TWICE, 5, (895, 895); "after a break")]
+    #[test_case(TWICE, 950, (0, 0); "too late")]
+    #[test_case(FLOWING, 400, (500, 8_500); "flowing, after silence")]
+    #[test_case(FLOWING, 3_000, (500, 5_900); "flowing, after silence midway")]
+    #[test_case(FLOWING, 8_700, (200, 200); "flowing, with little left")]
+    #[test_case(FLOWING, 9_000, (0, 0); "flowing, too late")]
+    fn second_span(time: Time, spent: u64, expected: (u64, u64)) {
+        assert_eq!(parts(time.second(ms(spent))), expected);
+    }
+
+    #[test]
+    fn quiet_begins_anew_with_bytes() {
+        let begun = Instant::now();
+        let quiet = FLOWING.first().quiet(begun).unwrap();
+        assert_eq!(quiet.until, begun + ms(400));
+        let quiet = quiet.heard(begun + ms(100));
+        assert_eq!(quiet.until, begun + ms(400));
+        let quiet = quiet.heard(begun + ms(390));
+        assert_eq!(quiet.until, begun + ms(690));
+        assert!(TWICE.first().quiet(begun).is_none());
+    }
+}
--- a/components/node/src/claim.rs
+++ b/components/node/src/claim.rs
@@ -123,7 +123,7 @@
     let store = &*node.outside.store;
     let (intake, _) = range_all(store, keys::INTAKE)?;
     let (states, _) = range_all(store, keys::STATE)?;
-    let fleet = store.get(&keys::fleet(CELL))?;
+    let fleet = store.get_large(&keys::fleet(CELL))?;
     let entries = node.outside.workers.list()?;
     let mut cell = Cell::new(node.settings.timing);
     let (now, wall) = (time::now(), wall::millis());
@@ -152,7 +152,7 @@
     for id in cancelled {
         cell.cancel(&id, now, wall);
     }
-    if let Some(item) = store.get(&keys::learned(CELL))? {
+    if let Some(item) = store.get_large(&keys::learned(CELL))? {
         match wire::decode(&item.value) {
             Ok(learned) => cell.recall(learned),
             Err(error) => {
--- a/components/node/src/core.rs
+++ b/components/node/src/core.rs
@@ -117,6 +117,10 @@
         self.note("get", self.inner.get(key))
     }
 
+    fn get_large(&self, key: &str) -> Result<Option<Item>, Failure> {
+        self.note("get", self.inner.get_large(key))
+    }
+
     fn range(&self, prefix: &str, after: Option<&str>) -> Result<Page, Failure> {
         self.note("range", self.inner.range(prefix, after))
     }
--- a/components/node/src/store.rs
+++ b/components/node/src/store.rs
@@ -85,13 +85,21 @@
 ///
 /// Every error's verdict tells whether the call may have taken effect.
 pub trait Store: Send + Sync {
-    /// Reads one key.
+    /// Reads one key whose value is small. It takes no longer in all than other calls, since callers
+    /// wait for it.
     ///
     /// # Errors
     ///
     /// The store gave no usable answer.
     fn get(&self, key: &str) -> Result<Option<Item>, Failure>;
 
+    /// Reads one key whose value may be large. It goes on for as long as the value comes.
+    ///
+    /// # Errors
+    ///
+    /// As for `get`.
+    fn get_large(&self, key: &str) -> Result<Option<Item>, Failure>;
+
     /// Reads a page of the keys that start with the prefix, after a key if one is given.
     ///
     /// # Errors
