--- a/components/cell/tests/decisions/takeover.rs
+++ b/components/cell/tests/decisions/takeover.rs
@@ -1,7 +1,7 @@
 //! A new owner adopts what runs and starts nothing twice.
 
 use {
-    crate::common::{JOB, World, end, run, step},
+    crate::common::{JOB, World, end, run, state, step},
     job::{Id, State},
     magpie_cell::How,
 };
@@ -78,3 +78,64 @@
     let state = world.cell.state(&Id::new(JOB).unwrap());
     assert_eq!(state, Some(State::Failed));
 }
+
+/// Seen on days with an owner that stands still for 2.2 to 3 s: it wakes up after another box has read
+/// the jobs, takes one more and starts it on a worker that does not know the new fence yet.
+#[test]
+fn recover_keeps_back_job_accepted_since() {
+    let mut world = World::unheard(&["w1", "w2"]);
+    world.cell.recover(world.now);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    world.report("w2", vec![], vec![]);
+    assert!(world.starts().is_empty());
+    world.report("w1", vec![run(JOB, 0, 1)], vec![]);
+    world.cell.lapse(world.now);
+    assert!(world.starts().is_empty());
+}
+
+/// The worker may list such a run before the job is known: the run is not stopped, since it would run
+/// on for a moment while its task is started elsewhere.
+#[test]
+fn recover_keeps_run_of_unknown_job() {
+    let mut world = World::unheard(&["w1", "w2"]);
+    world.cell.recover(world.now);
+    world.report("w2", vec![], vec![]);
+    world.report("w1", vec![run(JOB, 0, 1)], vec![]);
+    world.cell.lapse(world.now);
+    assert!(world.stops().is_empty());
+    world.submit(JOB, vec![step(1, 1_000)]);
+    assert!(world.starts().is_empty());
+    world.report("w1", vec![run(JOB, 0, 1)], vec![]);
+    assert!(world.stops().is_empty());
+}
+
+/// Nor is its end acknowledged, which would be lost, and those that follow it are taken in later.
+#[test]
+fn recover_keeps_end_of_unknown_job() {
+    let mut world = World::unheard(&["w1"]);
+    world.write();
+    world.cell.recover(world.now);
+    let ends = vec![end(1, JOB, 0, 1, How::Done)];
+    world.report("w1", vec![], ends.clone());
+    let seen = world.cell.poll("w1", world.now).unwrap().seen;
+    assert_eq!(seen, 0);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    world.report("w1", vec![], ends);
+    world.cell.lapse(world.now);
+    assert!(world.starts().is_empty());
+    assert_eq!(state(&world), Some(State::Queued));
+    world.write();
+    assert_eq!(state(&world), Some(State::Completed));
+}
+
+/// A worker that lists as many ends as it does at once may have more to tell.
+#[test]
+fn recover_keeps_waiting_for_further_ends() {
+    let mut world = World::unheard(&["w1"]);
+    world.resume(JOB, vec![step(1, 1_000)]);
+    world.cell.recover(world.now);
+    let ends = (1..=500).map(|number| end(number, "00000000000000b2", 0, number, How::Done));
+    world.report("w1", vec![], ends.collect());
+    world.cell.lapse(world.now);
+    assert!(world.starts().is_empty());
+}
