Hold back what a woken owner may have started, until no former owner can start anything

The former owner lives on until each worker knows the new fence: it places jobs that the new one has not read, and its queued orders leave after it was deposed. Class: as with the lives of workers, something taken for over (the former owner) without proof.

Ruled out: holding jobs back alone.

Change: a job that comes during a takeover is held back like those that were read. Until the jobs were read once more, after all workers are under the new fence (or their leases over), runs of unknown jobs are noted and adopted when the job comes, and their ends are neither taken in nor acknowledged; polls of such a worker wait. A worker that lists 500 ends has not told all. Orders that wait end with the tenure. An owner that stood still for 1.5 s, or whose lease was over, places nothing until a write shows that it still owns the cell. The takeover has a file of its own, takeover.rs.

A takeover costs one more reading of the jobs that are open.

--- a/components/cell/src/admit.rs
+++ b/components/cell/src/admit.rs
@@ -29,8 +29,11 @@
 impl Cell {
     /// Takes in an accepted job. False when it is known already.
     pub fn admit(&mut self, submission: Submission, wall: u64) -> bool {
+        let id = submission.id.clone();
         let progress = Progress::new(Arc::new(submission));
-        self.enter(progress, false, wall)
+        let is_new = self.enter(progress, self.recovery.is_some(), wall);
+        self.adopt_met(&id);
+        is_new
     }
 
     /// Takes in a job that a former owner has worked on.
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -6,6 +6,7 @@
         disturb::{Disturbance, level::Levels},
         order::Order,
         place::Stuck,
+        takeover::{Recovery, Strangers},
         timing::{self, Timing},
         told::Done,
         turns::Turns,
@@ -76,13 +77,6 @@
     pub wait: u64,
 }
 
-/// The workers that must answer, or whose leases must be over, after a takeover.
-#[derive(Debug)]
-pub(crate) struct Recovery {
-    pub missing: HashSet<Arc<str>>,
-    pub until: u64,
-}
-
 /// One cell of workers and its jobs.
 pub struct Cell {
     pub(crate) timing: Timing,
@@ -119,6 +113,8 @@
     pub(crate) waves: BTreeMap<u64, wave::Progress>,
     /// What a takeover still waits for.
     pub(crate) recovery: Option<Recovery>,
+    /// What runs of jobs that are not known yet, from a takeover until they were read once more.
+    pub(crate) strangers: Option<Strangers>,
     /// Which filling images disturb which serving ones.
     pub(crate) disturbance: Disturbance,
     /// The load of serving jobs.
@@ -157,6 +153,7 @@
             tried: 0,
             waves: BTreeMap::new(),
             recovery: None,
+            strangers: None,
             disturbance: Disturbance::default(),
             levels: Levels::default(),
             crowded: false,
@@ -235,9 +232,11 @@
         })
     }
 
-    /// True when ends of the worker were taken in and are not written down yet.
+    /// True when ends of the worker were taken in and are not written down yet, or are left for later:
+    /// asked now, it would list them again at once.
     pub fn is_unwritten(&self, id: &str) -> bool {
-        self.workers.get(id).is_some_and(Worker::is_unwritten)
+        let worker = self.workers.get(id);
+        worker.is_some_and(|worker| worker.is_unwritten() || worker.left)
     }
 
     /// How many workers are known.
--- a/components/cell/src/lapse.rs
+++ b/components/cell/src/lapse.rs
@@ -1,11 +1,7 @@
 //! Workers that are not heard, and leases that are over.
 
 use {
-    crate::{
-        cell::{Cell, Recovery},
-        timing,
-        worker::Key,
-    },
+    crate::{cell::Cell, worker::Key},
     job::Phase,
     std::sync::Arc,
 };
@@ -15,15 +11,6 @@
 const TELL: u64 = 2_000;
 
 impl Cell {
-    /// Holds the tasks of resumed jobs back until each worker has answered, or until any lease
-    /// that the former owner may have given is over.
-    pub fn recover(&mut self, now: u64) {
-        let missing = self.workers.keys().cloned().collect();
-        let until = now + timing::until_over(self.timing.lease);
-        self.recovery = Some(Recovery { missing, until });
-        self.settle(now);
-    }
-
     /// Notes that a poll of a worker failed: it gets no work for a moment.
     pub fn unheard(&mut self, id: &str, now: u64) {
         if let Some(worker) = self.workers.get_mut(id) {
@@ -32,28 +19,6 @@
         }
     }
 
-    /// Notes that a worker has answered.
-    pub(crate) fn heard(&mut self, id: &Arc<str>) {
-        if let Some(recovery) = &mut self.recovery {
-            recovery.missing.remove(id);
-        }
-    }
-
-    /// Ends the recovery when nothing is missing any more.
-    fn settle(&mut self, now: u64) {
-        let Some(recovery) = &self.recovery else {
-            return;
-        };
-        if !recovery.missing.is_empty() && now < recovery.until {
-            return;
-        }
-        log::info!(target: "cell", unheard = recovery.missing.len(); "The takeover is complete.");
-        self.recovery = None;
-        for job in self.jobs.values_mut() {
-            job.unsure = false;
-        }
-    }
-
     /// Gives up what runs under leases that are over, and workers that are not listed besides.
     ///
     /// A worker that answers may have ends to tell, from before its leases were over: where it just
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -23,6 +23,7 @@
 mod slot;
 mod strain;
 mod summary;
+mod takeover;
 mod timing;
 mod told;
 mod turns;
--- a/components/cell/src/lives.rs
+++ b/components/cell/src/lives.rs
@@ -135,6 +135,7 @@
         log::warn!(target: "cell", worker = &**id, address = &*worker.entry.address, cause, tasks = worker.slots.len(), listed = worker.listed; "A worker is gone.");
         self.fleet_dirty = true;
         self.gone.push(id.clone());
+        self.fenced(id);
         self.heard(id);
         for key in worker.slots.keys() {
             self.free_from(id, key);
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -51,21 +51,27 @@
         self.outlive(id, sent);
         let moment = Moment { sent, now, wall };
         let dirty_before = self.dirty.len();
-        for end in &report.ended {
-            self.end(id, end, moment);
-        }
+        self.fenced(id);
+        let is_taken = self.take_ends(id, &report.ended, moment);
         let mut listed = HashSet::new();
         for run in &report.running {
+            if self.is_stranger(&run.job) {
+                self.meet(id, run, moment);
+                continue;
+            }
             if let Some(key) = self.key(id, &run.job, run.address) {
                 listed.insert(key.clone());
                 self.running(id, key, run, moment);
             }
         }
-        if report.ended.len() < ENDS_LISTED {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.left = !is_taken;
+        }
+        if is_taken && report.ended.len() < ENDS_LISTED {
             self.missing(id, &listed, report.clock, moment);
+            self.heard(id);
         }
         self.pace(id, now);
-        self.heard(id);
         if !had_unwritten && self.dirty.len() == dirty_before && self.dirty.is_empty() {
             self.acknowledge(id);
         }
@@ -127,7 +133,7 @@
     }
 
     /// A run that this owner did not order, or has given up: taken over where it fits.
-    fn adopt(&mut self, id: &Arc<str>, key: Key, run: &Run, moment: Moment) {
+    pub(crate) fn adopt(&mut self, id: &Arc<str>, key: Key, run: &Run, moment: Moment) {
         let Some(job) = self.jobs.get_mut(&key.job) else {
             self.stray(id, key, run, moment);
             return;
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -99,6 +99,8 @@
     pub kept: u64,
     /// The ends between the two, and their jobs.
     pub unwritten: VecDeque<(u64, Id)>,
+    /// It listed ends that are left for later, see [`crate::Cell::intake_read`].
+    pub left: bool,
     /// What it holds.
     pub slots: HashMap<Key, Slot>,
     /// The sum of what its slots take; processors of filling tasks are left out.
@@ -145,6 +147,7 @@
             read: 0,
             kept: 0,
             unwritten: VecDeque::new(),
+            left: false,
             slots: HashMap::new(),
             firm: Size::default(),
             filling: 0,
--- a/components/node/src/core.rs
+++ b/components/node/src/core.rs
@@ -37,6 +37,8 @@
     stored: AtomicU64,
     /// The last call of the store failed.
     failing: AtomicBool,
+    /// The fence of the cell that this box owns; 0 for none.
+    owning: AtomicU64,
     /// The box is being stopped.
     stopping: AtomicBool,
     /// Since when a probe of the store has been on its way; 0 for none.
@@ -75,6 +77,16 @@
         result
     }
 
+    /// True while this box owns the cell under this fence.
+    pub fn is_owning(&self, fence: u64) -> bool {
+        self.owning.load(Ordering::Acquire) == fence
+    }
+
+    /// Notes under which fence this box owns the cell, 0 when it does no more.
+    pub(crate) fn own(&self, fence: u64) {
+        self.owning.store(fence, Ordering::Release);
+    }
+
     /// True when the box is being stopped.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
--- a/components/node/src/owning.rs
+++ b/components/node/src/owning.rs
@@ -9,8 +9,8 @@
         time,
     },
     cell::{Cell, Question, Standing},
-    job::Submission,
-    kernel::{task, wall, wire},
+    job::{Id, Submission},
+    kernel::{Failure, task, wall, wire},
     std::{
         collections::HashMap,
         sync::mpsc::{self, Receiver, Sender},
@@ -127,7 +127,7 @@
         node.remote.tell(move |core, cx| {
             if let Some(tenure) = core.tenure_of(fence) {
                 tenure.lease = lease;
-                tenure.announce = true;
+                tenure.doubt();
                 core.wake_writer(cx);
             }
         });
@@ -171,6 +171,43 @@
     }
 }
 
+/// Reads what callers sent once more, now that no former owner can start anything.
+pub fn read_again(node: &Node, fence: u64) {
+    start("read again", node, move |node| {
+        while !is_over(&node, fence) {
+            match read_unknown(&node, fence) {
+                Ok(events) => {
+                    node.remote
+                        .tell(move |core, cx| core.intake_again(cx, fence, events));
+                    return;
+                }
+                Err(failure) => {
+                    log::info!(target: "owner", error:% = failure; "The jobs could not be read once more.");
+                    thread::sleep(STORE_PAUSE);
+                }
+            }
+        }
+    });
+}
+
+/// Cancellations, and the jobs that the cell does not know.
+fn read_unknown(node: &Node, fence: u64) -> Result<Vec<Event>, Failure> {
+    let (items, _) = range_all(&*node.outside.store, keys::INTAKE)?;
+    let ids: Vec<Id> = items
+        .iter()
+        .filter_map(|item| keys::id(&item.key, keys::JOB))
+        .collect();
+    let unknown = node.remote.ask(move |core, _| core.unknown(fence, ids))?;
+    let mut events = Vec::new();
+    for item in items {
+        let is_wanted = keys::id(&item.key, keys::JOB).is_none_or(|id| unknown.contains(&id));
+        if is_wanted {
+            events.push(Event::Put(item));
+        }
+    }
+    Ok(events)
+}
+
 /// Takes submissions and cancellations into the cell; submissions first, since a listing has the
 /// cancellations before them.
 pub fn take_in(cell: &mut Cell, events: Vec<Event>) {
--- a/components/node/src/tenure/mod.rs
+++ b/components/node/src/tenure/mod.rs
@@ -7,7 +7,14 @@
 mod write;
 
 use {
-    crate::{core::Core, group::Group, owning, relays::Relays, settings::TICK, time},
+    crate::{
+        core::Core,
+        group::Group,
+        owning,
+        relays::Relays,
+        settings::{LEASE, RENEW, TICK},
+        time,
+    },
     cell::{Cell, Entry, Order, Poll, Question},
     kernel::{
         host::Answerer,
@@ -58,6 +65,10 @@
     waiting: HashSet<Arc<str>>,
     /// The writer, while it waits for its next group.
     writer: Option<Answerer<Option<Group>>>,
+    /// When the last tick was.
+    ticked: u64,
+    /// Since when another box may own the cell: nothing is placed until a write shows that none does.
+    doubt: Option<u64>,
     /// When the last group went to the writer.
     written: u64,
     /// When the last pass of placement was over.
@@ -86,6 +97,8 @@
             advice: None,
             pollers: HashMap::new(),
             writer: None,
+            ticked: 0,
+            doubt: None,
             written: 0,
             passed: 0,
             pass_took: 0,
@@ -122,6 +135,30 @@
         }
     }
 
+    /// An owner that stood still for as long as its lease may be over has to see whether it still is one.
+    fn doubt_if_late(&mut self) {
+        let late = (LEASE - RENEW).as_millis() as u64;
+        let since = time::now().saturating_sub(self.ticked);
+        if since > late && self.doubt.is_none() {
+            log::warn!(target: "owner", fence = self.fence, late = since; "This box stood still; another may own the cell.");
+            self.doubt();
+        }
+    }
+
+    /// Places nothing until a write shows whether this box still owns the cell.
+    pub(crate) fn doubt(&mut self) {
+        self.doubt = Some(time::now());
+        self.announce = true;
+    }
+
+    /// A write has come back that shows this box as the owner, or that failed: while the store is away
+    /// nobody else can claim the cell.
+    fn trust_again(&mut self) {
+        if self.doubt.is_some_and(|since| self.written >= since) {
+            self.doubt = None;
+        }
+    }
+
     /// Lets a worker be polled by whoever talks to it.
     fn allow_poll(&mut self, id: &Arc<str>) {
         let now = time::now();
@@ -149,7 +186,9 @@
         let fence = tenure.fence;
         let entries: Vec<Entry> = tenure.cell.entries().cloned().collect();
         tenure.cell.recover(time::now());
+        tenure.ticked = time::now();
         self.tenure = Some(tenure);
+        self.node.shared.own(fence);
         owning::begin(&self.node, fence);
         for entry in entries {
             self.tend(fence, entry);
@@ -179,6 +218,7 @@
         let Some(mut tenure) = self.tenure.take() else {
             return;
         };
+        self.node.shared.own(0);
         tenure.cell.tell_done(time::now());
         log::warn!(target: "owner", fence = tenure.fence, cause; "The cell is no longer owned here.");
         metrics::counter!("magpie_tenures_lost_total").increment(1);
@@ -201,6 +241,8 @@
         let Some(tenure) = self.tenure_of(fence) else {
             return;
         };
+        tenure.doubt_if_late();
+        tenure.ticked = time::now();
         tenure.cell.tell_done(time::now());
         tenure.cell.open_due(wall::millis());
         tenure.cell.rerank(wall::millis(), time::now());
@@ -208,8 +250,12 @@
         tenure.cell.relocate(time::now());
         tenure.cell.lapse(time::now());
         tenure.unlink_gone();
+        let is_intake_due = tenure.cell.is_intake_due();
         let orphans = tenure.relays.lose_silent(time::now());
         let neglected = tenure.relays.take_neglected(time::now());
+        if is_intake_due {
+            owning::read_again(&self.node, fence);
+        }
         self.retend(fence, orphans);
         for entry in neglected {
             log::warn!(target: "owner", worker = &*entry.id; "No relay has room for a worker; the owner talks to it.");
--- a/components/node/src/tenure/pass.rs
+++ b/components/node/src/tenure/pass.rs
@@ -42,7 +42,8 @@
         };
         tenure.pass_due = false;
         let begun = time::now();
-        if tenure.leaving.is_none() {
+        tenure.doubt_if_late();
+        if tenure.leaving.is_none() && tenure.doubt.is_none() {
             tenure.cell.place(begun);
         }
         tenure.passed = time::now();
--- a/components/node/src/tenure/take.rs
+++ b/components/node/src/tenure/take.rs
@@ -5,6 +5,7 @@
     cell::{Advice, Entry, Machine, Question, Standing, Upkeep, Wave},
     job::{Id, State, Submission},
     kernel::{stakker::Cx, wall},
+    std::collections::HashSet,
 };
 
 impl Core {
@@ -28,6 +29,24 @@
         self.settle(cx);
     }
 
+    /// Those of the jobs that the cell does not know.
+    pub(crate) fn unknown(&mut self, fence: u64, ids: Vec<Id>) -> HashSet<Id> {
+        self.tenure_of(fence)
+            .map_or(HashSet::new(), |tenure| tenure.cell.unknown(ids))
+    }
+
+    /// Takes in what was read once more after a takeover.
+    pub(crate) fn intake_again(&mut self, cx: &mut Cx<'_, Self>, fence: u64, events: Vec<Event>) {
+        let Some(tenure) = self.tenure_of(fence) else {
+            return;
+        };
+        owning::take_in(&mut tenure.cell, events);
+        for id in tenure.cell.intake_read() {
+            self.let_poll(fence, &id);
+        }
+        self.settle(cx);
+    }
+
     /// Takes in a job that another box, or this one, has just accepted.
     pub(crate) fn accepted(&mut self, cx: &mut Cx<'_, Self>, submission: Submission) {
         let Some(tenure) = &mut self.tenure else {
--- a/components/node/src/worker.rs
+++ b/components/node/src/worker.rs
@@ -50,6 +50,10 @@
 
 fn send(node: &Node, fence: u64, entry: &Entry, orders: &Receiver<Order>) {
     for order in orders {
+        // Orders may have waited behind others while the tenure ended.
+        if !node.shared.is_owning(fence) {
+            return;
+        }
         let outcome = node.outside.workers.order(entry, fence, &order);
         metrics::counter!("magpie_orders_total").increment(1);
         if outcome == Outcome::Unknown {
