Let other calls with large answers go on too, and keep a new owner's lease while it reads

A time for the whole of a call whose length depends on what it moves, and a retry that begins anew, stood also at: lists of machines; exchanges of relays, whose offers and duties are sent again unchanged until they come through; the table as it is watched, compared and pushed; values of the other store and the list of boxes; lists of all jobs or workers. And a new owner has the 2 s of its lease to read all jobs, records and workers, however much that is: a lease that ends lets another box claim the cell and begin the same.

Left as they are: requests that a gate passes on, which have their caller's deadline; changes of the store, which callers wait for.

Change: these calls flow. A flowing call's last attempt also has the time that its body needs at 2 Mbit/s; the first stays as short as it was, so that a silent connection is found out as soon. `claim` renews the lease every 0.5 s while the cell is read.

--- a/components/infra/src/store.rs
+++ b/components/infra/src/store.rs
@@ -8,6 +8,7 @@
 use {
     kernel::{
         Call, Client, Failure,
+        client::Time,
         verdict::{Cause, Verdict},
     },
     std::{sync::Arc, time::Duration},
@@ -91,7 +92,7 @@
             url: &url,
             headers: &[],
             body: &[],
-            time: timeout.into(),
+            time: Time::once(timeout).flowing(),
         };
         let answer = self.client.send(&call)?;
         match answer.status {
@@ -120,7 +121,7 @@
             url: &url,
             headers: &[],
             body: bytes,
-            time: TIMEOUT.into(),
+            time: Time::once(TIMEOUT).flowing(),
         };
         let answer = self.client.send(&call)?;
         let version = || version_of(answer.header(VERSION_HEADER));
--- a/components/kernel/src/client.rs
+++ b/components/kernel/src/client.rs
@@ -32,7 +32,7 @@
     xxhash_rust::xxh3::xxh3_64,
 };
 
-pub use crate::time::Time;
+pub use crate::time::{BULK, Time};
 
 /// The largest answer that a call takes in, in bytes.
 pub const MAX_ANSWER: u64 = 16 * 1024 * 1024;
@@ -167,13 +167,15 @@
     /// `not-run` only when no byte left for the receiver; else `may-have-run`. An answer without
     /// a length of its own, or one that is cut, is `BadAnswer`.
     pub fn send(&self, call: &Call) -> Result<Answer, Failure> {
-        let time = call.time;
+        let (time, body) = (call.time, call.body.len());
         let begun = Instant::now();
-        let result = self.attempt(call, time.first());
+        let result = self.attempt(call, time.first(body));
         if !time.is_twice() {
             return result;
         }
-        once_more(result, || self.attempt(call, time.second(begun.elapsed())))
+        once_more(result, || {
+            self.attempt(call, time.second(body, begun.elapsed()))
+        })
     }
 
     /// The agent whose pool has the connections to a receiver.
--- a/components/node/src/claim.rs
+++ b/components/node/src/claim.rs
@@ -7,15 +7,19 @@
         keys,
         message::{Ask, Head, Member, Told},
         peer,
-        settings::{LEASE, OWNER_PAUSE, WEAK, WEAK_WAIT},
+        settings::{LEASE, OWNER_PAUSE, RENEW, WEAK, WEAK_WAIT},
         store::{Applied, Change, range_all},
         tenure::Tenure,
         time,
     },
     cell::{Cell, Entry},
     job::{Id, Record, Submission},
-    kernel::{Failure, verdict::Cause, wall, wire},
-    std::{collections::HashMap, thread, time::Duration},
+    kernel::{Failure, task::Signal, verdict::Cause, wall, wire},
+    std::{
+        collections::HashMap,
+        thread::{self, Builder},
+        time::Duration,
+    },
 };
 
 /// Boxes that see the same key go wait up to this long, so that one of them comes first.
@@ -60,7 +64,7 @@
     log::info!(target: "owner", fence; "The cell is claimed.");
     metrics::counter!("magpie_claims_total").increment(1);
     let begun = time::now();
-    let cell = load(node)?;
+    let cell = load_leased(node, lease)?;
     let summary = cell.summary(time::now());
     log::info!(target: "owner", fence, jobs = summary.jobs, workers = summary.workers, took = time::now() - begun; "The cell is read.");
     let tenure = Tenure::new(fence, lease, cell);
@@ -118,6 +122,41 @@
     false
 }
 
+/// Reads what the former owner left, and keeps the lease alive meanwhile: how long that takes depends on
+/// how much it is and on the link of this box, and a lease that ends lets others claim the cell.
+fn load_leased(node: &Node, lease: u64) -> Result<Cell, Failure> {
+    let loaded = Signal::new();
+    thread::scope(|scope| {
+        let builder = Builder::new().name("keep".to_owned());
+        if let Err(error) = builder.spawn_scoped(scope, || keep(node, lease, &loaded)) {
+            log::error!(target: "owner", lease, error:% = error; "The lease cannot be renewed while the cell is read.");
+        }
+        let cell = load(node);
+        loaded.stop();
+        cell
+    })
+}
+
+/// Keeps a lease alive until the signal says stop.
+fn keep(node: &Node, lease: u64, until: &Signal) {
+    loop {
+        until.wait(RENEW);
+        if until.is_stopped() {
+            return;
+        }
+        match node.outside.store.renew(lease) {
+            Ok(true) => {}
+            Ok(false) => {
+                log::warn!(target: "owner", lease; "The lease was over before the cell was read.");
+                return;
+            }
+            Err(failure) => {
+                log::info!(target: "owner", lease, error:% = failure; "The lease was not renewed while the cell is read.");
+            }
+        }
+    }
+}
+
 /// Reads jobs, records and workers into a cell.
 fn load(node: &Node) -> Result<Cell, Failure> {
     let store = &*node.outside.store;
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -87,8 +87,10 @@
 pub const RELAY_BUSY: Duration = Duration::from_millis(25);
 /// Between two offers of a box that is not needed as a relay.
 pub const RELAY_IDLE: Duration = Duration::from_millis(400);
-/// The time for one exchange of a relay. It may be made twice: the owner takes each offer once.
-pub const RELAY_TIME: Time = Time::twice(Duration::from_millis(800), Duration::from_millis(400));
+/// The time for one exchange of a relay. It may be made twice: the owner takes each offer once. Offers and
+/// duties are sent again unchanged, and after trouble or in a burst they are large.
+pub const RELAY_TIME: Time =
+    Time::twice(Duration::from_millis(800), Duration::from_millis(400)).flowing();
 /// Boxes with less than this share of a core, in thousandths, leave the cell to stronger ones.
 pub const WEAK: u32 = 200;
 /// How long they wait for these.
--- a/components/sched/src/api.rs
+++ b/components/sched/src/api.rs
@@ -9,6 +9,7 @@
     },
     kernel::{
         Client, Failure, Remote, Reply, Request,
+        client::Time,
         ops::{self, Readiness},
         verdict::Cause,
     },
@@ -22,6 +23,9 @@
 /// The time for a call on another scheduler.
 const PEER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The time for one that lists all jobs or workers of a cell.
+const LIST_TIME: Time = Time::once(PEER_TIMEOUT).flowing();
+
 /// How long a task of the port waits for a book's write. While the store is down the port must go
 /// on answering other schedulers.
 const WRITE_MOST: Duration = Duration::from_secs(3);
@@ -253,7 +257,7 @@
         for url in urls {
             let more: Vec<R> =
                 self.client
-                    .post(&format!("{url}{path}"), &Ask { all: false }, PEER_TIMEOUT)?;
+                    .post(&format!("{url}{path}"), &Ask { all: false }, LIST_TIME)?;
             all.extend(more);
         }
         Ok(all)
--- a/components/standin/src/boxes.rs
+++ b/components/standin/src/boxes.rs
@@ -148,7 +148,37 @@
 
 #[cfg(test)]
 mod tests {
-    use {super::*, infra::boxes, kernel::Client};
+    use {super::*, crate::line::Line, infra::boxes, kernel::Client};
+
+    fn item(number: usize) -> Item {
+        Item {
+            name: format!("box-{number}").into(),
+            kind: boxes::Kind::Worker,
+            hall: "hall".into(),
+            rack: "rack".into(),
+            state: State::Live,
+            services: BTreeMap::new(),
+            size: infra::Size::new(64_000, 256_000, 0),
+            generation: "g1".into(),
+            class: "".into(),
+        }
+    }
+
+    /// A list of 8,000 boxes has over 1 MB and takes over 2.5 s on its way, longer than a call may wait for its
+    /// answer to begin.
+    #[test]
+    fn list_over_slow_line() {
+        let registry = Registry::new(Duration::ZERO);
+        for number in 0..8_000 {
+            registry.put(item(number));
+        }
+        let url = registry.open(([127, 0, 0, 1], 0).into()).unwrap();
+        let line = Line::open(url.trim_start_matches("http://").parse().unwrap()).unwrap();
+        line.limit(400_000);
+        let http = boxes::Http::new(&format!("http://{}", line.address()), Client::new(None));
+        assert_eq!(http.list(0).unwrap().unwrap().items.len(), 8_000);
+        assert!(line.brought() > 1_000_000);
+    }
 
     #[test]
     fn list_over_http() {
--- a/components/standin/src/store/mod.rs
+++ b/components/standin/src/store/mod.rs
@@ -276,7 +276,10 @@
 
 #[cfg(test)]
 mod tests {
-    use {super::*, infra::store, kernel::Client, std::sync::Arc, test_case::test_case};
+    use {
+        super::*, crate::line::Line, infra::store, kernel::Client, std::sync::Arc,
+        test_case::test_case,
+    };
 
     fn port() -> (Port, store::Http) {
         let core = Arc::new(Core::new(Rates::default(), Clock::real()));
@@ -307,6 +310,21 @@
         assert_eq!((counts.get, counts.swap, counts.watch), (2, 2, 2));
     }
 
+    /// A value of 1 MB takes 2.5 s on its way, longer than a call may wait for its answer to begin.
+    #[test_case(|http| http.get("k"); "read")]
+    #[test_case(|http| http.watch("k", 0, Duration::from_millis(5)); "watch")]
+    fn large_value_over_slow_line(
+        call: fn(&store::Http) -> Result<Option<store::Versioned>, Failure>,
+    ) {
+        let (port, _) = port();
+        let value = vec![b'v'; 1_000_000];
+        let _ = port.core().swap("k", 0, &value).unwrap();
+        let line = Line::open(port.url().trim_start_matches("http://").parse().unwrap()).unwrap();
+        line.limit(400_000);
+        let http = store::Http::new(&format!("http://{}", line.address()), Client::new(None));
+        assert_eq!(call(&http).unwrap().unwrap().bytes.len(), value.len());
+    }
+
     #[test]
     fn watch_wakes_on_write() {
         let (port, http) = port();
--- a/components/table/src/follow.rs
+++ b/components/table/src/follow.rs
@@ -8,6 +8,7 @@
     infra::budget,
     kernel::{
         Client, Failure,
+        client::Time,
         task::{self, Signal},
     },
     members::roster::View,
@@ -18,7 +19,7 @@
 /// `GRACE`, and another is asked; an accepted edit must be in force within 3 s.
 const WAIT: Duration = Duration::from_secs(1);
 
-/// How much longer than the wait an answer may take.
+/// How much longer than the wait an answer may take to begin; a table that is read in whole is large.
 const GRACE: Duration = Duration::from_millis(700);
 
 /// What happens with each new table.
@@ -98,7 +99,8 @@
         after,
         wait: WAIT.as_millis() as u64,
     };
-    client.post(&format!("{url}/table/watch"), &watch, WAIT + GRACE)
+    let time = Time::once(WAIT + GRACE).flowing();
+    client.post(&format!("{url}/table/watch"), &watch, time)
 }
 
 /// The book after an update; `None` when it brings nothing newer.
--- a/components/table/src/spread.rs
+++ b/components/table/src/spread.rs
@@ -10,6 +10,7 @@
     infra::{Store, budget},
     kernel::{
         Client, Failure, Remote,
+        client::Time,
         task::{self, Signal},
         wire,
     },
@@ -29,6 +30,9 @@
 /// The time for one message to a peer.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The time for one that may hold a whole table, either way.
+const TABLE_TIME: Time = Time::once(PEER_TIMEOUT).flowing();
+
 /// How many times a push to one peer is tried.
 const PUSH_TRIES: u32 = 3;
 
@@ -85,7 +89,7 @@
 fn push(shared: &Shared, url: &str, update: &Update) {
     let address = format!("{url}/table/push");
     for failures in 0..PUSH_TRIES {
-        let sent: Result<u64, Failure> = shared.client.post(&address, update, PEER_TIMEOUT);
+        let sent: Result<u64, Failure> = shared.client.post(&address, update, TABLE_TIME);
         match sent {
             Ok(_) => return,
             Err(failure) => log::debug!(target: "table", "A push failed. peer={url} {failure}"),
@@ -120,7 +124,7 @@
     let answer: Result<Compared, Failure> =
         shared
             .client
-            .post(&address, &Compare { version }, PEER_TIMEOUT);
+            .post(&address, &Compare { version }, TABLE_TIME);
     let Ok(compared) = answer else { return false };
     if compared.version < version {
         let theirs = compared.version;
