--- a/programs/burn/src/main.rs
+++ b/programs/burn/src/main.rs
@@ -5,12 +5,12 @@
 use {
     burn::report::{self, Sample},
     infra::{boxes::Boxes, boxes::Kind},
-    kernel::{Client, Failure, daemon, wall},
+    kernel::{Client, Failure, client::Time, daemon, wall},
     std::{process, sync::Arc, time::Duration},
 };
 
-/// The time for one gate's answer.
-const TIMEOUT: Duration = Duration::from_secs(2);
+/// The time for one gate's answer, which grows with the table.
+const TIME: Time = Time::once(Duration::from_secs(2)).flowing();
 
 /// Exit code when the list of boxes cannot be read.
 const EXIT_NO_LIST: i32 = 1;
@@ -33,7 +33,7 @@
         let Some(url) = item.url("gate-ops") else {
             continue;
         };
-        let sample: Result<Sample, Failure> = client.post(&format!("{url}/burn"), &(), TIMEOUT);
+        let sample: Result<Sample, Failure> = client.post(&format!("{url}/burn"), &(), TIME);
         match sample {
             Ok(sample) => samples.push(sample),
             Err(_) => silent.push(item.name.clone()),
--- a/programs/ctl/src/context.rs
+++ b/programs/ctl/src/context.rs
@@ -3,15 +3,17 @@
 use {
     crate::exit::Error,
     kernel::{
-        Client, daemon,
+        Client,
+        client::Time,
+        daemon,
         settings::{Reader, settle},
     },
     serde::{Serialize, de::DeserializeOwned},
     std::time::Duration,
 };
 
-/// The time for one call.
-const TIMEOUT: Duration = Duration::from_secs(10);
+/// The time for one call; a list of all jobs is large.
+const TIME: Time = Time::once(Duration::from_secs(10)).flowing();
 
 /// The processes that the commands speak to.
 pub struct Context {
@@ -61,8 +63,6 @@
         path: &str,
         message: &T,
     ) -> Result<R, Error> {
-        Ok(self
-            .client
-            .post(&format!("{base}{path}"), message, TIMEOUT)?)
+        Ok(self.client.post(&format!("{base}{path}"), message, TIME)?)
     }
 }
