Give no work to a worker before a new owner would know of it

Change: a worker is open for work once the record that names it is written; those that a former owner has recorded are at once.

Tests: list_gives_no_work_before_fleet_is_written (fails before), inherit_knows_recorded_workers.

--- a/components/cell/src/lives.rs
+++ b/components/cell/src/lives.rs
@@ -76,10 +76,12 @@
         let mut added = Vec::new();
         for entry in entries {
             if self.workers.contains_key(&entry.id) {
+                self.record(&entry.id);
                 continue;
             }
             let mut worker = Worker::new(entry.clone());
             worker.listed = false;
+            worker.recorded = true;
             self.workers.insert(entry.id.clone(), worker);
             added.push(entry);
         }
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -79,6 +79,8 @@
     pub entry: Entry,
     /// True while the listing has it.
     pub listed: bool,
+    /// The record of the fleet names it: a new owner would ask it.
+    pub recorded: bool,
     /// When the listing lost it, on our clock.
     pub vanished: Option<u64>,
     /// It is emptied for the upkeep of its machine.
@@ -137,6 +139,7 @@
         Worker {
             entry,
             listed: true,
+            recorded: false,
             vanished: None,
             closing: false,
             fenced: false,
@@ -201,9 +204,11 @@
         Some(clock.at + timing::until_over(length))
     }
 
-    /// True when it may be given work.
+    /// True when it may be given work: not before a new owner would know of it, whose listing may lack it
+    /// for a while.
     pub fn is_open(&self, now: u64) -> bool {
-        self.fenced && self.listed && !self.entry.leaving && !self.closing && now >= self.avoid
+        let is_known = self.fenced && self.listed && self.recorded;
+        is_known && !self.entry.leaving && !self.closing && now >= self.avoid
     }
 
     /// True when it may be given work but for the failures that it was set aside for.
--- a/components/cell/src/write.rs
+++ b/components/cell/src/write.rs
@@ -68,6 +68,9 @@
         for (id, record) in &change.records {
             self.show(id, record);
         }
+        for entry in change.fleet.iter().flatten() {
+            self.record(&entry.id);
+        }
         let mut kept = Vec::new();
         for (id, number) in &change.ends {
             let Some(worker) = self.workers.get_mut(id) else {
@@ -82,6 +85,14 @@
         kept
     }
 
+    /// Notes that the record of the fleet names a worker.
+    pub(crate) fn record(&mut self, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.changed |= !worker.recorded;
+            worker.recorded = true;
+        }
+    }
+
     /// Shows the state of a job that is written down, and forgets the tasks of one that has ended.
     fn show(&mut self, id: &Id, record: &Record) {
         let Some(job) = self.jobs.get_mut(id) else {
--- a/components/cell/tests/decisions/common.rs
+++ b/components/cell/tests/decisions/common.rs
@@ -89,7 +89,16 @@
         let mut cell = Cell::new(TIMING);
         let entries = workers.iter().map(|id| entry(id, 4)).collect();
         cell.list(entries, 1_000);
-        World { cell, now: 1_000 }
+        let mut world = World { cell, now: 1_000 };
+        world.write();
+        world
+    }
+
+    /// Lists the workers, and writes down which they are. Returns those that are new.
+    pub fn list(&mut self, entries: Vec<Entry>) -> Vec<Entry> {
+        let added = self.cell.list(entries, self.now);
+        self.write();
+        added
     }
 
     pub fn submit(&mut self, id: &str, steps: Vec<Step>) {
--- a/components/cell/tests/decisions/fill.rs
+++ b/components/cell/tests/decisions/fill.rs
@@ -51,7 +51,7 @@
 
 fn add_worker(world: &mut World) {
     let entries = vec![entry("w1", 4), entry("w2", 4)];
-    world.cell.list(entries, world.now);
+    world.list(entries);
     world.report("w2", vec![], vec![]);
 }
 
@@ -238,7 +238,7 @@
     assert!(world.starts().is_empty());
     assert_eq!(world.cell.tried(), before);
     add_worker(&mut world);
-    world.cell.list(vec![entry("w3", 4)], world.now);
+    world.list(vec![entry("w3", 4)]);
     world.report("w3", vec![], vec![]);
     assert_eq!(world.starts().len(), 1);
     assert_eq!(world.cell.tried(), before);
--- a/components/cell/tests/decisions/lives.rs
+++ b/components/cell/tests/decisions/lives.rs
@@ -50,7 +50,7 @@
 #[test_case("w2", "w1"; "former listed last")]
 fn list_keeps_life_beside_former(former: &str, new: &str) {
     let mut world = World::new(&[former]);
-    world.cell.list(listing(former, new), world.now);
+    world.list(listing(former, new));
     refuse(&mut world.cell, former, world.now);
     world.report(new, vec![], vec![]);
     world.submit(JOB, vec![step(1, 1_000)]);
@@ -81,7 +81,7 @@
 fn list_frees_nothing_without_proof() {
     let (mut world, worker, start) = ordered(&["w1"], step(1, 1_000));
     world.answer(&worker, &start, Outcome::Done);
-    world.cell.list(listing("w1", "w2"), world.now);
+    world.list(listing("w1", "w2"));
     world.report("w9", vec![], vec![]);
     assert!(world.starts().is_empty());
 }
@@ -92,7 +92,7 @@
     let (mut world, worker, start) = ordered(&["w1"], step(1, 1_000));
     world.answer(&worker, &start, Outcome::Done);
     world.now += LIST_GAP;
-    world.cell.list(listing("w1", "w2"), world.now);
+    world.list(listing("w1", "w2"));
     world.now += 1;
     world.report("w2", vec![], vec![]);
     assert_eq!(world.starts().len(), 1);
--- a/components/cell/tests/decisions/place.rs
+++ b/components/cell/tests/decisions/place.rs
@@ -56,9 +56,7 @@
     let mut world = World::new(&["w1", "w2"]);
     let mut near = entry("w3", 4);
     near.labels = vec!["a".into(), "r7".into()];
-    world
-        .cell
-        .list(vec![entry("w1", 4), entry("w2", 4), near], world.now);
+    world.list(vec![entry("w1", 4), entry("w2", 4), near]);
     world.report("w3", vec![], vec![]);
     let mut bound = step(2, 1_000);
     bound.rack = Some("r7".into());
@@ -144,9 +142,7 @@
     world.submit(JOB, vec![gang.clone()]);
     assert!(workers(&mut world).is_empty());
     let third = entry("w3", 4);
-    world
-        .cell
-        .list(vec![entry("w1", 4), entry("w2", 4), third], world.now);
+    world.list(vec![entry("w1", 4), entry("w2", 4), third]);
     world.report("w3", vec![], vec![]);
     let starts = world.starts();
     assert_eq!(starts.len(), 6);
--- a/components/cell/tests/decisions/takeover.rs
+++ b/components/cell/tests/decisions/takeover.rs
@@ -1,9 +1,9 @@
 //! A new owner adopts what runs and starts nothing twice.
 
 use {
-    crate::common::{JOB, World, end, run, state, step},
+    crate::common::{JOB, TIMING, World, end, entry, run, state, step},
     job::{Id, State},
-    magpie_cell::How,
+    magpie_cell::{Cell, How},
 };
 
 #[test]
@@ -139,3 +139,31 @@
     world.cell.lapse(world.now);
     assert!(world.starts().is_empty());
 }
+
+/// A listing brings a worker, it gets work, and the owner dies before the record of the fleet names it: with the
+/// store away the worker's entry lapses, and the next owner would start its work elsewhere.
+#[test]
+fn list_gives_no_work_before_fleet_is_written() {
+    let mut world = World::new(&["w1"]);
+    world
+        .cell
+        .list(vec![entry("w1", 4), entry("w2", 4)], world.now);
+    world.report("w2", vec![], vec![]);
+    world.submit(JOB, vec![step(8, 1_000)]);
+    let starts = world.starts();
+    assert!(starts.iter().all(|(worker, _)| &**worker == "w1"));
+    world.write();
+    assert_eq!(world.starts().len(), 8 - starts.len());
+}
+
+/// Workers that the former owner has recorded may be given work before this one has written.
+#[test]
+fn inherit_knows_recorded_workers() {
+    let mut cell = Cell::new(TIMING);
+    cell.list(vec![entry("w1", 4)], 1_000);
+    cell.inherit(vec![entry("w1", 4)]);
+    let mut world = World { cell, now: 1_000 };
+    world.report("w1", vec![], vec![]);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    assert_eq!(world.starts().len(), 1);
+}
