Stop all runs of a job that is not known, whatever their names

Cause, from the review: the room of a run whose job is not known is taken under its number within the step, so that runs of several times of one cancelled job shared one entry. After a takeover they were stopped one after the other, up to 0.9 s each.

Change: such runs stand under a number of their own, which no task of a known job has. Test: report_stops_all_runs_of_unknown_job (1 of 3 stopped before).

--- a/components/cell/src/ends.rs
+++ b/components/cell/src/ends.rs
@@ -99,10 +99,11 @@
 
     /// Frees a task unless some worker still holds a slot for it.
     pub(crate) fn free_if_placed_nowhere(&mut self, key: &Key) {
-        let Some(job) = self.jobs.get(&key.job) else {
+        let job = self.jobs.get(&key.job);
+        let Some(task) = job.and_then(|job| job.progress.tasks.get(key.place)) else {
             return;
         };
-        if let Phase::Placed(worker) = &job.progress.tasks[key.place].phase
+        if let Phase::Placed(worker) = &task.phase
             && let Some(worker) = self.workers.get(worker)
             && worker.slots.contains_key(key)
         {
--- a/components/cell/src/lapse.rs
+++ b/components/cell/src/lapse.rs
@@ -81,9 +81,9 @@
 
     /// Frees a task if it was placed on this worker.
     pub(crate) fn free_from(&mut self, id: &Arc<str>, key: &Key) {
-        let is_here = self.jobs.get(&key.job).is_some_and(
-            |job| matches!(&job.progress.tasks[key.place].phase, Phase::Placed(at) if at == id),
-        );
+        let job = self.jobs.get(&key.job);
+        let task = job.and_then(|job| job.progress.tasks.get(key.place));
+        let is_here = task.is_some_and(|task| matches!(&task.phase, Phase::Placed(at) if at == id));
         if is_here {
             self.free(key);
         }
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -99,7 +99,7 @@
             .get(id)
             .and_then(|worker| worker.key_of(job, address));
         held.or_else(|| {
-            let (job, place) = (job.clone(), address.index as usize);
+            let (job, place) = (job.clone(), unknown_place(address));
             Some(Key { job, place })
         })
     }
@@ -259,6 +259,13 @@
     }
 }
 
+/// Stands for the place of a task whose job is not known: another one for each task, and none that a
+/// known job has.
+const fn unknown_place(address: Address) -> usize {
+    let Address { time, step, index } = address;
+    1 << 63 | (time as usize) << 40 | (step as usize) << 24 | index as usize
+}
+
 /// The order to stop a run as its worker lists it.
 fn stop_order(key: &Key, run: &Run) -> Order {
     Order::Stop {
--- a/components/cell/tests/decisions/takeover.rs
+++ b/components/cell/tests/decisions/takeover.rs
@@ -167,3 +167,18 @@
     world.submit(JOB, vec![step(1, 1_000)]);
     assert_eq!(world.starts().len(), 1);
 }
+
+/// A job with a timetable that was cancelled: runs of several of its times may go on at a worker. Seen
+/// by a review; they were stopped one after the other, each within up to 0.9 s.
+#[test]
+fn report_stops_all_runs_of_unknown_job() {
+    let mut world = World::new(&["w1"]);
+    let mut runs = Vec::new();
+    for time in 0..3 {
+        let mut own = run(JOB, 0, 1);
+        own.address.time = time;
+        runs.push(own);
+    }
+    world.report("w1", runs, vec![]);
+    assert_eq!(world.stops().len(), 3);
+}
