Tell the owner of a cancellation until it confirms that it knows

A box that owns nothing, or an owner that did not know the job, answered as if it had taken it in. With a watch that has gone silent nothing else brings the cancellation: cancelled tasks ran on.

What is not confirmed is told again every 250 ms for 10 s; before each round the owner's key is read, four cheap reads a second while something waits, none otherwise. Cancellations have a file of their own, cancel.rs, taken out of accept.rs.

--- a/components/node/src/accept.rs
+++ b/components/node/src/accept.rs
@@ -1,19 +1,18 @@
-//! Acceptance of jobs and cancellations: durable before they are confirmed.
+//! Acceptance of jobs: durable before they are confirmed.
 
 use {
     crate::{
         callers::Reply,
-        comeback::SOONEST,
         core::Node,
         group::put,
         keys,
-        message::{Ask, Told},
+        message::Ask,
         peer,
         store::{Applied, Change, MAX_ENTRIES},
         time,
     },
     job::{Id, Submission},
-    kernel::{Verdict, wall},
+    kernel::Verdict,
     std::{
         collections::HashSet,
         sync::mpsc::{self, Receiver, Sender, SyncSender},
@@ -49,7 +48,7 @@
     if !may_pass {
         return reply;
     }
-    pass_on(node, &Ask::Submit(Box::new(submission)), reply)
+    peer::pass_on(node, &Ask::Submit(Box::new(submission)), reply)
 }
 
 /// Hands a job to the accepting task. A box that is cut off from the store sends nothing and says
@@ -84,22 +83,6 @@
     Reply::Busy(wait)
 }
 
-/// Lets the owner do what this box cannot. Without an owner that answers, nothing was sent.
-fn pass_on(node: &Node, ask: &Ask, reply: Reply) -> Reply {
-    let Some(owner) = node.shared.owner.load_full() else {
-        return reply;
-    };
-    if owner.name == node.settings.name {
-        return reply;
-    }
-    match peer::ask(node, &owner.address, ask) {
-        Ok(Told::Reply(passed)) => passed,
-        Ok(_) => Reply::Unsure,
-        Err(failure) if failure.is_not_run() => reply,
-        Err(_) => Reply::Unsure,
-    }
-}
-
 /// Accepts jobs, several in one change.
 pub fn run(node: &Node, knocks: &Receiver<Knock>) {
     while let Ok(first) = knocks.recv() {
@@ -216,63 +199,3 @@
 fn answer(knock: &Knock, reply: Reply) {
     let _ = knock.answer.send(reply);
 }
-
-/// Cancels a job; see [`submit`] for `may_pass`.
-pub fn cancel(node: &Node, id: &Id, may_pass: bool) -> Reply {
-    let reply = cancel_here(node, id);
-    match reply {
-        Reply::Busy(_) if may_pass => pass_on(node, &Ask::Cancel(id.clone()), reply),
-        _ => reply,
-    }
-}
-
-fn cancel_here(node: &Node, id: &Id) -> Reply {
-    if node.shared.is_cut_off() {
-        return Reply::Busy(SOONEST);
-    }
-    let store = &node.outside.store;
-    let job = match store.get(&keys::job(id)) {
-        Ok(Some(item)) => item,
-        Ok(None) => return cancel_ended(node, id),
-        Err(_) => return Reply::Busy(SOONEST),
-    };
-    let change = Change {
-        expect: vec![(job.key, job.revision)],
-        put: vec![put(keys::cancel(id), &wall::millis(), 0)],
-        remove: Vec::new(),
-    };
-    match store.apply(&change) {
-        Ok(Applied::Done(_)) => {
-            log::info!(target: "accept", job = id.as_str(); "A job is cancelled.");
-            tell_owner(node, id);
-            Reply::Cancelled
-        }
-        Ok(Applied::Conflict(_)) => cancel_ended(node, id),
-        Ok(Applied::NoLease) => Reply::Unsure,
-        Err(failure) if failure.verdict == Verdict::NotRun => Reply::Busy(SOONEST),
-        Err(_) => Reply::Unsure,
-    }
-}
-
-/// Tells the owner at once of a cancellation that is written down: its watch brings it too, but may
-/// have gone silent.
-fn tell_owner(node: &Node, id: &Id) {
-    if !cancelled_here(node, id) {
-        peer::ask_owner(node, &Ask::Cancelled(id.clone()));
-    }
-}
-
-/// Takes in a cancellation that is written down. False when this box does not own the cell.
-pub(crate) fn cancelled_here(node: &Node, id: &Id) -> bool {
-    let id = id.clone();
-    node.remote.ask(move |core, cx| core.cancelled(cx, &id)) == Ok(true)
-}
-
-/// A job that has ended has nothing left to cancel; one that never was cannot be.
-fn cancel_ended(node: &Node, id: &Id) -> Reply {
-    match node.outside.store.get(&keys::state(id)) {
-        Ok(Some(_)) => Reply::Cancelled,
-        Ok(None) => Reply::Gone,
-        Err(_) => Reply::Busy(SOONEST),
-    }
-}
--- a/components/node/src/callers.rs
+++ b/components/node/src/callers.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        accept,
+        accept, cancel,
         comeback::SOONEST,
         core::Node,
         keys,
@@ -73,7 +73,7 @@
                 accept::submit(self, submission, true)
             }
             Call::State(id) => self.state(&id),
-            Call::Cancel(id) => accept::cancel(self, &id, true),
+            Call::Cancel(id) => cancel::cancel(self, &id, true),
             Call::Waiting(queue) => self.waiting(&queue),
         }
     }
--- a/components/node/src/core.rs
+++ b/components/node/src/core.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        accept,
+        accept, cancel,
         comeback::Comeback,
         config, follow,
         message::Owner,
@@ -177,6 +177,8 @@
     pub client: Client,
     pub(crate) remote: Remote<Core>,
     pub(crate) acceptor: accept::Door,
+    /// Cancellations that the owner has not confirmed.
+    pub(crate) untold: cancel::Door,
 }
 
 /// A box that runs.
@@ -202,6 +204,7 @@
         ..outside
     };
     let (acceptor, submissions) = accept::door();
+    let (untold, cancellations) = cancel::door();
     let settings = Arc::new(settings);
     let (sender, receiver) = std::sync::mpsc::sync_channel(1);
     let host = Host::start("core", move |_, remote| {
@@ -212,17 +215,23 @@
             client,
             remote,
             acceptor,
+            untold,
         };
         // The receiver waits for just this one.
         let _ = sender.send(node.clone());
         Core { node, tenure: None }
     })?;
     let node = receiver.recv().map_err(io::Error::other)?;
-    let (own, other, third, fourth) = (node.clone(), node.clone(), node.clone(), node.clone());
+    let own = node.clone();
     task::spawn("accept", move || accept::run(&own, &submissions))?;
-    task::spawn("config", move || config::follow(&other))?;
-    task::spawn("owner", move || follow::ownership(&third))?;
-    task::spawn("relay", move || relay::run(&fourth))?;
+    let own = node.clone();
+    task::spawn("cancel", move || cancel::run(&own, &cancellations))?;
+    let own = node.clone();
+    task::spawn("config", move || config::follow(&own))?;
+    let own = node.clone();
+    task::spawn("owner", move || follow::ownership(&own))?;
+    let own = node.clone();
+    task::spawn("relay", move || relay::run(&own))?;
     Ok(Running { node, _host: host })
 }
 
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -1,12 +1,13 @@
 //! One box of the system: it accepts jobs, and owns the cell of workers when it is its turn.
 //!
 //! The state is in one actor, [`core::Core`]. Around it, each written straight down: a task that
-//! follows the configuration, one that follows and claims ownership, one that accepts jobs, and
-//! while owning one that renews the lease, one that reads the intake, one that writes groups, one
-//! that lists workers, and two for each worker.
+//! follows the configuration, one that follows and claims ownership, one that accepts jobs, one that
+//! tells the owner of cancellations again, and while owning one that renews the lease, one that reads
+//! the intake, one that writes groups, one that lists workers, and two for each worker.
 
 pub mod accept;
 pub mod callers;
+pub mod cancel;
 pub mod claim;
 pub mod comeback;
 pub mod config;
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -76,7 +76,8 @@
     Submit(Box<Submission>),
     /// To cancel a job, for the same reason.
     Cancel(Id),
-    /// To take in that a job is cancelled, which is written down already.
+    /// To take in that a job is cancelled, which is written down already. [`Reply::Cancelled`] confirms
+    /// that it is taken in; any other answer does not.
     Cancelled(Id),
     /// Whether it owns the cell.
     Probe {
--- a/components/node/src/peer.rs
+++ b/components/node/src/peer.rs
@@ -4,6 +4,7 @@
     crate::{
         accept,
         callers::Reply,
+        cancel,
         core::Node,
         message::{Ask, Offer, Told},
         settings::{PEER_TIMEOUT, PEER_TWICE},
@@ -45,6 +46,22 @@
     }
 }
 
+/// Lets the owner do what this box cannot. Without an owner that answers, nothing was sent.
+pub(crate) fn pass_on(node: &Node, question: &Ask, reply: Reply) -> Reply {
+    let Some(owner) = node.shared.owner.load_full() else {
+        return reply;
+    };
+    if owner.name == node.settings.name {
+        return reply;
+    }
+    match ask(node, &owner.address, question) {
+        Ok(Told::Reply(passed)) => passed,
+        Ok(_) => Reply::Unsure,
+        Err(failure) if failure.is_not_run() => reply,
+        Err(_) => Reply::Unsure,
+    }
+}
+
 /// Answers another box.
 pub fn answer(node: &Node, request: Request) {
     let result = request.message().and_then(|ask: Ask| told(node, ask));
@@ -67,12 +84,8 @@
         }
         Ask::Waiting(queue) => Ok(Told::Waiting(waiting(node, queue)?)),
         Ask::Submit(submission) => Ok(Told::Reply(accept::submit(node, *submission, false))),
-        Ask::Cancel(id) => Ok(Told::Reply(accept::cancel(node, &id, false))),
-        Ask::Cancelled(id) => {
-            // Whether or not it owns the cell: the mark in the store holds.
-            accept::cancelled_here(node, &id);
-            Ok(Told::Reply(Reply::Cancelled))
-        }
+        Ask::Cancel(id) => Ok(Told::Reply(cancel::cancel(node, &id, false))),
+        Ask::Cancelled(id) => Ok(Told::Reply(cancel::told(node, &id))),
         Ask::Probe { release } => probe(node, release),
     }
 }
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -77,6 +77,12 @@
 pub const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 /// The time for one that may be made twice.
 pub const PEER_TWICE: Time = Time::twice(PEER_TIMEOUT, Duration::from_millis(200));
+/// Between two tries to tell the owner of a cancellation. The users want nothing of the job to run 3 s
+/// after the confirmation to the caller; with a time-out each, four tries fit in.
+pub const TELL_GAP: Duration = Duration::from_millis(250);
+/// How long the owner is told of a cancellation that it does not confirm, in milliseconds: a dead one is
+/// replaced within 4 s, and its successor reads the cancellation from the store.
+pub const TELL_FOR: u64 = 10_000;
 /// An owner that has had no answer of the store for this long is cut off from it.
 pub const CUT_OFF: Duration = Duration::from_millis(1_500);
 /// While a probe of a failing store has taken this long, in milliseconds, callers are refused without
--- a/components/node/src/tenure/take.rs
+++ b/components/node/src/tenure/take.rs
@@ -57,15 +57,15 @@
         }
     }
 
-    /// Takes in a cancellation that is written down. False when this box does not own the cell.
+    /// Takes in a cancellation that is written down. False when this box does not own the cell, or does
+    /// not know the job yet.
     pub(crate) fn cancelled(&mut self, cx: &mut Cx<'_, Self>, id: &Id) -> bool {
         let Some(tenure) = &mut self.tenure else {
             return false;
         };
-        // A job that is not known yet comes with its cancellation from the store.
-        tenure.cell.cancel(id, time::now(), wall::millis());
+        let is_known = tenure.cell.cancel(id, time::now(), wall::millis());
         self.settle(cx);
-        true
+        is_known
     }
 
     /// The state of a job; `None` where it is not known.
--- a/programs/box/tests/whole_path.rs
+++ b/programs/box/tests/whole_path.rs
@@ -6,7 +6,12 @@
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
 use {
+    job::Id,
     kernel::{Answer, Client, client::Call, sync::lock},
+    node::{
+        Reply,
+        message::{Ask, Told},
+    },
     serde_json::{Value, json},
     standin::{
         Kv, Runner,
@@ -49,6 +54,7 @@
     child: Child,
     callers: u16,
     ready: u16,
+    inside: u16,
 }
 
 impl Process {
@@ -72,6 +78,7 @@
             child,
             callers,
             ready,
+            inside,
         }
     }
 
@@ -89,6 +96,16 @@
         send(self.ready, "GET", "/readiness", None).is_some_and(|answer| answer.status == 200)
     }
 
+    /// Tells the box, as another one would, that a job is cancelled.
+    fn tell_cancelled(&self, id: &str) -> Reply {
+        let url = format!("http://127.0.0.1:{}/peer", self.inside);
+        let ask = Ask::Cancelled(Id::new(id).unwrap());
+        match Client::new(None).post(&url, &ask, FOREVER).unwrap() {
+            Told::Reply(reply) => reply,
+            other => panic!("{other:?}"),
+        }
+    }
+
     fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         let sent = Command::new("kill").args([name, &id]).status().unwrap();
@@ -312,6 +329,24 @@
     until("nothing of it runs", || world.running() == 0);
 }
 
+/// What is not confirmed is told again, so nobody else than an owner that knows the job confirms.
+#[test]
+fn cancellation_is_confirmed_by_the_owner() {
+    let world = World::new(FOREVER);
+    let boxes = world.boxes(2);
+    let id = "00000000000000a1";
+    let path = format!("/q/{id}");
+    send(boxes[0].callers, "POST", &path, Some(&job(4))).unwrap();
+    until("its tasks run", || world.running() == 4);
+    let index = usize::from(world.owner().unwrap() != "b0");
+    let (owner, other) = (&boxes[index], &boxes[1 - index]);
+    assert_eq!(other.tell_cancelled(id), Reply::Gone);
+    assert_eq!(owner.tell_cancelled("00000000000000a2"), Reply::Gone);
+    assert_eq!(owner.tell_cancelled(id), Reply::Cancelled);
+    until("nothing of it runs", || world.running() == 0);
+    assert_eq!(owner.tell_cancelled(id), Reply::Cancelled);
+}
+
 /// Once the store has failed a box, refusals are true: no write leaves until a read has come back.
 #[test_case(Faults { reset: true, ..Faults::default() }; "reset")]
 #[test_case(Faults { busy: true, ..Faults::default() }; "busy")]
