--- a/components/kernel/src/client.rs
+++ b/components/kernel/src/client.rs
@@ -117,6 +117,8 @@
     agents: Arc<[Agent]>,
     token: Option<Token>,
     trust: Arc<Trust>,
+    /// All calls have so many times the time that they are given.
+    stretch: u32,
 }
 
 impl fmt::Debug for Client {
@@ -157,6 +159,17 @@
             agents: std::iter::repeat_with(agent).take(POOLS).collect(),
             token,
             trust,
+            stretch: 1,
+        }
+    }
+
+    /// Gives all calls so many times as long: for a machine so busy that it holds threads up for as long as
+    /// the time-outs of calls.
+    #[must_use]
+    pub fn patient(self, by: u32) -> Self {
+        Client {
+            stretch: by,
+            ..self
         }
     }
 
@@ -167,7 +180,8 @@
     /// `not-run` only when no byte left for the receiver; else `may-have-run`. An answer without
     /// a length of its own, or one that is cut, is `BadAnswer`.
     pub fn send(&self, call: &Call) -> Result<Answer, Failure> {
-        let (time, body) = (call.time, call.body.len());
+        let time = call.time.stretched(self.stretch);
+        let body = call.body.len();
         let begun = Instant::now();
         let result = self.attempt(call, time.first(body));
         if !time.is_twice() {
--- a/components/kernel/src/time.rs
+++ b/components/kernel/src/time.rs
@@ -81,6 +81,18 @@
         }
     }
 
+    /// Every part of it, so many times as long.
+    pub(crate) fn stretched(self, by: u32) -> Self {
+        Time {
+            whole: self.whole * by,
+            patience: self.patience.map(|patience| patience * by),
+            flow: self.flow.map(|flow| Flow {
+                pause: flow.pause * by,
+                bulk: flow.bulk * by,
+            }),
+        }
+    }
+
     /// True for a call that may be made twice.
     pub(crate) const fn is_twice(&self) -> bool {
         self.patience.is_some()
