Send no start that has waited behind orders without an answer

Class: an order carried out on what was known when it was decided.

Change: an order to start that has waited 0.6 s is not sent; the cell hears that it surely was not and places the task anew. A relay reckons the wait from the owner's clock and the length of the exchange. Counted as magpie_orders_stale_total.

--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod outside;
 pub mod owning;
 pub mod peer;
+pub mod queued;
 pub mod relay;
 pub mod relays;
 pub mod settings;
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -139,6 +139,8 @@
     pub fence: u64,
     /// Counts up with each duty of a session.
     pub batch: u64,
+    /// The time of the owner's clock.
+    pub now: u64,
     /// What to do, in this order.
     pub commands: Vec<Command>,
 }
@@ -152,6 +154,6 @@
     Leave(Arc<str>),
     /// Poll a worker; the time is the owner's and goes back with the report.
     Poll(Arc<str>, u64, Poll),
-    /// Send a worker the order of this number.
-    Order(Arc<str>, u64, Order),
+    /// Send a worker the order of this number, which was decided at this time of the owner's clock.
+    Order(Arc<str>, u64, u64, Order),
 }
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -10,9 +10,11 @@
         follow,
         message::{Command, Duty, Heard, Offer, Owner},
         outside::Unheard,
+        queued::Queued,
         settings::{POLL_PAUSE, RELAY_BUSY, RELAY_IDLE, RELAY_TIME},
+        time, worker,
     },
-    cell::{Entry, Order, Poll},
+    cell::{Entry, Poll},
     kernel::{Failure, sync::lock, task, wire},
     std::{
         collections::HashMap,
@@ -30,7 +32,7 @@
 /// The ways to the two tasks of a worker.
 struct Ways {
     polls: Sender<(u64, Poll)>,
-    orders: Sender<(u64, Order)>,
+    orders: Sender<(u64, Queued)>,
 }
 
 /// What a relay does in one session.
@@ -60,6 +62,7 @@
         let offer = unanswered
             .take()
             .unwrap_or_else(|| offer(node, session.as_mut()));
+        let asked = time::now();
         let duty = match exchange(node, &owner, &offer) {
             Ok(duty) => duty,
             Err(failure) => {
@@ -71,7 +74,7 @@
             }
         };
         let had_session = session.is_some();
-        session = take_on(node, &owner, session, duty);
+        session = take_on(node, &owner, session, duty, asked);
         if had_session && session.is_none() {
             follow::look(node);
         }
@@ -93,7 +96,13 @@
 
 /// Carries a duty out, in a new session where it belongs to one. Returns the session; `None` when the
 /// owner wants nothing done.
-fn take_on(node: &Node, owner: &Owner, session: Option<Session>, duty: Duty) -> Option<Session> {
+fn take_on(
+    node: &Node,
+    owner: &Owner,
+    session: Option<Session>,
+    duty: Duty,
+    asked: u64,
+) -> Option<Session> {
     if duty.session == 0 {
         return None;
     }
@@ -102,7 +111,7 @@
         log::info!(target: "relay", owner = &*owner.name, session = duty.session, fence = duty.fence; "This box talks to workers for the owner.");
         Session::new(&duty)
     });
-    session.carry_out(node, duty);
+    session.carry_out(node, duty, asked);
     Some(session)
 }
 
@@ -138,7 +147,8 @@
         }
     }
 
-    fn carry_out(&mut self, node: &Node, duty: Duty) {
+    /// Hands the commands of a duty on, which came in an exchange that began at `asked`.
+    fn carry_out(&mut self, node: &Node, duty: Duty, asked: u64) {
         if duty.batch <= self.taken {
             return;
         }
@@ -155,9 +165,11 @@
                         let _ = ways.polls.send((at, poll));
                     }
                 }
-                Command::Order(id, number, order) => {
+                Command::Order(id, number, at, order) => {
+                    let now = time::now();
+                    let age = duty.now.saturating_sub(at) + now.saturating_sub(asked);
                     if let Some(ways) = self.ways.get(&id) {
-                        let _ = ways.orders.send((number, order));
+                        let _ = ways.orders.send((number, Queued::new(order, age, now)));
                     }
                 }
             }
@@ -202,12 +214,11 @@
     node: &Node,
     fence: u64,
     entry: &Entry,
-    orders: &Receiver<(u64, Order)>,
+    orders: &Receiver<(u64, Queued)>,
     heard: &Mutex<Vec<Heard>>,
 ) {
-    for (number, order) in orders {
-        let outcome = node.outside.workers.order(entry, fence, &order);
-        metrics::counter!("magpie_orders_total").increment(1);
+    for (number, queued) in orders {
+        let outcome = worker::send_one(node, fence, entry, &queued);
         lock(heard).push(Heard::Answer(number, outcome));
     }
 }
--- a/components/node/src/relays.rs
+++ b/components/node/src/relays.rs
@@ -112,7 +112,7 @@
     }
 
     /// Hands an order to the relay of a worker.
-    pub fn order(&mut self, name: &str, id: &Arc<str>, order: Order) {
+    pub fn order(&mut self, name: &str, id: &Arc<str>, now: u64, order: Order) {
         let Some(relay) = self.by_name.get_mut(name) else {
             return;
         };
@@ -121,7 +121,7 @@
             .insert(self.numbers, (id.clone(), order.clone()));
         relay
             .next
-            .push(Command::Order(id.clone(), self.numbers, order));
+            .push(Command::Order(id.clone(), self.numbers, now, order));
     }
 
     /// The order of a number, which has now been answered.
@@ -186,7 +186,7 @@
     }
 
     /// What a box has to do next.
-    pub fn duty(&mut self, name: &str, fence: u64) -> Duty {
+    pub fn duty(&mut self, name: &str, fence: u64, now: u64) -> Duty {
         let Some(relay) = self.by_name.get_mut(name) else {
             return Duty::default();
         };
@@ -198,6 +198,7 @@
             session: relay.session,
             fence,
             batch: relay.batch,
+            now,
             commands: relay.sent.clone(),
         }
     }
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -71,6 +71,9 @@
 pub const OWNER_PAUSE: Duration = Duration::from_millis(300);
 /// The pause after a call of the store that failed.
 pub const STORE_PAUSE: Duration = Duration::from_millis(250);
+/// How long an order to start may wait behind others, in milliseconds. Its task may end elsewhere meanwhile, and
+/// must not start more than a second after that is written down; its second try leaves 0.25 s later.
+pub const START_WAIT: u64 = 600;
 /// The pause after a poll of a worker that failed.
 pub const POLL_PAUSE: Duration = Duration::from_millis(300);
 /// The time for one call to another box.
--- a/components/node/src/tenure/mod.rs
+++ b/components/node/src/tenure/mod.rs
@@ -11,11 +11,12 @@
         core::Core,
         group::Group,
         owning,
+        queued::Queued,
         relays::Relays,
         settings::{LEASE, RENEW, TICK},
         time,
     },
-    cell::{Cell, Entry, Order, Poll, Question},
+    cell::{Cell, Entry, Poll, Question},
     kernel::{
         host::Answerer,
         stakker::{Cx, after},
@@ -34,7 +35,7 @@
 /// Who talks to a worker.
 enum Link {
     /// Tasks of this box.
-    Here(Sender<Order>),
+    Here(Sender<Queued>),
     /// A relay, by its name.
     Relay(Arc<str>),
 }
--- a/components/node/src/tenure/pass.rs
+++ b/components/node/src/tenure/pass.rs
@@ -2,7 +2,7 @@
 
 use {
     super::Link,
-    crate::{core::Core, owning, settings::PASS_GAP, time},
+    crate::{core::Core, owning, queued::Queued, settings::PASS_GAP, time},
     kernel::stakker::{Cx, after},
     std::time::Duration,
 };
@@ -52,9 +52,11 @@
             match tenure.links.get(&id) {
                 // A task that has ended belongs to a worker that is gone.
                 Some(Link::Here(link)) => {
-                    let _ = link.send(order);
+                    let _ = link.send(Queued::new(order, 0, time::now()));
+                }
+                Some(Link::Relay(name)) => {
+                    tenure.relays.order(name, &id, time::now(), order);
                 }
-                Some(Link::Relay(name)) => tenure.relays.order(name, &id, order),
                 // Nobody talks to it now; what was ordered is found missing in its next report.
                 None => {}
             }
--- a/components/node/src/tenure/talk.rs
+++ b/components/node/src/tenure/talk.rs
@@ -77,7 +77,7 @@
         }
         self.settle(cx);
         self.tenure.as_mut().map_or(Duty::default(), |tenure| {
-            tenure.relays.duty(&offer.name, fence)
+            tenure.relays.duty(&offer.name, fence, time::now())
         })
     }
 
--- a/components/node/src/worker.rs
+++ b/components/node/src/worker.rs
@@ -1,8 +1,8 @@
 //! The two tasks of a worker: one polls it, the other sends it orders.
 
 use {
-    crate::{core::Node, outside::Unheard, settings::POLL_PAUSE, time},
-    cell::{Entry, Order, Outcome},
+    crate::{core::Node, outside::Unheard, queued::Queued, settings::POLL_PAUSE, time},
+    cell::{Entry, Outcome, Reason},
     kernel::task,
     std::{
         sync::mpsc::{self, Receiver, Sender},
@@ -12,7 +12,7 @@
 
 /// Starts the tasks of a worker; they end with the tenure or with the worker. Returns the way for
 /// its orders.
-pub fn tend(node: &Node, fence: u64, entry: Entry) -> Option<Sender<Order>> {
+pub fn tend(node: &Node, fence: u64, entry: Entry) -> Option<Sender<Queued>> {
     let (sender, orders) = mpsc::channel();
     let (own, other) = (node.clone(), node.clone());
     let polled = entry.clone();
@@ -48,14 +48,14 @@
     }
 }
 
-fn send(node: &Node, fence: u64, entry: &Entry, orders: &Receiver<Order>) {
-    for order in orders {
+fn send(node: &Node, fence: u64, entry: &Entry, orders: &Receiver<Queued>) {
+    for queued in orders {
         // Orders may have waited behind others while the tenure ended.
         if !node.shared.is_owning(fence) {
             return;
         }
-        let outcome = node.outside.workers.order(entry, fence, &order);
-        metrics::counter!("magpie_orders_total").increment(1);
+        let outcome = send_one(node, fence, entry, &queued);
+        let order = queued.order;
         if outcome == Outcome::Unknown {
             log::info!(target: "owner", worker = &*entry.id, order:% = order; "An order has no answer.");
         }
@@ -68,3 +68,13 @@
         }
     }
 }
+
+/// Sends an order, unless it has waited for too long.
+pub(crate) fn send_one(node: &Node, fence: u64, entry: &Entry, queued: &Queued) -> Outcome {
+    if queued.is_stale(time::now()) {
+        metrics::counter!("magpie_orders_stale_total").increment(1);
+        return Outcome::Refused(Reason::NotSent);
+    }
+    metrics::counter!("magpie_orders_total").increment(1);
+    node.outside.workers.order(entry, fence, &queued.order)
+}
--- a/components/node/tests/relays.rs
+++ b/components/node/tests/relays.rs
@@ -42,7 +42,7 @@
     let mut relays = Relays::default();
     let mut offer = offer("b1", 500);
     assert!(relays.join(&offer, true, 1).unwrap().is_empty());
-    offer.session = relays.duty("b1", FENCE).session;
+    offer.session = relays.duty("b1", FENCE, 1).session;
     offer.batch = 1;
     (relays, offer)
 }
@@ -89,16 +89,16 @@
 fn duty_repeated_until_acknowledged() {
     let (mut relays, mut offer) = joined();
     relays.assign(entry("w1"), 1).unwrap();
-    let first = relays.duty("b1", FENCE);
+    let first = relays.duty("b1", FENCE, 1);
     assert_eq!((first.fence, first.commands.len()), (FENCE, 1));
-    relays.order("b1", &"w1".into(), stop());
+    relays.order("b1", &"w1".into(), 1, stop());
     assert!(relays.take(&offer, 2));
-    let again = relays.duty("b1", FENCE);
+    let again = relays.duty("b1", FENCE, 1);
     assert_eq!((again.batch, again.commands.len()), (first.batch, 1));
     offer.ack = first.batch;
     offer.batch = 2;
     assert!(relays.take(&offer, 3));
-    let second = relays.duty("b1", FENCE);
+    let second = relays.duty("b1", FENCE, 1);
     assert_eq!(second.batch, first.batch + 1);
     assert!(matches!(second.commands[..], [Command::Order(..)]));
 }
@@ -136,16 +136,16 @@
         assert!(relays.lose_silent(now).is_empty());
     }
     assert_eq!(relays.lose_silent(1_301), ["w1".into()]);
-    assert_eq!(relays.duty("b1", FENCE).session, 0);
+    assert_eq!(relays.duty("b1", FENCE, 1).session, 0);
 }
 
 #[test]
 fn answer_once_by_number() {
     let (mut relays, _) = joined();
     relays.assign(entry("w1"), 1).unwrap();
-    relays.order("b1", &"w1".into(), stop());
-    let duty = relays.duty("b1", FENCE);
-    let Command::Order(_, number, _) = duty.commands[1] else {
+    relays.order("b1", &"w1".into(), 1, stop());
+    let duty = relays.duty("b1", FENCE, 1);
+    let Command::Order(_, number, _, _) = duty.commands[1] else {
         panic!("{:?}", duty.commands);
     };
     assert_eq!(relays.answered(number).unwrap().1, stop());
@@ -174,7 +174,7 @@
         wait: 0,
     };
     relays.poll("b1", &"w1".into(), 77, poll);
-    let duty = relays.duty("b1", FENCE);
+    let duty = relays.duty("b1", FENCE, 1);
     assert!(
         matches!(&duty.commands[1], Command::Poll(id, 77, own) if &**id == "w1" && *own == poll)
     );
