Trust a worker again that runs the lasting task it is tried with

Traced by a trial: one task held, 83.8 of 96 cores free, 21 lasting tasks waiting.

Ruled out: not trying with lasting tasks, which go to such workers last anyway but may be all there is.

Change: once a lasting task has run there for 3 s, as long as a faulty worker gets nothing, it counts as well.

Test: faulty_worker_is_cleared_by_lasting_probe (fails before).

--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -130,6 +130,21 @@
         }
         self.begun(&key);
         self.save(&key, run.saved.as_ref());
+        self.clear(id, &key, moment.now);
+    }
+
+    /// Trusts a worker again that is tried with a task that lasts, once this has run for long enough: it
+    /// may never end.
+    fn clear(&mut self, id: &Arc<str>, key: &Key, now: u64) {
+        let job = self.jobs.get(&key.job);
+        let is_lasting = job.is_some_and(|job| job.progress.step(key.place).lasting);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if is_lasting && worker.has_proven(key, now) {
+            log::info!(target: "cell", worker = &**id, job = key.job.as_str(), place = key.place; "A worker that was set aside runs its task; it is trusted again.");
+            worker.judge(false, now);
+        }
     }
 
     /// A run that this owner did not order, or has given up: taken over where it fits.
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -1,7 +1,12 @@
 //! One worker as the owner of its cell sees it.
 
 use {
-    crate::{disturb::Image, slot::Slot, strain::Strain, timing},
+    crate::{
+        disturb::Image,
+        slot::{Slot, Stage},
+        strain::Strain,
+        timing,
+    },
     job::{Address, Id, spec::Size},
     serde::{Deserialize, Serialize},
     std::{
@@ -227,6 +232,16 @@
         !self.is_faulty() || probing.is_none_or(|key| !self.slots.contains_key(key))
     }
 
+    /// True when it is faulty and has run the task that it is tried with for as long as a faulty one gets
+    /// none.
+    pub fn has_proven(&self, key: &Key, now: u64) -> bool {
+        if !self.is_faulty() || self.probe.as_ref() != Some(key) {
+            return false;
+        }
+        let stage = self.slots.get(key).map(|slot| slot.stage);
+        matches!(stage, Some(Stage::Running { at }) if now >= at + FAULTY_FOR)
+    }
+
     /// True after several runs in a row that failed.
     pub fn is_faulty(&self) -> bool {
         self.failures >= FAULTY_AFTER
--- a/components/cell/tests/decisions/place.rs
+++ b/components/cell/tests/decisions/place.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::common::{JOB, World, end, entry, run, step, submission},
-    job::{Id, spec::Timetable},
+    job::{Id, Step, spec::Timetable},
     magpie_cell::{How, Outcome, Report, Start},
     std::{collections::HashSet, sync::Arc},
 };
@@ -369,6 +369,48 @@
     assert!(world.starts().len() >= 2);
 }
 
+/// Seen on days with orders that come late: a worker that was set aside was tried with a task that lasts, and got
+/// nothing more for the rest of the day, since that task never ended.
+#[test]
+fn faulty_worker_is_cleared_by_lasting_probe() {
+    let mut world = World::new(&["w1"]);
+    let other = "00000000000000b2";
+    world.submit(JOB, vec![step(1, 1_000)]);
+    world.submit(other, vec![step(1, 1_000)]);
+    for (worker, start) in world.starts() {
+        world.answer(&worker, &start, Outcome::Done);
+    }
+    let ends = vec![
+        end(1, JOB, 0, 1, How::Failed),
+        end(2, other, 0, 1, How::Failed),
+    ];
+    world.cell.cancel(&Id::new(JOB).unwrap(), world.now, 1);
+    world.cell.cancel(&Id::new(other).unwrap(), world.now, 1);
+    world.report("w1", vec![], ends);
+    world.now += 3_000;
+    let lasting = "00000000000000c3";
+    let watch = Step {
+        lasting: true,
+        ..step(3, 1_000)
+    };
+    world.submit(lasting, vec![watch]);
+    world.report("w1", vec![], vec![]);
+    let probe = world.starts();
+    assert_eq!(probe.len(), 1);
+    world.answer(&probe[0].0, &probe[0].1, Outcome::Done);
+    let probed = || {
+        let mut own = run(lasting, 0, 1);
+        own.address = probe[0].1.address;
+        vec![own]
+    };
+    world.now += 2_900;
+    world.report("w1", probed(), vec![]);
+    assert!(world.starts().is_empty());
+    world.now += 200;
+    world.report("w1", probed(), vec![]);
+    assert_eq!(world.starts().len(), 2);
+}
+
 /// Seen on a day with filling tasks one after the other beside the same serving task: the end of
 /// the first made the worker look well again, and the next one went on disturbing.
 #[test]
