A soak of real boxes under faults from outside

The stand-in of a worker keeps all runs with their exact times, names its tasks' time by specification, and notes which ends were acknowledged. A line can cut one way, reset, refuse and delay; what it did before stays.

--- a/components/standin/src/line.rs
+++ b/components/standin/src/line.rs
@@ -9,7 +9,7 @@
         io::{self, Read, Write},
         net::{Shutdown, SocketAddr, TcpListener, TcpStream},
         sync::{
-            Arc, Mutex,
+            Arc, Mutex, Weak,
             atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         thread,
@@ -20,11 +20,50 @@
 /// Bytes that are passed on at once.
 const BUFFER: usize = 16 * 1024;
 
+/// A way of a line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// From the callers to the port.
+    There,
+    /// From the port to the callers.
+    Back,
+}
+
+/// One open connection.
+struct Link {
+    /// True once what callers send is lost.
+    there: AtomicBool,
+    /// True once what the port sends is lost.
+    back: AtomicBool,
+    caller: TcpStream,
+    port: TcpStream,
+}
+
+impl Link {
+    fn flag(&self, way: Way) -> &AtomicBool {
+        match way {
+            Way::There => &self.there,
+            Way::Back => &self.back,
+        }
+    }
+
+    fn is_silent(&self, way: Way) -> bool {
+        self.flag(way).load(Ordering::Acquire)
+    }
+
+    fn silence(&self, way: Way) {
+        self.flag(way).store(true, Ordering::Release);
+    }
+}
+
 /// The state that the tasks of a line share.
 #[derive(Default)]
 struct Shared {
-    /// One flag for each connection that was opened: true once it is silent.
-    silent: Mutex<Vec<Arc<AtomicBool>>>,
+    links: Mutex<Vec<Weak<Link>>>,
+    /// New connections are closed at once.
+    refuses: AtomicBool,
+    /// Each piece is late by so many milliseconds, both ways.
+    delay: AtomicUsize,
     opened: AtomicUsize,
     /// Bytes a second that each connection brings its caller; 0 for no limit.
     rate: AtomicUsize,
@@ -53,6 +92,9 @@
         let own = shared.clone();
         task::spawn("line", move || {
             for stream in listener.incoming().flatten() {
+                if own.refuses.load(Ordering::Acquire) {
+                    continue;
+                }
                 // A port that is closed looks like a reset to the caller.
                 let _ = join(&own, stream, to);
             }
@@ -67,11 +109,42 @@
 
     /// Silences the connections that are open now.
     pub fn silence(&self) {
-        for flag in lock(&self.shared.silent).iter() {
-            flag.store(true, Ordering::Release);
+        self.cut(Way::There);
+        self.cut(Way::Back);
+    }
+
+    /// Silences one way of the connections that are open now.
+    pub fn cut(&self, way: Way) {
+        for link in self.links() {
+            link.silence(way);
+        }
+    }
+
+    /// Breaks the connections that are open now.
+    pub fn reset(&self) {
+        for link in self.links() {
+            // One that has ended meanwhile needs no end.
+            let _ = link.caller.shutdown(Shutdown::Both);
+            let _ = link.port.shutdown(Shutdown::Both);
         }
     }
 
+    /// Closes new connections at once, or takes them again.
+    pub fn refuse(&self, refuses: bool) {
+        self.shared.refuses.store(refuses, Ordering::Release);
+    }
+
+    /// Brings each piece so much later, both ways.
+    pub fn delay(&self, time: Duration) {
+        let millis = time.as_millis() as usize;
+        self.shared.delay.store(millis, Ordering::Release);
+    }
+
+    fn links(&self) -> Vec<Arc<Link>> {
+        let links = lock(&self.shared.links);
+        links.iter().filter_map(Weak::upgrade).collect()
+    }
+
     /// Lets each connection bring its caller at most so many bytes a second.
     pub fn limit(&self, rate: usize) {
         self.shared.rate.store(rate, Ordering::Release);
@@ -97,26 +170,45 @@
 /// Passes the bytes of one connection on, both ways.
 fn join(shared: &Arc<Shared>, caller: TcpStream, to: SocketAddr) -> io::Result<()> {
     let port = TcpStream::connect(to)?;
-    let flag = Arc::new(AtomicBool::new(false));
-    lock(&shared.silent).push(flag.clone());
-    shared.opened.fetch_add(1, Ordering::AcqRel);
     let (from, back) = (caller.try_clone()?, port.try_clone()?);
-    let other = flag.clone();
-    task::spawn("line", move || pass(from, port, &flag, |_| {}))?;
+    let link = Arc::new(Link {
+        there: AtomicBool::new(false),
+        back: AtomicBool::new(false),
+        caller: caller.try_clone()?,
+        port: port.try_clone()?,
+    });
+    let mut links = lock(&shared.links);
+    links.retain(|link| link.strong_count() > 0);
+    links.push(Arc::downgrade(&link));
+    drop(links);
+    shared.opened.fetch_add(1, Ordering::AcqRel);
+    let (own, other) = (shared.clone(), link.clone());
+    task::spawn("line", move || {
+        pass(from, port, (&other, Way::There), |_| own.wait());
+    })?;
     let own = shared.clone();
     task::spawn("line", move || {
         let mut total = 0;
-        pass(back, caller, &other, |bytes| {
+        pass(back, caller, (&link, Way::Back), |bytes| {
+            own.wait();
             total += bytes;
-            own.bring(bytes, total, &other);
+            own.bring(bytes, total, &link);
         });
     })?;
     Ok(())
 }
 
 impl Shared {
+    /// Takes the time by which each piece is late.
+    fn wait(&self) {
+        let millis = self.delay.load(Ordering::Acquire);
+        if millis > 0 {
+            thread::sleep(Duration::from_millis(millis as u64));
+        }
+    }
+
     /// Takes the time that these bytes need on their way to the caller, of so many on this connection.
-    fn bring(&self, bytes: usize, total: usize, silent: &AtomicBool) {
+    fn bring(&self, bytes: usize, total: usize, link: &Link) {
         let rate = self.rate.load(Ordering::Acquire);
         if rate > 0 {
             thread::sleep(Duration::from_secs_f64(bytes as f64 / rate as f64));
@@ -124,9 +216,10 @@
         let stall = self.stall.load(Ordering::Acquire);
         if stall > 0 && total >= stall {
             self.stall.store(0, Ordering::Release);
-            silent.store(true, Ordering::Release);
+            link.silence(Way::There);
+            link.silence(Way::Back);
         }
-        if !silent.load(Ordering::Acquire) {
+        if !link.is_silent(Way::Back) {
             self.brought.fetch_add(bytes, Ordering::AcqRel);
         }
     }
@@ -137,7 +230,7 @@
 fn pass(
     mut from: TcpStream,
     mut to: TcpStream,
-    silent: &AtomicBool,
+    (link, way): (&Link, Way),
     mut before: impl FnMut(usize),
 ) {
     let mut buffer = vec![0; BUFFER];
@@ -145,7 +238,7 @@
         if read > 0 {
             before(read);
         }
-        let is_silent = silent.load(Ordering::Acquire);
+        let is_silent = link.is_silent(way);
         if read == 0 {
             // The end of a silent connection is not told either.
             if !is_silent {
--- a/components/standin/src/runner.rs
+++ b/components/standin/src/runner.rs
@@ -28,6 +28,23 @@
 const LOOK: Duration = Duration::from_millis(5);
 /// A specification that begins so makes its tasks fail.
 pub const FAILING: &str = "fail";
+/// A specification that begins so names the time of each task in milliseconds.
+pub const TIMED: &str = "ms=";
+
+/// One run of a task on one worker.
+#[derive(Debug, Clone)]
+pub struct Ran {
+    /// The name of the task.
+    pub task: Arc<str>,
+    /// The life of the worker.
+    pub worker: Arc<str>,
+    /// When it began.
+    pub begun: Instant,
+    /// When it ended, to the moment also where nobody looked then, and how.
+    pub ended: Option<(Instant, &'static str)>,
+    /// When its end was acknowledged under a lease that had not lapsed since.
+    pub noted: Option<Instant>,
+}
 
 /// What all workers of a farm saw together.
 #[derive(Debug, Default)]
@@ -38,6 +55,10 @@
     pub starts: HashMap<String, u32>,
     /// Tasks that ran twice at the same time.
     pub doubled: Vec<String>,
+    /// All runs, in the order of their starts.
+    pub ran: Vec<Ran>,
+    /// Starts that were refused for want of room: when, task and worker.
+    pub over: Vec<(Instant, Arc<str>, Arc<str>)>,
 }
 
 /// What goes wrong with a worker.
@@ -58,6 +79,19 @@
     until: Instant,
     fails: bool,
     percent: u64,
+    /// Its place among all runs seen.
+    place: usize,
+}
+
+/// One end that is listed until it is acknowledged.
+struct End {
+    count: u64,
+    name: String,
+    run: u64,
+    how: &'static str,
+    at: Instant,
+    /// Its place among all runs seen.
+    place: usize,
 }
 
 struct Core {
@@ -74,8 +108,9 @@
     running: BTreeMap<String, Run>,
     /// The highest run that was stopped or has ended, by task.
     over: HashMap<String, u64>,
-    /// Number, task, run, and how it ended.
-    ended: Vec<(u64, String, u64, &'static str)>,
+    ended: Vec<End>,
+    /// When a lease that had lapsed was last renewed.
+    lapsed: Option<Instant>,
     /// The number of the last end.
     count: u64,
     seen: Arc<Mutex<Seen>>,
@@ -113,6 +148,7 @@
                 running: BTreeMap::new(),
                 over: HashMap::new(),
                 ended: Vec::new(),
+                lapsed: None,
                 count: 0,
                 seen: seen.clone(),
                 faults: Faults::default(),
@@ -147,9 +183,10 @@
     /// store. The entry of the former one stays.
     pub fn restart(&self, kv: &Kv, id: &str) {
         let mut core = lock(&self.core);
+        core.advance();
         let names: Vec<String> = core.running.keys().cloned().collect();
         for name in names {
-            core.end(&name, "lapsed");
+            core.end(&name, "lapsed", Instant::now());
         }
         let entry = kv.value(&format!("servers/{}", core.id));
         core.id = id.to_owned();
@@ -158,6 +195,7 @@
         core.lease = 0;
         core.over.clear();
         core.ended.clear();
+        core.lapsed = None;
         core.count = 0;
         drop(core);
         kv.put(&format!("servers/{id}"), &entry.unwrap_or_default());
@@ -262,36 +300,64 @@
     /// Forgets the ends that are acknowledged, and extends the lease.
     fn renew(&mut self, body: &Value) {
         let seen = number(body, "lastSeen");
-        self.ended.retain(|(count, ..)| *count > seen);
+        if self.clock() > self.lease {
+            self.lapsed = Some(Instant::now());
+        }
+        let (told, kept) = std::mem::take(&mut self.ended)
+            .into_iter()
+            .partition(|end| end.count <= seen);
+        self.ended = kept;
+        self.note(told);
         let most = self.clock() + MAX_LEASE;
         self.lease = self.lease.max(number(body, "deadlineMs").min(most));
     }
 
+    /// Notes which ends were acknowledged in time.
+    fn note(&self, told: Vec<End>) {
+        let now = Instant::now();
+        let mut seen = lock(&self.seen);
+        for end in told {
+            if self.lapsed.is_none_or(|lapsed| lapsed < end.at) {
+                seen.ran[end.place].noted = Some(now);
+            }
+        }
+    }
+
     /// Ends what has run its time, and all of it when the lease is over.
     fn advance(&mut self) {
         let now = Instant::now();
         let lapsed = self.clock() > self.lease;
+        let over = self.begun + Duration::from_millis(self.lease);
         let names: Vec<String> = self.running.keys().cloned().collect();
         for name in names {
             let run = &self.running[&name];
+            let until = run.until;
             if lapsed {
-                self.end(&name, "lapsed");
-            } else if now >= run.until {
+                self.end(&name, "lapsed", over.min(until));
+            } else if now >= until {
                 let how = if run.fails { "failed" } else { "done" };
-                self.end(&name, how);
+                self.end(&name, how, until);
             }
         }
     }
 
-    fn end(&mut self, name: &str, how: &'static str) {
+    fn end(&mut self, name: &str, how: &'static str, at: Instant) {
         let Some(run) = self.running.remove(name) else {
             return;
         };
         self.count += 1;
         self.over.insert(name.to_owned(), run.number);
-        self.ended
-            .push((self.count, name.to_owned(), run.number, how));
-        if let Some(running) = lock(&self.seen).running.get_mut(name) {
+        self.ended.push(End {
+            count: self.count,
+            name: name.to_owned(),
+            run: run.number,
+            how,
+            at,
+            place: run.place,
+        });
+        let mut seen = lock(&self.seen);
+        seen.ran[run.place].ended = Some((at, how));
+        if let Some(running) = seen.running.get_mut(name) {
             *running -= 1;
         }
     }
@@ -311,18 +377,29 @@
             return self.refuse("late");
         }
         if (self.running.len() as u64 + 1) * 1_000 > self.size {
+            let over = (Instant::now(), name.into(), self.id.as_str().into());
+            lock(&self.seen).over.push(over);
             return self.refuse("room");
         }
         self.lease = self.lease.max(deadline.min(self.clock() + MAX_LEASE));
         let text = body["specification"].as_str().unwrap_or_default();
+        let now = Instant::now();
+        let mut seen = lock(&self.seen);
         let begun = Run {
             number: run,
-            until: Instant::now() + self.work,
+            until: now + work_of(text).unwrap_or(self.work),
             fails: text.starts_with(FAILING),
             percent: 100,
+            place: seen.ran.len(),
         };
+        seen.ran.push(Ran {
+            task: name.as_str().into(),
+            worker: self.id.as_str().into(),
+            begun: now,
+            ended: None,
+            noted: None,
+        });
         self.running.insert(name.clone(), begun);
-        let mut seen = lock(&self.seen);
         *seen.starts.entry(name.clone()).or_default() += 1;
         let running = seen.running.entry(name.clone()).or_default();
         *running += 1;
@@ -337,7 +414,7 @@
         let name = body["task"].as_str().unwrap_or_default().to_owned();
         let run = number(body, "run");
         if self.is_running(&name, run) {
-            self.end(&name, "stopped");
+            self.end(&name, "stopped", Instant::now());
         }
         let over = self.over.entry(name).or_default();
         *over = run.max(*over);
@@ -364,13 +441,19 @@
         let ended: Vec<Value> = self
             .ended
             .iter()
-            .map(|(count, name, run, how)| json!([count, name, run, how, ""]))
+            .map(|end| json!([end.count, end.name, end.run, end.how, ""]))
             .collect();
         let report = json!({ "clockMs": self.clock(), "running": running, "ended": ended });
         reply(200, &report)
     }
 }
 
+/// The time of each task, where its specification names one.
+fn work_of(text: &str) -> Option<Duration> {
+    let millis = text.strip_prefix(TIMED)?.parse().ok()?;
+    Some(Duration::from_millis(millis))
+}
+
 fn number(body: &Value, name: &str) -> u64 {
     body[name].as_u64().unwrap_or(0)
 }
--- /dev/null
+++ b/programs/soak/src/report.rs
@@ -0,0 +1,55 @@
+//! What a run prints at its end.
+
+use {
+    crate::{check::Breach, history::Micros, world::World},
+    kernel::sync::lock,
+    std::path::Path,
+};
+
+/// Prints a breach with the history of its job.
+pub fn tell(world: &World, breach: &Breach) {
+    println!("breach: {breach}");
+    let mut lines: Vec<(Micros, String)> = Vec::new();
+    if let Some(job) = lock(&world.jobs).get(&breach.of) {
+        println!("  steps {:?}, lasting {}", job.steps, job.lasting);
+        for said in &job.said {
+            let text = format!(
+                "b{} {:?}: {} {} at {} us, calm {}",
+                said.to, said.asked, said.status, said.state, said.heard, said.calm
+            );
+            lines.push((said.sent, text));
+        }
+    }
+    for run in world.runs() {
+        if run.parts().0 != breach.of {
+            continue;
+        }
+        lines.push((run.begun, format!("{} begins on {}", run.task, run.worker)));
+        if !run.how.is_empty() {
+            let (how, noted) = (run.how, run.noted);
+            let text = format!("{} {how} on {}, noted {noted}", run.task, run.worker);
+            lines.push((run.ended, text));
+        }
+    }
+    lines.sort();
+    for (at, text) in lines {
+        println!("  {at:>9} us  {text}");
+    }
+}
+
+/// One line on the whole run.
+pub fn sum_up(world: &World, seed: u64, stalls: u32, logs: &Path) {
+    let jobs = lock(&world.jobs);
+    let accepted = jobs.values().filter(|job| job.accepted().is_some()).count();
+    let cancelled = jobs.values().filter(|job| job.cancelled().is_some());
+    let (total, cancelled) = (jobs.len(), cancelled.count());
+    drop(jobs);
+    let (runs, versions) = (world.runs().len(), world.latest());
+    let breaches = world.breaches().len();
+    println!(
+        "seed {seed}: {breaches} breaches; {total} jobs, {accepted} accepted, {cancelled} cancelled; {runs} runs; {versions} versions; {stalls} stalls of the stand-ins"
+    );
+    if breaches > 0 {
+        println!("seed {seed}: logs of the boxes lie in {}", logs.display());
+    }
+}
--- /dev/null
+++ b/programs/soak/src/world.rs
@@ -0,0 +1,321 @@
+//! Everything that a run has: the stand-ins, the boxes, and what was seen.
+
+use {
+    crate::{
+        check::{self, Breach},
+        history::{Jobs, Micros, NEVER, Run, Trouble},
+        process::{Process, Program},
+        versions::{Followed, Written, write},
+    },
+    anyhow::{Context, Result},
+    kernel::{Answer, Client, client::Call, sync::lock},
+    serde_json::Value,
+    standin::{
+        Kv, Runner,
+        kv::{decode, encode},
+        line::Line,
+        runner::Seen,
+    },
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::{Duration, Instant},
+    },
+};
+
+/// Cores of a worker; each task takes one.
+const CORES: u64 = 4;
+/// The time of a task that names none.
+const WORK: Duration = Duration::from_millis(50);
+/// The key of the configuration.
+const CONFIG: &str = "op/config";
+/// Two looks at trouble that are less apart belong to one stretch.
+const GAP: Micros = 500_000;
+
+/// One worker, with the line that leads to it.
+pub struct Worker {
+    /// The worker.
+    pub runner: Runner,
+    /// What all boxes reach it by.
+    pub line: Line,
+    /// Its present life, and how many there were.
+    life: Mutex<(String, u32)>,
+    /// Its entry in the listing.
+    entry: String,
+}
+
+/// When there was trouble.
+#[derive(Default)]
+struct Troubles {
+    any: Trouble,
+    boxes: Vec<Trouble>,
+}
+
+/// All of a run.
+pub struct World {
+    begun: Instant,
+    /// The store.
+    pub kv: Kv,
+    /// The line of each box to the store.
+    pub lines: Vec<Line>,
+    /// The boxes.
+    pub boxes: Vec<Mutex<Process>>,
+    /// The workers.
+    pub workers: Vec<Worker>,
+    seen: Arc<Mutex<Seen>>,
+    /// All jobs.
+    pub jobs: Mutex<Jobs>,
+    troubles: Mutex<Troubles>,
+    written: Mutex<Written>,
+    followed: Mutex<HashMap<(usize, u64), Followed>>,
+    breaches: Mutex<Vec<Breach>>,
+}
+
+impl World {
+    /// Opens the stand-ins; no box runs yet.
+    ///
+    /// # Errors
+    ///
+    /// A port cannot be opened.
+    pub fn open(program: &Program, boxes: usize, workers: usize) -> Result<Self> {
+        let kv = Kv::default();
+        let url = kv.open(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let store: SocketAddr = url.trim_start_matches("http://").parse()?;
+        let seen = Arc::new(Mutex::new(Seen::default()));
+        let mut world = World {
+            begun: Instant::now(),
+            kv,
+            lines: Vec::new(),
+            boxes: Vec::new(),
+            workers: Vec::new(),
+            seen,
+            jobs: Mutex::default(),
+            troubles: Mutex::default(),
+            written: Mutex::default(),
+            followed: Mutex::default(),
+            breaches: Mutex::default(),
+        };
+        for number in 0..workers {
+            let worker = world.worker(number)?;
+            world.workers.push(worker);
+        }
+        for number in 0..boxes {
+            let line = Line::open(store)?;
+            let address = line.address().to_string();
+            world.lines.push(line);
+            let process = Process::new(program, number, address)?;
+            world.boxes.push(Mutex::new(process));
+        }
+        lock(&world.troubles).boxes = vec![Trouble::default(); boxes];
+        world.write_version();
+        Ok(world)
+    }
+
+    /// Opens a worker whose entry names the line to it.
+    fn worker(&self, number: usize) -> Result<Worker> {
+        let id = format!("w{number}-1");
+        let runner = Runner::open(&self.kv, "pool", &id, CORES, WORK, &self.seen)?;
+        let key = format!("servers/{id}");
+        let entry = self.kv.value(&key).context("a worker has no entry")?;
+        let mut entry: Value = serde_json::from_slice(&decode(&entry))?;
+        let address = entry["address"].as_str().unwrap_or_default();
+        let line = Line::open(address.parse()?)?;
+        entry["address"] = line.address().to_string().into();
+        let entry = encode(&entry);
+        self.kv.put(&key, &entry);
+        Ok(Worker {
+            runner,
+            line,
+            life: Mutex::new((id, 1)),
+            entry,
+        })
+    }
+
+    /// Microseconds since the start.
+    pub fn now(&self) -> Micros {
+        self.at(Instant::now())
+    }
+
+    fn at(&self, time: Instant) -> Micros {
+        time.saturating_duration_since(self.begun).as_micros() as Micros
+    }
+
+    /// Writes the next version of the configuration.
+    pub fn write_version(&self) {
+        let mut written = lock(&self.written);
+        let version = written.latest() + 1;
+        self.kv.put(CONFIG, &encode(&write(version)));
+        written.add(self.now());
+    }
+
+    /// Writes an older version over the latest one.
+    pub fn write_older(&self) {
+        let older = self.latest().saturating_sub(1).max(1);
+        self.kv.put(CONFIG, &encode(&write(older)));
+    }
+
+    /// Writes the latest version again.
+    pub fn write_latest(&self) {
+        self.kv.put(CONFIG, &encode(&write(self.latest())));
+    }
+
+    /// The latest version of the configuration.
+    pub fn latest(&self) -> u64 {
+        lock(&self.written).latest()
+    }
+
+    /// Crashes a worker and starts it again. Returns the life whose entry stays.
+    pub fn crash(&self, number: usize) -> String {
+        let worker = &self.workers[number];
+        let mut life = lock(&worker.life);
+        let old = life.0.clone();
+        // It may be gone from the listing.
+        self.kv.put(&format!("servers/{old}"), &worker.entry);
+        let count = life.1 + 1;
+        *life = (format!("w{number}-{count}"), count);
+        worker.runner.restart(&self.kv, &life.0);
+        old
+    }
+
+    /// Takes a life of a worker from the listing.
+    pub fn unlist(&self, life: &str) {
+        self.kv.remove(&format!("servers/{life}"));
+    }
+
+    /// The present life of a worker.
+    pub fn life(&self, number: usize) -> String {
+        lock(&self.workers[number].life).0.clone()
+    }
+
+    /// Puts the present life of a worker into the listing.
+    pub fn list(&self, number: usize) {
+        let key = format!("servers/{}", self.life(number));
+        self.kv.put(&key, &self.workers[number].entry);
+    }
+
+    /// Notes that there is trouble now, for a box or for anything.
+    pub fn note_trouble(&self, number: Option<usize>) {
+        let now = self.now();
+        let mut troubles = lock(&self.troubles);
+        troubles.any.note(now, GAP);
+        if let Some(number) = number {
+            troubles.boxes[number].note(now, GAP);
+        }
+    }
+
+    /// True when a box had no trouble from some time before `sent` until `heard`.
+    pub fn is_calm(&self, number: usize, sent: Micros, heard: Micros) -> bool {
+        let from = sent.saturating_sub(check::CALM);
+        lock(&self.troubles).boxes[number].is_calm(from, heard)
+    }
+
+    /// The version that a life of a box may not fall behind, and the one that it may follow at most.
+    fn floor(&self, number: usize, life: u64, sent: Micros) -> u64 {
+        let seen = lock(&self.followed)
+            .get(&(number, life))
+            .map_or(0, |followed| followed.floor);
+        if sent < check::CALM || !self.is_calm(number, sent, sent) {
+            return seen;
+        }
+        let due = lock(&self.written).before(sent - check::CALM);
+        seen.max(due)
+    }
+
+    /// Asks a box for a queue, and checks the answer against the versions.
+    pub fn ask_queue(&self, client: &Client, number: usize, queue: u64) {
+        let process = lock(&self.boxes[number]);
+        let (port, life) = (process.callers, process.life);
+        drop(process);
+        let sent = self.now();
+        let floor = self.floor(number, life, sent);
+        let path = crate::versions::prefix(queue);
+        let Some(answer) = send(client, port, "GET", &path, None) else {
+            return;
+        };
+        if !matches!(answer.status, 200 | 404) || lock(&self.boxes[number]).life != life {
+            return;
+        }
+        let latest = self.latest();
+        let mut followed = lock(&self.followed);
+        let own = followed.entry((number, life)).or_default();
+        let taken = own.take(floor, latest, queue, answer.status == 200);
+        drop(followed);
+        if let Err(text) = taken {
+            let now = self.now();
+            let text = format!("{text}, asked at {sent} us, answered at {now} us");
+            self.break_rule("config", &format!("b{number}"), text);
+        }
+    }
+
+    /// All runs of tasks so far.
+    pub fn runs(&self) -> Vec<Run> {
+        let seen = lock(&self.seen);
+        let runs = seen.ran.iter().map(|ran| Run {
+            task: ran.task.to_string(),
+            worker: ran.worker.to_string(),
+            begun: self.at(ran.begun),
+            ended: ran.ended.map_or(NEVER, |(at, _)| self.at(at)),
+            how: ran.ended.map_or("", |(_, how)| how),
+            noted: ran.noted.is_some(),
+        });
+        runs.collect()
+    }
+
+    /// Checks all rules; each finding is kept once.
+    pub fn check(&self) {
+        let jobs = lock(&self.jobs).clone();
+        let trouble = lock(&self.troubles).any.clone();
+        // What was refused for want of room is found in no run.
+        let over = lock(&self.seen).over.clone();
+        for (at, task, worker) in over {
+            let text = format!("{task} was sent to full {worker} at {} us", self.at(at));
+            let id = task.split('.').next().unwrap_or_default();
+            self.break_rule("room", id, text);
+        }
+        for breach in check::all(&jobs, &self.runs(), &trouble, self.now()) {
+            self.keep(breach);
+        }
+    }
+
+    /// Keeps a finding.
+    pub fn break_rule(&self, rule: &'static str, of: &str, text: String) {
+        let of = of.to_owned();
+        self.keep(Breach { rule, of, text });
+    }
+
+    fn keep(&self, breach: Breach) {
+        let mut breaches = lock(&self.breaches);
+        let is_known = |known: &Breach| known.rule == breach.rule && known.of == breach.of;
+        if !breaches.iter().any(is_known) {
+            println!("{:>9} us  {breach}", self.now());
+            breaches.push(breach);
+        }
+    }
+
+    /// What was found so far.
+    pub fn breaches(&self) -> Vec<Breach> {
+        lock(&self.breaches).clone()
+    }
+}
+
+/// Makes a request of a caller. Returns `None` without an answer.
+pub fn send(
+    client: &Client,
+    port: u16,
+    method: &str,
+    path: &str,
+    body: Option<&Value>,
+) -> Option<Answer> {
+    let url = format!("http://127.0.0.1:{port}{path}");
+    let bytes = body.map_or(Vec::new(), |body| body.to_string().into_bytes());
+    let headers = [("host", "h.example"), ("content-type", "application/json")];
+    let call = Call {
+        method,
+        url: &url,
+        headers: &headers,
+        body: &bytes,
+        time: Duration::from_secs(5).into(),
+    };
+    client.send(&call).ok()
+}
--- /dev/null
+++ b/programs/soak/tests/seeds.rs
@@ -0,0 +1,46 @@
+//! Short runs of the soak, each with one seed. Only what the soak checks is judged.
+
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
+use {
+    std::{
+        path::{Path, PathBuf},
+        process::Command,
+        sync::Mutex,
+    },
+    test_case::test_case,
+};
+
+/// One run at a time: each is several processes.
+static TURN: Mutex<()> = Mutex::new(());
+
+/// Builds the program of a box, which belongs to another package, and returns where it lies.
+fn build_box(soak: &Path) -> PathBuf {
+    let directory = soak.parent().unwrap();
+    let mut build = Command::new(env!("CARGO"));
+    build.args(["build", "-p", "magpie-box", "--target-dir"]);
+    build.arg(directory.parent().unwrap());
+    if directory.ends_with("release") {
+        build.arg("--release");
+    }
+    let built = build.current_dir(env!("CARGO_MANIFEST_DIR")).status();
+    assert!(built.unwrap().success());
+    directory.join("magpie-box")
+}
+
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn seed_breaks_nothing(seed: u64) {
+    let _turn = TURN.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let soak = Path::new(env!("CARGO_BIN_EXE_magpie-soak"));
+    let program = build_box(soak);
+    let out = Command::new(soak)
+        .args(["--seed", &seed.to_string(), "--seconds", "12"])
+        .args(["--boxes", "3", "--workers", "6", "--box"])
+        .arg(program)
+        .output()
+        .unwrap();
+    let told = String::from_utf8_lossy(&out.stdout);
+    assert_eq!(out.status.code(), Some(0), "{told}");
+}
