--- a/programs/soak/src/cli.rs
+++ b/programs/soak/src/cli.rs
@@ -27,7 +27,13 @@
     /// keep the logs also without a breach
     #[argh(switch)]
     pub keep: bool,
+    /// judge no bounds of time, and wait long at the end: for a machine of unknown speed
+    #[argh(switch)]
+    pub untimed: bool,
     /// print the plan and end
     #[argh(switch)]
     pub plan: bool,
+    /// be the process that ends the boxes when the soak is cut off
+    #[argh(switch, hidden_help)]
+    pub guard: bool,
 }
--- a/programs/soak/src/history.rs
+++ b/programs/soak/src/history.rs
@@ -134,6 +134,13 @@
 }
 
 impl Trouble {
+    /// One stretch without an end.
+    pub fn always() -> Self {
+        Trouble {
+            stretches: vec![(0, NEVER)],
+        }
+    }
+
     /// Notes that there is trouble now; looks less than `gap` apart are one stretch.
     pub fn note(&mut self, now: Micros, gap: Micros) {
         match self.stretches.last_mut() {
--- a/programs/soak/src/main.rs
+++ b/programs/soak/src/main.rs
@@ -5,6 +5,7 @@
 mod check;
 mod cli;
 mod fault;
+mod guard;
 mod history;
 mod plan;
 mod process;
@@ -17,6 +18,7 @@
     anyhow::{Context, Result, ensure},
     callers::Caller,
     fault::Player,
+    guard::Guard,
     kernel::{sync::lock, task::Signal},
     plan::Event,
     process::Program,
@@ -27,7 +29,9 @@
     std::{
         env, fs,
         path::PathBuf,
-        process as system, thread,
+        process as system,
+        sync::Arc,
+        thread,
         time::{Duration, Instant},
     },
     world::World,
@@ -48,6 +52,10 @@
 
 fn main() {
     let arguments: cli::Arguments = argh::from_env();
+    if arguments.guard {
+        guard::run(&arguments.program.unwrap_or_default());
+        return;
+    }
     match start(&arguments) {
         Ok(0) => {}
         Ok(_) => system::exit(EXIT_BREACH),
@@ -70,7 +78,12 @@
         return Ok(0);
     }
     let program = program(arguments)?;
-    let world = World::open(&program, arguments.boxes, arguments.workers)?;
+    let world = World::open(
+        &program,
+        arguments.boxes,
+        arguments.workers,
+        !arguments.untimed,
+    )?;
     let stalls = play(&world, arguments.seed, time, &plan)?;
     world.check();
     let breaches = world.breaches();
@@ -97,7 +110,8 @@
     let parent = arguments.logs.clone().unwrap_or_else(env::temp_dir);
     let logs: PathBuf = parent.join(name);
     fs::create_dir_all(&logs).with_context(|| logs.display().to_string())?;
-    Ok(Program { path, logs })
+    let guard = Arc::new(Guard::start(&path)?);
+    Ok(Program { path, logs, guard })
 }
 
 /// Runs boxes, callers, faults and checks. Returns how often the stand-ins stood still.
--- a/programs/soak/src/process.rs
+++ b/programs/soak/src/process.rs
@@ -1,6 +1,7 @@
 //! One box as a process of its own. It is ended with the value that stands for it.
 
 use {
+    crate::guard::Guard,
     anyhow::{Context, Result},
     std::{
         fs::{File, OpenOptions},
@@ -8,6 +9,7 @@
         os::unix::process::ExitStatusExt,
         path::{Path, PathBuf},
         process::{Child, Command, ExitStatus, Stdio},
+        sync::Arc,
         time::{Duration, Instant},
     },
 };
@@ -17,7 +19,7 @@
 /// The number of the signal TERM.
 const TERM: i32 = 15;
 /// An orderly stop that lasts longer has hung, on any machine: the box has 6 s for it.
-const HUNG: Duration = Duration::from_secs(15);
+const HUNG: Duration = Duration::from_secs(30);
 
 /// What all boxes of a run share.
 #[derive(Debug, Clone)]
@@ -26,6 +28,8 @@
     pub path: PathBuf,
     /// The directory of the logs.
     pub logs: PathBuf,
+    /// Ends the boxes when the soak is cut off.
+    pub guard: Arc<Guard>,
 }
 
 /// One box.
@@ -105,7 +109,9 @@
             .stderr(log)
             .spawn()
             .with_context(|| format!("{} cannot be started", self.program.path.display()))?;
+        let id = child.id();
         self.child = Some(child);
+        self.program.guard.add(id)?;
         self.life += 1;
         self.is_ready = false;
         self.is_paused = false;
@@ -156,16 +162,17 @@
     ///
     /// There is no free port.
     pub fn look(&mut self) -> Result<Option<String>> {
-        let ended = match &mut self.child {
-            Some(child) => child.try_wait()?,
-            None => return Ok(None),
+        let Some(child) = &mut self.child else {
+            return Ok(None);
         };
-        let Some(status) = ended else {
+        let id = child.id();
+        let Some(status) = child.try_wait()? else {
             let hung = self.asked.is_some_and(|asked| asked.elapsed() > HUNG);
             let is_hung = hung && !self.is_paused && !self.is_killed;
             return Ok(is_hung.then(|| "it does not end".to_owned()));
         };
         self.child = None;
+        self.program.guard.remove(id)?;
         if status.code() == Some(NO_PORT) && !self.is_ready {
             self.callers = free_port()?;
             self.ready = free_port()?;
@@ -188,6 +195,7 @@
             // It may have ended by itself.
             let _ = child.kill();
             let _ = child.wait();
+            let _ = self.program.guard.remove(child.id());
         }
     }
 }
--- a/programs/soak/src/settle.rs
+++ b/programs/soak/src/settle.rs
@@ -11,9 +11,15 @@
 
 /// The time for it.
 const TIME: Duration = Duration::from_secs(30);
+/// The time for it on a machine of unknown speed: what lasts longer has hung.
+const FOREVER: Duration = Duration::from_secs(240);
 const LOOK: Duration = Duration::from_millis(100);
 const FINAL: [&str; 3] = ["completed", "failed", "cancelled"];
 
+fn time(world: &World) -> Duration {
+    if world.timed { TIME } else { FOREVER }
+}
+
 /// Waits until all boxes are ready.
 pub fn wait_ready(world: &World) -> bool {
     let begun = Instant::now();
@@ -22,7 +28,7 @@
         boxes.all(|own| lock(own).is_ready && lock(own).is_wanted())
     };
     while !is_up() {
-        if begun.elapsed() > TIME {
+        if begun.elapsed() > time(world) {
             world.break_rule("end", "boxes", "not all are ready again".to_owned());
             return false;
         }
@@ -38,7 +44,7 @@
     if !wait_ready(world) {
         return;
     }
-    let is_over = || begun.elapsed() > TIME;
+    let is_over = || begun.elapsed() > time(world);
     for (id, is_accepted) in lasting(world) {
         while !is_over() {
             let status = ask(world, &client, 0, &id, Asked::Cancel, None);
--- a/programs/soak/src/world.rs
+++ b/programs/soak/src/world.rs
@@ -70,6 +70,8 @@
     written: Mutex<Written>,
     followed: Mutex<HashMap<(usize, u64), Followed>>,
     breaches: Mutex<Vec<Breach>>,
+    /// Bounds of time are judged.
+    pub timed: bool,
 }
 
 impl World {
@@ -78,7 +80,7 @@
     /// # Errors
     ///
     /// A port cannot be opened.
-    pub fn open(program: &Program, boxes: usize, workers: usize) -> Result<Self> {
+    pub fn open(program: &Program, boxes: usize, workers: usize, timed: bool) -> Result<Self> {
         let kv = Kv::default();
         let url = kv.open(SocketAddr::from(([127, 0, 0, 1], 0)))?;
         let store: SocketAddr = url.trim_start_matches("http://").parse()?;
@@ -95,6 +97,7 @@
             written: Mutex::default(),
             followed: Mutex::default(),
             breaches: Mutex::default(),
+            timed,
         };
         for number in 0..workers {
             let worker = world.worker(number)?;
@@ -204,13 +207,14 @@
         }
     }
 
-    /// True when a box had no trouble from some time before `sent` until `heard`.
+    /// True when bounds of time hold for a box: it had no trouble from some time before `sent` until
+    /// `heard`.
     pub fn is_calm(&self, number: usize, sent: Micros, heard: Micros) -> bool {
         let from = sent.saturating_sub(check::CALM);
-        lock(&self.troubles).boxes[number].is_calm(from, heard)
+        self.timed && lock(&self.troubles).boxes[number].is_calm(from, heard)
     }
 
-    /// The version that a life of a box may not fall behind, and the one that it may follow at most.
+    /// The version that a life of a box may not fall behind.
     fn floor(&self, number: usize, life: u64, sent: Micros) -> u64 {
         let seen = lock(&self.followed)
             .get(&(number, life))
@@ -265,7 +269,10 @@
     /// Checks all rules; each finding is kept once.
     pub fn check(&self) {
         let jobs = lock(&self.jobs).clone();
-        let trouble = lock(&self.troubles).any.clone();
+        let trouble = match self.timed {
+            true => lock(&self.troubles).any.clone(),
+            false => Trouble::always(),
+        };
         // What was refused for want of room is found in no run.
         let over = lock(&self.seen).over.clone();
         for (at, task, worker) in over {
