--- a/programs/soak/src/callers.rs
+++ b/programs/soak/src/callers.rs
@@ -16,6 +16,8 @@
 const PAUSE: std::ops::Range<u64> = 30..200;
 /// The pause before another try.
 const AGAIN: Duration = Duration::from_millis(250);
+/// The time of the longest tasks that end, in milliseconds: some outlast a lease of their worker (4.5 s).
+const LONG: std::ops::Range<u64> = 2_000..8_000;
 /// Lasting jobs that a caller keeps.
 const LASTING: usize = 2;
 /// The time of a task that lasts, in milliseconds: longer than any run.
@@ -99,9 +101,10 @@
         self.count += 1;
         let id = format!("{:08x}{:08x}", self.number + 1, self.count);
         let lasting = self.lasting.len() < LASTING && self.rng.u64(0..12) == 0;
-        let (steps, millis) = match self.rng.u64(0..3) {
+        let (steps, millis) = match self.rng.u64(0..12) {
             _ if lasting => (vec![self.rng.u32(1..3)], LASTS),
-            0 => (
+            0 => (vec![self.rng.u32(1..3)], self.rng.u64(LONG)),
+            1..5 => (
                 vec![self.rng.u32(1..5), self.rng.u32(1..4), 1],
                 self.rng.u64(200..1_200),
             ),
