--- a/programs/soak/src/check.rs
+++ b/programs/soak/src/check.rs
@@ -108,12 +108,26 @@
     Some(breach("unasked", &job.id, text))
 }
 
+/// Of how many runs it is judged whether they were gone in time after a cancellation.
+pub fn judged_stops(jobs: &Jobs, runs: &[Run], trouble: &Trouble) -> usize {
+    let is_judged = |run: &&Run| {
+        let confirmed = jobs.get(run.parts().0).and_then(Job::cancelled);
+        confirmed.is_some_and(|at| (run.begun..run.ended).contains(&at) && is_calm(trouble, at))
+    };
+    runs.iter().filter(is_judged).count()
+}
+
+/// True when a cancellation that was confirmed then has to come about in time.
+fn is_calm(trouble: &Trouble, confirmed: Micros) -> bool {
+    trouble.is_calm(confirmed.saturating_sub(CALM), confirmed + GONE_AFTER)
+}
+
 /// Tasks of a cancelled job are gone in time, when it is calm.
 fn cancelled(job: &Job, run: &Run, trouble: &Trouble, now: Micros) -> Option<Breach> {
     let confirmed = job.cancelled()?;
     let bound = confirmed + GONE_AFTER;
-    let is_calm = trouble.is_calm(confirmed.saturating_sub(CALM), bound);
-    if now < bound || run.begun > bound || run.ended <= bound || !is_calm {
+    let is_over = now >= bound && run.begun <= bound && run.ended > bound;
+    if !is_over || !is_calm(trouble, confirmed) {
         return None;
     }
     let text = format!(
--- a/programs/soak/src/report.rs
+++ b/programs/soak/src/report.rs
@@ -45,9 +45,10 @@
     let (total, cancelled) = (jobs.len(), cancelled.count());
     drop(jobs);
     let (runs, versions) = (world.runs().len(), world.latest());
+    let stops = world.judged_stops();
     let breaches = world.breaches().len();
     println!(
-        "seed {seed}: {breaches} breaches; {total} jobs, {accepted} accepted, {cancelled} cancelled; {runs} runs; {versions} versions; {stalls} stalls of the stand-ins"
+        "seed {seed}: {breaches} breaches; {total} jobs, {accepted} accepted, {cancelled} cancelled; {runs} runs, {stops} stops in calm; {versions} versions; {stalls} stalls of the stand-ins"
     );
     if breaches > 0 {
         println!("seed {seed}: logs of the boxes lie in {}", logs.display());
--- a/programs/soak/src/world.rs
+++ b/programs/soak/src/world.rs
@@ -285,6 +285,13 @@
         }
     }
 
+    /// Of how many runs it was judged whether they were gone in time after a cancellation.
+    pub fn judged_stops(&self) -> usize {
+        let jobs = lock(&self.jobs).clone();
+        let trouble = lock(&self.troubles).any.clone();
+        check::judged_stops(&jobs, &self.runs(), &trouble)
+    }
+
     /// Keeps a finding.
     pub fn break_rule(&self, rule: &'static str, of: &str, text: String) {
         let of = of.to_owned();
