--- a/programs/soak/src/cli.rs
+++ b/programs/soak/src/cli.rs
@@ -18,6 +18,9 @@
     /// workers, from 1 on (default 6)
     #[argh(option, default = "6")]
     pub workers: usize,
+    /// workers that the owner talks to itself (default: 2 for odd seeds, so that others help it; else 70)
+    #[argh(option)]
+    pub own_workers: Option<usize>,
     /// the program of a box (default: magpie-box beside this program)
     #[argh(option, long = "box")]
     pub program: Option<PathBuf>,
--- a/programs/soak/src/main.rs
+++ b/programs/soak/src/main.rs
@@ -47,6 +47,8 @@
 const CALLERS: u64 = 4;
 /// The pause between two checks.
 const CHECK: Duration = Duration::from_millis(500);
+/// Workers that an owner talks to itself, with even and with odd seeds: all, or so few that others help.
+const OWN_WORKERS: [usize; 2] = [70, 2];
 /// Boxes and workers that one run may have.
 const MOST: usize = 200;
 
@@ -111,7 +113,13 @@
     let logs: PathBuf = parent.join(name);
     fs::create_dir_all(&logs).with_context(|| logs.display().to_string())?;
     let guard = Arc::new(Guard::start(&path)?);
-    Ok(Program { path, logs, guard })
+    let usual = OWN_WORKERS[(arguments.seed % 2) as usize];
+    Ok(Program {
+        path,
+        logs,
+        own_workers: arguments.own_workers.unwrap_or(usual),
+        guard,
+    })
 }
 
 /// Runs boxes, callers, faults and checks. Returns how often the stand-ins stood still.
--- a/programs/soak/src/process.rs
+++ b/programs/soak/src/process.rs
@@ -28,6 +28,8 @@
     pub path: PathBuf,
     /// The directory of the logs.
     pub logs: PathBuf,
+    /// Workers that an owner talks to itself.
+    pub own_workers: usize,
     /// Ends the boxes when the soak is cut off.
     pub guard: Arc<Guard>,
 }
@@ -104,6 +106,7 @@
             .env("MAGPIE_READY", at(self.ready))
             .env("MAGPIE_PORTS", self.inside.to_string())
             .env("MAGPIE_STORE", &self.store)
+            .env("MAGPIE_OWN_WORKERS", self.program.own_workers.to_string())
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
