--- a/components/cell/src/admit.rs
+++ b/components/cell/src/admit.rs
@@ -32,7 +32,7 @@
         let id = submission.id.clone();
         let progress = Progress::new(Arc::new(submission));
         let is_new = self.enter(progress, self.recovery.is_some(), wall);
-        self.adopt_met(&id);
+        self.adopt_pending(&id);
         is_new
     }
 
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -6,7 +6,7 @@
         disturb::{Disturbance, level::Levels},
         order::Order,
         place::Stuck,
-        takeover::{Recovery, Strangers},
+        takeover::{Pending, Recovery},
         timing::{self, Timing},
         told::Done,
         turns::Turns,
@@ -114,7 +114,7 @@
     /// What a takeover still waits for.
     pub(crate) recovery: Option<Recovery>,
     /// What runs of jobs that are not known yet, from a takeover until they were read once more.
-    pub(crate) strangers: Option<Strangers>,
+    pub(crate) pending: Option<Pending>,
     /// Which filling images disturb which serving ones.
     pub(crate) disturbance: Disturbance,
     /// The load of serving jobs.
@@ -153,7 +153,7 @@
             tried: 0,
             waves: BTreeMap::new(),
             recovery: None,
-            strangers: None,
+            pending: None,
             disturbance: Disturbance::default(),
             levels: Levels::default(),
             crowded: false,
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -55,8 +55,8 @@
         let is_taken = self.take_ends(id, &report.ended, moment);
         let mut listed = HashSet::new();
         for run in &report.running {
-            if self.is_stranger(&run.job) {
-                self.meet(id, run, moment);
+            if self.is_pending(&run.job) {
+                self.note_pending(id, run, moment);
                 continue;
             }
             if let Some(key) = self.key(id, &run.job, run.address) {
--- a/components/cell/src/takeover.rs
+++ b/components/cell/src/takeover.rs
@@ -35,7 +35,7 @@
 
 /// Runs of jobs that are not known yet, by worker and name, with the moment at which they were listed.
 #[derive(Debug, Default)]
-pub(crate) struct Strangers {
+pub(crate) struct Pending {
     runs: HashMap<Name, (Run, Moment)>,
     /// The jobs are being read once more.
     asked: bool,
@@ -51,7 +51,7 @@
             missing,
             until: now + timing::until_over(self.timing.lease),
         });
-        self.strangers = Some(Strangers::default());
+        self.pending = Some(Pending::default());
         self.settle(now);
     }
 
@@ -90,10 +90,10 @@
         if recovery.is_some_and(|recovery| !recovery.unfenced.is_empty()) {
             return false;
         }
-        let Some(strangers) = &mut self.strangers else {
+        let Some(pending) = &mut self.pending else {
             return false;
         };
-        !std::mem::replace(&mut strangers.asked, true)
+        !std::mem::replace(&mut pending.asked, true)
     }
 
     /// Those of the jobs that are not known.
@@ -104,8 +104,8 @@
     /// Takes in that all jobs which the former owner may have started are known: what runs of others is
     /// to be stopped. Returns the workers that have ends left to be taken in.
     pub fn intake_read(&mut self) -> Vec<Arc<str>> {
-        if let Some(strangers) = self.strangers.take() {
-            log::info!(target: "cell", strangers = strangers.runs.len(); "The jobs are read once more.");
+        if let Some(pending) = self.pending.take() {
+            log::info!(target: "cell", pending = pending.runs.len(); "The jobs are read once more.");
         }
         let mut left = Vec::new();
         for (id, worker) in &mut self.workers {
@@ -121,15 +121,15 @@
     }
 
     /// True for a job that may still turn out to be one of the former owner's.
-    pub(crate) fn is_stranger(&self, id: &Id) -> bool {
-        self.strangers.is_some() && !self.is_known(id)
+    pub(crate) fn is_pending(&self, id: &Id) -> bool {
+        self.pending.is_some() && !self.is_known(id)
     }
 
     /// Takes in the ends that a worker lists. False when some are left for later: they are of jobs that
     /// are not known yet, or come after such ends.
     pub(crate) fn take_ends(&mut self, id: &Arc<str>, ends: &[End], moment: Moment) -> bool {
         for end in ends {
-            if self.is_stranger(&end.job) {
+            if self.is_pending(&end.job) {
                 log::info!(target: "cell", job = end.job.as_str(), worker = &**id, run = end.run, how:? = end.how; "A run of a job that is not known yet has ended.");
                 return false;
             }
@@ -139,24 +139,24 @@
     }
 
     /// Notes a run of a job that is not known yet, as its worker last listed it.
-    pub(crate) fn meet(&mut self, id: &Arc<str>, run: &Run, moment: Moment) {
-        let Some(strangers) = &mut self.strangers else {
+    pub(crate) fn note_pending(&mut self, id: &Arc<str>, run: &Run, moment: Moment) {
+        let Some(pending) = &mut self.pending else {
             return;
         };
         let name = (id.clone(), run.job.clone(), run.address);
-        if strangers.runs.insert(name, (run.clone(), moment)).is_none() {
+        if pending.runs.insert(name, (run.clone(), moment)).is_none() {
             log::info!(target: "cell", job = run.job.as_str(), worker = &**id, run = run.run; "A run of a job that is not known yet.");
         }
     }
 
-    /// Adopts the runs of a job that were met before it was known.
-    pub(crate) fn adopt_met(&mut self, job: &Id) {
-        let Some(strangers) = &mut self.strangers else {
+    /// Adopts the runs of a job that were found before it was known.
+    pub(crate) fn adopt_pending(&mut self, job: &Id) {
+        let Some(pending) = &mut self.pending else {
             return;
         };
-        let of_job = strangers.runs.extract_if(|(_, own, _), _| own == job);
-        let met: Vec<_> = of_job.collect();
-        for ((id, _, address), (run, moment)) in met {
+        let of_job = pending.runs.extract_if(|(_, own, _), _| own == job);
+        let found: Vec<_> = of_job.collect();
+        for ((id, _, address), (run, moment)) in found {
             if !self.knows(&id) {
                 continue;
             }
