--- a/components/cell/tests/decisions/place.rs
+++ b/components/cell/tests/decisions/place.rs
@@ -3,7 +3,7 @@
 use {
     crate::common::{JOB, World, end, entry, run, step, submission},
     job::{Id, Step, spec::Timetable},
-    magpie_cell::{How, Outcome, Report, Start},
+    magpie_cell::{End, How, Outcome, Report, Start},
     std::{collections::HashSet, sync::Arc},
 };
 
@@ -328,6 +328,22 @@
     assert!(!all.contains(&0), "{all:?}");
 }
 
+/// A world whose only worker has failed its two tasks just now; the ends are still to be reported.
+fn failing() -> (World, Vec<End>) {
+    let mut world = World::new(&["w1"]);
+    let other = "00000000000000b2";
+    world.submit(JOB, vec![step(1, 1_000)]);
+    world.submit(other, vec![step(1, 1_000)]);
+    for (worker, start) in world.starts() {
+        world.answer(&worker, &start, Outcome::Done);
+    }
+    let ends = vec![
+        end(1, JOB, 0, 1, How::Failed),
+        end(2, other, 0, 1, How::Failed),
+    ];
+    (world, ends)
+}
+
 /// Seen on a day with workers that fail all they start: the second and last attempt of a task was
 /// spent on the worker that had failed the first.
 #[test]
@@ -345,17 +361,7 @@
 
 #[test]
 fn faulty_worker_gets_one_probe() {
-    let mut world = World::new(&["w1"]);
-    let other = "00000000000000b2";
-    world.submit(JOB, vec![step(1, 1_000)]);
-    world.submit(other, vec![step(1, 1_000)]);
-    for (worker, start) in world.starts() {
-        world.answer(&worker, &start, Outcome::Done);
-    }
-    let ends = vec![
-        end(1, JOB, 0, 1, How::Failed),
-        end(2, other, 0, 1, How::Failed),
-    ];
+    let (mut world, ends) = failing();
     world.report("w1", vec![], ends);
     world.now += 3_000;
     world.submit("00000000000000c3", vec![step(3, 1_000)]);
@@ -373,19 +379,11 @@
 /// nothing more for the rest of the day, since that task never ended.
 #[test]
 fn faulty_worker_is_cleared_by_lasting_probe() {
-    let mut world = World::new(&["w1"]);
-    let other = "00000000000000b2";
-    world.submit(JOB, vec![step(1, 1_000)]);
-    world.submit(other, vec![step(1, 1_000)]);
-    for (worker, start) in world.starts() {
-        world.answer(&worker, &start, Outcome::Done);
-    }
-    let ends = vec![
-        end(1, JOB, 0, 1, How::Failed),
-        end(2, other, 0, 1, How::Failed),
-    ];
+    let (mut world, ends) = failing();
     world.cell.cancel(&Id::new(JOB).unwrap(), world.now, 1);
-    world.cell.cancel(&Id::new(other).unwrap(), world.now, 1);
+    world
+        .cell
+        .cancel(&Id::new("00000000000000b2").unwrap(), world.now, 1);
     world.report("w1", vec![], ends);
     world.now += 3_000;
     let lasting = "00000000000000c3";
