--- a/components/cell/src/order.rs
+++ b/components/cell/src/order.rs
@@ -16,7 +16,7 @@
     pub address: Address,
     /// The number of the run.
     pub run: u64,
-    /// The specification of its job.
+    /// The specification of its job; empty where it is kept by itself, for whoever sends the order.
     pub text: Arc<str>,
     /// The checkpoint to go on from.
     pub saved: Option<Arc<str>>,
--- a/components/cell/src/write.rs
+++ b/components/cell/src/write.rs
@@ -1,9 +1,13 @@
 //! What the owner of a cell writes down, and what follows once it is written.
 
 use {
-    crate::{cell::Cell, disturb::Disturbance, worker::Entry},
+    crate::{
+        cell::{Cell, Job},
+        disturb::Disturbance,
+        worker::Entry,
+    },
     job::{Id, Record},
-    std::sync::Arc,
+    std::{collections::HashSet, sync::Arc},
 };
 
 /// One group of records to write, and what it covers.
@@ -11,6 +15,8 @@
 pub struct Change {
     /// Jobs and their records.
     pub records: Vec<(Id, Record)>,
+    /// Those of them that have ended and whose specification is kept by itself: it goes with the rest.
+    pub apart: HashSet<Id>,
     /// The workers that may hold tasks, when that set has changed.
     pub fleet: Option<Vec<Entry>>,
     /// The ends that are written down with it, by worker.
@@ -25,8 +31,19 @@
 }
 
 /// The entries of the store that writing a record takes.
-fn entries_of(record: &Record) -> usize {
-    1 + usize::from(record.state.is_final())
+fn entries_of(record: &Record, is_apart: bool) -> usize {
+    if record.state.is_final() {
+        2 + usize::from(is_apart)
+    } else {
+        1
+    }
+}
+
+impl Job {
+    /// True when its specification is kept by itself, for those who order its tasks to start.
+    fn is_apart(&self) -> bool {
+        self.progress.submission.spec.text.is_empty()
+    }
 }
 
 impl Cell {
@@ -37,17 +54,25 @@
     }
 
     /// The next group to write, with records that take at most this many entries of the store. The
-    /// record of a job that has ended takes two: what was submitted goes.
+    /// record of a job that has ended takes two or three: what was submitted goes.
     pub fn take_change(&mut self, most: usize) -> Change {
         let mut change = Change::default();
         let mut entries = 0;
         while let Some(id) = self.dirty.peek() {
-            let record = self.jobs.get(id).map(|job| job.progress.record());
-            entries += record.as_ref().map_or(0, entries_of);
+            let job = self.jobs.get(id);
+            let is_apart = job.is_some_and(Job::is_apart);
+            let record = job.map(|job| job.progress.record());
+            entries += record.as_ref().map_or(0, |own| entries_of(own, is_apart));
             if entries > most && !change.records.is_empty() {
                 break;
             }
             let id = self.dirty.pop();
+            if let (Some(id), Some(record)) = (&id, &record)
+                && is_apart
+                && record.state.is_final()
+            {
+                change.apart.insert(id.clone());
+            }
             change.records.extend(id.zip(record));
         }
         if std::mem::take(&mut self.fleet_dirty) {
--- a/components/node/src/accept.rs
+++ b/components/node/src/accept.rs
@@ -4,8 +4,7 @@
     crate::{
         callers::Reply,
         core::Node,
-        group::put_submission,
-        keys,
+        fetch, keys,
         message::Ask,
         peer,
         store::{Applied, Change, MAX_ENTRIES},
@@ -19,8 +18,8 @@
     },
 };
 
-/// Each job takes two conditions and a write.
-const GROUP: usize = MAX_ENTRIES / 3;
+/// Each job takes two conditions and one or two writes.
+const GROUP: usize = MAX_ENTRIES / 4;
 /// How often a group is tried anew after the jobs that stand already were taken out.
 const TRIES: usize = 3;
 
@@ -160,7 +159,7 @@
         change.expect.push((keys::state(id), 0));
         change
             .put
-            .push(put_submission(&node.settings, &knock.submission));
+            .extend(fetch::puts(&node.settings, &knock.submission));
     }
     change
 }
@@ -170,7 +169,7 @@
     log::info!(target: "accept", job = id.as_str(), queue = &*knock.submission.queue.name, revision; "A job is accepted.");
     metrics::counter!("magpie_accepted_total").increment(1);
     answer(knock, Reply::Accepted);
-    let submission = knock.submission.clone();
+    let submission = fetch::heard(&node.settings, &knock.submission);
     node.remote
         .tell(move |core, cx| core.accepted(cx, submission));
 }
--- a/components/node/src/claim.rs
+++ b/components/node/src/claim.rs
@@ -26,6 +26,9 @@
 const JITTER: u64 = 120;
 /// How often a former owner is asked before its silence counts.
 const PROBES: u32 = 2;
+/// How long a box with a narrow link may take to read the cell: 1 MB at 2 Mbit/s with other calls beside. One that dies
+/// meanwhile is replaced that much later.
+const LOADING: Duration = Duration::from_millis(6_000);
 /// Between two of these questions; a silent owner has cost its lease of 2 s and 0.4 s a question by
 /// then.
 const PROBE_PAUSE: Duration = Duration::from_millis(100);
@@ -53,7 +56,7 @@
         return Ok(());
     }
     let store = &node.outside.store;
-    let lease = store.grant(LEASE)?;
+    let lease = store.grant(loading_lease(node))?;
     let head = store.get(&keys::head(CELL))?;
     let change = claim_of(node, revision, head.map_or(0, |item| item.revision), lease);
     let fence = match store.apply(&change)? {
@@ -67,13 +70,28 @@
     let (cell, learned) = load_leased(node, lease)?;
     let summary = cell.summary(time::now());
     log::info!(target: "owner", fence, jobs = summary.jobs, workers = summary.workers, took = time::now() - begun; "The cell is read.");
-    let tenure = Tenure::new(fence, lease, cell);
+    let mut tenure = Tenure::new(fence, lease, cell);
+    if node.settings.is_narrow() {
+        // From now on others are to notice soon when this box is gone.
+        tenure.lease = store.grant(LEASE)?;
+        tenure.announce = true;
+    }
     node.remote.tell(move |core, cx| core.install(cx, tenure));
     owning::keep_learned(node, fence, learned);
     node.shared.owner.store(Some(own(&node.settings).into()));
     Ok(())
 }
 
+/// The lease under which the cell is read. On a narrow link the answer to a renewal waits behind what is read: seen with
+/// 500 jobs on 2 Mbit/s, where owners followed each other every 5 s, each reading everything.
+fn loading_lease(node: &Node) -> Duration {
+    if node.settings.is_narrow() {
+        LOADING
+    } else {
+        LEASE
+    }
+}
+
 fn claim_of(node: &Node, owner: u64, head: u64, lease: u64) -> Change {
     let mark = Head {
         fence: 0,
--- a/components/node/src/core.rs
+++ b/components/node/src/core.rs
@@ -4,7 +4,9 @@
     crate::{
         accept, cancel,
         comeback::Comeback,
-        config, follow,
+        config,
+        fetch::Fetched,
+        follow,
         message::Owner,
         outside::Outside,
         peer, relay,
@@ -179,6 +181,8 @@
     pub(crate) acceptor: accept::Door,
     /// Cancellations that the owner has not confirmed.
     pub(crate) untold: cancel::Door,
+    /// Specifications that were read from the store.
+    pub(crate) fetched: Arc<Fetched>,
 }
 
 /// A box that runs.
@@ -216,6 +220,7 @@
             remote,
             acceptor,
             untold,
+            fetched: Arc::default(),
         };
         // The receiver waits for just this one.
         let _ = sender.send(node.clone());
--- a/components/node/src/group.rs
+++ b/components/node/src/group.rs
@@ -8,7 +8,7 @@
         store::{Change, Item, Put},
         tenure::Tenure,
     },
-    job::{Id, Submission},
+    job::Id,
     serde::Serialize,
 };
 
@@ -98,6 +98,9 @@
         change.put.push(put_compact(keys::state(id), record));
         if record.state.is_final() {
             change.remove.push(keys::job(id));
+            if covers.apart.contains(id) {
+                change.remove.push(keys::text(id));
+            }
         }
     }
     if let Some(fleet) = &covers.fleet {
@@ -125,18 +128,6 @@
     }
 }
 
-/// A submission as it is kept: the owner hears each of them, 1 to 10 KB.
-pub fn put_submission(settings: &Settings, submission: &Submission) -> Put {
-    let put = put(keys::job(&submission.id), submission, 0);
-    if !settings.is_narrow() {
-        return put;
-    }
-    Put {
-        value: kernel::wire::pack(put.value),
-        ..put
-    }
-}
-
 /// A key and its value, encoded.
 pub fn put<T: Serialize>(key: String, value: &T, lease: u64) -> Put {
     // Only maps with odd keys cannot be encoded, and no value here has any.
@@ -164,6 +155,7 @@
             own_workers: 70,
             address: "127.0.0.1:1".into(),
             timing: TIMING,
+            drain: Duration::from_secs(2),
             retention: Duration::from_secs(150),
         }
     }
--- a/components/node/src/keys.rs
+++ b/components/node/src/keys.rs
@@ -18,6 +18,11 @@
     format!("{JOB}{id}")
 }
 
+/// The specification of a job, where it is kept by itself.
+pub fn text(id: &Id) -> String {
+    format!("magpie/text/{id}")
+}
+
 /// The cancellation of a job.
 pub fn cancel(id: &Id) -> String {
     format!("{CANCEL}{id}")
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod comeback;
 pub mod config;
 pub mod core;
+pub mod fetch;
 pub mod follow;
 pub mod group;
 pub mod keys;
--- a/components/node/src/owning.rs
+++ b/components/node/src/owning.rs
@@ -6,7 +6,7 @@
         group::{CELL, put_compact},
         keys,
         settings::{
-            INTAKE_WAIT, LEARNED_GAP, LEARNED_SHARE, LEASE, LIST_GAP, LIST_MOST, LIST_SHARE, RENEW,
+            INTAKE_WAIT, LEARNED_GAP, LEARNED_SHARE, LEASE, LIST_GAP, LIST_SHARE, RENEW,
             STORE_PAUSE, WAVE_GAP,
         },
         store::{Applied, Change, Event, Watched, range_all},
@@ -308,7 +308,7 @@
 fn list(node: &Node, fence: u64) {
     let mut took = Duration::ZERO;
     loop {
-        thread::sleep((took * LIST_SHARE).clamp(LIST_GAP, LIST_MOST));
+        thread::sleep((took * LIST_SHARE).clamp(LIST_GAP, node.settings.list_most()));
         let begun = Instant::now();
         let listing = node.outside.workers.list();
         took = begun.elapsed();
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         core::Node,
-        follow, keys,
+        follow,
         message::{Begin, Command, Duty, Heard, Offer, Owner},
         news::News,
         outside::Unheard,
@@ -17,8 +17,8 @@
         time, worker,
     },
     cell::{Entry, Order, Outcome, Poll, Reason, Report, Run},
-    job::{Id, Submission},
-    kernel::{Failure, sync::lock, task, verdict::Cause, wire},
+    job::Id,
+    kernel::{Failure, sync::lock, task, wire},
     std::{
         collections::HashMap,
         sync::{
@@ -36,39 +36,7 @@
 /// The ways to the two tasks of a worker.
 struct Ways {
     polls: Sender<(u64, Poll)>,
-    orders: Sender<Told>,
-}
-
-/// An order for a worker's task.
-struct Told {
-    /// The number that the owner knows it by.
-    number: u64,
-    queued: Queued,
-    /// Of a start: where its specification is.
-    text: Option<Arc<Text>>,
-}
-
-/// The specification of a job, read from the store by whoever needs it first where the owner did not send it.
-#[derive(Default)]
-struct Text(Mutex<Option<Arc<str>>>);
-
-impl Text {
-    fn new(text: Option<Arc<str>>) -> Arc<Self> {
-        Arc::new(Text(Mutex::new(text)))
-    }
-
-    /// The specification. Others that need it wait meanwhile, since they need the same call.
-    fn read(&self, node: &Node, job: &Id) -> Result<Arc<str>, Failure> {
-        let mut text = lock(&self.0);
-        if let Some(text) = &*text {
-            return Ok(text.clone());
-        }
-        let Some(item) = node.outside.store.get_large(&keys::job(job))? else {
-            return Err(Failure::not_run(Cause::Refused, "the job is over"));
-        };
-        let submission: Submission = wire::decode(&item.value)?;
-        Ok(text.insert(submission.spec.text).clone())
-    }
+    orders: Sender<(u64, Queued)>,
 }
 
 /// What a relay does in one session.
@@ -82,8 +50,8 @@
     /// Between two exchanges.
     pause: Duration,
     ways: HashMap<Arc<str>, Ways>,
-    /// The specifications that the owner has sent.
-    texts: Texts<Arc<Text>>,
+    /// The specifications that the owner has sent; empty ones are read from the store.
+    texts: Texts<Arc<str>>,
     heard: Arc<Mutex<Ear>>,
 }
 
@@ -231,7 +199,7 @@
                     self.ways.remove(&id);
                     lock(&self.heard).leave(id);
                 }
-                Command::Text(job, text) => self.texts.keep(job, Text::new(text)),
+                Command::Text(job, text) => self.texts.keep(job, text.unwrap_or_default()),
                 // A task that has ended belongs to a worker that was left.
                 Command::Poll(id, at, poll) => {
                     if let Some(ways) = self.ways.get(&id) {
@@ -239,7 +207,7 @@
                     }
                 }
                 Command::Order(id, number, at, order) => {
-                    self.order(&id, number, order, None, age(at));
+                    self.order(&id, number, order, age(at));
                 }
                 Command::Starts(job, at, begins) => self.start(&job, begins, age(at)),
             }
@@ -247,14 +215,10 @@
     }
 
     /// Hands an order of this age, in milliseconds, to its worker's task.
-    fn order(&self, id: &Arc<str>, number: u64, order: Order, text: Option<Arc<Text>>, age: u64) {
+    fn order(&self, id: &Arc<str>, number: u64, order: Order, age: u64) {
         if let Some(ways) = self.ways.get(id) {
             let queued = Queued::new(order, age, time::now());
-            let _ = ways.orders.send(Told {
-                number,
-                queued,
-                text,
-            });
+            let _ = ways.orders.send((number, queued));
         }
     }
 
@@ -271,8 +235,8 @@
         };
         for begin in begins {
             let (id, number) = (begin.worker.clone(), begin.number);
-            let order = Order::Start(begin.start(job.clone(), "".into()));
-            self.order(&id, number, order, Some(text.clone()), age);
+            let order = Order::Start(begin.start(job.clone(), text.clone()));
+            self.order(&id, number, order, age);
         }
     }
 
@@ -305,24 +269,15 @@
     }
 }
 
-fn send(node: &Node, fence: u64, entry: &Entry, orders: &Receiver<Told>, heard: &Mutex<Ear>) {
-    for told in orders {
-        let number = told.number;
-        let outcome = send_told(node, fence, entry, told);
+fn send(
+    node: &Node,
+    fence: u64,
+    entry: &Entry,
+    orders: &Receiver<(u64, Queued)>,
+    heard: &Mutex<Ear>,
+) {
+    for (number, queued) in orders {
+        let outcome = worker::send_one(node, fence, entry, queued);
         lock(heard).heard.push(Heard::Answer(number, outcome));
     }
 }
-
-/// Sends an order, a start with its specification.
-fn send_told(node: &Node, fence: u64, entry: &Entry, mut told: Told) -> Outcome {
-    if let (Order::Start(start), Some(text)) = (&mut told.queued.order, &told.text) {
-        match text.read(node, &start.key.job) {
-            Ok(text) => start.text = text,
-            Err(failure) => {
-                log::info!(target: "relay", job = start.key.job.as_str(), error:% = failure; "A specification was not read; its start is not sent.");
-                return Outcome::Refused(Reason::NotSent);
-            }
-        }
-    }
-    worker::send_one(node, fence, entry, &told.queued)
-}
--- a/components/node/src/relays.rs
+++ b/components/node/src/relays.rs
@@ -124,7 +124,8 @@
             return;
         }
         self.texts.keep(job.clone(), ());
-        let text = allowance.take(start.text.len()).then(|| start.text.clone());
+        let is_sent = !start.text.is_empty() && allowance.take(start.text.len());
+        let text = is_sent.then(|| start.text.clone());
         self.command(Command::Text(job.clone(), text));
     }
 }
@@ -132,6 +133,7 @@
 /// A start's bytes on its way to its worker; none for another order.
 fn start_bytes(order: &Order) -> usize {
     match order {
+        Order::Start(start) if start.text.is_empty() => TEXT_BYTES + SENT_BYTES,
         Order::Start(start) => start.text.len() + SENT_BYTES,
         Order::Stop { .. } | Order::Pace { .. } => 0,
     }
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -23,6 +23,8 @@
     pub address: Arc<str>,
     /// Bounds of the deployment.
     pub timing: Timing,
+    /// How long a worker may be given tasks after it has said that it leaves.
+    pub drain: Duration,
     /// How long the record of a job that has ended is kept.
     pub retention: Duration,
 }
@@ -39,6 +41,11 @@
         }
     }
 
+    /// The most time between two listings of the workers.
+    pub fn list_most(&self) -> Duration {
+        (self.drain * LIST_MOST / 10).max(LIST_GAP)
+    }
+
     /// True for a link on which bytes cost more than the processor's time to pack them.
     pub const fn is_narrow(&self) -> bool {
         self.link < NARROW
@@ -84,8 +91,9 @@
 /// The time between two listings in terms of how long the last one took: they take an eleventh of the time, and
 /// of the link. 144 workers are 62 KB, a quarter of a second on a link of 2 Mbit/s.
 pub const LIST_SHARE: u32 = 10;
-/// The most time between them: sites with links so narrow let a worker that leaves serve on for 4 s.
-pub const LIST_MOST: Duration = Duration::from_millis(3_000);
+/// The most time between them, as the part in ten of how long a worker that leaves takes new tasks: with the time of
+/// the listing and of a start on its way, it must not be over.
+const LIST_MOST: u32 = 4;
 /// Between two looks at whether what was learned is due to be written, which it is every 4 s.
 pub const LEARNED_GAP: Duration = Duration::from_millis(1_000);
 /// The time between two such writes in terms of how long the last one took: they take a twentieth of a narrow link.
--- a/components/node/src/worker.rs
+++ b/components/node/src/worker.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{core::Node, outside::Unheard, queued::Queued, settings::POLL_PAUSE, time},
-    cell::{Entry, Outcome, Reason},
+    cell::{Entry, Order, Outcome, Reason},
     kernel::task,
     std::{
         sync::mpsc::{self, Receiver, Sender},
@@ -54,8 +54,8 @@
         if !node.shared.is_owning(fence) {
             return;
         }
-        let outcome = send_one(node, fence, entry, &queued);
-        let order = queued.order;
+        let order = queued.order.clone();
+        let outcome = send_one(node, fence, entry, queued);
         if outcome == Outcome::Unknown {
             log::info!(target: "owner", worker = &*entry.id, order:% = order; "An order has no answer.");
         }
@@ -69,8 +69,19 @@
     }
 }
 
-/// Sends an order, unless it has waited for too long.
-pub(crate) fn send_one(node: &Node, fence: u64, entry: &Entry, queued: &Queued) -> Outcome {
+/// Sends an order, unless it has waited for too long; a start with the specification of its job.
+pub(crate) fn send_one(node: &Node, fence: u64, entry: &Entry, mut queued: Queued) -> Outcome {
+    if let Order::Start(start) = &mut queued.order
+        && start.text.is_empty()
+    {
+        match node.fetched.text(&*node.outside.store, &start.key.job) {
+            Ok(text) => start.text = text,
+            Err(failure) => {
+                log::info!(target: "worker", job = start.key.job.as_str(), error:% = failure; "A specification was not read; its start is not sent.");
+                return Outcome::Refused(Reason::NotSent);
+            }
+        }
+    }
     if queued.is_stale(time::now()) {
         metrics::counter!("magpie_orders_stale_total").increment(1);
         return Outcome::Refused(Reason::NotSent);
--- a/programs/box/src/cli.rs
+++ b/programs/box/src/cli.rs
@@ -72,6 +72,9 @@
     /// from an order to slow a task down until it shows, in milliseconds (MAGPIE_PACE_MS, default 100)
     #[argh(option)]
     pace_ms: Option<String>,
+    /// how long a worker may be given tasks after it has said that it leaves, in milliseconds (MAGPIE_DRAIN_MS, default 2000)
+    #[argh(option)]
+    drain_ms: Option<String>,
     /// seconds that the state of an ended job is kept (MAGPIE_RETENTION, default 150)
     #[argh(option)]
     retention: Option<String>,
@@ -172,6 +175,7 @@
     let lease = reader.number("lease-ms", arguments.lease_ms, "6000", (1_000, 600_000));
     let stop = reader.number("stop-ms", arguments.stop_ms, "900", (1, 60_000));
     let pace = reader.number("pace-ms", arguments.pace_ms, "100", (1, 60_000));
+    let drain = reader.number("drain-ms", arguments.drain_ms, "2000", (100, 600_000));
     let retention = reader.number("retention", arguments.retention, "150", (1, 86_400));
     let grace = reader.number("grace-ms", arguments.grace_ms, "6000", (100, 600_000));
     reader.build(|| {
@@ -188,6 +192,7 @@
                 stop: stop?,
                 pace: pace?,
             },
+            drain: Duration::from_millis(drain?),
             retention: Duration::from_secs(retention?),
         };
         Some(Setup {
