Bound a pass of placement, and look at a part of the workers in large cells

Change: a pass takes 200,000 looks at single workers and goes on after reports have had their turn; with more than 1,000 workers a task is placed on the best of 500, another part each time, and of all only where none will do or a label or a rack binds it.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -127,6 +127,10 @@
     pub(crate) placed: Vec<(usize, u64, Arc<str>)>,
     /// How many more tasks the present pass may place.
     pub(crate) room: usize,
+    /// Looks at single workers that the present pass has taken.
+    pub(crate) looks: usize,
+    /// From which worker on the next part of them is looked at.
+    pub(crate) around: Arc<str>,
     /// Workers that get no work for now, see [`Cell::hold_back`].
     pub(crate) held: HashSet<Arc<str>>,
     /// Runs that are done and were not told yet.
@@ -164,6 +168,8 @@
             stuck: Vec::new(),
             placed: Vec::new(),
             room: 0,
+            looks: 0,
+            around: "".into(),
             held: HashSet::new(),
             done: Vec::new(),
         }
--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -32,6 +32,17 @@
 /// filling image disturbs nothing.
 const MIXES: u64 = 300_000;
 
+/// Which workers are looked at for a task.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Among<'a> {
+    /// All of them.
+    All,
+    /// So many in the order of their names, from this one on and round.
+    From(&'a Arc<str>, usize),
+    /// These.
+    These(&'a [Arc<str>]),
+}
+
 impl Cell {
     /// How often a task has failed.
     pub(crate) fn failures(&self, rank: &Rank, place: usize) -> u32 {
@@ -47,7 +58,7 @@
         rank: &Rank,
         address: Address,
         failures: u32,
-        among: Option<&[Arc<str>]>,
+        among: Among<'_>,
         now: u64,
     ) -> Option<Arc<str>> {
         let job = self.jobs.get(&rank.id)?;
@@ -60,8 +71,13 @@
                 && job.is_advised(address, id, now)
         };
         match among {
-            None => self.cheapest(step, image, self.workers.iter(), will_do),
-            Some(ids) => {
+            Among::All => self.cheapest(step, image, self.workers.iter(), will_do),
+            Among::From(id, count) => {
+                let before = self.workers.range(..id.clone());
+                let round = self.workers.range(id.clone()..).chain(before);
+                self.cheapest(step, image, round.take(count), will_do)
+            }
+            Among::These(ids) => {
                 let known = ids.iter().filter_map(|id| self.workers.get_key_value(id));
                 self.cheapest(step, image, known, will_do)
             }
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         cell::{Cell, Job, Rank},
+        choose::Among,
         order::{Order, Start},
         slot::{Slot, Stage},
         strain::Press,
@@ -18,6 +19,13 @@
 /// then only on those that have changed. What changes by itself is that a worker is given work
 /// again after it was set aside.
 const TRY_ALL: u64 = 500;
+/// With more workers than this a task is placed on the best of a part of them: a look at all 3,000 takes 0.6 ms of a core,
+/// and 2,600 lasting tasks at the start of a day held an owner up for 3.2 s, until others took its cell over.
+const LOOK_AT_ALL: usize = 1_000;
+/// That part: with as many, a twentieth of the workers to choose from leaves 25.
+const PART: usize = 500;
+/// Looks at single workers that one pass may take: 20 to 40 ms of a core, after which reports have their turn.
+const LOOKS: usize = 200_000;
 
 impl Cell {
     /// Places what can be placed now.
@@ -29,6 +37,7 @@
     /// told to its worker soon waits here, where more urgent work goes before it. Gangs are placed whole.
     pub fn place_some(&mut self, now: u64, most: usize) {
         self.room = most;
+        self.looks = 0;
         if most == 0 {
             return;
         }
@@ -37,7 +46,7 @@
         let line: Vec<Rank> = self.line.iter().cloned().collect();
         for rank in line {
             self.place_job(&rank, now, &changed);
-            if self.room == 0 {
+            if self.is_spent() {
                 // What has changed is looked at again by those who had no turn.
                 self.mark_changed(&changed);
                 return;
@@ -99,7 +108,7 @@
         }
         let mut next = 0;
         while let Some(address) = self.next_ready(rank, next) {
-            if self.room == 0 {
+            if self.is_spent() {
                 return;
             }
             let places = self.places(rank, address);
@@ -159,7 +168,7 @@
             return;
         }
         for place in ready {
-            if self.room == 0 {
+            if self.is_spent() {
                 return;
             }
             let among = is_stuck.then_some(changed);
@@ -192,9 +201,15 @@
         among: Option<&[Arc<str>]>,
         now: u64,
     ) -> bool {
-        self.tried += u64::from(among.is_none());
         let failures = self.failures(rank, place);
-        let Some(id) = self.choose(rank, address, failures, among, now) else {
+        let chosen = match among {
+            Some(ids) => {
+                self.looks += ids.len();
+                self.choose(rank, address, failures, Among::These(ids), now)
+            }
+            None => self.look_around(rank, address, failures, now),
+        };
+        let Some(id) = chosen else {
             return false;
         };
         let run = self.next_run(rank, place);
@@ -202,6 +217,46 @@
         true
     }
 
+    /// The best worker for a task: in a large cell of a part of the workers, another one each time, and of all only
+    /// where none of these will do, or where data or hardware bind the step to few.
+    fn look_around(
+        &mut self,
+        rank: &Rank,
+        address: Address,
+        failures: u32,
+        now: u64,
+    ) -> Option<Arc<str>> {
+        let count = self.workers.len();
+        if count > LOOK_AT_ALL && !self.is_bound(rank, address) {
+            let from = std::mem::take(&mut self.around);
+            let chosen = self.choose(rank, address, failures, Among::From(&from, PART), now);
+            let mut after = self.workers.range(from.clone()..);
+            self.around = after
+                .nth(PART)
+                .map_or_else(|| "".into(), |(id, _)| id.clone());
+            self.looks += PART;
+            if chosen.is_some() {
+                return chosen;
+            }
+        }
+        self.tried += 1;
+        self.looks += count;
+        self.choose(rank, address, failures, Among::All, now)
+    }
+
+    /// True when few workers may be good for a step.
+    fn is_bound(&self, rank: &Rank, address: Address) -> bool {
+        self.jobs.get(&rank.id).is_none_or(|job| {
+            let step = &job.progress.submission.spec.steps[address.step as usize];
+            step.label.is_some() || step.rack.is_some()
+        })
+    }
+
+    /// True when the present pass has placed or looked as much as it may.
+    fn is_spent(&self) -> bool {
+        self.room == 0 || self.looks >= LOOKS
+    }
+
     /// True when a need at most as large has found no room lately.
     fn is_stuck(&self, need: &Need) -> bool {
         self.stuck.iter().any(|known| known.need.covers(need))
--- a/components/cell/tests/decisions/place.rs
+++ b/components/cell/tests/decisions/place.rs
@@ -512,3 +512,55 @@
     world.cell.hold_back(HashSet::new());
     assert_eq!(workers(&mut world).len(), 4);
 }
+
+/// A world with so many workers, which have answered.
+fn large(count: usize) -> World {
+    let names: Vec<String> = (0..count).map(|number| format!("w{number:05}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    World::new(&names)
+}
+
+/// Seen with 3,000 workers: one pass over the lasting tasks at the start of a day took 3.2 s, and others took the cell
+/// over, whose passes took as long.
+#[test]
+fn pass_of_large_cell_is_bounded() {
+    let mut world = large(3_000);
+    world.submit(JOB, vec![step(6_000, 1_000)]);
+    let first = world.starts().len();
+    assert!((100..1_000).contains(&first), "{first}");
+    let mut placed = first;
+    for _ in 0..60 {
+        placed += world.starts().len();
+    }
+    assert_eq!(placed, 6_000);
+}
+
+/// The tasks of a pass go to different parts of the workers, and room anywhere is found in the end.
+#[test]
+fn large_cell_is_used_whole() {
+    let mut world = large(1_200);
+    world.submit(JOB, vec![step(4_801, 1_000)]);
+    let mut used = HashSet::new();
+    let mut placed = 0;
+    for _ in 0..200 {
+        let starts = workers(&mut world);
+        placed += starts.len();
+        used.extend(starts);
+    }
+    assert_eq!((placed, used.len()), (4_800, 1_200));
+}
+
+/// Few workers bear a label; the right ones are found wherever they stand.
+#[test]
+fn label_is_found_in_large_cell() {
+    let mut world = large(1_200);
+    let mut rare = entry("w99999", 4);
+    rare.labels = vec!["rare".into(), "r1".into()];
+    let names = (0..1_200).map(|number| entry(&format!("w{number:05}"), 4));
+    world.list(names.chain([rare]).collect());
+    world.report("w99999", vec![], vec![]);
+    let mut odd = step(2, 100);
+    odd.label = Some("rare".into());
+    world.submit(JOB, vec![odd]);
+    assert_eq!(workers(&mut world), ["w99999".into(), "w99999".into()]);
+}
--- a/components/node/src/relays.rs
+++ b/components/node/src/relays/mod.rs
@@ -1,14 +1,21 @@
 //! The owner's book of relays: which box looks after which worker, and what is on its way to it.
 
+mod allowance;
+mod relay;
+
 use {
+    self::{
+        allowance::Allowance,
+        relay::{Relay, START_BYTES, TEXT_BYTES, bytes, start_bytes},
+    },
     crate::{
-        message::{Begin, Command, Duty, Offer},
+        message::{Command, Duty, Offer},
         news::News,
         outside::Unheard,
-        settings::{RELAY_BUSY, RELAY_SLOW, Settings},
+        settings::{AHEAD, RELAY_BUSY, RELAY_SLOW},
         texts::Texts,
     },
-    cell::{Entry, Order, Poll, Report, Run, Start},
+    cell::{Entry, Order, Poll, Report},
     std::{
         collections::{HashMap, HashSet},
         sync::Arc,
@@ -34,120 +41,6 @@
 const EXCHANGE: u64 = 250;
 /// The part of the owner's link that these may take.
 const EXCHANGE_PART: u64 = 8;
-/// What a start takes on its way to a relay, in bytes, without the text: 35 to 70, with a checkpoint or a ticket.
-const START_BYTES: usize = 60;
-/// What a worker takes on its way to a relay, in bytes.
-const MEMBER_BYTES: usize = 120;
-/// A usual specification, in bytes; 4,000 at most.
-const TEXT_BYTES: usize = 1_200;
-/// What a start takes on its way to its worker beside the text, in bytes: heads of HTTP, and names and
-/// punctuation of the body.
-const SENT_BYTES: usize = 330;
-/// The part of the owner's link that specifications may take.
-const TEXT_PART: u64 = 4;
-/// How much may be on its way at once, in milliseconds of the link that carries it. What waits longer
-/// delays leases, stops and the answers of the store on the same link; less would leave the link idle between
-/// two exchanges.
-const AHEAD: u64 = 250;
-
-/// One relay.
-struct Relay {
-    hall: Arc<str>,
-    /// What its link carries, in bytes a millisecond.
-    link: u64,
-    /// The jobs whose texts it has.
-    texts: Texts<()>,
-    /// Bytes of the commands that it has not acknowledged.
-    unsent: usize,
-    /// Bytes of the starts on their way to workers that have no answer yet.
-    starting: usize,
-    /// What it last told of each worker.
-    lists: HashMap<Arc<str>, Vec<Run>>,
-    /// The number of its session: a box that offers itself anew gets another.
-    session: u64,
-    /// Its share of a core, in thousandths.
-    share: u32,
-    /// When it was last heard.
-    seen: u64,
-    /// The last offer that was taken in.
-    taken: u64,
-    /// The number of the last duty.
-    batch: u64,
-    /// The last duty's commands, until they are acknowledged.
-    sent: Vec<Command>,
-    /// Commands of the next duty.
-    next: Vec<Command>,
-    workers: HashSet<Arc<str>>,
-}
-
-impl Relay {
-    /// How many workers it looks after at the most.
-    fn most(&self) -> usize {
-        Settings::most_workers(self.share, self.link).max(1)
-    }
-
-    /// True when it has room for another worker.
-    fn is_open(&self) -> bool {
-        self.workers.len() < self.most()
-    }
-
-    /// True when it has as many starts to send as its link takes in the time ahead.
-    fn is_busy(&self) -> bool {
-        self.starting as u64 >= self.link * AHEAD
-    }
-
-    fn command(&mut self, command: Command) {
-        self.unsent += bytes(&command);
-        self.next.push(command);
-    }
-
-    /// Has a task started, with others of its job where they are told of in turn.
-    fn start(&mut self, worker: &Arc<str>, number: u64, now: u64, start: &Start) {
-        let begin = Begin::new(worker.clone(), number, start);
-        let job = &start.key.job;
-        if let Some(Command::Starts(last, at, begins)) = self.next.last_mut()
-            && last == job
-            && *at == now
-        {
-            begins.push(begin);
-            self.unsent += START_BYTES;
-            return;
-        }
-        self.command(Command::Starts(job.clone(), now, vec![begin]));
-    }
-
-    /// Sends a start's text ahead, if the relay does not have it and the allowance takes it; else the relay reads it
-    /// from the store.
-    fn send_text(&mut self, start: &Start, allowance: &mut Allowance) {
-        let job = &start.key.job;
-        if self.texts.get(job).is_some() {
-            return;
-        }
-        self.texts.keep(job.clone(), ());
-        let is_sent = !start.text.is_empty() && allowance.take(start.text.len());
-        let text = is_sent.then(|| start.text.clone());
-        self.command(Command::Text(job.clone(), text));
-    }
-}
-
-/// A start's bytes on its way to its worker; none for another order.
-fn start_bytes(order: &Order) -> usize {
-    match order {
-        Order::Start(start) if start.text.is_empty() => TEXT_BYTES + SENT_BYTES,
-        Order::Start(start) => start.text.len() + SENT_BYTES,
-        Order::Stop { .. } | Order::Pace { .. } => 0,
-    }
-}
-
-/// Bytes of a command that count: those of texts, starts and workers, which are most of what a relay is sent.
-fn bytes(command: &Command) -> usize {
-    match command {
-        Command::Text(_, text) => text.as_ref().map_or(0, |text| text.len()),
-        Command::Starts(_, _, starts) => starts.len() * START_BYTES,
-        Command::Tend(_) => MEMBER_BYTES,
-        _ => 0,
-    }
-}
 
 /// How much an owner needs further relays.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -176,42 +69,6 @@
     allowance: Allowance,
 }
 
-/// What of the owner's link specifications may take. With many relays and large texts they are most of what an owner
-/// sends (480 of 610 KB a second, for 17 jobs a second of 2.4 KB and 12 relays), and any relay can read them from the
-/// store, whose link is wide. While the store fails they go through the owner all the same.
-#[derive(Default)]
-struct Allowance {
-    /// Bytes that may be sent now.
-    left: u64,
-    /// When it last grew.
-    grown: u64,
-    /// The store fails, or has not been heard of.
-    is_all: bool,
-}
-
-impl Allowance {
-    /// Grows with the time, for an owner with this link.
-    fn grow(&mut self, link: u64, now: u64) {
-        let rate = link / TEXT_PART;
-        let since = now.saturating_sub(self.grown);
-        self.left = (self.left + since * rate).min(rate * AHEAD);
-        self.grown = now;
-    }
-
-    /// Takes so many bytes; false where there are not as many.
-    fn take(&mut self, bytes: usize) -> bool {
-        let bytes = bytes as u64;
-        if self.is_all {
-            return true;
-        }
-        if bytes > self.left {
-            return false;
-        }
-        self.left -= bytes;
-        true
-    }
-}
-
 impl Relays {
     /// Chooses the relay that looks after a worker that has waited for one since a time: of its own hall if
     /// one has room, since each start, poll and report would cross halls otherwise, and the least loaded. None
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -152,6 +152,10 @@
 pub const RELAY_SLOW: u64 = 100;
 /// Between two offers of a box that is not needed as a relay.
 pub const RELAY_IDLE: Duration = Duration::from_millis(400);
+/// How much may be on its way at once, in milliseconds of the link that carries it. What waits longer
+/// delays leases, stops and the answers of the store on the same link; less would leave the link idle between
+/// two exchanges.
+pub const AHEAD: u64 = 250;
 /// The time for one exchange of a relay. It may be made twice: the owner takes each offer once. Offers and
 /// duties are sent again unchanged, and after trouble or in a burst they are large.
 pub const RELAY_TIME: Time =
