--- a/components/node/src/relays/mod.rs
+++ b/components/node/src/relays/mod.rs
@@ -151,7 +151,12 @@
         let unsent: usize = self.by_name.values().map(|relay| relay.unsent).sum();
         let room = ((link * AHEAD) as usize).saturating_sub(unsent);
         // With a text for every fourth start, as measured for jobs of 9 to 39 tasks on ten relays.
-        room / (START_BYTES + TEXT_BYTES / 4)
+        let by_owner = room / (START_BYTES + TEXT_BYTES / 4);
+        if self.by_name.is_empty() {
+            return by_owner;
+        }
+        let by_relays: usize = self.by_name.values().map(Relay::starts).sum();
+        by_owner.min(by_relays)
     }
 
     /// Lets specifications take their part of an owner's link; all that they need where the store, from which relays
--- a/components/node/src/relays/relay.rs
+++ b/components/node/src/relays/relay.rs
@@ -70,6 +70,12 @@
         self.starting as u64 >= self.link * AHEAD
     }
 
+    /// How many more starts its link takes in the time ahead.
+    pub fn starts(&self) -> usize {
+        let room = ((self.link * AHEAD) as usize).saturating_sub(self.starting);
+        room.div_ceil(TEXT_BYTES + SENT_BYTES)
+    }
+
     pub fn command(&mut self, command: Command) {
         self.unsent += bytes(&command);
         self.next.push(command);
