Answer orders that a relay has no task for

Cause: found by reading: the owner counts starts on their way to a relay until each is answered; an order for a worker that the relay does not look after (its tasks could not be started) was dropped without an answer, and would make the relay look busy for good. Test: order_without_a_task_is_refused, which heard nothing before.

--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -214,23 +214,30 @@
         }
     }
 
-    /// Hands an order of this age, in milliseconds, to its worker's task.
+    /// Hands an order of this age, in milliseconds, to its worker's task. Without one it is surely not sent: the owner
+    /// counts it as on its way until it is answered.
     fn order(&self, id: &Arc<str>, number: u64, order: Order, age: u64) {
-        if let Some(ways) = self.ways.get(id) {
-            let queued = Queued::new(order, age, time::now());
-            let _ = ways.orders.send((number, queued));
+        let queued = Queued::new(order, age, time::now());
+        let ways = self.ways.get(id);
+        if ways.is_none_or(|ways| ways.orders.send((number, queued)).is_err()) {
+            self.refuse([number]);
         }
     }
 
+    /// Answers for orders that are not sent.
+    fn refuse(&self, numbers: impl IntoIterator<Item = u64>) {
+        let refused = Outcome::Refused(Reason::NotSent);
+        let answers = numbers
+            .into_iter()
+            .map(|number| Heard::Answer(number, refused));
+        lock(&self.heard).heard.extend(answers);
+    }
+
     /// Hands starts of a job to their workers' tasks.
     fn start(&self, job: &Id, begins: Vec<Begin>, age: u64) {
         let Some(text) = self.texts.get(job) else {
             log::error!(target: "relay", job = job.as_str(); "Starts came without the text of their job.");
-            let refused = Outcome::Refused(Reason::NotSent);
-            let answers = begins
-                .iter()
-                .map(|begin| Heard::Answer(begin.number, refused));
-            lock(&self.heard).heard.extend(answers);
+            self.refuse(begins.iter().map(|begin| begin.number));
             return;
         };
         for begin in begins {
@@ -281,3 +288,31 @@
         lock(heard).heard.push(Heard::Answer(number, outcome));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use {super::*, cell::Key, job::Address};
+
+    /// An order that nobody takes would count as on its way for good, and its relay as busy.
+    #[test]
+    fn order_without_a_task_is_refused() {
+        let session = Session::new(&Duty::default());
+        let order = Order::Stop {
+            key: Key {
+                job: Id::new("00000000000000a1").unwrap(),
+                place: 0,
+            },
+            address: Address {
+                time: 0,
+                step: 0,
+                index: 0,
+            },
+            run: 1,
+        };
+        session.order(&"w1".into(), 7, order, 0);
+        session.start(&Id::new("00000000000000a1").unwrap(), Vec::new(), 0);
+        let heard = std::mem::take(&mut lock(&session.heard).heard);
+        let refused = Outcome::Refused(Reason::NotSent);
+        assert!(matches!(&heard[..], [Heard::Answer(7, outcome)] if *outcome == refused));
+    }
+}
