Soak: boxes with narrow links

`--link N` tells boxes what their links carry, in Mbit/s, and lets each connection to the store bring no more: specifications are kept apart and messages packed, under the faults of any seed. The plans of earlier seeds are as they were. The limit is for each connection; a line that all connections of a box share is not built.

--- a/programs/soak/src/cli.rs
+++ b/programs/soak/src/cli.rs
@@ -21,6 +21,10 @@
     /// workers that the owner talks to itself (default: 2 for odd seeds, so that others help it; else 70)
     #[argh(option)]
     pub own_workers: Option<usize>,
+    /// what the links of the boxes carry, in Mbit/s: it is what they are told, and what each connection to the store
+    /// brings (default: no limit)
+    #[argh(option)]
+    pub link: Option<u32>,
     /// the program of a box (default: magpie-box beside this program)
     #[argh(option, long = "box")]
     pub program: Option<PathBuf>,
--- a/programs/soak/src/main.rs
+++ b/programs/soak/src/main.rs
@@ -118,6 +118,7 @@
         path,
         logs,
         own_workers: arguments.own_workers.unwrap_or(usual),
+        link: arguments.link,
         guard,
     })
 }
--- a/programs/soak/src/process.rs
+++ b/programs/soak/src/process.rs
@@ -30,6 +30,8 @@
     pub logs: PathBuf,
     /// Workers that an owner talks to itself.
     pub own_workers: usize,
+    /// What the links of the boxes carry, in Mbit/s; `None` for no limit.
+    pub link: Option<u32>,
     /// Ends the boxes when the soak is cut off.
     pub guard: Arc<Guard>,
 }
@@ -99,7 +101,11 @@
         }
         let log = open_log(&self.program.logs, self.number)?;
         let at = |port: u16| format!("127.0.0.1:{port}");
-        let child = Command::new(&self.program.path)
+        let mut command = Command::new(&self.program.path);
+        if let Some(link) = self.program.link {
+            command.env("MAGPIE_LINK", link.to_string());
+        }
+        let child = command
             .env("MAGPIE_NAME", format!("b{}", self.number))
             .env("MAGPIE_HALL", "h1")
             .env("MAGPIE_CALLERS", at(self.callers))
--- a/programs/soak/src/world.rs
+++ b/programs/soak/src/world.rs
@@ -24,6 +24,8 @@
     },
 };
 
+/// Bytes a second that 1 Mbit/s carries.
+const BYTES_OF_MBIT: usize = 125_000;
 /// Cores of a worker; each task takes one.
 const CORES: u64 = 4;
 /// The time of a task that names none.
@@ -106,6 +108,9 @@
         for number in 0..boxes {
             let line = Line::open(store)?;
             let address = line.address().to_string();
+            if let Some(link) = program.link {
+                line.limit(link as usize * BYTES_OF_MBIT);
+            }
             world.lines.push(line);
             let process = Process::new(program, number, address)?;
             world.boxes.push(Mutex::new(process));
--- a/programs/soak/tests/seeds.rs
+++ b/programs/soak/tests/seeds.rs
@@ -32,12 +32,25 @@
 #[test_case(2; "seed 2")]
 #[test_case(3; "seed 3")]
 fn seed_breaks_nothing(seed: u64) {
+    play(seed, &[]);
+}
+
+/// Specifications are kept apart from jobs, and messages are packed; with odd seeds most workers are talked to by relays.
+#[test_case(1; "seed 1")]
+#[test_case(4; "seed 4")]
+fn seed_breaks_nothing_on_narrow_links(seed: u64) {
+    play(seed, &["--link", "2"]);
+}
+
+fn play(seed: u64, more: &[&str]) {
     let _turn = TURN.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
     let soak = Path::new(env!("CARGO_BIN_EXE_magpie-soak"));
     let program = build_box(soak);
     let out = Command::new(soak)
         .args(["--seed", &seed.to_string(), "--seconds", "12"])
-        .args(["--boxes", "3", "--workers", "6", "--untimed", "--box"])
+        .args(["--boxes", "3", "--workers", "6", "--untimed"])
+        .args(more)
+        .arg("--box")
         .arg(program)
         .output()
         .unwrap();
