--- a/components/kernel/src/traffic.rs
+++ b/components/kernel/src/traffic.rs
@@ -110,10 +110,10 @@
     use {super::*, test_case::test_case};
 
     #[test_case("http://10.0.0.1:80/relay", "relay"; "path")]
-    #[test_case("http://10.0.0.1:80/kv-keep/17", "kv-keep"; "numbered")]
-    #[test_case("http://h/kv-key?privateKey=magpie/state/00a1", "kv-key magpie/state"; "key")]
-    #[test_case("http://h/kv-range?pathPrefix=servers/&after=x/y", "kv-range servers"; "prefix")]
-    #[test_case("http://h/kv-key?privateKey=op/config", "kv-key op"; "short key")]
+    #[test_case("http://10.0.0.1:80/keep/17", "keep"; "numbered")]
+    #[test_case("http://h/read?key=magpie/state/00a1", "read magpie/state"; "key")]
+    #[test_case("http://h/list?prefix=halls/&after=x/y", "list halls"; "prefix")]
+    #[test_case("http://h/read?key=op/table", "read op"; "short key")]
     #[test_case("http://h", ""; "none")]
     fn kind_of_url(url: &str, expected: &str) {
         assert_eq!(kind(url), expected);
