Tell what a worker held that is given up

Change: one line a lost worker with its tasks and how long each was known to run; a counter. No decision changes.

--- a/components/cell/src/answer.rs
+++ b/components/cell/src/answer.rs
@@ -17,7 +17,7 @@
             return true;
         }
         if outcome == Outcome::Refused(Reason::OtherLife) {
-            self.end_life(id, "another life answers");
+            self.end_life(id, "another life answers", now);
             return false;
         }
         match order {
--- a/components/cell/src/lapse.rs
+++ b/components/cell/src/lapse.rs
@@ -38,10 +38,13 @@
             }
         }
         for (id, may_tell) in over {
+            if !may_tell {
+                self.tell_lost(&id, "its leases are over", now);
+            }
             self.expire(&id, may_tell);
             let is_listed = self.workers.get(&id).is_some_and(|worker| worker.listed);
             if !is_listed {
-                self.lose(&id, "its leases are over and it is not listed");
+                self.lose(&id, "its leases are over and it is not listed", now);
             }
         }
         self.settle(now);
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -9,6 +9,7 @@
 mod answer;
 mod cell;
 mod choose;
+mod crashes;
 mod disturb;
 mod drain;
 mod ends;
--- a/components/cell/src/lives.rs
+++ b/components/cell/src/lives.rs
@@ -103,7 +103,7 @@
 
     /// Ends the lives that this one has followed at its address: it answered a poll that was sent
     /// after they had last answered.
-    pub(crate) fn outlive(&mut self, id: &Arc<str>, sent: u64) {
+    pub(crate) fn outlive(&mut self, id: &Arc<str>, sent: u64, now: u64) {
         let Some(address) = self.workers.get(id).map(|own| own.entry.address.clone()) else {
             return;
         };
@@ -119,18 +119,19 @@
             former.push(other.clone());
         }
         for other in former {
-            self.end_life(&other, "a new life answers at its address");
+            self.end_life(&other, "a new life answers at its address", now);
         }
     }
 
     /// Takes in proof that a life is over: its entry counts no more, however long it stays listed.
-    pub fn end_life(&mut self, id: &Arc<str>, cause: &str) {
-        self.lose(id, cause);
+    pub fn end_life(&mut self, id: &Arc<str>, cause: &str, now: u64) {
+        self.lose(id, cause, now);
         self.over.insert(id.clone());
     }
 
     /// Forgets a worker, and frees all that it had.
-    pub(crate) fn lose(&mut self, id: &Arc<str>, cause: &str) {
+    pub(crate) fn lose(&mut self, id: &Arc<str>, cause: &str, now: u64) {
+        self.tell_lost(id, cause, now);
         let Some(worker) = self.workers.remove(id) else {
             return;
         };
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -48,7 +48,7 @@
             at: now,
         });
         let had_unwritten = worker.is_unwritten();
-        self.outlive(id, sent);
+        self.outlive(id, sent, now);
         let moment = Moment { sent, now, wall };
         let dirty_before = self.dirty.len();
         self.fenced(id);
--- a/components/node/src/tenure/mod.rs
+++ b/components/node/src/tenure/mod.rs
@@ -145,6 +145,7 @@
     /// next listing, which may bring one of them back.
     fn unlink_gone(&mut self) {
         for id in self.cell.take_gone() {
+            metrics::counter!("magpie_workers_lost_total").increment(1);
             self.unlink(&id);
         }
     }
--- a/components/node/src/tenure/talk.rs
+++ b/components/node/src/tenure/talk.rs
@@ -203,7 +203,7 @@
                 return Next::Never;
             }
             Err(Unheard::Refused(Reason::OtherLife)) => {
-                tenure.cell.end_life(id, "another life answers");
+                tenure.cell.end_life(id, "another life answers", now);
             }
             Err(_) => tenure.cell.unheard(id, now),
         }
