--- /dev/null
+++ b/components/cell/tests/decisions/farm.rs
@@ -0,0 +1,334 @@
+//! Workers that run tasks, crash and come back, beside a cell that decides for them, on a clock that steps.
+
+use {
+    crate::common::{TIMING, entry, submission},
+    job::{Address, Id, State, Step},
+    magpie_cell::{Cell, End, Entry, How, Order, Outcome, Reason, Report, Run, Start},
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+    },
+};
+
+/// The clock steps so far at once, in milliseconds.
+const STEP: u64 = 10;
+/// From the start of a task that crashes its worker until it does, in milliseconds.
+const CRASH_AFTER: u64 = 10;
+/// Between two polls of a worker, and between two listings, in milliseconds.
+const POLL_GAP: u64 = 100;
+const LIST_GAP: u64 = 700;
+/// The entry of a worker that crashed lapses after this time, in milliseconds.
+const ENTRY_LAPSES: u64 = 3_300;
+/// A worker that crashed is back after this time, in milliseconds.
+const DOWN: u64 = 2_000;
+
+/// One task: its job and its place.
+type Name = (Id, usize);
+
+/// A run on a worker.
+#[derive(Debug, Clone)]
+struct Going {
+    run: u64,
+    until: u64,
+}
+
+/// A machine, and the life of the worker on it.
+struct Machine {
+    id: Arc<str>,
+    address: Arc<str>,
+    rack: usize,
+    begun: u64,
+    /// When the worker is back that has crashed.
+    back: Option<u64>,
+    /// When it crashes.
+    crash: Option<u64>,
+    runs: BTreeMap<(Id, Address), Going>,
+    ended: Vec<End>,
+    count: u64,
+}
+
+/// What a farm has seen.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// Starts, by task.
+    pub starts: HashMap<Name, u32>,
+    /// Workers that crashed.
+    pub crashes: u32,
+    /// Runs that were lost with them, but for those of tasks that crash.
+    pub lost: u32,
+    /// The most workers that were down at one time.
+    pub down: usize,
+    /// When each job was over, from the start.
+    pub over: HashMap<Id, u64>,
+}
+
+/// A cell and its workers.
+pub struct Farm {
+    pub cell: Cell,
+    pub now: u64,
+    pub seen: Seen,
+    machines: Vec<Machine>,
+    /// Entries of lives that have crashed, and when they lapse.
+    stale: Vec<(Entry, u64)>,
+    /// Tasks that crash whatever worker starts them.
+    crashing: Vec<Name>,
+    jobs: Vec<Id>,
+    lives: u32,
+    /// How long a task runs, in milliseconds.
+    work: u64,
+}
+
+impl Farm {
+    /// A farm of so many workers of 4 cores, 8 a rack, whose tasks run for `work` milliseconds.
+    pub fn new(workers: usize, work: u64) -> Self {
+        let mut farm = Farm {
+            cell: Cell::new(TIMING),
+            now: 1_000,
+            seen: Seen::default(),
+            machines: Vec::new(),
+            stale: Vec::new(),
+            crashing: Vec::new(),
+            jobs: Vec::new(),
+            lives: 0,
+            work,
+        };
+        for number in 0..workers {
+            farm.lives += 1;
+            farm.machines.push(Machine {
+                id: format!("w{:04}", farm.lives).into(),
+                address: format!("10.0.0.{number}:80").into(),
+                rack: number / 8,
+                begun: 1_000,
+                back: None,
+                crash: None,
+                runs: BTreeMap::new(),
+                ended: Vec::new(),
+                count: 0,
+            });
+        }
+        farm.list();
+        farm
+    }
+
+    /// Submits a job of one step.
+    pub fn submit(&mut self, id: &str, step: Step) {
+        let submission = submission(id, vec![step]);
+        self.jobs.push(submission.id.clone());
+        assert!(self.cell.admit(submission, self.now));
+    }
+
+    /// Makes a task crash whatever worker starts it.
+    pub fn poison(&mut self, id: &str, place: usize) {
+        self.crashing.push((Id::new(id).unwrap(), place));
+    }
+
+    /// The state of a job that is shown.
+    pub fn state(&self, id: &str) -> Option<State> {
+        self.cell.state(&Id::new(id).unwrap())
+    }
+
+    /// How often a task was started.
+    pub fn started(&self, id: &str, place: usize) -> u32 {
+        let name = (Id::new(id).unwrap(), place);
+        self.seen.starts.get(&name).copied().unwrap_or_default()
+    }
+
+    /// Takes the power of these machines away now.
+    pub fn cut_power(&mut self, machines: std::ops::Range<usize>) {
+        for machine in &mut self.machines[machines] {
+            if machine.back.is_none() {
+                machine.crash = Some(self.now);
+            }
+        }
+    }
+
+    /// Lets time pass, in milliseconds.
+    pub fn run(&mut self, time: u64) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            self.crash_due();
+            self.come_back();
+            if self.now.is_multiple_of(LIST_GAP) {
+                self.list();
+            }
+            if self.now.is_multiple_of(POLL_GAP) {
+                self.poll();
+                self.cell.lapse(self.now);
+            }
+            self.cell.place(self.now);
+            for (id, order) in self.cell.take_orders() {
+                let outcome = self.carry_out(&id, &order);
+                self.cell.answered(&id, &order, outcome, self.now);
+            }
+            let change = self.cell.take_change(100);
+            self.cell.written(&change);
+            self.note_over();
+        }
+    }
+
+    fn note_over(&mut self) {
+        for id in &self.jobs {
+            let is_over = self.cell.state(id).is_some_and(State::is_final);
+            if is_over && !self.seen.over.contains_key(id) {
+                self.seen.over.insert(id.clone(), self.now - 1_000);
+            }
+        }
+    }
+
+    fn crash_due(&mut self) {
+        for machine in &mut self.machines {
+            if machine.crash.is_none_or(|at| at > self.now) {
+                continue;
+            }
+            machine.crash = None;
+            machine.back = Some(self.now + DOWN);
+            self.seen.crashes += 1;
+            for (job, address) in machine.runs.keys() {
+                let name = (job.clone(), address.index as usize);
+                self.seen.lost += u32::from(!self.crashing.contains(&name));
+            }
+            machine.runs.clear();
+            machine.ended.clear();
+            self.stale.push((machine.entry(), self.now + ENTRY_LAPSES));
+        }
+        let down = self.machines.iter().filter(|own| own.back.is_some());
+        self.seen.down = self.seen.down.max(down.count());
+    }
+
+    fn come_back(&mut self) {
+        for machine in &mut self.machines {
+            if machine.back.is_none_or(|at| at > self.now) {
+                continue;
+            }
+            self.lives += 1;
+            machine.id = format!("w{:04}", self.lives).into();
+            machine.back = None;
+            machine.begun = self.now;
+            machine.count = 0;
+        }
+    }
+
+    fn list(&mut self) {
+        let now = self.now;
+        self.stale.retain(|(_, until)| now < *until);
+        let up = self.machines.iter().filter(|own| own.back.is_none());
+        let mut entries: Vec<Entry> = up.map(Machine::entry).collect();
+        entries.extend(self.stale.iter().map(|(entry, _)| entry.clone()));
+        self.cell.list(entries, now);
+        let change = self.cell.take_change(100);
+        self.cell.written(&change);
+    }
+
+    /// Polls all workers that the cell knows.
+    fn poll(&mut self) {
+        let known: Vec<Entry> = self.cell.entries().cloned().collect();
+        for entry in known {
+            let Some(machine) = self.at(&entry) else {
+                continue;
+            };
+            if machine.back.is_some() {
+                self.cell.unheard(&entry.id, self.now);
+                continue;
+            }
+            if machine.id != entry.id {
+                self.cell
+                    .end_life(&entry.id, "another life answers", self.now);
+                continue;
+            }
+            let now = self.now;
+            if let Some(poll) = self.cell.poll(&entry.id, now)
+                && let Some(machine) = self.at(&entry)
+            {
+                let report = machine.report(now, poll.seen);
+                self.cell.report(&entry.id, report, now, now, now);
+            }
+        }
+    }
+
+    fn at(&mut self, entry: &Entry) -> Option<&mut Machine> {
+        let mut machines = self.machines.iter_mut();
+        machines.find(|own| own.address == entry.address)
+    }
+
+    fn carry_out(&mut self, id: &Arc<str>, order: &Order) -> Outcome {
+        let (now, work) = (self.now, self.work);
+        let crashing = self.crashing.clone();
+        let Some(machine) = self.machines.iter_mut().find(|own| own.id == *id) else {
+            return Outcome::Refused(Reason::OtherLife);
+        };
+        if machine.back.is_some() {
+            return Outcome::Refused(Reason::NotSent);
+        }
+        match order {
+            Order::Start(start) => {
+                let name = (start.key.job.clone(), start.key.place);
+                if crashing.contains(&name) {
+                    machine.crash.get_or_insert(now + CRASH_AFTER);
+                }
+                *self.seen.starts.entry(name).or_default() += 1;
+                machine.begin(start, now + work);
+            }
+            Order::Stop { key, address, run } => machine.stop(&key.job, *address, *run),
+            Order::Pace { .. } => {}
+        }
+        Outcome::Done
+    }
+}
+
+impl Machine {
+    fn entry(&self) -> Entry {
+        Entry {
+            address: self.address.clone(),
+            labels: vec!["a".into(), format!("r{}", self.rack).into()],
+            ..entry(&self.id, 4)
+        }
+    }
+
+    fn begin(&mut self, start: &Start, until: u64) {
+        let name = (start.key.job.clone(), start.address);
+        let run = start.run;
+        self.runs.insert(name, Going { run, until });
+    }
+
+    fn stop(&mut self, job: &Id, address: Address, run: u64) {
+        let name = (job.clone(), address);
+        if self.runs.get(&name).is_some_and(|going| going.run == run) {
+            self.runs.remove(&name);
+            self.end(name, run, How::Stopped);
+        }
+    }
+
+    fn end(&mut self, (job, address): (Id, Address), run: u64, how: How) {
+        self.count += 1;
+        self.ended.push(End {
+            number: self.count,
+            job,
+            address,
+            run,
+            how,
+            saved: None,
+        });
+    }
+
+    fn report(&mut self, now: u64, seen: u64) -> Report {
+        self.ended.retain(|end| end.number > seen);
+        let over = self.runs.extract_if(.., |_, going| going.until <= now);
+        let over: Vec<_> = over.collect();
+        for (name, going) in over {
+            self.end(name, going.run, How::Done);
+        }
+        let running = self.runs.iter().map(|((job, address), going)| Run {
+            job: job.clone(),
+            address: *address,
+            run: going.run,
+            saved: None,
+            figure: 0,
+        });
+        Report {
+            clock: now - self.begun + 1,
+            running: running.collect(),
+            ended: self.ended.clone(),
+        }
+    }
+}
--- a/components/cell/tests/decisions/main.rs
+++ b/components/cell/tests/decisions/main.rs
@@ -4,8 +4,10 @@
 
 mod advise;
 mod common;
+mod crashes;
 mod drain;
 mod ends;
+mod farm;
 mod fill;
 mod lives;
 mod place;
