Count suspensions in what a box believes, and prove ownership and configuration anew after one

Cause: all ages went by the steady clock, which does not count a suspension. A woken owner found that no time had passed, and went on placing, renewing leases and answering; a woken box judged callers by an old configuration; orders from before looked fresh; kept connections looked proven. Change: kernel::clock with Moment and Mark over CLOCK_BOOTTIME; node::time goes by it. An owner in doubt also lets no lease go on and answers nobody, from the first message after it wakes; a write that fails no longer ends the doubt, answers of most workers do.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -140,6 +140,8 @@
     pub(crate) held: HashSet<Arc<str>>,
     /// Runs that are done and were not told yet.
     pub(crate) done: Vec<Done>,
+    /// No lease of a worker may go on: another owner may reckon it over.
+    pub(crate) keeps_leases: bool,
     /// Which tasks are suspected of crashing their workers, and which workers were lost.
     pub(crate) crashes: Crashes,
 }
@@ -179,6 +181,7 @@
             around: "".into(),
             held: HashSet::new(),
             done: Vec::new(),
+            keeps_leases: false,
             crashes: Crashes::default(),
         }
     }
@@ -234,6 +237,7 @@
         // Without an answer to the last poll the lease is not extended: the worker may have got
         // it, and each try would put off the moment at which all its leases are surely over.
         let deadline = match worker.clock_at(now) {
+            Some(_) if self.keeps_leases => 0,
             Some(clock) if worker.heard => clock + lease,
             Some(_) => worker.granted,
             None => 0,
@@ -252,6 +256,11 @@
         })
     }
 
+    /// Lets the leases of workers go on no longer than they were granted, or lets them go on again.
+    pub fn keep_leases(&mut self, keeps: bool) {
+        self.keeps_leases = keeps;
+    }
+
     /// True when ends of the worker were taken in and are not written down yet, or are left for later:
     /// asked now, it would list them again at once.
     pub fn is_unwritten(&self, id: &str) -> bool {
--- a/components/cell/src/crashes/lost.rs
+++ b/components/cell/src/crashes/lost.rs
@@ -76,8 +76,12 @@
 }
 
 impl Losses {
-    /// Notes that a worker is given up.
+    /// Notes that a worker is given up. One that this owner has never heard was lost before its time: a takeover that
+    /// clears up after a former owner is no loss of power.
     pub fn note(&mut self, worker: &Worker, now: u64) {
+        if worker.clock.is_none() {
+            return;
+        }
         self.recent.push_back(Loss::of(worker, now));
     }
 
@@ -142,7 +146,8 @@
         for (id, other) in &self.workers {
             together.count(other.entry.rack() == &*own.rack);
             let is_own = *id == own.id;
-            if !is_own && other.silent.is_some() && !known.contains(id) {
+            let is_silent = other.silent.is_some() && other.clock.is_some();
+            if !is_own && is_silent && !known.contains(id) {
                 fresh.push(Loss::of(other, now));
             }
         }
--- a/components/cell/tests/decisions/crashes.rs
+++ b/components/cell/tests/decisions/crashes.rs
@@ -5,7 +5,7 @@
         common::{self, JOB, step},
         farm::{CRASH_AFTER, Farm, Seen},
     },
-    job::{State, Step},
+    job::{Id, Record, State, Step},
     test_case::test_case,
 };
 
@@ -134,6 +134,22 @@
     assert_eq!(farm.state(JOB), Some(State::Failed));
 }
 
+/// Seen with two boxes whose owner was killed: the next owner cleared up two lives that had crashed before its time,
+/// took them and the next crash for one loss of power, and counted that crash, and the one after it, as late ones. The
+/// task was started six times.
+#[test]
+fn lives_lost_before_takeover_are_no_loss_of_power() {
+    let mut farm = Farm::new(3, 1_000);
+    farm.cut_power(0..2);
+    farm.run(2_200);
+    farm.submit(JOB, step(1, 1_000));
+    farm.poison(JOB, 0, CRASH_AFTER);
+    farm.hand_over(&[(Id::new(JOB).unwrap(), Record::default())]);
+    farm.run(20_000);
+    assert_eq!(farm.started(JOB, 0), 3);
+    assert_eq!(farm.state(JOB), Some(State::Failed));
+}
+
 /// A suspect is not tried for the last time before it is written down how often its workers have crashed.
 #[test]
 fn trial_waits_for_record_of_crashes() {
--- a/components/kernel/src/client.rs
+++ b/components/kernel/src/client.rs
@@ -5,6 +5,7 @@
 
 use {
     crate::{
+        clock::{Mark, Moment},
         time::{Quiet, Span},
         token::Token,
         traffic,
@@ -210,7 +211,7 @@
         traffic::note(&traffic::kind(call.url), SENT.get(), heard);
         result.map_err(|error| {
             if matches!(error, Error::Timeout(_)) {
-                self.trust.distrust(receiver(call.url), Instant::now());
+                self.trust.distrust(receiver(call.url), Moment::now());
             }
             classify(&error, SENT.get())
         })
@@ -369,7 +370,7 @@
         Ok(inner.map(|inner| Counting {
             inner,
             receiver: authority.map_or("", |own| own.as_str()).into(),
-            proven: Instant::now(),
+            proof: Mark::now(),
             trust: self.trust.clone(),
         }))
     }
@@ -381,7 +382,7 @@
     inner: T,
     receiver: Box<str>,
     /// When it was opened, or last brought bytes.
-    proven: Instant,
+    proof: Mark,
     trust: Arc<Trust>,
 }
 
@@ -397,13 +398,13 @@
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
         let is_more = self.inner.await_input(bound(timeout))?;
-        self.proven = Instant::now();
-        QUIET.set(QUIET.get().map(|quiet| quiet.heard(self.proven)));
+        self.proof = Mark::now();
+        QUIET.set(QUIET.get().map(|quiet| quiet.heard(Instant::now())));
         Ok(is_more)
     }
 
     /// The pool asks this before it uses a connection again.
     fn is_open(&mut self) -> bool {
-        self.trust.is_trusted(&self.receiver, self.proven) && self.inner.is_open()
+        self.trust.is_trusted(&self.receiver, self.proof) && self.inner.is_open()
     }
 }
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -4,6 +4,7 @@
 //! HTTP in both directions. Nothing in here knows what is scheduled.
 
 pub mod client;
+pub mod clock;
 pub mod daemon;
 pub mod edge;
 pub mod host;
--- a/components/kernel/src/trust.rs
+++ b/components/kernel/src/trust.rs
@@ -4,20 +4,22 @@
 //! shows it, and when one connection to a receiver was silenced, others to it usually were too. So a
 //! time-out distrusts every connection to that receiver that has brought nothing since; the next
 //! call opens a new one.
+//!
+//! Nor may one be used that was open while the machine was suspended: whoever is at its other end may have given it
+//! up, or be gone.
 
 use {
-    crate::sync::lock,
-    std::{
-        collections::HashMap,
-        sync::Mutex,
-        time::{Duration, Instant},
+    crate::{
+        clock::{Mark, Moment},
+        sync::lock,
     },
+    std::{collections::HashMap, sync::Mutex, time::Duration},
 };
 
 /// When calls to each receiver last timed out.
 #[derive(Debug)]
 pub(crate) struct Trust {
-    timeouts: Mutex<HashMap<Box<str>, Instant>>,
+    timeouts: Mutex<HashMap<Box<str>, Moment>>,
     /// After this time no connection is kept that is older than a time-out.
     age: Duration,
 }
@@ -32,39 +34,54 @@
     }
 
     /// Notes that a call to a receiver has timed out now.
-    pub fn distrust(&self, receiver: &str, now: Instant) {
+    pub fn distrust(&self, receiver: &str, now: Moment) {
         let mut timeouts = lock(&self.timeouts);
-        timeouts.retain(|_, at| now.duration_since(*at) < self.age);
+        timeouts.retain(|_, at| now.since(*at) < self.age);
         timeouts.insert(receiver.into(), now);
     }
 
-    /// True when a connection to a receiver that last brought bytes at `proven` may be used again.
-    pub fn is_trusted(&self, receiver: &str, proven: Instant) -> bool {
+    /// True when a connection to a receiver that last brought bytes at `proof` may be used again.
+    pub fn is_trusted(&self, receiver: &str, proof: Mark) -> bool {
+        if proof.has_slept() {
+            return false;
+        }
         lock(&self.timeouts)
             .get(receiver)
-            .is_none_or(|at| *at < proven)
+            .is_none_or(|at| *at < proof.at)
     }
 }
 
 #[cfg(test)]
 mod tests {
-    use super::*;
+    use {super::*, crate::clock};
 
     #[test]
     fn distrust_older_of_same_receiver() {
         let trust = Trust::new(Duration::from_secs(20));
-        let before = Instant::now();
-        let timeout = before + Duration::from_millis(1);
+        let before = Mark::now();
+        let timeout = before.at + Duration::from_millis(1);
         trust.distrust("10.0.0.1:1", timeout);
         assert!(!trust.is_trusted("10.0.0.1:1", before));
         assert!(trust.is_trusted("10.0.0.2:1", before));
-        assert!(trust.is_trusted("10.0.0.1:1", timeout + Duration::from_millis(1)));
+        let at = timeout + Duration::from_millis(1);
+        assert!(trust.is_trusted("10.0.0.1:1", Mark { at, ..before }));
+    }
+
+    /// A box that wakes waited for an answer on a connection whose other end had long given it up.
+    #[test]
+    fn distrust_after_suspension() {
+        let trust = Trust::new(Duration::from_secs(20));
+        let proof = Mark::now();
+        assert!(trust.is_trusted("10.0.0.1:1", proof));
+        clock::suspend(Duration::from_secs(3));
+        assert!(!trust.is_trusted("10.0.0.1:1", proof));
+        assert!(trust.is_trusted("10.0.0.1:1", Mark::now()));
     }
 
     #[test]
     fn distrust_forgets_old() {
         let trust = Trust::new(Duration::ZERO);
-        let now = Instant::now();
+        let now = Moment::now();
         trust.distrust("10.0.0.1:1", now);
         trust.distrust("10.0.0.2:1", now);
         assert_eq!(lock(&trust.timeouts).len(), 1);
--- a/components/node/src/claim.rs
+++ b/components/node/src/claim.rs
@@ -59,6 +59,7 @@
     let lease = store.grant(loading_lease(node))?;
     let head = store.get(&keys::head(CELL))?;
     let change = claim_of(node, revision, head.map_or(0, |item| item.revision), lease);
+    let begun = time::now();
     let fence = match store.apply(&change)? {
         Applied::Done(fence) => fence,
         Applied::Conflict(_) => return Ok(()),
@@ -66,11 +67,10 @@
     };
     log::info!(target: "owner", fence; "The cell is claimed.");
     metrics::counter!("magpie_claims_total").increment(1);
-    let begun = time::now();
     let (cell, learned) = load_leased(node, lease)?;
     let summary = cell.summary(time::now());
     log::info!(target: "owner", fence, jobs = summary.jobs, workers = summary.workers, took = time::now() - begun; "The cell is read.");
-    let mut tenure = Tenure::new(fence, lease, cell);
+    let mut tenure = Tenure::new(fence, lease, cell, begun);
     if node.settings.is_narrow() {
         // From now on others are to notice soon when this box is gone.
         tenure.lease = store.grant(LEASE)?;
--- a/components/node/src/config/mod.rs
+++ b/components/node/src/config/mod.rs
@@ -13,10 +13,13 @@
         settings::{CONFIG_WAIT, STORE_PAUSE},
         time,
     },
-    kernel::Failure,
+    kernel::{Failure, clock::Mark, verdict::Cause},
     plan::{Plan, Step},
     sight::Sight,
-    std::{sync::Arc, thread},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        thread,
+    },
 };
 
 /// Follows the configuration for as long as the process lives.
@@ -50,11 +53,13 @@
 impl Follower<'_> {
     /// Reads the value, unless it is still that of a known revision.
     fn read(&mut self, known: u64, begun: u64) -> Result<(), Failure> {
+        let mark = Mark::now();
         let read = self.node.outside.configs.read(known);
         self.plan.read(begun, time::now());
         match read? {
-            Read::Found(found) => self.take(found, begun),
+            Read::Found(found) => self.take(found, begun, mark),
             Read::Same(at) => {
+                self.node.shared.prove_config(mark);
                 self.plan.proven(at);
                 self.sight.proven(time::now() - begun);
             }
@@ -65,8 +70,9 @@
 
     /// Waits for a change.
     fn watch(&mut self, after: u64, begun: u64) -> Result<(), Failure> {
+        let mark = Mark::now();
         match self.node.outside.configs.wait(after, CONFIG_WAIT)? {
-            Waited::Found(found) => self.take(found, begun),
+            Waited::Found(found) => self.take(found, begun, mark),
             // The next watch goes on from the same revision: what this one missed comes with it.
             Waited::Nothing => {}
             Waited::Forgotten => self.plan.forgotten(),
@@ -75,16 +81,50 @@
     }
 
     /// Takes in what a read or a watch has found.
-    fn take(&mut self, found: Found, begun: u64) {
+    fn take(&mut self, found: Found, begun: u64, mark: Mark) {
         let now = time::now();
         self.plan.found(&found, now);
-        adopt(self.node, found, now - begun);
+        adopt(self.node, found, now - begun, mark);
         self.sight.proven(now - begun);
     }
 }
 
-/// The highest version wins for the life of the process.
-fn adopt(node: &Node, found: Found, took: u64) {
+/// Proves anew that the configuration in force is the newest, where this box was suspended since it last was: callers are
+/// to be answered by nothing older.
+///
+/// # Errors
+///
+/// It could not be read, or the store has not answered this box for so long that it is not asked.
+pub fn prove(node: &Node) -> Result<(), Failure> {
+    if !node.shared.is_config_doubtful() {
+        return Ok(());
+    }
+    if node.shared.is_cut_off() {
+        return Err(Failure::not_run(
+            Cause::Busy,
+            "the store does not answer this box",
+        ));
+    }
+    let (mark, begun) = (Mark::now(), time::now());
+    let known = node.shared.config_revision.load(Ordering::Acquire);
+    match node.outside.configs.read(known)? {
+        Read::Found(found) => adopt(node, found, time::now() - begun, mark),
+        Read::Same(_) => node.shared.prove_config(mark),
+        Read::Absent => {}
+    }
+    Ok(())
+}
+
+/// The highest version wins for the life of the process. `mark` is from before it was found.
+fn adopt(node: &Node, found: Found, took: u64, mark: Mark) {
+    node.shared
+        .config_revision
+        .fetch_max(found.revision, Ordering::AcqRel);
+    install(node, found, took);
+    node.shared.prove_config(mark);
+}
+
+fn install(node: &Node, found: Found, took: u64) {
     let present = node.shared.config.load();
     let Found { config, bytes, .. } = found;
     if let Some(present) = &*present
--- a/components/node/src/core.rs
+++ b/components/node/src/core.rs
@@ -17,11 +17,11 @@
     },
     arc_swap::ArcSwapOption,
     job::Config,
-    kernel::{Client, Failure, Host, Remote, task},
+    kernel::{Client, Failure, Host, Remote, clock::Mark, sync::lock, task},
     std::{
         io,
         sync::{
-            Arc,
+            Arc, Mutex,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
@@ -45,11 +45,25 @@
     stopping: AtomicBool,
     /// Since when a probe of the store has been on its way; 0 for none.
     probing: AtomicU64,
+    /// When the configuration in force was last proven to be the newest; none before the first one.
+    proof: Mutex<Option<Mark>>,
+    /// The store's revision of the configuration that was found last.
+    pub(crate) config_revision: AtomicU64,
     /// How callers that are refused are told to come back.
     pub comeback: Comeback,
 }
 
 impl Shared {
+    /// Notes that the configuration in force was the newest at this time.
+    pub(crate) fn prove_config(&self, at: Mark) {
+        *lock(&self.proof) = Some(at);
+    }
+
+    /// True when this box was suspended since the configuration was last proven to be the newest.
+    pub fn is_config_doubtful(&self) -> bool {
+        lock(&self.proof).is_some_and(Mark::has_slept)
+    }
+
     /// True when calls of the store fail and it has not answered for some time. Without a failure
     /// there may just be a watch that waits.
     pub fn is_cut_off(&self) -> bool {
@@ -84,6 +98,11 @@
         self.owning.load(Ordering::Acquire) == fence
     }
 
+    /// True while this box owns the cell.
+    pub fn has_cell(&self) -> bool {
+        self.owning.load(Ordering::Acquire) != 0
+    }
+
     /// Notes under which fence this box owns the cell, 0 when it does no more.
     pub(crate) fn own(&self, fence: u64) {
         self.owning.store(fence, Ordering::Release);
@@ -244,7 +263,8 @@
     /// True when callers should be sent here.
     pub fn is_ready(&self) -> bool {
         let has_config = self.shared.config.load().is_some();
-        has_config && !self.shared.is_stopping() && !self.shared.is_cut_off()
+        let is_sure = has_config && !self.shared.is_config_doubtful();
+        is_sure && !self.shared.is_stopping() && !self.shared.is_cut_off()
     }
 
     /// Takes part in nothing new and hands the cell over, within this time.
--- a/components/node/src/group.rs
+++ b/components/node/src/group.rs
@@ -212,7 +212,7 @@
     /// owner waited in vain until there was nothing to write.
     #[test]
     fn build_last_with_records() {
-        let mut tenure = Tenure::new(1, 2, dirty_cell());
+        let mut tenure = Tenure::new(1, 2, dirty_cell(), 0);
         let (leaving, _released) = Answerer::pair();
         tenure.leaving = Some(leaving);
         let group = Group::build(&settings(), &mut tenure, 0);
@@ -229,7 +229,7 @@
             cell.admit(submission(id.clone()), 1);
             cell.cancel(&id, 1, 1);
         }
-        let mut tenure = Tenure::new(1, 2, cell);
+        let mut tenure = Tenure::new(1, 2, cell, 0);
         tenure.announce = true;
         let change = Group::build(&settings(), &mut tenure, 10).change;
         let entries = change.expect.len() + change.put.len() + change.remove.len();
@@ -243,7 +243,7 @@
     /// or was not written: the cell had forgotten them by then.
     #[test]
     fn build_forgets_with_the_write() {
-        let mut tenure = Tenure::new(1, 2, dirty_cell());
+        let mut tenure = Tenure::new(1, 2, dirty_cell(), 0);
         let first = Group::build(&settings(), &mut tenure, 0);
         tenure.cell.written(&first.covers);
         assert!(first.forgets.is_empty());
--- a/components/node/src/peer.rs
+++ b/components/node/src/peer.rs
@@ -97,7 +97,7 @@
 /// The jobs of a queue that wait; `None` when this box does not own the cell.
 pub(crate) fn waiting(node: &Node, queue: Arc<str>) -> Result<Option<usize>, Failure> {
     node.remote.ask(move |core, _| {
-        let tenure = core.tenure.as_ref()?;
+        let tenure = core.sure()?;
         Some(tenure.cell.waiting(&queue))
     })
 }
--- a/components/node/src/queued.rs
+++ b/components/node/src/queued.rs
@@ -31,8 +31,11 @@
 mod tests {
     use {
         super::*,
+        crate::time,
         cell::{Key, Start},
         job::{Address, Id},
+        kernel::clock,
+        std::time::Duration,
         test_case::test_case,
     };
 
@@ -80,4 +83,12 @@
         let now = 100_000;
         assert_eq!(Queued::new(order, age, now).is_stale(now + wait), is_stale);
     }
+
+    /// A start that was decided before the machine was suspended: by the steady clock no time has passed.
+    #[test]
+    fn is_stale_after_suspension() {
+        let queued = Queued::new(start(), 0, time::now());
+        clock::suspend(Duration::from_secs(2));
+        assert!(queued.is_stale(time::now()));
+    }
 }
--- /dev/null
+++ b/components/node/src/tenure/doubt.rs
@@ -0,0 +1,102 @@
+//! An owner that may be none any more: it stood still, or was suspended, for as long as its lease lasts, or had to take a
+//! new lease.
+//!
+//! While it is in doubt it places nothing, lets no lease of a worker go on, and answers nobody for the cell. What ends the doubt: a write under its own head, or, where the store does not answer, workers. Whoever claims
+//! the cell fences them all before it places anything, so an answer without a higher fence from more than half of them,
+//! to a poll sent since, shows that nobody has.
+
+use {
+    super::Tenure,
+    crate::{
+        settings::{LEASE, RENEW},
+        time,
+    },
+    std::{collections::HashSet, sync::Arc},
+};
+
+/// A doubt.
+#[derive(Debug)]
+pub(super) struct Doubt {
+    since: u64,
+    /// A write that was begun since then had no answer.
+    is_unwritten: bool,
+    /// The workers that have answered polls sent since then.
+    answered: HashSet<Arc<str>>,
+}
+
+impl Tenure {
+    /// Doubts when this box stood still for as long as its lease may be over.
+    pub(super) fn doubt_if_late(&mut self) {
+        let late = (LEASE - RENEW).as_millis() as u64;
+        let since = time::now().saturating_sub(self.ticked);
+        if since > late && self.doubt.is_none() {
+            log::warn!(target: "owner", fence = self.fence, late = since; "This box stood still; another may own the cell.");
+            self.doubt();
+        }
+    }
+
+    /// Another box may own the cell.
+    pub(crate) fn doubt(&mut self) {
+        self.doubt = Some(Doubt {
+            since: time::now(),
+            is_unwritten: false,
+            answered: HashSet::new(),
+        });
+        self.announce = true;
+        self.cell.keep_leases(true);
+    }
+
+    /// True while another box may own the cell.
+    pub(super) const fn is_doubtful(&self) -> bool {
+        self.doubt.is_some()
+    }
+
+    /// A write has come back that shows this box as the owner.
+    pub(super) fn confirmed(&mut self) {
+        if self
+            .doubt
+            .as_ref()
+            .is_some_and(|doubt| self.written >= doubt.since)
+        {
+            self.trust_again();
+        }
+    }
+
+    /// A write was not answered, and shows nothing.
+    pub(super) fn unconfirmed(&mut self) {
+        let written = self.written;
+        if let Some(doubt) = &mut self.doubt {
+            doubt.is_unwritten |= written >= doubt.since;
+        }
+        self.ask_workers();
+    }
+
+    /// A worker has answered a poll that was sent at this time, under the fence of this box.
+    pub(super) fn answered_by(&mut self, id: &Arc<str>, sent: u64) {
+        let Some(doubt) = &mut self.doubt else {
+            return;
+        };
+        if sent >= doubt.since {
+            doubt.answered.insert(id.clone());
+            self.ask_workers();
+        }
+    }
+
+    /// Goes by what the workers say, where the store says nothing.
+    fn ask_workers(&mut self) {
+        let count = self.cell.size();
+        let is_proven = self
+            .doubt
+            .as_ref()
+            .is_some_and(|doubt| doubt.is_unwritten && doubt.answered.len() * 2 > count);
+        if is_proven {
+            self.trust_again();
+        }
+    }
+
+    fn trust_again(&mut self) {
+        log::info!(target: "owner", fence = self.fence; "The cell is still owned here.");
+        self.doubt = None;
+        self.cell.keep_leases(false);
+    }
+}
--- a/components/node/src/tenure/mod.rs
+++ b/components/node/src/tenure/mod.rs
@@ -1,19 +1,21 @@
 //! While this box owns the cell: its beginning, its ticks and its end. What workers say, what comes
 //! to the cell, passes of placement and written groups are in files of their own.
 
+mod doubt;
 mod pass;
 mod take;
 mod talk;
 mod write;
 
 use {
+    self::doubt::Doubt,
     crate::{
         core::Core,
         group::Group,
         owning,
         queued::Queued,
         relays::{Need, Relays},
-        settings::{LEASE, RENEW, TICK},
+        settings::TICK,
         time,
     },
     cell::{Cell, Entry, Poll, Question},
@@ -68,8 +70,8 @@
     writer: Option<Answerer<Option<Group>>>,
     /// When the last tick was.
     ticked: u64,
-    /// Since when another box may own the cell: nothing is placed until a write shows that none does.
-    doubt: Option<u64>,
+    /// Another box may own the cell.
+    doubt: Option<Doubt>,
     /// When the last group went to the writer.
     written: u64,
     /// When the last pass of placement was over.
@@ -83,8 +85,8 @@
 }
 
 impl Tenure {
-    /// A tenure that begins with this cell.
-    pub fn new(fence: u64, lease: u64, cell: Cell) -> Self {
+    /// A tenure that begins with this cell, which was claimed at this time on the clock of this box.
+    pub fn new(fence: u64, lease: u64, cell: Cell, claimed: u64) -> Self {
         Tenure {
             fence,
             cell,
@@ -98,7 +100,7 @@
             advice: None,
             pollers: HashMap::new(),
             writer: None,
-            ticked: 0,
+            ticked: claimed,
             doubt: None,
             written: 0,
             passed: 0,
@@ -150,30 +152,6 @@
         }
     }
 
-    /// An owner that stood still for as long as its lease may be over has to see whether it still is one.
-    fn doubt_if_late(&mut self) {
-        let late = (LEASE - RENEW).as_millis() as u64;
-        let since = time::now().saturating_sub(self.ticked);
-        if since > late && self.doubt.is_none() {
-            log::warn!(target: "owner", fence = self.fence, late = since; "This box stood still; another may own the cell.");
-            self.doubt();
-        }
-    }
-
-    /// Places nothing until a write shows whether this box still owns the cell.
-    pub(crate) fn doubt(&mut self) {
-        self.doubt = Some(time::now());
-        self.announce = true;
-    }
-
-    /// A write has come back that shows this box as the owner, or that failed: while the store is away
-    /// nobody else can claim the cell.
-    fn trust_again(&mut self) {
-        if self.doubt.is_some_and(|since| self.written >= since) {
-            self.doubt = None;
-        }
-    }
-
     /// Lets a worker be polled by whoever talks to it.
     fn allow_poll(&mut self, id: &Arc<str>) {
         let now = time::now();
@@ -193,7 +171,19 @@
 impl Core {
     /// The tenure of this fence, if it still is the one.
     pub(crate) fn tenure_of(&mut self, fence: u64) -> Option<&mut Tenure> {
-        self.tenure.as_mut().filter(|tenure| tenure.fence == fence)
+        self.present().filter(|tenure| tenure.fence == fence)
+    }
+
+    /// The tenure, which may be in doubt.
+    pub(crate) fn present(&mut self) -> Option<&mut Tenure> {
+        let tenure = self.tenure.as_mut()?;
+        tenure.doubt_if_late();
+        Some(tenure)
+    }
+
+    /// The tenure, unless it is in doubt.
+    pub(crate) fn sure(&mut self) -> Option<&mut Tenure> {
+        self.present().filter(|tenure| !tenure.is_doubtful())
     }
 
     /// Begins a tenure.
@@ -201,6 +191,8 @@
         let fence = tenure.fence;
         let entries: Vec<Entry> = tenure.cell.entries().cloned().collect();
         tenure.cell.recover(time::now());
+        // It was made when the cell was claimed, and reading the cell may have taken long.
+        tenure.doubt_if_late();
         tenure.ticked = time::now();
         self.tenure = Some(tenure);
         self.node.shared.own(fence);
@@ -256,7 +248,6 @@
         let Some(tenure) = self.tenure_of(fence) else {
             return;
         };
-        tenure.doubt_if_late();
         tenure.ticked = time::now();
         tenure.cell.tell_done(time::now());
         tenure.cell.open_due(wall::millis());
--- a/components/node/src/tenure/pass.rs
+++ b/components/node/src/tenure/pass.rs
@@ -39,13 +39,12 @@
     pub(super) fn pass(&mut self, cx: &mut Cx<'_, Self>) {
         let link = self.node.settings.link;
         let is_failing = self.node.shared.is_failing();
-        let Some(tenure) = &mut self.tenure else {
+        let Some(tenure) = self.present() else {
             return;
         };
         tenure.pass_due = false;
         let begun = time::now();
-        tenure.doubt_if_late();
-        if tenure.leaving.is_none() && tenure.doubt.is_none() {
+        if tenure.leaving.is_none() && !tenure.is_doubtful() {
             let most = tenure.relays.starts(link);
             tenure.cell.hold_back(tenure.relays.busy());
             tenure.cell.place_some(begun, most);
--- a/components/node/src/tenure/take.rs
+++ b/components/node/src/tenure/take.rs
@@ -57,20 +57,21 @@
         }
     }
 
-    /// Takes in a cancellation that is written down. False when this box does not own the cell, or does
-    /// not know the job yet.
+    /// Takes in a cancellation that is written down. False when this box does not own the cell for
+    /// sure, or does not know the job yet.
     pub(crate) fn cancelled(&mut self, cx: &mut Cx<'_, Self>, id: &Id) -> bool {
-        let Some(tenure) = &mut self.tenure else {
+        let Some(tenure) = self.present() else {
             return false;
         };
-        let is_known = tenure.cell.cancel(id, time::now(), wall::millis());
+        let is_sure = !tenure.is_doubtful();
+        let is_known = tenure.cell.cancel(id, time::now(), wall::millis()) && is_sure;
         self.settle(cx);
         is_known
     }
 
     /// The state of a job; `None` where it is not known.
-    pub(crate) fn state(&self, id: &Id) -> Option<State> {
-        self.tenure.as_ref()?.cell.state(id)
+    pub(crate) fn state(&mut self, id: &Id) -> Option<State> {
+        self.sure()?.cell.state(id)
     }
 
     /// Takes in advice, or that there is none.
--- a/components/node/src/tenure/talk.rs
+++ b/components/node/src/tenure/talk.rs
@@ -55,11 +55,12 @@
         }
     }
 
-    /// Takes what a relay brings, and gives it what to do next.
+    /// Takes what a relay brings, and gives it what to do next. An owner in doubt does so too: starts that were decided
+    /// before it stood still are too old for the relay to send, and polls let no lease go on.
     pub(crate) fn take_offer(&mut self, cx: &mut Cx<'_, Self>, offer: Offer) -> Duty {
         let now = time::now();
         let (alone, link) = (self.node.settings.alone(), self.node.settings.link);
-        let Some(tenure) = &mut self.tenure else {
+        let Some(tenure) = self.present() else {
             return Duty::default();
         };
         let fence = tenure.fence;
@@ -197,7 +198,10 @@
         };
         let now = time::now();
         match result {
-            Ok(report) => tenure.cell.report(id, report, sent, now, wall::millis()),
+            Ok(report) => {
+                tenure.answered_by(id, sent);
+                tenure.cell.report(id, report, sent, now, wall::millis());
+            }
             Err(Unheard::Refused(Reason::Fence)) => {
                 self.depose("a worker has seen a higher fence");
                 return Next::Never;
--- a/components/node/src/tenure/write.rs
+++ b/components/node/src/tenure/write.rs
@@ -88,7 +88,7 @@
         match result {
             Ok(Applied::Done(revision)) => {
                 tenure.head = revision;
-                tenure.trust_again();
+                tenure.confirmed();
                 if group.is_last {
                     self.depose("it is handed over");
                     return;
@@ -106,7 +106,7 @@
                 };
                 log::info!(target: "owner", head; "A group without an answer turns out to be written.");
                 tenure.head = head;
-                tenure.trust_again();
+                tenure.confirmed();
                 tenure.announce |= group.announces;
                 tenure.cell.unwritten(group.covers);
             }
@@ -116,7 +116,7 @@
                 tenure.cell.unwritten(group.covers);
             }
             Err(_) => {
-                tenure.trust_again();
+                tenure.unconfirmed();
                 tenure.announce |= group.announces;
                 tenure.cell.unwritten(group.covers);
             }
--- a/components/node/src/time.rs
+++ b/components/node/src/time.rs
@@ -1,11 +1,12 @@
-//! The steady clock in milliseconds since the start of the process.
+//! The time of this box in milliseconds since the start of the process, suspensions included: what the box believes of
+//! leases, owners and workers ages while it is suspended.
 
-use std::{sync::OnceLock, time::Instant};
+use {kernel::clock::Moment, std::sync::OnceLock};
 
-static START: OnceLock<Instant> = OnceLock::new();
+static START: OnceLock<Moment> = OnceLock::new();
 
-/// Milliseconds of the steady clock; 1 at the first call, so that 0 means never.
+/// Milliseconds since the start, by [`Moment`]; 1 at the first call, so that 0 means never.
 pub fn now() -> u64 {
-    let start = START.get_or_init(Instant::now);
+    let start = START.get_or_init(Moment::now);
     start.elapsed().as_millis() as u64 + 1
 }
