Hold starts to the room that workers have now, also where they do not guard it

Cause: a listing replaced a worker's size and nothing else: a start decided for room that is gone left all the same, grown room was found by the next look at all workers (0.5 s), runs that must not be took no processors, and a pool whose workers start whatever they are told was not known to the cell. Change: grown or changed entries are looked at again at once. For pools that do not guard their room: starts not confirmed are taken back, the latest first; strays take room, all of it where nothing tells how much; no start while the last listing is older than 3 s. A stop on its way keeps the start of its run from leaving, also at a relay. What runs is left alone where room has shrunk: nothing asks for its end.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -140,6 +140,8 @@
     pub(crate) held: HashSet<Arc<str>>,
     /// Runs that are done and were not told yet.
     pub(crate) done: Vec<Done>,
+    /// Pools whose workers start whatever they are told.
+    pub(crate) unguarded: HashSet<Arc<str>>,
     /// No lease of a worker may go on: another owner may reckon it over.
     pub(crate) keeps_leases: bool,
     /// Which tasks are suspected of crashing their workers, and which workers were lost.
@@ -181,6 +183,7 @@
             around: "".into(),
             held: HashSet::new(),
             done: Vec::new(),
+            unguarded: HashSet::new(),
             keeps_leases: false,
             crashes: Crashes::default(),
         }
--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -150,7 +150,7 @@
         }
         let is_open = worker.is_open(now) || (job.pressed && worker.is_set_aside());
         let is_open = is_open && !worker.held;
-        if !is_open || self.is_kept_alone(&worker.entry.id) {
+        if !is_open || !self.is_room_known(worker, now) || self.is_kept_alone(&worker.entry.id) {
             return false;
         }
         if worker.entry.pool != job.progress.submission.queue.pool {
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -21,6 +21,7 @@
 mod place;
 mod relocate;
 mod report;
+mod room;
 mod slot;
 mod strain;
 mod summary;
--- a/components/cell/src/lives.rs
+++ b/components/cell/src/lives.rs
@@ -26,6 +26,7 @@
         if now > self.listed + LIST_LATE {
             self.steady = now;
         }
+        self.regain(now);
         self.listed = now;
         self.note_listed(&entries, now);
         let mut added = Vec::new();
@@ -33,11 +34,8 @@
             if self.over.contains(&entry.id) {
                 continue;
             }
-            if let Some(worker) = self.workers.get_mut(&entry.id) {
-                if worker.entry.leaving != entry.leaving {
-                    log::info!(target: "cell", worker = &*entry.id, leaving = entry.leaving, remaining:? = entry.remaining; "A worker changes its state.");
-                }
-                worker.entry = entry;
+            if self.workers.contains_key(&entry.id) {
+                self.update(entry, now);
                 continue;
             }
             log::info!(target: "cell", worker = &*entry.id, address = &*entry.address, rack = entry.rack(), cpu = entry.size.cpu; "A worker is new.");
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -193,21 +193,15 @@
         {
             return;
         }
-        let size = self
-            .jobs
-            .get(&key.job)
-            .map_or(Size::default(), |job| job.progress.step(key.place).size);
+        let step = self.step_of_stray(id, &key);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
         log::info!(target: "cell", job = key.job.as_str(), place = key.place, worker = &**id, run = run.run; "A run that must not be is stopped.");
         self.orders.push((id.clone(), stop_order(&key, run)));
         if worker.slots.contains_key(&key) {
             return;
         }
-        // It counts as a filling task, which takes no processors from tasks that take room.
-        let step = Step {
-            size,
-            fills: true,
-            ..Step::default()
-        };
         let stage = Stage::Running { at: moment.now };
         let slot = Slot {
             stopping: Some(moment.now),
@@ -217,6 +211,28 @@
         worker.hold(key, slot);
     }
 
+    /// What a run is reckoned to take that must not be there.
+    fn step_of_stray(&self, id: &Arc<str>, key: &Key) -> Step {
+        let known = self.jobs.get(&key.job);
+        let known = known.map(|job| job.progress.step(key.place));
+        let worker = self.workers.get(id);
+        if let Some(worker) = worker.filter(|worker| self.is_unguarded(worker)) {
+            // All of the worker, where nothing tells how much.
+            return Step {
+                size: known.map_or(worker.entry.size, |step| step.size),
+                fills: known.is_some_and(|step| step.fills),
+                ..Step::default()
+            };
+        }
+        // It counts as a filling task, which takes no processors from tasks that take room: the worker refuses what
+        // does not fit beside it.
+        Step {
+            size: known.map_or(Size::default(), |step| step.size),
+            fills: true,
+            ..Step::default()
+        }
+    }
+
     /// Notes that a task of the job has begun.
     pub(crate) fn begun(&mut self, key: &Key) {
         let Some(job) = self.jobs.get_mut(&key.job) else {
--- a/components/cell/src/slot.rs
+++ b/components/cell/src/slot.rs
@@ -82,6 +82,12 @@
         }
     }
 
+    /// What it takes of the room of its worker.
+    pub fn firm(&self) -> Size {
+        let cpu = if self.fills { 0 } else { self.size.cpu };
+        Size { cpu, ..self.size }
+    }
+
     /// True when the worker has not confirmed the start.
     pub fn is_sent(&self) -> bool {
         matches!(self.stage, Stage::Sent { .. })
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -274,10 +274,8 @@
     /// Puts a slot in.
     pub fn hold(&mut self, key: Key, slot: Slot) {
         self.release(&key);
-        let cpu = slot.size.cpu;
-        let mut firm = slot.size;
+        let (cpu, firm) = (slot.size.cpu, slot.firm());
         if slot.fills {
-            firm.cpu = 0;
             self.filling += cpu;
             *self.fill_images.entry(slot.image).or_default() += cpu;
         }
@@ -295,10 +293,8 @@
     pub fn release(&mut self, key: &Key) -> Option<Slot> {
         let slot = self.slots.remove(key)?;
         self.changed = true;
-        let cpu = slot.size.cpu;
-        let mut firm = slot.size;
+        let (cpu, firm) = (slot.size.cpu, slot.firm());
         if slot.fills {
-            firm.cpu = 0;
             self.filling -= cpu;
             drop_from(&mut self.fill_images, slot.image, cpu);
         }
--- a/components/cell/tests/decisions/main.rs
+++ b/components/cell/tests/decisions/main.rs
@@ -11,6 +11,7 @@
 mod fill;
 mod lives;
 mod place;
+mod room;
 mod silence;
 mod starts;
 mod takeover;
--- a/components/job/src/queue.rs
+++ b/components/job/src/queue.rs
@@ -2,7 +2,7 @@
 
 use {
     serde::{Deserialize, Serialize},
-    std::{sync::Arc, time::Duration},
+    std::{collections::HashSet, sync::Arc, time::Duration},
 };
 
 /// One queue of jobs.
@@ -86,9 +86,9 @@
         self.queues.iter().find(|queue| &*queue.name == name)
     }
 
-    /// True unless the pool is known to take whatever it is told.
-    pub fn is_guarded(&self, pool: &str) -> bool {
-        let found = self.pools.iter().find(|found| &*found.name == pool);
-        found.is_none_or(|found| found.guarded)
+    /// The pools whose workers start whatever they are told.
+    pub fn unguarded(&self) -> HashSet<Arc<str>> {
+        let pools = self.pools.iter().filter(|pool| !pool.guarded);
+        pools.map(|pool| pool.name.clone()).collect()
     }
 }
--- a/components/node/src/queued.rs
+++ b/components/node/src/queued.rs
@@ -1,21 +1,38 @@
 //! Orders on their way to a worker, which go out one after the other.
+//!
+//! A stop waits behind the orders before it, but the start of its run does not leave any more: what was cancelled, or has
+//! lost its room, would begin only to be stopped.
 
-use {crate::settings::START_WAIT, cell::Order};
+use {
+    crate::settings::START_WAIT,
+    cell::{Key, Order},
+    kernel::sync::lock,
+    std::{
+        collections::HashSet,
+        sync::{
+            Arc, Mutex,
+            mpsc::{self, Receiver, Sender},
+        },
+    },
+};
 
 /// An order that waits for those before it.
 #[derive(Debug)]
 pub struct Queued {
     /// The order.
     pub order: Order,
+    /// Its number between the owner and a relay; 0 on the owner's own box.
+    pub number: u64,
     /// When it was decided, on the clock of this box.
     since: u64,
 }
 
 impl Queued {
     /// An order that was decided so many milliseconds ago.
-    pub fn new(order: Order, age: u64, now: u64) -> Self {
+    pub fn new(order: Order, number: u64, age: u64, now: u64) -> Self {
         Queued {
             order,
+            number,
             since: now.saturating_sub(age),
         }
     }
@@ -27,6 +44,72 @@
     }
 }
 
+/// Runs that stops on their way are for.
+type Barred = Arc<Mutex<HashSet<(Key, u64)>>>;
+
+/// The way in of a worker's orders.
+#[derive(Debug)]
+pub struct Entrance {
+    orders: Sender<Queued>,
+    barred: Barred,
+}
+
+/// The way out of a worker's orders.
+#[derive(Debug)]
+pub struct Exit {
+    orders: Receiver<Queued>,
+    barred: Barred,
+}
+
+/// The way of a worker's orders.
+pub fn line() -> (Entrance, Exit) {
+    let (sender, receiver) = mpsc::channel();
+    let barred = Barred::default();
+    let entrance = Entrance {
+        orders: sender,
+        barred: barred.clone(),
+    };
+    let exit = Exit {
+        orders: receiver,
+        barred,
+    };
+    (entrance, exit)
+}
+
+impl Entrance {
+    /// Notes that a stop is about to come, where the order is one.
+    pub fn bar(&self, order: &Order) {
+        if let Order::Stop { key, run, .. } = order {
+            lock(&self.barred).insert((key.clone(), *run));
+        }
+    }
+
+    /// Lets an order in. False when nobody takes it any more.
+    pub fn send(&self, queued: Queued) -> bool {
+        self.bar(&queued.order);
+        self.orders.send(queued).is_ok()
+    }
+}
+
+impl Exit {
+    /// The next order, once there is one; `None` when no more will come.
+    pub fn next(&self) -> Option<Queued> {
+        let queued = self.orders.recv().ok()?;
+        if let Order::Stop { key, run, .. } = &queued.order {
+            lock(&self.barred).remove(&(key.clone(), *run));
+        }
+        Some(queued)
+    }
+
+    /// True for a start whose run a stop on its way is for.
+    pub fn is_barred(&self, order: &Order) -> bool {
+        let Order::Start(start) = order else {
+            return false;
+        };
+        lock(&self.barred).contains(&(start.key.clone(), start.run))
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use {
@@ -81,14 +164,30 @@
     #[test_case(stop(), 0, 60_000, false; "stop")]
     fn is_stale_by_wait(order: Order, age: u64, wait: u64, is_stale: bool) {
         let now = 100_000;
-        assert_eq!(Queued::new(order, age, now).is_stale(now + wait), is_stale);
+        assert_eq!(
+            Queued::new(order, 0, age, now).is_stale(now + wait),
+            is_stale
+        );
     }
 
     /// A start that was decided before the machine was suspended: by the steady clock no time has passed.
     #[test]
     fn is_stale_after_suspension() {
-        let queued = Queued::new(start(), 0, time::now());
+        let queued = Queued::new(start(), 0, 0, time::now());
         clock::suspend(Duration::from_secs(2));
         assert!(queued.is_stale(time::now()));
     }
+
+    /// A start that waits behind other orders does not leave once its stop has come in behind it.
+    #[test]
+    fn is_barred_by_stop_on_its_way() {
+        let (entrance, exit) = line();
+        entrance.send(Queued::new(start(), 0, 0, 1));
+        let first = exit.next().unwrap();
+        assert!(!exit.is_barred(&first.order));
+        entrance.send(Queued::new(stop(), 0, 0, 1));
+        assert!(exit.is_barred(&first.order));
+        exit.next().unwrap();
+        assert!(!exit.is_barred(&first.order));
+    }
 }
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -11,7 +11,7 @@
         message::{Begin, Command, Duty, Heard, Offer, Owner},
         news::News,
         outside::Unheard,
-        queued::Queued,
+        queued::{self, Entrance, Exit, Queued},
         settings::{POLL_PAUSE, RELAY_BUSY, RELAY_IDLE, RELAY_TIME},
         texts::Texts,
         time, worker,
@@ -36,7 +36,7 @@
 /// The ways to the two tasks of a worker.
 struct Ways {
     polls: Sender<(u64, Poll)>,
-    orders: Sender<(u64, Queued)>,
+    orders: Entrance,
 }
 
 /// What a relay does in one session.
@@ -192,6 +192,7 @@
         self.taken = duty.batch;
         let under_way = time::now().saturating_sub(asked);
         let age = |at: u64| duty.now.saturating_sub(at) + under_way;
+        self.bar(&duty.commands);
         for command in duty.commands {
             match command {
                 Command::Tend(member) => self.tend(node, member.into()),
@@ -214,12 +215,23 @@
         }
     }
 
+    /// Keeps starts from leaving whose stops come with the same commands.
+    fn bar(&self, commands: &[Command]) {
+        for command in commands {
+            if let Command::Order(id, _, _, order) = command
+                && let Some(ways) = self.ways.get(id)
+            {
+                ways.orders.bar(order);
+            }
+        }
+    }
+
     /// Hands an order of this age, in milliseconds, to its worker's task. Without one it is surely not sent: the owner
     /// counts it as on its way until it is answered.
     fn order(&self, id: &Arc<str>, number: u64, order: Order, age: u64) {
-        let queued = Queued::new(order, age, time::now());
+        let queued = Queued::new(order, number, age, time::now());
         let ways = self.ways.get(id);
-        if ways.is_none_or(|ways| ways.orders.send((number, queued)).is_err()) {
+        if ways.is_none_or(|ways| !ways.orders.send(queued)) {
             self.refuse([number]);
         }
     }
@@ -250,7 +262,7 @@
     fn tend(&mut self, node: &Node, entry: Entry) {
         lock(&self.heard).lists.insert(entry.id.clone(), Vec::new());
         let (polls, next) = mpsc::channel();
-        let (orders, sent) = mpsc::channel();
+        let (orders, sent) = queued::line();
         let id = entry.id.clone();
         let fence = self.fence;
         let (own, heard, worker) = (node.clone(), self.heard.clone(), entry.clone());
@@ -276,15 +288,10 @@
     }
 }
 
-fn send(
-    node: &Node,
-    fence: u64,
-    entry: &Entry,
-    orders: &Receiver<(u64, Queued)>,
-    heard: &Mutex<Ear>,
-) {
-    for (number, queued) in orders {
-        let outcome = worker::send_one(node, fence, entry, queued);
+fn send(node: &Node, fence: u64, entry: &Entry, orders: &Exit, heard: &Mutex<Ear>) {
+    while let Some(queued) = orders.next() {
+        let number = queued.number;
+        let outcome = worker::send_one(node, fence, entry, queued, orders);
         lock(heard).heard.push(Heard::Answer(number, outcome));
     }
 }
--- a/components/node/src/tenure/mod.rs
+++ b/components/node/src/tenure/mod.rs
@@ -13,7 +13,7 @@
         core::Core,
         group::Group,
         owning,
-        queued::Queued,
+        queued::Entrance,
         relays::{Need, Relays},
         settings::TICK,
         time,
@@ -37,7 +37,7 @@
 /// Who talks to a worker.
 enum Link {
     /// Tasks of this box.
-    Here(Sender<Queued>),
+    Here(Entrance),
     /// A relay, by its name.
     Relay(Arc<str>),
 }
--- a/components/node/src/tenure/pass.rs
+++ b/components/node/src/tenure/pass.rs
@@ -39,12 +39,16 @@
     pub(super) fn pass(&mut self, cx: &mut Cx<'_, Self>) {
         let link = self.node.settings.link;
         let is_failing = self.node.shared.is_failing();
+        let config = self.node.shared.config.load();
         let Some(tenure) = self.present() else {
             return;
         };
         tenure.pass_due = false;
         let begun = time::now();
         if tenure.leaving.is_none() && !tenure.is_doubtful() {
+            if let Some(config) = &*config {
+                tenure.cell.set_unguarded(config.unguarded());
+            }
             let most = tenure.relays.starts(link);
             tenure.cell.hold_back(tenure.relays.busy());
             tenure.cell.place_some(begun, most);
@@ -56,7 +60,7 @@
             match tenure.links.get(&id) {
                 // A task that has ended belongs to a worker that is gone.
                 Some(Link::Here(link)) => {
-                    let _ = link.send(Queued::new(order, 0, time::now()));
+                    link.send(Queued::new(order, 0, 0, time::now()));
                 }
                 Some(Link::Relay(name)) => {
                     tenure.relays.order(name, &id, time::now(), order);
--- a/components/node/src/worker.rs
+++ b/components/node/src/worker.rs
@@ -1,25 +1,28 @@
 //! The two tasks of a worker: one polls it, the other sends it orders.
 
 use {
-    crate::{core::Node, outside::Unheard, queued::Queued, settings::POLL_PAUSE, time},
+    crate::{
+        core::Node,
+        outside::Unheard,
+        queued::{self, Entrance, Exit, Queued},
+        settings::POLL_PAUSE,
+        time,
+    },
     cell::{Entry, Order, Outcome, Reason},
     kernel::task,
-    std::{
-        sync::mpsc::{self, Receiver, Sender},
-        thread,
-    },
+    std::thread,
 };
 
 /// Starts the tasks of a worker; they end with the tenure or with the worker. Returns the way for
 /// its orders.
-pub fn tend(node: &Node, fence: u64, entry: Entry) -> Option<Sender<Queued>> {
-    let (sender, orders) = mpsc::channel();
+pub fn tend(node: &Node, fence: u64, entry: Entry) -> Option<Entrance> {
+    let (entrance, orders) = queued::line();
     let (own, other) = (node.clone(), node.clone());
     let polled = entry.clone();
     let started = task::spawn("poll", move || poll(&own, fence, &polled))
         .and_then(|_| task::spawn("orders", move || send(&other, fence, &entry, &orders)));
     match started {
-        Ok(_) => Some(sender),
+        Ok(_) => Some(entrance),
         Err(error) => {
             log::error!(target: "owner", error:% = error; "A worker's tasks cannot be started.");
             None
@@ -48,14 +51,14 @@
     }
 }
 
-fn send(node: &Node, fence: u64, entry: &Entry, orders: &Receiver<Queued>) {
-    for queued in orders {
+fn send(node: &Node, fence: u64, entry: &Entry, orders: &Exit) {
+    while let Some(queued) = orders.next() {
         // Orders may have waited behind others while the tenure ended.
         if !node.shared.is_owning(fence) {
             return;
         }
         let order = queued.order.clone();
-        let outcome = send_one(node, fence, entry, queued);
+        let outcome = send_one(node, fence, entry, queued, orders);
         if outcome == Outcome::Unknown {
             log::info!(target: "owner", worker = &*entry.id, order:% = order; "An order has no answer.");
         }
@@ -69,8 +72,14 @@
     }
 }
 
-/// Sends an order, unless it has waited for too long; a start with the specification of its job.
-pub(crate) fn send_one(node: &Node, fence: u64, entry: &Entry, mut queued: Queued) -> Outcome {
+/// Sends an order, unless it has waited for too long or is to be stopped; a start with the specification of its job.
+pub(crate) fn send_one(
+    node: &Node,
+    fence: u64,
+    entry: &Entry,
+    mut queued: Queued,
+    line: &Exit,
+) -> Outcome {
     if let Order::Start(start) = &mut queued.order
         && start.text.is_empty()
     {
@@ -82,7 +91,7 @@
             }
         }
     }
-    if queued.is_stale(time::now()) {
+    if queued.is_stale(time::now()) || line.is_barred(&queued.order) {
         metrics::counter!("magpie_orders_stale_total").increment(1);
         return Outcome::Refused(Reason::NotSent);
     }
