--- a/components/node/src/claim.rs
+++ b/components/node/src/claim.rs
@@ -17,6 +17,7 @@
     kernel::{Failure, task::Signal, verdict::Cause, wall, wire},
     std::{
         collections::HashMap,
+        sync::atomic::{AtomicU64, Ordering},
         thread::{self, Builder},
         time::Duration,
     },
@@ -67,10 +68,11 @@
     };
     log::info!(target: "owner", fence; "The cell is claimed.");
     metrics::counter!("magpie_claims_total").increment(1);
-    let (cell, learned) = load_leased(node, lease)?;
+    let renewed = AtomicU64::new(begun);
+    let (cell, learned) = load_leased(node, lease, &renewed)?;
     let summary = cell.summary(time::now());
     log::info!(target: "owner", fence, jobs = summary.jobs, workers = summary.workers, took = time::now() - begun; "The cell is read.");
-    let mut tenure = Tenure::new(fence, lease, cell, begun);
+    let mut tenure = Tenure::new(fence, lease, cell, renewed.into_inner());
     if node.settings.is_narrow() {
         // From now on others are to notice soon when this box is gone.
         tenure.lease = store.grant(LEASE)?;
@@ -142,12 +144,13 @@
 }
 
 /// Reads what the former owner left, and keeps the lease alive meanwhile: how long that takes depends on
-/// how much it is and on the link of this box, and a lease that ends lets others claim the cell.
-fn load_leased(node: &Node, lease: u64) -> Result<(Cell, u64), Failure> {
+/// how much it is and on the link of this box, and a lease that ends lets others claim the cell. `renewed` is moved to when it was
+/// last alive.
+fn load_leased(node: &Node, lease: u64, renewed: &AtomicU64) -> Result<(Cell, u64), Failure> {
     let loaded = Signal::new();
     thread::scope(|scope| {
         let builder = Builder::new().name("keep".to_owned());
-        if let Err(error) = builder.spawn_scoped(scope, || keep(node, lease, &loaded)) {
+        if let Err(error) = builder.spawn_scoped(scope, || keep(node, lease, &loaded, renewed)) {
             log::error!(target: "owner", lease, error:% = error; "The lease cannot be renewed while the cell is read.");
         }
         let cell = load(node);
@@ -157,14 +160,15 @@
 }
 
 /// Keeps a lease alive until the signal says stop.
-fn keep(node: &Node, lease: u64, until: &Signal) {
+fn keep(node: &Node, lease: u64, until: &Signal, renewed: &AtomicU64) {
     loop {
         until.wait(RENEW);
         if until.is_stopped() {
             return;
         }
+        let asked = time::now();
         match node.outside.store.renew(lease) {
-            Ok(true) => {}
+            Ok(true) => renewed.store(asked, Ordering::Release),
             Ok(false) => {
                 log::warn!(target: "owner", lease; "The lease was over before the cell was read.");
                 return;
--- a/components/node/src/tenure/mod.rs
+++ b/components/node/src/tenure/mod.rs
@@ -85,7 +85,7 @@
 }
 
 impl Tenure {
-    /// A tenure that begins with this cell, which was claimed at this time on the clock of this box.
+    /// A tenure that begins with this cell, whose lease was alive at this time on the clock of this box.
     pub fn new(fence: u64, lease: u64, cell: Cell, claimed: u64) -> Self {
         Tenure {
             fence,
@@ -191,7 +191,7 @@
         let fence = tenure.fence;
         let entries: Vec<Entry> = tenure.cell.entries().cloned().collect();
         tenure.cell.recover(time::now());
-        // It was made when the cell was claimed, and reading the cell may have taken long.
+        // Reading the cell may have taken longer than its lease was kept alive.
         tenure.doubt_if_late();
         tenure.ticked = time::now();
         self.tenure = Some(tenure);
