--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -40,5 +40,5 @@
 pub use summary::Summary;
 pub use timing::Timing;
 pub use wave::{Machine, Standing, Upkeep, Wave};
-pub use worker::{Entry, Key};
+pub use worker::{Entry, Key, Listing};
 pub use write::Change;
--- a/components/cell/src/lives.rs
+++ b/components/cell/src/lives.rs
@@ -11,7 +11,7 @@
 use {
     crate::{
         cell::Cell,
-        worker::{Entry, Worker},
+        worker::{Entry, Listing, Worker},
     },
     std::{collections::HashSet, sync::Arc},
 };
@@ -22,15 +22,16 @@
 
 impl Cell {
     /// Takes in the whole listing of workers. Returns those that are new.
-    pub fn list(&mut self, entries: Vec<Entry>, now: u64) -> Vec<Entry> {
+    pub fn list(&mut self, listing: impl Into<Listing>, now: u64) -> Vec<Entry> {
+        let listing = listing.into();
         if now > self.listed + LIST_LATE {
             self.steady = now;
         }
         self.regain(now);
         self.listed = now;
-        self.note_listed(&entries, now);
+        self.note_listed(&listing, now);
         let mut added = Vec::new();
-        for entry in entries {
+        for entry in listing.entries {
             if self.over.contains(&entry.id) {
                 continue;
             }
@@ -51,8 +52,10 @@
 
     /// Notes which of the known workers are listed, and forgets lives that are over and listed no
     /// more: they do not come back.
-    fn note_listed(&mut self, entries: &[Entry], now: u64) {
-        let ids: HashSet<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
+    fn note_listed(&mut self, listing: &Listing, now: u64) {
+        let readable = listing.entries.iter().map(|entry| &entry.id);
+        let ids: HashSet<Arc<str>> = readable.chain(&listing.unreadable).cloned().collect();
+        let garbled: HashSet<&Arc<str>> = listing.unreadable.iter().collect();
         self.over.retain(|id| ids.contains(id));
         for (id, worker) in &mut self.workers {
             let is_listed = ids.contains(id);
@@ -61,6 +64,12 @@
             } else if worker.vanished.is_none() {
                 worker.vanished = Some(now);
             }
+            let is_garbled = garbled.contains(id);
+            if worker.garbled != is_garbled {
+                log::warn!(target: "cell", worker = &**id, garbled = is_garbled; "Whether the entry of a worker can be read has changed.");
+                worker.changed = true;
+            }
+            worker.garbled = is_garbled;
             if worker.listed != is_listed {
                 log::info!(target: "cell", worker = &**id, listed = is_listed; "The listing of a worker has changed.");
             }
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -48,6 +48,25 @@
     }
 }
 
+/// All workers as they list themselves.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// Those whose entry can be read.
+    pub entries: Vec<Entry>,
+    /// The names of entries that cannot be read, or say what no worker says: they are no workers to use, but one that is
+    /// known is not gone by that.
+    pub unreadable: Vec<Arc<str>>,
+}
+
+impl From<Vec<Entry>> for Listing {
+    fn from(entries: Vec<Entry>) -> Self {
+        Listing {
+            entries,
+            unreadable: Vec::new(),
+        }
+    }
+}
+
 /// A task: its job and its place among the job's tasks.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Key {
@@ -84,6 +103,8 @@
     pub entry: Entry,
     /// True while the listing has it.
     pub listed: bool,
+    /// Its entry cannot be read: it gets no work.
+    pub garbled: bool,
     /// The record of the fleet names it: a new owner would ask it.
     pub recorded: bool,
     /// When the listing lost it, on our clock.
@@ -148,6 +169,7 @@
         Worker {
             entry,
             listed: true,
+            garbled: false,
             recorded: false,
             vanished: None,
             held: false,
@@ -218,7 +240,7 @@
     /// True when it may be given work: not before a new owner would know of it, whose listing may lack it
     /// for a while.
     pub fn is_open(&self, now: u64) -> bool {
-        let is_known = self.fenced && self.listed && self.recorded;
+        let is_known = self.fenced && self.listed && self.recorded && !self.garbled;
         is_known && !self.entry.leaving && !self.closing && now >= self.avoid
     }
 
--- a/components/cell/tests/decisions/common.rs
+++ b/components/cell/tests/decisions/common.rs
@@ -87,7 +87,7 @@
     /// The same, with workers that have not answered yet.
     pub fn unheard(workers: &[&str]) -> Self {
         let mut cell = Cell::new(TIMING);
-        let entries = workers.iter().map(|id| entry(id, 4)).collect();
+        let entries: Vec<Entry> = workers.iter().map(|id| entry(id, 4)).collect();
         cell.list(entries, 1_000);
         let mut world = World { cell, now: 1_000 };
         world.write();
--- a/components/cell/tests/decisions/lives.rs
+++ b/components/cell/tests/decisions/lives.rs
@@ -2,8 +2,8 @@
 //! address.
 
 use {
-    crate::common::{JOB, World, entry, ordered, step},
-    magpie_cell::{Cell, Entry, Order, Outcome, Reason, Report},
+    crate::common::{JOB, World, entry, ordered, run, running, step},
+    magpie_cell::{Cell, Entry, Listing, Order, Outcome, Reason, Report},
     std::sync::Arc,
     test_case::test_case,
 };
@@ -72,7 +72,7 @@
     let mut world = World::new(&["w1"]);
     refuse(&mut world.cell, "w1", world.now);
     assert!(world.cell.list(vec![entry("w1", 4)], world.now).is_empty());
-    assert!(world.cell.list(vec![], world.now).is_empty());
+    assert!(world.cell.list(Listing::default(), world.now).is_empty());
 }
 
 /// A listing proves nothing of who lives: what runs on a worker that is still to answer is not
@@ -167,7 +167,7 @@
 fn list_forgets_ended_life_that_has_gone() {
     let mut world = World::new(&["w1"]);
     refuse(&mut world.cell, "w1", world.now);
-    world.cell.list(vec![], world.now);
+    world.cell.list(Listing::default(), world.now);
     assert_eq!(world.cell.list(vec![entry("w1", 4)], world.now).len(), 1);
 }
 
@@ -188,3 +188,25 @@
     world.cell.lapse(world.now);
     assert_eq!(world.starts().len(), 1);
 }
+
+/// A known worker whose entry cannot be read gets no work; what runs there goes on, and is not moved or started
+/// elsewhere.
+#[test]
+fn list_keeps_worker_whose_entry_is_garbled() {
+    let (mut world, worker, _) = running(&["w1"], step(1, 1_000));
+    let garbled = || Listing {
+        entries: vec![],
+        unreadable: vec!["w1".into(), "x".into()],
+    };
+    world.submit("00000000000000b2", vec![step(1, 1_000)]);
+    for _ in 0..10 {
+        world.now += LIST_GAP;
+        world.report("w1", vec![run(JOB, 0, 1)], vec![]);
+        assert!(world.cell.list(garbled(), world.now).is_empty());
+        world.cell.lapse(world.now);
+        assert!(world.starts().is_empty());
+    }
+    assert!(world.cell.knows(&worker));
+    world.list(vec![entry("w1", 4)]);
+    assert_eq!(world.starts().len(), 1);
+}
--- a/components/job/src/queue.rs
+++ b/components/job/src/queue.rs
@@ -86,6 +86,11 @@
         self.queues.iter().find(|queue| &*queue.name == name)
     }
 
+    /// True for a pool that is named.
+    pub fn has_pool(&self, name: &str) -> bool {
+        self.pools.iter().any(|pool| &*pool.name == name)
+    }
+
     /// The pools whose workers start whatever they are told.
     pub fn unguarded(&self) -> HashSet<Arc<str>> {
         let pools = self.pools.iter().filter(|pool| !pool.guarded);
--- a/components/job/src/spec.rs
+++ b/components/job/src/spec.rs
@@ -13,6 +13,14 @@
 /// The most tasks of a job over all its times; a bound of our own that keeps a record small.
 pub const MAX_TASKS: usize = 20_000;
 
+/// The most processors, in thousandths of a core, memory, in MiB, and accelerators that a task may ask for: a thousand times
+/// what the largest machine of the users has. Sums of them stay far below what numbers hold.
+const MAX_AMOUNT: u64 = 1_000_000_000;
+/// The longest estimate of a task, in milliseconds: a year.
+const MAX_ESTIMATE: u64 = 366 * 86_400_000;
+/// The latest time that a timetable names, in milliseconds since 1970: some 30,000 years on.
+const MAX_WALL: u64 = 1_000_000_000_000_000;
+
 /// The name of a job, chosen by its caller: 16 hexadecimal digits.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Id(Arc<str>);
@@ -161,6 +169,19 @@
     Tasks,
     /// a timetable with more than one time needs an interval
     Interval,
+    /// step {0} asks for more than any worker has, or takes longer than any task
+    Amount(usize),
+    /// the timetable is out of range
+    Timetable,
+}
+
+impl Step {
+    /// True when what it asks for can be added up.
+    fn is_bounded(&self) -> bool {
+        let Size { cpu, memory, gpus } = self.size;
+        let largest = cpu.max(memory).max(gpus);
+        largest <= MAX_AMOUNT && self.estimate.max(self.target) <= MAX_ESTIMATE
+    }
 }
 
 impl std::error::Error for Flaw {}
@@ -175,6 +196,28 @@
         if self.text.len() > MAX_TEXT {
             return Err(Flaw::LongText);
         }
+        self.check_bounds()?;
+        for (number, step) in self.steps.iter().enumerate() {
+            if step.size.cpu == 0 && step.size.gpus == 0 {
+                return Err(Flaw::NoCpu(number));
+            }
+        }
+        if let Some(timetable) = self.timetable
+            && timetable.times > 1
+            && timetable.interval == 0
+        {
+            return Err(Flaw::Interval);
+        }
+        Ok(())
+    }
+
+    /// Checks that it can be worked with, whoever wrote it: its numbers can be added up, and its steps refer to each
+    /// other.
+    ///
+    /// # Errors
+    ///
+    /// The first flaw found.
+    pub fn check_bounds(&self) -> Result<(), Flaw> {
         if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
             return Err(Flaw::Steps);
         }
@@ -185,15 +228,14 @@
             if step.after.iter().any(|&earlier| earlier as usize >= number) {
                 return Err(Flaw::Order(number));
             }
-            if step.size.cpu == 0 && step.size.gpus == 0 {
-                return Err(Flaw::NoCpu(number));
+            if !step.is_bounded() {
+                return Err(Flaw::Amount(number));
             }
         }
         if let Some(timetable) = self.timetable
-            && timetable.times > 1
-            && timetable.interval == 0
+            && timetable.first.max(timetable.interval) > MAX_WALL
         {
-            return Err(Flaw::Interval);
+            return Err(Flaw::Timetable);
         }
         let tasks = self.round().saturating_mul(self.times() as usize);
         if tasks > MAX_TASKS {
--- a/components/job/tests/progress.rs
+++ b/components/job/tests/progress.rs
@@ -163,3 +163,28 @@
     progress.finish(0);
     assert!(progress.crashed().is_empty());
 }
+
+/// Numbers that cannot be added up are refused to the caller, and are no job where another writer kept them.
+#[test_case(|step| step.size.cpu = u64::MAX; "processors")]
+#[test_case(|step| step.size.memory = u64::MAX; "memory")]
+#[test_case(|step| step.size.gpus = u64::MAX; "accelerators")]
+#[test_case(|step| step.estimate = u64::MAX; "estimate")]
+#[test_case(|step| step.target = u64::MAX; "target")]
+fn check_amount(change: fn(&mut Step)) {
+    let mut own = step(1, &[]);
+    change(&mut own);
+    let spec = spec(vec![own], None);
+    assert_eq!(spec.check(), Err(Flaw::Amount(0)));
+    assert_eq!(spec.check_bounds(), Err(Flaw::Amount(0)));
+}
+
+#[test]
+fn check_timetable_out_of_range() {
+    let timetable = Timetable {
+        times: 2,
+        first: 1,
+        interval: u64::MAX / 2,
+    };
+    let spec = spec(vec![step(1, &[])], Some(timetable));
+    assert_eq!(spec.check(), Err(Flaw::Timetable));
+}
--- a/components/node/src/callers.rs
+++ b/components/node/src/callers.rs
@@ -5,12 +5,12 @@
         accept, cancel,
         comeback::SOONEST,
         core::Node,
-        keys,
+        kept, keys,
         message::{Ask, Told},
         peer,
     },
-    job::{Id, Queue, Record, Spec, State, Submission},
-    kernel::{Failure, wall, wire},
+    job::{Id, Queue, Spec, State, Submission},
+    kernel::{Failure, wall},
     serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
@@ -97,7 +97,7 @@
         let store = &self.outside.store;
         let record = store.get(&keys::state(id))?;
         if let Some(item) = &record {
-            let record: Record = wire::decode(&item.value)?;
+            let record = kept::record(item)?;
             if record.state.is_final() {
                 return Ok(Reply::State(record.state));
             }
@@ -115,8 +115,7 @@
         let Some(item) = store.get(&keys::state(id))? else {
             return Ok(Reply::Gone);
         };
-        let record: Record = wire::decode(&item.value)?;
-        Ok(Reply::State(record.state))
+        Ok(Reply::State(kept::record(&item)?.state))
     }
 
     fn waiting(&self, queue: &Arc<Queue>) -> Reply {
--- a/components/node/src/claim.rs
+++ b/components/node/src/claim.rs
@@ -4,19 +4,19 @@
     crate::{
         core::Node,
         group::{CELL, own, put},
-        keys,
+        kept, keys,
         message::{Ask, Head, Member, Told},
         owning, peer,
         settings::{LEASE, OWNER_PAUSE, RENEW, WEAK, WEAK_WAIT},
-        store::{Applied, Change, range_all},
+        store::{Applied, Change, Item, range_all},
         tenure::Tenure,
         time,
     },
     cell::{Cell, Entry},
-    job::{Id, Record, Submission},
+    job::{Id, Record},
     kernel::{Failure, task::Signal, verdict::Cause, wall, wire},
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         sync::atomic::{AtomicU64, Ordering},
         thread::{self, Builder},
         time::Duration,
@@ -34,12 +34,21 @@
 /// then.
 const PROBE_PAUSE: Duration = Duration::from_millis(100);
 
+/// What the owner's key says to a box that may claim the cell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Known {
+    /// It is absent, or cannot be read: its last owner may live.
+    Nothing,
+    /// This box wrote it in an earlier life or tenure.
+    Own,
+}
+
 /// Claims the cell, whose owner's key has this revision (0: it is absent), unless its owner lives.
 ///
 /// # Errors
 ///
 /// The store gave no usable answer.
-pub fn attempt(node: &Node, revision: u64) -> Result<(), Failure> {
+pub fn attempt(node: &Node, revision: u64, known: Known) -> Result<(), Failure> {
     thread::sleep(Duration::from_millis(fastrand::u64(0..JITTER)));
     if node.settings.share < WEAK {
         thread::sleep(WEAK_WAIT);
@@ -52,7 +61,7 @@
     if present.map_or(0, |item| item.revision) != revision {
         return Ok(());
     }
-    if revision == 0 && owner_lives(node) {
+    if known != Known::Own && owner_lives(node) {
         thread::sleep(OWNER_PAUSE);
         return Ok(());
     }
@@ -180,6 +189,18 @@
     }
 }
 
+/// What was read of a key, or nothing where it cannot be read: one such key is no reason to leave all others alone.
+fn read_or_tell<T>(item: &Item, read: Result<T, Failure>) -> Option<T> {
+    match read {
+        Ok(value) => Some(value),
+        Err(error) => {
+            metrics::counter!("magpie_unreadable_total").increment(1);
+            log::error!(target: "owner", key = item.key.as_str(), error:% = error; "What is kept under a key cannot be read, and is left alone.");
+            None
+        }
+    }
+}
+
 /// Reads jobs, records and workers into a cell; returns also the revision of what was learned.
 fn load(node: &Node) -> Result<(Cell, u64), Failure> {
     let store = &*node.outside.store;
@@ -190,11 +211,15 @@
     let mut cell = Cell::new(node.settings.timing);
     let (now, wall) = (time::now(), wall::millis());
     let mut records: HashMap<Id, Record> = HashMap::new();
+    let mut unreadable: HashSet<Id> = HashSet::new();
     for item in &states {
         let Some(id) = keys::id(&item.key, keys::STATE) else {
             continue;
         };
-        let record: Record = wire::decode(&item.value)?;
+        let Some(record) = read_or_tell(item, kept::record(item)) else {
+            unreadable.insert(id);
+            continue;
+        };
         if record.state.is_final() {
             cell.close(id, &record);
             continue;
@@ -207,7 +232,13 @@
             cancelled.push(id);
             continue;
         }
-        let submission: Submission = wire::decode(&item.value)?;
+        let Some(submission) = read_or_tell(item, kept::submission(item)) else {
+            continue;
+        };
+        // What it has done is not known, and must not be done twice.
+        if unreadable.contains(&submission.id) {
+            continue;
+        }
         let record = records.remove(&submission.id).unwrap_or_default();
         cell.resume(submission, &record, wall);
     }
@@ -226,7 +257,8 @@
     }
     cell.list(entries, now);
     if let Some(item) = fleet {
-        let members: Vec<Member> = wire::decode(&item.value)?;
+        let members = wire::decode::<Vec<Member>>(&item.value);
+        let members = read_or_tell(&item, members).unwrap_or_default();
         cell.inherit(members.into_iter().map(Entry::from).collect());
     }
     Ok((cell, learned))
--- a/components/node/src/follow.rs
+++ b/components/node/src/follow.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        claim,
+        claim::{self, Known},
         core::Node,
         group::CELL,
         keys,
@@ -33,13 +33,22 @@
             return;
         };
         match (item, owning) {
-            (Some(item), None) if is_own(node, &item) => attempt(node, item.revision),
+            (Some(item), None) if is_own(node, &item) => {
+                attempt(node, item.revision, Known::Own);
+            }
+            (Some(item), None) if !is_readable(&item) => {
+                attempt(node, item.revision, Known::Nothing);
+            }
+            (Some(item), Some(fence)) if !is_readable(&item) => {
+                announce(node, fence);
+                thread::sleep(OWNER_PAUSE);
+            }
             (Some(item), _) => see(node, &item),
             (None, Some(fence)) => {
                 announce(node, fence);
                 thread::sleep(OWNER_PAUSE);
             }
-            (None, None) => attempt(node, 0),
+            (None, None) => attempt(node, 0, Known::Nothing),
         }
     }
 }
@@ -82,6 +91,16 @@
     }
 }
 
+/// True for a key that names an owner. Another writer may have put something else there, which owns nothing.
+fn is_readable(item: &Item) -> bool {
+    let owner: Result<Owner, Failure> = wire::decode(&item.value);
+    if let Err(error) = &owner {
+        metrics::counter!("magpie_unreadable_total").increment(1);
+        log::error!(target: "owner", revision = item.revision, error:% = error; "The record of the owner cannot be read.");
+    }
+    owner.is_ok()
+}
+
 /// True for a key that this box wrote in an earlier life or tenure.
 fn is_own(node: &Node, item: &Item) -> bool {
     let owner: Result<Owner, Failure> = wire::decode(&item.value);
@@ -98,8 +117,8 @@
     });
 }
 
-fn attempt(node: &Node, revision: u64) {
-    match claim::attempt(node, revision) {
+fn attempt(node: &Node, revision: u64, known: Known) {
+    match claim::attempt(node, revision, known) {
         Ok(()) => {}
         Err(failure) => {
             log::warn!(target: "owner", error:% = failure; "The cell could not be claimed.");
--- a/components/node/src/outside.rs
+++ b/components/node/src/outside.rs
@@ -3,8 +3,8 @@
 use {
     crate::store::Store,
     cell::{
-        Advice, Entry, Machine, Order, Outcome, Poll, Question, Reason, Report, Standing, Upkeep,
-        Wave,
+        Advice, Entry, Listing, Machine, Order, Outcome, Poll, Question, Reason, Report, Standing,
+        Upkeep, Wave,
     },
     job::Config,
     kernel::Failure,
@@ -23,12 +23,12 @@
 
 /// Workers, as they are listed and spoken to.
 pub trait Workers: Send + Sync {
-    /// Lists all workers.
+    /// Lists all workers. An entry that cannot be read is no reason to fail.
     ///
     /// # Errors
     ///
     /// The list could not be read.
-    fn list(&self) -> Result<Vec<Entry>, Failure>;
+    fn list(&self) -> Result<Listing, Failure>;
 
     /// Sends an order under a fence.
     fn order(&self, worker: &Entry, fence: u64, order: &Order) -> Outcome;
--- a/components/node/src/owning.rs
+++ b/components/node/src/owning.rs
@@ -4,7 +4,7 @@
     crate::{
         core::Node,
         group::{CELL, put_compact},
-        keys,
+        kept, keys,
         settings::{
             INTAKE_WAIT, LEARNED_GAP, LEARNED_SHARE, LEASE, LIST_GAP, LIST_SHARE, RENEW,
             STORE_PAUSE, WAVE_GAP,
@@ -13,8 +13,8 @@
         time,
     },
     cell::{Cell, Question, Standing},
-    job::{Id, Submission},
-    kernel::{Failure, task, wall, wire},
+    job::Id,
+    kernel::{Failure, task, wall},
     std::{
         collections::HashMap,
         sync::mpsc::{self, Receiver, Sender},
@@ -265,7 +265,7 @@
             cancelled.push(id);
             continue;
         }
-        match wire::decode::<Submission>(&item.value) {
+        match kept::submission(&item) {
             Ok(submission) => {
                 cell.admit(submission, wall::millis());
             }
@@ -315,10 +315,10 @@
         if is_over(node, fence) {
             return;
         }
-        let Ok(entries) = listing else {
+        let Ok(listing) = listing else {
             continue;
         };
         node.remote
-            .tell(move |core, cx| core.listed(cx, fence, entries));
+            .tell(move |core, cx| core.listed(cx, fence, listing));
     }
 }
--- a/components/node/src/peer.rs
+++ b/components/node/src/peer.rs
@@ -6,6 +6,7 @@
         callers::Reply,
         cancel,
         core::Node,
+        kept,
         message::{Ask, Offer, Told},
         settings::{PEER_TIMEOUT, PEER_TWICE},
     },
@@ -87,7 +88,10 @@
             Ok(Told::State(state))
         }
         Ask::Waiting(queue) => Ok(Told::Waiting(waiting(node, queue)?)),
-        Ask::Submit(submission) => Ok(Told::Reply(accept::submit(node, *submission, false))),
+        Ask::Submit(submission) => {
+            let submission = kept::sound(*submission)?;
+            Ok(Told::Reply(accept::submit(node, submission, false)))
+        }
         Ask::Cancel(id) => Ok(Told::Reply(cancel::cancel(node, &id, false))),
         Ask::Cancelled(id) => Ok(Told::Reply(cancel::told(node, &id))),
         Ask::Probe { release } => probe(node, release),
--- a/components/node/src/tenure/take.rs
+++ b/components/node/src/tenure/take.rs
@@ -2,19 +2,25 @@
 
 use {
     crate::{core::Core, owning, store::Event, time},
-    cell::{Advice, Entry, Machine, Question, Standing, Upkeep, Wave},
+    cell::{Advice, Listing, Machine, Question, Standing, Upkeep, Wave},
     job::{Id, State, Submission},
     kernel::{stakker::Cx, wall},
     std::collections::HashSet,
 };
 
 impl Core {
-    /// Takes in a listing of the workers.
-    pub(crate) fn listed(&mut self, cx: &mut Cx<'_, Self>, fence: u64, entries: Vec<Entry>) {
+    /// Takes in a listing of the workers. One of a pool that no configuration names is no worker to begin with.
+    pub(crate) fn listed(&mut self, cx: &mut Cx<'_, Self>, fence: u64, mut listing: Listing) {
+        let config = self.node.shared.config.load();
         let Some(tenure) = self.tenure_of(fence) else {
             return;
         };
-        for entry in tenure.cell.list(entries, time::now()) {
+        if let Some(config) = &*config {
+            listing
+                .entries
+                .retain(|entry| config.has_pool(&entry.pool) || tenure.cell.knows(&entry.id));
+        }
+        for entry in tenure.cell.list(listing, time::now()) {
             self.tend(fence, entry);
         }
         self.settle(cx);
