--- a/components/standin/src/runner.rs
+++ b/components/standin/src/runner.rs
@@ -24,6 +24,8 @@
 const CONNECTIONS: usize = 64;
 /// The longest lease, in milliseconds.
 const MAX_LEASE: u64 = 6_000;
+/// Starts are held to a room that has shrunk after this time: 3 s until all are in touch, and a heartbeat.
+const ROOM_TOLD: Duration = Duration::from_millis(4_100);
 /// The pause between two looks at a held poll.
 const LOOK: Duration = Duration::from_millis(5);
 /// A specification that begins so makes its tasks fail.
@@ -105,6 +107,8 @@
     id: String,
     /// Processors, in thousandths of a core.
     size: u64,
+    /// When it last got fewer.
+    shrunk: Option<Instant>,
     begun: Instant,
     /// It has crashed and is not back yet.
     is_down: bool,
@@ -154,6 +158,7 @@
             core: Arc::new(Mutex::new(Core {
                 id: id.to_owned(),
                 size: cores * 1_000,
+                shrunk: None,
                 begun: Instant::now(),
                 is_down: false,
                 crashes: 0,
@@ -214,6 +219,21 @@
         kv.put(&format!("servers/{id}"), &entry.unwrap_or_default());
     }
 
+    /// The present life.
+    pub fn id(&self) -> String {
+        lock(&self.core).id.clone()
+    }
+
+    /// Gives it another number of cores. Its entry is the caller's to write.
+    pub fn resize(&self, cores: u64) {
+        let mut core = lock(&self.core);
+        let size = cores * 1_000;
+        if size < core.size {
+            core.shrunk = Some(Instant::now());
+        }
+        core.size = size;
+    }
+
     /// The number of tasks that run.
     pub fn running(&self) -> usize {
         let mut core = lock(&self.core);
@@ -335,6 +355,11 @@
         reply(200, &json!({ "clockMs": self.clock() }))
     }
 
+    /// True when everybody should know how much room it has: starts are held to less room only after a while.
+    fn is_room_told(&self) -> bool {
+        self.shrunk.is_none_or(|at| at.elapsed() > ROOM_TOLD)
+    }
+
     /// True when this very run of the task is going on.
     fn is_running(&self, name: &str, run: u64) -> bool {
         let held = self.running.get(name);
@@ -431,8 +456,10 @@
             return self.refuse("late");
         }
         if (self.running.len() as u64 + 1) * 1_000 > self.size {
-            let over = (Instant::now(), name.into(), self.id.as_str().into());
-            lock(&self.seen).over.push(over);
+            if self.is_room_told() {
+                let over = (Instant::now(), name.into(), self.id.as_str().into());
+                lock(&self.seen).over.push(over);
+            }
             return self.refuse("room");
         }
         self.lease = self.lease.max(deadline.min(self.clock() + MAX_LEASE));
--- a/programs/soak/src/callers.rs
+++ b/programs/soak/src/callers.rs
@@ -18,6 +18,8 @@
 const AGAIN: Duration = Duration::from_millis(250);
 /// The time of the longest tasks that end, in milliseconds: some outlast a lease of their worker (4.5 s).
 const LONG: std::ops::Range<u64> = 2_000..8_000;
+/// One job in so many of one caller crashes its workers.
+const ODD_ONE_IN: u64 = 12;
 /// Lasting jobs that a caller keeps.
 const LASTING: usize = 2;
 /// The time of a task that lasts, in milliseconds: longer than any run.
@@ -28,6 +30,8 @@
     world: &'a World,
     client: Client,
     rng: Rng,
+    /// Decides on jobs that crash workers; what the other does stays as it was when a seed was kept.
+    odd: Rng,
     number: u64,
     count: u64,
     /// The jobs that it handed in, the last ones last.
@@ -42,6 +46,7 @@
             world,
             client: Client::new(None),
             rng: Rng::with_seed(seed ^ (number + 1) << 40),
+            odd: Rng::with_seed(seed ^ (number + 1) << 20),
             number,
             count: 0,
             own: Vec::new(),
@@ -73,7 +78,7 @@
     /// Hands a job in. Without an answer, or an unsure one, it is sent again until the answer is sure;
     /// when it is refused, some callers give up.
     fn hand_in(&mut self, until: &Signal) {
-        let (job, body) = self.draw();
+        let (job, body) = self.draw_any();
         let id = job.id.clone();
         let gives_up = self.rng.bool();
         lock(&self.world.jobs).insert(id.clone(), job);
@@ -96,6 +101,19 @@
         self.own.push(id);
     }
 
+    /// Draws a job, now and then one with a task that crashes its workers.
+    fn draw_any(&mut self) -> (Job, Value) {
+        let (mut job, mut body) = self.draw();
+        let is_odd = self.odd.u64(0..ODD_ONE_IN) == 0 && self.number == 0;
+        if is_odd && !job.lasting {
+            let step = self.odd.usize(0..job.steps.len());
+            let index = self.odd.u32(0..job.steps[step]);
+            body["specification"] = format!("crash={step}.{index}").into();
+            job.crashing = Some((step, index));
+        }
+        (job, body)
+    }
+
     /// Draws a job: quick tasks, longer ones step by step, or lasting ones.
     fn draw(&mut self) -> (Job, Value) {
         self.count += 1;
@@ -126,6 +144,7 @@
             id,
             steps,
             lasting,
+            crashing: None,
             said: Vec::new(),
         };
         (job, body)
--- a/programs/soak/src/check.rs
+++ b/programs/soak/src/check.rs
@@ -14,6 +14,12 @@
 const START_AFTER: Micros = 3 * SECOND;
 /// A bound of time holds after so long without any fault.
 pub const CALM: Micros = 5 * SECOND;
+/// So many workers may crash under a task, and it may then be started so often by boxes without trouble.
+const BUDGET: usize = 3;
+const BUDGET_AFTER: usize = 2;
+/// Whatever trouble there is, it is started no oftener: an owner that is killed misses one crash, and a run has some ten
+/// owners.
+const BUDGET_MOST: usize = 14;
 /// A job is known to untroubled boxes so long after it was accepted.
 const VISIBLE: Micros = 2 * SECOND;
 
@@ -72,6 +78,7 @@
     for job in jobs.values() {
         found.extend(completed(job, &tasks));
         found.extend(lost(job));
+        found.extend(budget(job, &tasks, trouble));
     }
     found
 }
@@ -192,8 +199,8 @@
             let text = format!("not known to b{} at {} us", said.to, said.sent);
             return Some(breach("lost", &job.id, text));
         }
-        let without_cause =
-            said.state == "failed" || said.state == "cancelled" && !job.is_unwanted();
+        let without_cause = said.state == "failed" && job.crashing.is_none()
+            || said.state == "cancelled" && !job.is_unwanted();
         if without_cause {
             let text = format!("shown as {} by b{} without cause", said.state, said.to);
             return Some(breach("lost", &job.id, text));
@@ -202,6 +209,23 @@
     None
 }
 
+/// A task that crashes its workers is given up. What crashes under it while its owner is killed may be missed.
+fn budget(job: &Job, tasks: &Tasks<'_>, trouble: &Trouble) -> Option<Breach> {
+    let (step, index) = job.crashing?;
+    let runs = tasks.get(&*format!("{}.0.{step}.{index}", job.id))?;
+    let after = runs.iter().skip(BUDGET).map(|run| run.begun);
+    let is_calm = |at: &Micros| trouble.is_calm(at.saturating_sub(CALM), *at);
+    let calm = after.filter(is_calm).count();
+    if calm <= BUDGET_AFTER && runs.len() <= BUDGET_MOST {
+        return None;
+    }
+    let text = format!(
+        "a task that crashes its workers was started {} times",
+        runs.len()
+    );
+    Some(breach("budget", &job.id, text))
+}
+
 #[cfg(test)]
 mod tests {
     use {super::*, crate::history::Said, test_case::test_case};
@@ -234,6 +258,7 @@
             id: "a".to_owned(),
             steps: vec![1, 1],
             lasting: false,
+            crashing: None,
             said,
         };
         let jobs = Jobs::from([("a".to_owned(), job)]);
@@ -316,6 +341,24 @@
         assert_eq!(rules(told, &[], &Trouble::default()), rule);
     }
 
+    #[test_case(4, &[]; "given up")]
+    #[test_case(6, &["budget"]; "started again and again")]
+    fn budget_cases(starts: u64, rule: &[&str]) {
+        let runs = (0..starts).map(|at| run("a.0.0.0", at * 10 + 9, at * 10 + 12, "lapsed"));
+        let runs: Vec<Run> = runs.collect();
+        let job = Job {
+            id: "a".to_owned(),
+            steps: vec![1],
+            crashing: Some((0, 0)),
+            said: vec![taken(), said(Asked::State, 90, 200, "failed")],
+            ..Job::default()
+        };
+        let jobs = Jobs::from([("a".to_owned(), job)]);
+        let found = all(&jobs, &runs, &Trouble::default(), 100 * SECOND);
+        let found: Vec<&str> = found.iter().map(|breach| breach.rule).collect();
+        assert_eq!(found, rule);
+    }
+
     #[test]
     fn completed_stays() {
         let runs = [run("a.0.0.0", 5, 9, "done"), run("a.0.1.0", 9, 20, "done")];
--- a/programs/soak/src/fault.rs
+++ b/programs/soak/src/fault.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         plan::{Event, Fault},
-        world::{World, send},
+        world::{CORES, World, send},
     },
     anyhow::Result,
     kernel::{Client, sync::lock, task::Signal},
@@ -138,6 +138,9 @@
             Fault::Unlisted(number) => world.unlist(&world.life(number)),
             Fault::Version => world.write_version(),
             Fault::OldVersion => world.write_older(),
+            Fault::Shrunk(number, cores) => world.resize(number, cores),
+            Fault::Garbled(number) => world.garble(number),
+            Fault::Foreign(kind) => world.list_foreign(kind),
             _ => {}
         }
     }
@@ -152,7 +155,9 @@
                     self.world.unlist(&life);
                 }
             }
-            Fault::Unlisted(number) => self.world.list(number),
+            Fault::Unlisted(number) | Fault::Garbled(number) => self.world.list(number),
+            Fault::Shrunk(number, _) => self.world.resize(number, CORES),
+            Fault::Foreign(kind) => self.world.unlist_foreign(kind),
             Fault::OldVersion => self.world.write_latest(),
             _ => {}
         }
--- a/programs/soak/src/history.rs
+++ b/programs/soak/src/history.rs
@@ -60,6 +60,8 @@
     pub steps: Vec<u32>,
     /// It runs until it is cancelled.
     pub lasting: bool,
+    /// The step and the number of a task that crashes its workers.
+    pub crashing: Option<(usize, u32)>,
     /// All requests, in the order in which they were sent.
     pub said: Vec<Said>,
 }
