--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         advise::{Known, Question},
-        crashes::Crashes,
+        crashes,
         disturb::{Disturbance, level::Levels},
         order::Order,
         place::Stuck,
@@ -145,7 +145,7 @@
     /// No lease of a worker may go on: another owner may reckon it over.
     pub(crate) keeps_leases: bool,
     /// Which tasks are suspected of crashing their workers, and which workers were lost.
-    pub(crate) crashes: Crashes,
+    pub(crate) crashes: crashes::State,
 }
 
 impl Cell {
@@ -185,7 +185,7 @@
             done: Vec::new(),
             unguarded: HashSet::new(),
             keeps_leases: false,
-            crashes: Crashes::default(),
+            crashes: crashes::State::default(),
         }
     }
 
--- a/components/cell/src/crashes/mod.rs
+++ b/components/cell/src/crashes/mod.rs
@@ -22,7 +22,7 @@
         told::TOGETHER,
         worker::{Key, Worker},
     },
-    job::{Id, State},
+    job::Id,
     std::{collections::HashMap, sync::Arc},
 };
 
@@ -39,10 +39,13 @@
 /// Crashes in a row, early or late, after which a task is given up, in any case: it may not start three times more once
 /// three workers have crashed under it.
 const GIVE_UP_ALL: u32 = 5;
+/// A worker that was given up for its leases is not expected back after this time, in milliseconds: the longest cuts
+/// that the sheets name last some ten seconds.
+const BACK_WITHIN: u64 = 60_000;
 
 /// What is known of crashes, beside what each task has of its own.
 #[derive(Debug, Default)]
-pub(crate) struct Crashes {
+pub(crate) struct State {
     /// Suspects that run and have not been listed for long enough, by worker.
     trials: HashMap<Arc<str>, trial::Trial>,
     /// Workers that were lost a short while ago.
@@ -62,10 +65,6 @@
     tasks: Vec<(Key, bool)>,
 }
 
-/// A worker that was given up for its leases is not expected back after this time, in milliseconds: the longest cuts
-/// that the sheets name last some ten seconds.
-const BACK_WITHIN: u64 = 60_000;
-
 impl Cell {
     /// Counts the crash of a worker, whose life is proven to be over, against what it held.
     pub(crate) fn suspect_crashed(&mut self, id: &Arc<str>, now: u64) {
@@ -211,7 +210,7 @@
                 continue;
             }
             log::warn!(target: "cell", job = key.job.as_str(), place = key.place; "A task is given up: workers crash under it.");
-            self.finish(&key.job, State::Failed, now, wall);
+            self.finish(&key.job, job::State::Failed, now, wall);
         }
     }
 
--- a/components/node/src/relays/mod.rs
+++ b/components/node/src/relays/mod.rs
@@ -69,6 +69,10 @@
     allowance: Allowance,
 }
 
+/// The fastest link that is reckoned with, in bytes a millisecond: 100 Gbit/s. What is reckoned from a link stays far below
+/// what numbers hold, whatever an offer says.
+const MAX_LINK: u64 = 12_500_000;
+
 impl Relays {
     /// Chooses the relay that looks after a worker that has waited for one since a time: of its own hall if
     /// one has room, since each start, poll and report would cross halls otherwise, and the least loaded. None
@@ -244,7 +248,7 @@
             session: now * 1_000 + self.sessions,
             hall: offer.hall.clone(),
             share: offer.share,
-            link: offer.link,
+            link: offer.link.min(MAX_LINK),
             texts: Texts::default(),
             unsent: 0,
             starting: 0,
--- a/components/node/src/tenure/doubt.rs
+++ b/components/node/src/tenure/doubt.rs
@@ -1,9 +1,10 @@
 //! An owner that may be none any more: it stood still, or was suspended, for as long as its lease lasts, or had to take a
 //! new lease.
 //!
-//! While it is in doubt it places nothing, lets no lease of a worker go on, and answers nobody for the cell. What ends the doubt: a write under its own head, or, where the store does not answer, workers. Whoever claims
-//! the cell fences them all before it places anything, so an answer without a higher fence from more than half of them,
-//! to a poll sent since, shows that nobody has.
+//! While it is in doubt it places nothing, lets no lease of a worker go on, and answers nobody for the cell. What ends
+//! the doubt: a write under its own head, or, where the store does not answer, workers. Whoever claims the cell fences
+//! them all before it places anything, so an answer without a higher fence from more than half of them, to a poll sent
+//! since, shows that nobody has.
 
 use {
     super::Tenure,
--- a/components/node/tests/relays.rs
+++ b/components/node/tests/relays.rs
@@ -501,3 +501,16 @@
         .filter(|command| matches!(command, Command::Text(..)));
     assert_eq!(told.count(), 50);
 }
+
+/// An offer with a link beyond all numbers is one of a fast link.
+#[test]
+fn join_with_endless_link() {
+    let mut relays = Relays::default();
+    let offer = Offer {
+        link: u64::MAX,
+        ..offer("b1", 500)
+    };
+    assert!(relays.join(&offer, Need::Large, 1).is_some());
+    relays.assign(entry("w1"), 1).unwrap();
+    assert!(relays.starts(WIDE) > 0);
+}
