A takeover asks no entry of a pool that nobody names

Cause: the first listing of a new owner took entries of unknown pools for workers; one that does not answer held jobs of the former owner back until all leases were over, 4.9 s. Change: they are left out there too; workers that may hold tasks are in the record of the fleet.

--- a/components/node/src/claim.rs
+++ b/components/node/src/claim.rs
@@ -207,7 +207,12 @@
     let (intake, _) = range_all(store, keys::INTAKE)?;
     let (states, _) = range_all(store, keys::STATE)?;
     let fleet = store.get_large(&keys::fleet(CELL))?;
-    let entries = node.outside.workers.list()?;
+    let mut listing = node.outside.workers.list()?;
+    // One of a pool that nobody names is no worker; those that may hold tasks are in the record of the fleet besides. Asked
+    // all the same, it would hold the takeover up until all leases are over (4.9 s).
+    if let Some(config) = &*node.shared.config.load() {
+        listing.entries.retain(|entry| config.has_pool(&entry.pool));
+    }
     let mut cell = Cell::new(node.settings.timing);
     let (now, wall) = (time::now(), wall::millis());
     let mut records: HashMap<Id, Record> = HashMap::new();
@@ -255,7 +260,7 @@
             }
         }
     }
-    cell.list(entries, now);
+    cell.list(listing, now);
     if let Some(item) = fleet {
         let members = wire::decode::<Vec<Member>>(&item.value);
         let members = read_or_tell(&item, members).unwrap_or_default();
