An owner on an island lets no lease go on

Cause: an owner that reached neither the store nor most of its workers went on renewing leases at the few it reached; the next owner, which did not reach these, frees their tasks when the leases it reckons are over. Change: without a proof by the store for the length of its lease, and without answers of more than half of the workers within 3 s, an owner is in doubt: it places nothing and asks for no lease. An owner whose workers answer goes on while the store is away, as before.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -271,6 +271,12 @@
         worker.is_some_and(|worker| worker.is_unwritten() || worker.left)
     }
 
+    /// How many workers have reported since this time.
+    pub fn heard_since(&self, time: u64) -> usize {
+        let clocks = self.workers.values().filter_map(|worker| worker.clock);
+        clocks.filter(|clock| clock.at >= time).count()
+    }
+
     /// How many workers are known.
     pub fn size(&self) -> usize {
         self.workers.len()
--- a/components/node/src/owning.rs
+++ b/components/node/src/owning.rs
@@ -121,7 +121,20 @@
         let Ok(Some(lease)) = lease else {
             return;
         };
-        if lease != 0 && !matches!(node.outside.store.renew(lease), Ok(false)) {
+        let asked = time::now();
+        let renewed = if lease == 0 {
+            Ok(false)
+        } else {
+            node.outside.store.renew(lease)
+        };
+        if renewed == Ok(true) {
+            node.remote.tell(move |core, _| {
+                if let Some(tenure) = core.tenure_of(fence) {
+                    tenure.prove(asked);
+                }
+            });
+        }
+        if renewed != Ok(false) {
             continue;
         }
         let Ok(lease) = node.outside.store.grant(LEASE) else {
--- a/components/node/src/tenure/doubt.rs
+++ b/components/node/src/tenure/doubt.rs
@@ -1,5 +1,5 @@
-//! An owner that may be none any more: it stood still, or was suspended, for as long as its lease lasts, or had to take a
-//! new lease.
+//! An owner that may be none any more: it stood still, or was suspended, for as long as its lease lasts, had to take a new
+//! lease, or is cut off from the store and from most of its workers.
 //!
 //! While it is in doubt it places nothing, lets no lease of a worker go on, and answers nobody for the cell. What ends
 //! the doubt: a write under its own head, or, where the store does not answer, workers. Whoever claims the cell fences
@@ -15,6 +15,10 @@
     std::{collections::HashSet, sync::Arc},
 };
 
+/// A worker that is reached has answered a poll within this time, in milliseconds: polls are held for up to 2 s, and have
+/// 0.8 s besides.
+const HEARD_WITHIN: u64 = 3_000;
+
 /// A doubt.
 #[derive(Debug)]
 pub(super) struct Doubt {
@@ -36,6 +40,27 @@
         }
     }
 
+    /// Doubts when neither the store nor most of the workers have shown for a while that this box owns the cell: on the
+    /// other side of a cut another box may have claimed it, and reckon leases over that this one lets go on. While the store
+    /// is away for all, nobody can, and the workers answer.
+    pub(super) fn doubt_if_alone(&mut self) {
+        let now = time::now();
+        let is_proven = now < self.proven + LEASE.as_millis() as u64;
+        if is_proven || self.doubt.is_some() {
+            return;
+        }
+        let heard = self.cell.heard_since(now.saturating_sub(HEARD_WITHIN));
+        if heard * 2 <= self.cell.size() {
+            log::warn!(target: "owner", fence = self.fence, heard, workers = self.cell.size(); "This box reaches neither the store nor most of the workers; another may own the cell.");
+            self.doubt();
+        }
+    }
+
+    /// The store has shown at this time that this box owns the cell.
+    pub(crate) fn prove(&mut self, at: u64) {
+        self.proven = self.proven.max(at);
+    }
+
     /// Another box may own the cell.
     pub(crate) fn doubt(&mut self) {
         self.doubt = Some(Doubt {
@@ -54,6 +79,7 @@
 
     /// A write has come back that shows this box as the owner.
     pub(super) fn confirmed(&mut self) {
+        self.prove(self.written);
         if self
             .doubt
             .as_ref()
--- a/components/node/src/tenure/mod.rs
+++ b/components/node/src/tenure/mod.rs
@@ -70,6 +70,8 @@
     writer: Option<Answerer<Option<Group>>>,
     /// When the last tick was.
     ticked: u64,
+    /// When the store last showed this box as the owner: by a lease that was alive, or a write.
+    proven: u64,
     /// Another box may own the cell.
     doubt: Option<Doubt>,
     /// When the last group went to the writer.
@@ -101,6 +103,7 @@
             pollers: HashMap::new(),
             writer: None,
             ticked: claimed,
+            proven: claimed,
             doubt: None,
             written: 0,
             passed: 0,
@@ -249,6 +252,7 @@
             return;
         };
         tenure.ticked = time::now();
+        tenure.doubt_if_alone();
         tenure.cell.tell_done(time::now());
         tenure.cell.open_due(wall::millis());
         tenure.cell.rerank(wall::millis(), time::now());
