Losses told apart in shorter functions, each counted once

Cause: a worker that is given up for its leases and then proven to be over stood twice among the losses; the function that counts them had grown long. Change: one loss each; three functions in place of one; a worker without tasks is not compared with others. A test that would show the double count was tried and passes without the change too, in a farm on a clock that steps: between the two notes of one worker no other loss of the same moment is judged there. It is not kept.

--- a/components/cell/src/crashes/lost.rs
+++ b/components/cell/src/crashes/lost.rs
@@ -2,7 +2,7 @@
 
 use {
     super::EARLY,
-    crate::{cell::Cell, worker::Worker},
+    crate::{cell::Cell, slot::Slot, worker::Worker},
     job::Id,
     std::{
         collections::{BTreeSet, HashMap, HashSet, VecDeque},
@@ -76,10 +76,11 @@
 }
 
 impl Losses {
-    /// Notes that a worker is given up. One that this owner has never heard was lost before its time: a takeover that
+    /// Notes that a worker is given up, once: for its leases, or for the proof that its life is over. One that this owner has never heard was lost before its time: a takeover that
     /// clears up after a former owner is no loss of power.
     pub fn note(&mut self, worker: &Worker, now: u64) {
-        if worker.clock.is_none() {
+        let id = &worker.entry.id;
+        if worker.clock.is_none() || self.recent.iter().any(|loss| loss.id == *id) {
             return;
         }
         self.recent.push_back(Loss::of(worker, now));
@@ -114,12 +115,27 @@
 }
 
 /// With how many others a worker was lost.
+#[derive(Default)]
 pub(super) struct Together {
     rack: Group,
     cell: Group,
 }
 
 impl Together {
+    /// Counts a worker, be it lost or not.
+    fn count(&mut self, is_of_rack: bool) {
+        self.cell.all += 1;
+        self.rack.all += usize::from(is_of_rack);
+    }
+
+    /// Counts a loss.
+    fn add(&mut self, loss: &Loss, rack: &str) {
+        self.cell.add(loss);
+        if &*loss.rack == rack {
+            self.rack.add(loss);
+        }
+    }
+
     /// True when so many were lost that a task of this job is not the cause: it had just started on half of them at
     /// the most.
     pub fn clears(&self, job: &Id) -> bool {
@@ -135,51 +151,51 @@
     /// The workers that fell silent together with one that is given up, itself among them.
     pub(super) fn lost_with(&self, worker: &Worker, now: u64) -> Together {
         let own = Loss::of(worker, now);
-        let mut silent: Vec<&Loss> = Vec::new();
+        let mut together = self.all_beside(&own.rack);
+        let unreached = self.unreached(&own.id, now);
         let recent = &self.crashes.losses.recent;
-        let known: HashSet<&Arc<str>> = recent.iter().map(|loss| &loss.id).collect();
-        let mut fresh = Vec::new();
-        let mut together = Together {
-            rack: Group::default(),
-            cell: Group::default(),
-        };
-        for (id, other) in &self.workers {
-            together.count(other.entry.rack() == &*own.rack);
-            let is_own = *id == own.id;
-            let is_silent = other.silent.is_some() && other.clock.is_some();
-            if !is_own && is_silent && !known.contains(id) {
-                fresh.push(Loss::of(other, now));
+        let others = recent.iter().filter(|loss| loss.id != own.id);
+        for loss in others.chain(&unreached) {
+            if loss.silence.meets(own.silence) {
+                together.add(loss, &own.rack);
             }
         }
-        for loss in recent {
-            if !self.workers.contains_key(&loss.id) {
-                together.count(loss.rack == own.rack);
-            }
+        together.add(&own, &own.rack);
+        together
+    }
+
+    /// Counts the workers of the cell and of a rack, those among them that were given up a short while ago.
+    fn all_beside(&self, rack: &str) -> Together {
+        let mut together = Together::default();
+        for worker in self.workers.values() {
+            together.count(worker.entry.rack() == rack);
         }
-        silent.extend(recent.iter().filter(|loss| loss.id != own.id));
-        silent.extend(&fresh);
-        silent.retain(|loss| loss.silence.meets(own.silence));
-        silent.push(&own);
-        for loss in silent {
-            together.cell.add(loss);
-            if loss.rack == own.rack {
-                together.rack.add(loss);
+        for loss in &self.crashes.losses.recent {
+            if !self.workers.contains_key(&loss.id) {
+                together.count(&*loss.rack == rack);
             }
         }
         together
     }
-}
 
-impl Together {
-    fn count(&mut self, is_of_rack: bool) {
-        self.cell.all += 1;
-        self.rack.all += usize::from(is_of_rack);
+    /// The other workers that cannot be reached and were not given up yet.
+    fn unreached(&self, own: &str, now: u64) -> Vec<Loss> {
+        let recent = &self.crashes.losses.recent;
+        let known: HashSet<&Arc<str>> = recent.iter().map(|loss| &loss.id).collect();
+        let mut unreached = Vec::new();
+        for (id, worker) in &self.workers {
+            let is_silent = worker.silent.is_some() && worker.clock.is_some();
+            if is_silent && &**id != own && !known.contains(id) {
+                unreached.push(Loss::of(worker, now));
+            }
+        }
+        unreached
     }
 }
 
 impl Worker {
     /// True when a run is not known to have gone on for long.
-    pub(super) fn is_early(&self, slot: &crate::slot::Slot) -> bool {
+    pub(super) fn is_early(&self, slot: &Slot) -> bool {
         self.known_to_run(slot).is_none_or(|age| age < EARLY)
     }
 }
--- a/components/cell/src/crashes/mod.rs
+++ b/components/cell/src/crashes/mod.rs
@@ -90,6 +90,10 @@
         let Some(worker) = self.workers.get(id) else {
             return Vec::new();
         };
+        if worker.slots.is_empty() {
+            self.crashes.losses.note(worker, now);
+            return Vec::new();
+        }
         let together = self.lost_with(worker, now);
         self.crashes.losses.note(worker, now);
         if worker.has_left() {
