One notion of a run that has just started; one reading of the clock; tests of a shared clock take turns

Cause: what a crash would cost on a worker told new runs by a copy of Worker::is_early; each read of a connection read the steady clock twice; the test of kernel::trust that moves the clock of the process ran beside others whose marks it makes look slept over, so that their verdict hung on the moment. Change: is_early is called; the reading of the mark is used again; the three tests take turns. No assertion has changed. Conclusion: behaviour as before.

--- a/components/cell/src/crashes/mod.rs
+++ b/components/cell/src/crashes/mod.rs
@@ -28,7 +28,7 @@
 
 /// A run that has been listed for this long has not crashed its worker by starting, in milliseconds. Workers that
 /// serve are polled each half second, so that a sound run has been listed at least once by then.
-pub(crate) const EARLY: u64 = 1_000;
+const EARLY: u64 = 1_000;
 /// A run that has been listed for this long clears its task of all earlier crashes, in milliseconds: ten times as long
 /// as most tasks run.
 const SOUND: u64 = 30_000;
--- a/components/cell/src/crashes/trial.rs
+++ b/components/cell/src/crashes/trial.rs
@@ -1,10 +1,8 @@
 //! How a task that may crash its worker is tried again.
 
 use {
-    super::EARLY,
     crate::{
         cell::Cell,
-        slot::Stage,
         worker::{Key, Worker},
     },
     job::Id,
@@ -172,11 +170,6 @@
 
 /// What is lost if a worker crashes, in thousandths of a core.
 fn harm(worker: &Worker) -> u64 {
-    let heard = worker.clock.map_or(0, |clock| clock.at);
-    let is_new = |stage: Stage| match stage {
-        Stage::Sent { .. } => true,
-        Stage::Running { at } => heard < at + EARLY,
-    };
-    let new = worker.slots.values().filter(|slot| is_new(slot.stage));
+    let new = worker.slots.values().filter(|slot| worker.is_early(slot));
     worker.firm.cpu + worker.filling + new.count() as u64 * NEWCOMER
 }
--- a/components/kernel/src/client.rs
+++ b/components/kernel/src/client.rs
@@ -406,7 +406,7 @@
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
         let is_more = self.inner.await_input(bound(timeout))?;
         self.proof = Mark::now();
-        QUIET.set(QUIET.get().map(|quiet| quiet.heard(Instant::now())));
+        QUIET.set(QUIET.get().map(|quiet| quiet.heard(self.proof.steady)));
         Ok(is_more)
     }
 
--- a/components/kernel/src/trust.rs
+++ b/components/kernel/src/trust.rs
@@ -53,10 +53,17 @@
 
 #[cfg(test)]
 mod tests {
-    use {super::*, crate::clock};
+    use {super::*, crate::clock, std::sync::MutexGuard};
+
+    /// The clock is one for the process: a test that moves it would make the marks of the others look slept over.
+    fn alone() -> MutexGuard<'static, ()> {
+        static ALONE: Mutex<()> = Mutex::new(());
+        lock(&ALONE)
+    }
 
     #[test]
     fn distrust_older_of_same_receiver() {
+        let _alone = alone();
         let trust = Trust::new(Duration::from_secs(20));
         let before = Mark::now();
         let timeout = before.at + Duration::from_millis(1);
@@ -70,6 +77,7 @@
     /// A box that wakes waited for an answer on a connection whose other end had long given it up.
     #[test]
     fn distrust_after_suspension() {
+        let _alone = alone();
         let trust = Trust::new(Duration::from_secs(20));
         let proof = Mark::now();
         assert!(trust.is_trusted("10.0.0.1:1", proof));
@@ -80,6 +88,7 @@
 
     #[test]
     fn distrust_forgets_old() {
+        let _alone = alone();
         let trust = Trust::new(Duration::ZERO);
         let now = Moment::now();
         trust.distrust("10.0.0.1:1", now);
