Nothing starts in a data hall that the operators have shut

Cause: their request (op/evacuate/HALL) was read by nobody.

Change: the owner reads every 0.5 s which halls are shut; a new owner before it places anything; one whom the store has confirmed after a doubt once more. Nothing is placed there (cell::halls), and starts that wait behind other orders, here or at relays, do not leave (Order::Withdraw).

--- a/components/cell/src/answer.rs
+++ b/components/cell/src/answer.rs
@@ -25,7 +25,7 @@
             Order::Stop { key, run, .. } if outcome == Outcome::Done => {
                 self.stopped(id, key, *run, now);
             }
-            Order::Stop { .. } | Order::Pace { .. } => {}
+            Order::Stop { .. } | Order::Pace { .. } | Order::Withdraw { .. } => {}
         }
         false
     }
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -138,6 +138,8 @@
     pub(crate) around: Arc<str>,
     /// Workers that get no work for now, see [`Cell::hold_back`].
     pub(crate) held: HashSet<Arc<str>>,
+    /// Data halls in which nothing may start.
+    pub(crate) shut: HashSet<Arc<str>>,
     /// Runs that are done and were not told yet.
     pub(crate) done: Vec<Done>,
     /// Pools whose workers start whatever they are told.
@@ -182,6 +184,7 @@
             looks: 0,
             around: "".into(),
             held: HashSet::new(),
+            shut: HashSet::new(),
             done: Vec::new(),
             unguarded: HashSet::new(),
             keeps_leases: false,
--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -149,7 +149,7 @@
             return false;
         }
         let is_open = worker.is_open(now) || (job.pressed && worker.is_set_aside());
-        let is_open = is_open && !worker.held;
+        let is_open = is_open && !worker.held && !self.is_shut(worker);
         if !is_open || !self.is_room_known(worker, now) || self.is_kept_alone(&worker.entry.id) {
             return false;
         }
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -14,6 +14,7 @@
 mod drain;
 mod ends;
 mod gang;
+mod halls;
 mod lapse;
 mod lives;
 mod order;
--- a/components/cell/src/order.rs
+++ b/components/cell/src/order.rs
@@ -51,6 +51,13 @@
         /// The share in hundredths.
         percent: u8,
     },
+    /// Do not let the start of a run leave that still waits behind other orders. The worker is told nothing.
+    Withdraw {
+        /// The task.
+        key: Key,
+        /// The number of the run.
+        run: u64,
+    },
 }
 
 /// What an order asks of which run, without what the worker needs besides.
@@ -60,11 +67,12 @@
             Order::Start(start) => ("start", &start.key, start.run),
             Order::Stop { key, run, .. } => ("stop", key, *run),
             Order::Pace { key, run, .. } => ("pace", key, *run),
+            Order::Withdraw { key, run } => ("withdraw", key, *run),
         };
         write!(f, "{word} {}/{}.{run}", key.job.as_str(), key.place)?;
         match self {
             Order::Start(start) => write!(f, " by {}", start.deadline),
-            Order::Stop { .. } => Ok(()),
+            Order::Stop { .. } | Order::Withdraw { .. } => Ok(()),
             Order::Pace { percent, .. } => write!(f, " at {percent}%"),
         }
     }
--- a/components/cell/src/summary.rs
+++ b/components/cell/src/summary.rs
@@ -47,7 +47,7 @@
             summary.placed += worker.slots.len();
             summary.serving += worker.serving;
             summary.firm += worker.firm.cpu - worker.serving;
-            if !worker.is_open(now) {
+            if !worker.is_open(now) || self.is_shut(worker) {
                 continue;
             }
             summary.open += 1;
--- a/components/cell/tests/decisions/main.rs
+++ b/components/cell/tests/decisions/main.rs
@@ -9,6 +9,7 @@
 mod ends;
 mod farm;
 mod fill;
+mod halls;
 mod lives;
 mod place;
 mod room;
--- a/components/node/src/claim.rs
+++ b/components/node/src/claim.rs
@@ -6,6 +6,7 @@
         group::{CELL, own, put},
         kept, keys,
         message::{Ask, Head, Member, Told},
+        outside::Closure,
         owning, peer,
         settings::{LEASE, OWNER_PAUSE, RENEW, WEAK, WEAK_WAIT},
         store::{Applied, Change, Item, range_all},
@@ -78,10 +79,16 @@
     log::info!(target: "owner", fence; "The cell is claimed.");
     metrics::counter!("magpie_claims_total").increment(1);
     let renewed = AtomicU64::new(begun);
-    let (cell, learned) = load_leased(node, lease, &renewed)?;
+    let Loaded {
+        cell,
+        learned,
+        closures,
+        read,
+    } = load_leased(node, lease, &renewed)?;
     let summary = cell.summary(time::now());
     log::info!(target: "owner", fence, jobs = summary.jobs, workers = summary.workers, took = time::now() - begun; "The cell is read.");
     let mut tenure = Tenure::new(fence, lease, cell, renewed.into_inner());
+    tenure.take_closures(closures, read);
     if node.settings.is_narrow() {
         // From now on others are to notice soon when this box is gone.
         tenure.lease = store.grant(LEASE)?;
@@ -155,7 +162,7 @@
 /// Reads what the former owner left, and keeps the lease alive meanwhile: how long that takes depends on
 /// how much it is and on the link of this box, and a lease that ends lets others claim the cell. `renewed` is moved to when it was
 /// last alive.
-fn load_leased(node: &Node, lease: u64, renewed: &AtomicU64) -> Result<(Cell, u64), Failure> {
+fn load_leased(node: &Node, lease: u64, renewed: &AtomicU64) -> Result<Loaded, Failure> {
     let loaded = Signal::new();
     thread::scope(|scope| {
         let builder = Builder::new().name("keep".to_owned());
@@ -201,8 +208,19 @@
     }
 }
 
-/// Reads jobs, records and workers into a cell; returns also the revision of what was learned.
-fn load(node: &Node) -> Result<(Cell, u64), Failure> {
+/// What an owner begins with.
+struct Loaded {
+    cell: Cell,
+    /// The revision of what was learned.
+    learned: u64,
+    /// The data halls that are shut.
+    closures: Vec<Closure>,
+    /// When the read of these was begun.
+    read: u64,
+}
+
+/// Reads jobs, records and workers into a cell; and last which data halls are shut, as reading the rest may take seconds.
+fn load(node: &Node) -> Result<Loaded, Failure> {
     let store = &*node.outside.store;
     let (intake, _) = range_all(store, keys::INTAKE)?;
     let (states, _) = range_all(store, keys::STATE)?;
@@ -266,5 +284,12 @@
         let members = read_or_tell(&item, members).unwrap_or_default();
         cell.inherit(members.into_iter().map(Entry::from).collect());
     }
-    Ok((cell, learned))
+    let read = time::now();
+    let closures = node.outside.closures.read()?;
+    Ok(Loaded {
+        cell,
+        learned,
+        closures,
+        read,
+    })
 }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -34,6 +34,8 @@
 
 pub use callers::{Call, Reply};
 pub use core::{Core, Node};
-pub use outside::{Advisor, Configs, Found, Machines, Outside, Read, Unheard, Waited, Workers};
+pub use outside::{
+    Advisor, Closure, Closures, Configs, Found, Machines, Outside, Read, Unheard, Waited, Workers,
+};
 pub use settings::Settings;
 pub use store::Store;
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -84,6 +84,22 @@
         /// It is to give the cell up if it is cut off from the store.
         release: bool,
     },
+    /// Which data halls are shut.
+    Halls {
+        /// Another box passes the question on: it goes no further.
+        passed: bool,
+    },
+}
+
+/// A data hall that is shut, as the owner knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shut {
+    /// The data hall.
+    pub hall: Arc<str>,
+    /// Who asked for it, where that is told.
+    pub by: Option<Arc<str>>,
+    /// When this owner first read of it, in milliseconds since 1970.
+    pub since: u64,
 }
 
 /// The answer to an [`Ask`].
@@ -102,6 +118,8 @@
         /// It is cut off from the store.
         cut_off: bool,
     },
+    /// See [`Ask::Halls`]; `None` where no owner answers.
+    Halls(Option<Vec<Shut>>),
 }
 
 /// What a relay brings to the owner. It is sent again unchanged until it is answered.
--- a/components/node/src/outside.rs
+++ b/components/node/src/outside.rs
@@ -132,6 +132,25 @@
     fn tell(&self, standing: &Standing) -> Result<(), Failure>;
 }
 
+/// A data hall in which the operators want nothing started.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Closure {
+    /// The data hall.
+    pub hall: Arc<str>,
+    /// Who asked for it, where that is told.
+    pub by: Option<Arc<str>>,
+}
+
+/// The data halls that the operators have shut.
+pub trait Closures: Send + Sync {
+    /// Reads them. An entry that cannot be read shuts nothing and is no reason to fail.
+    ///
+    /// # Errors
+    ///
+    /// They could not be read.
+    fn read(&self) -> Result<Vec<Closure>, Failure>;
+}
+
 /// All that a box reaches outside of itself.
 #[derive(Clone)]
 pub struct Outside {
@@ -145,4 +164,6 @@
     pub advisor: Arc<dyn Advisor>,
     /// The machines.
     pub machines: Arc<dyn Machines>,
+    /// The data halls that are shut.
+    pub closures: Arc<dyn Closures>,
 }
--- a/components/node/src/owning.rs
+++ b/components/node/src/owning.rs
@@ -6,7 +6,7 @@
         group::{CELL, put_compact},
         kept, keys,
         settings::{
-            INTAKE_WAIT, LEARNED_GAP, LEARNED_SHARE, LEASE, LIST_GAP, LIST_SHARE, RENEW,
+            HALLS_GAP, INTAKE_WAIT, LEARNED_GAP, LEARNED_SHARE, LEASE, LIST_GAP, LIST_SHARE, RENEW,
             STORE_PAUSE, WAVE_GAP,
         },
         store::{Applied, Change, Event, Watched, range_all},
@@ -30,6 +30,7 @@
     start("write", node, move |node| write(&node, fence));
     start("list", node, move |node| list(&node, fence));
     start("upkeep", node, move |node| upkeep(&node, fence));
+    start("halls", node, move |node| halls(&node, fence));
 }
 
 /// Carries the operators' waves of upkeep out.
@@ -78,6 +79,24 @@
     }
 }
 
+/// Follows which data halls the operators have shut.
+fn halls(node: &Node, fence: u64) {
+    while !is_over(node, fence) {
+        let begun = time::now();
+        match node.outside.closures.read() {
+            Ok(closures) => {
+                node.remote
+                    .tell(move |core, cx| core.shut(cx, fence, closures, begun));
+                thread::sleep(HALLS_GAP);
+            }
+            Err(failure) => {
+                log::info!(target: "owner", error:% = failure; "Which data halls are shut was not read.");
+                thread::sleep(HALLS_GAP / 2);
+            }
+        }
+    }
+}
+
 /// Starts the task that asks for advice, one question at a time: the service handles each box's
 /// calls in turn. It ends with the tenure. Returns the way for questions.
 pub fn ask_advice(node: &Node, fence: u64) -> Sender<Question> {
--- a/components/node/src/peer.rs
+++ b/components/node/src/peer.rs
@@ -7,7 +7,7 @@
         cancel,
         core::Node,
         kept,
-        message::{Ask, Offer, Told},
+        message::{Ask, Offer, Shut, Told},
         settings::{PEER_TIMEOUT, PEER_TWICE},
     },
     kernel::{Failure, Request, client::Time, server},
@@ -95,6 +95,7 @@
         Ask::Cancel(id) => Ok(Told::Reply(cancel::cancel(node, &id, false))),
         Ask::Cancelled(id) => Ok(Told::Reply(cancel::told(node, &id))),
         Ask::Probe { release } => probe(node, release),
+        Ask::Halls { passed } => Ok(Told::Halls(halls(node, passed)?)),
     }
 }
 
@@ -106,6 +107,23 @@
     })
 }
 
+/// The data halls that are shut, as the owner of the cell knows them; `None` where no owner answers. A question that
+/// another box has `passed` on goes no further.
+///
+/// # Errors
+///
+/// The box is stopping.
+pub fn halls(node: &Node, passed: bool) -> Result<Option<Vec<Shut>>, Failure> {
+    let own = node.remote.ask(|core, _| core.halls())?;
+    if own.is_some() || passed {
+        return Ok(own);
+    }
+    match ask_owner(node, &Ask::Halls { passed: true }) {
+        Some(Told::Halls(halls)) => Ok(halls),
+        _ => Ok(None),
+    }
+}
+
 fn probe(node: &Node, release: bool) -> Result<Told, Failure> {
     let cut_off = node.shared.is_cut_off();
     let owning = node.remote.ask(move |core, _| {
--- a/components/node/src/queued.rs
+++ b/components/node/src/queued.rs
@@ -1,7 +1,7 @@
 //! Orders on their way to a worker, which go out one after the other.
 //!
 //! A stop waits behind the orders before it, but the start of its run does not leave any more: what was cancelled, or has
-//! lost its room, would begin only to be stopped.
+//! lost its room, would begin only to be stopped. Likewise a start that is withdrawn, since its data hall was shut.
 
 use {
     crate::settings::START_WAIT,
@@ -44,7 +44,7 @@
     }
 }
 
-/// Runs that stops on their way are for.
+/// Runs whose starts must not leave any more.
 type Barred = Arc<Mutex<HashSet<(Key, u64)>>>;
 
 /// The way in of a worker's orders.
@@ -77,10 +77,10 @@
 }
 
 impl Entrance {
-    /// Notes that a stop is about to come, where the order is one.
+    /// Notes that an order is about to come which keeps a start from leaving, where it is one.
     pub fn bar(&self, order: &Order) {
-        if let Order::Stop { key, run, .. } = order {
-            lock(&self.barred).insert((key.clone(), *run));
+        if let Some(barred) = barred_by(order) {
+            lock(&self.barred).insert(barred);
         }
     }
 
@@ -95,13 +95,13 @@
     /// The next order, once there is one; `None` when no more will come.
     pub fn next(&self) -> Option<Queued> {
         let queued = self.orders.recv().ok()?;
-        if let Order::Stop { key, run, .. } = &queued.order {
-            lock(&self.barred).remove(&(key.clone(), *run));
+        if let Some(barred) = barred_by(&queued.order) {
+            lock(&self.barred).remove(&barred);
         }
         Some(queued)
     }
 
-    /// True for a start whose run a stop on its way is for.
+    /// True for a start that must not leave any more: a stop or a withdrawal of its run is on its way.
     pub fn is_barred(&self, order: &Order) -> bool {
         let Order::Start(start) = order else {
             return false;
@@ -110,6 +110,14 @@
     }
 }
 
+/// The run whose start an order keeps from leaving.
+fn barred_by(order: &Order) -> Option<(Key, u64)> {
+    match order {
+        Order::Stop { key, run, .. } | Order::Withdraw { key, run } => Some((key.clone(), *run)),
+        Order::Start(_) | Order::Pace { .. } => None,
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use {
@@ -178,14 +186,19 @@
         assert!(queued.is_stale(time::now()));
     }
 
-    /// A start that waits behind other orders does not leave once its stop has come in behind it.
-    #[test]
-    fn is_barred_by_stop_on_its_way() {
+    fn withdrawal() -> Order {
+        Order::Withdraw { key: key(), run: 1 }
+    }
+
+    /// A start that waits behind other orders does not leave once its stop or withdrawal has come in behind it.
+    #[test_case(stop(); "stop")]
+    #[test_case(withdrawal(); "withdrawal")]
+    fn is_barred_by_order_on_its_way(order: Order) {
         let (entrance, exit) = line();
         entrance.send(Queued::new(start(), 0, 0, 1));
         let first = exit.next().unwrap();
         assert!(!exit.is_barred(&first.order));
-        entrance.send(Queued::new(stop(), 0, 0, 1));
+        entrance.send(Queued::new(order, 0, 0, 1));
         assert!(exit.is_barred(&first.order));
         exit.next().unwrap();
         assert!(!exit.is_barred(&first.order));
--- a/components/node/src/relays/relay.rs
+++ b/components/node/src/relays/relay.rs
@@ -115,7 +115,7 @@
     match order {
         Order::Start(start) if start.text.is_empty() => TEXT_BYTES + SENT_BYTES,
         Order::Start(start) => start.text.len() + SENT_BYTES,
-        Order::Stop { .. } | Order::Pace { .. } => 0,
+        Order::Stop { .. } | Order::Pace { .. } | Order::Withdraw { .. } => 0,
     }
 }
 
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -98,6 +98,11 @@
 pub const LEARNED_GAP: Duration = Duration::from_millis(1_000);
 /// The time between two such writes in terms of how long the last one took: they take a twentieth of a narrow link.
 pub const LEARNED_SHARE: u32 = 20;
+/// Between two reads of which data halls are shut, and after one that failed half of it. The users want nothing to start
+/// 5 s after they have shut one. A start is refused by its worker 1.5 s after it was decided, so 3 s are left; two reads that
+/// are lost take 2.3 s of these. A read that finds nothing is 100 bytes; a watch would need reads besides, since it may
+/// hear nothing.
+pub const HALLS_GAP: Duration = Duration::from_millis(500);
 /// How often the owner looks for a wave of upkeep while there is none; waves last tens of seconds.
 pub const WAVE_GAP: Duration = Duration::from_millis(2_000);
 /// How long a watch of the configuration waits. Boxes have to be up to date 3 s after their connections
--- a/components/node/src/tenure/doubt.rs
+++ b/components/node/src/tenure/doubt.rs
@@ -5,6 +5,9 @@
 //! the doubt: a write under its own head, or, where the store does not answer, workers. Whoever claims the cell fences
 //! them all before it places anything, so an answer without a higher fence from more than half of them, to a poll sent
 //! since, shows that nobody has.
+//!
+//! A data hall may have been shut meanwhile. An owner whom the store has confirmed places nothing before it has read anew
+//! which are. Where the store answers nobody, no more can have been shut, and it goes by what it knew.
 
 use {
     super::Tenure,
@@ -80,11 +83,10 @@
     /// A write has come back that shows this box as the owner.
     pub(super) fn confirmed(&mut self) {
         self.prove(self.written);
-        if self
-            .doubt
-            .as_ref()
-            .is_some_and(|doubt| self.written >= doubt.since)
+        if let Some(doubt) = &self.doubt
+            && self.written >= doubt.since
         {
+            self.halls.doubt(doubt.since);
             self.trust_again();
         }
     }
--- a/components/node/src/tenure/mod.rs
+++ b/components/node/src/tenure/mod.rs
@@ -2,13 +2,14 @@
 //! to the cell, passes of placement and written groups are in files of their own.
 
 mod doubt;
+mod halls;
 mod pass;
 mod take;
 mod talk;
 mod write;
 
 use {
-    self::doubt::Doubt,
+    self::{doubt::Doubt, halls::Halls},
     crate::{
         core::Core,
         group::Group,
@@ -74,6 +75,8 @@
     proven: u64,
     /// Another box may own the cell.
     doubt: Option<Doubt>,
+    /// The data halls that are shut.
+    halls: Halls,
     /// When the last group went to the writer.
     written: u64,
     /// When the last pass of placement was over.
@@ -105,6 +108,7 @@
             ticked: claimed,
             proven: claimed,
             doubt: None,
+            halls: Halls::default(),
             written: 0,
             passed: 0,
             pass_took: 0,
@@ -230,6 +234,7 @@
         };
         self.node.shared.own(0);
         tenure.cell.tell_done(time::now());
+        tenure.forget_halls();
         log::warn!(target: "owner", fence = tenure.fence, cause; "The cell is no longer owned here.");
         metrics::counter!("magpie_tenures_lost_total").increment(1);
         if let Some(answerer) = tenure.leaving {
--- a/components/node/src/tenure/pass.rs
+++ b/components/node/src/tenure/pass.rs
@@ -45,7 +45,7 @@
         };
         tenure.pass_due = false;
         let begun = time::now();
-        if tenure.leaving.is_none() && !tenure.is_doubtful() {
+        if tenure.leaving.is_none() && !tenure.is_doubtful() && tenure.halls.are_known() {
             if let Some(config) = &*config {
                 tenure.cell.set_unguarded(config.unguarded());
             }
--- a/components/node/src/worker.rs
+++ b/components/node/src/worker.rs
@@ -72,7 +72,7 @@
     }
 }
 
-/// Sends an order, unless it has waited for too long or is to be stopped; a start with the specification of its job.
+/// Sends an order, unless it has waited for too long or must not leave any more; a start with the specification of its job.
 pub(crate) fn send_one(
     node: &Node,
     fence: u64,
@@ -80,6 +80,10 @@
     mut queued: Queued,
     line: &Exit,
 ) -> Outcome {
+    if let Order::Withdraw { .. } = queued.order {
+        // It has done its part while it waited.
+        return Outcome::Done;
+    }
     if let Order::Start(start) = &mut queued.order
         && start.text.is_empty()
     {
--- a/components/standin/src/runner.rs
+++ b/components/standin/src/runner.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        kv::{Kv, encode},
+        kv::{Kv, decode, encode},
         port::{self, Asked, Told, reply},
     },
     kernel::{Reply, sync::lock},
@@ -195,6 +195,17 @@
         Ok(runner)
     }
 
+    /// Stands in another data hall than `h1` from now on, as its entry says.
+    pub fn stand_in(&self, hall: &str) {
+        let key = format!("servers/{}", self.id());
+        let text = decode(&self.kv.value(&key).unwrap_or_default());
+        let Ok(mut entry) = serde_json::from_slice::<Value>(&text) else {
+            return;
+        };
+        entry["zone"] = hall.into();
+        self.kv.put(&key, &encode(&entry));
+    }
+
     /// Sets what goes wrong.
     pub fn fail(&self, faults: Faults) {
         lock(&self.core).faults = faults;
--- a/programs/box/src/ports.rs
+++ b/programs/box/src/ports.rs
@@ -3,7 +3,7 @@
 use {
     crate::cli::Setup,
     kernel::{Request, Server, edge, ops, server::Reply},
-    node::Node,
+    node::{Node, message::Shut, peer},
     platform::callers,
     std::{
         io,
@@ -24,6 +24,8 @@
 const PEER_TASKS: usize = 6;
 /// The path of the readiness probe.
 const READY: &str = "/readiness";
+/// The path of the data halls that are shut, as text for operators.
+const HALLS: &str = "/halls";
 
 /// The ports that are open.
 pub struct Ports {
@@ -91,8 +93,27 @@
 }
 
 fn figures(node: &Node, request: Request) {
+    if request.path == HALLS {
+        request.respond(halls(node));
+        return;
+    }
     let is_ready = || node.is_ready();
     if let Some(request) = ops::route(request, is_ready) {
         request.respond(Reply::text(404, "no such path\n"));
     }
 }
+
+/// The data halls that are shut, one a line: its name, since when in milliseconds since 1970, and by whom.
+fn halls(node: &Node) -> Reply {
+    let shut = match peer::halls(node, false) {
+        Ok(Some(shut)) => shut,
+        Ok(None) => return Reply::text(503, "no owner answers\n"),
+        Err(failure) => return Reply::failure(&failure),
+    };
+    let mut text = String::new();
+    for Shut { hall, by, since } in shut {
+        let by = by.as_deref().unwrap_or("-");
+        text.push_str(&format!("{hall} {since} {by}\n"));
+    }
+    Reply::text(200, text)
+}
--- a/programs/ctl/src/cli.rs
+++ b/programs/ctl/src/cli.rs
@@ -15,6 +15,9 @@
     /// base address of a table (MAGPIE_TABLE, default http://127.0.0.1:7003)
     #[argh(option)]
     pub table: Option<String>,
+    /// base address of a box on the users' platform, its port for other boxes (MAGPIE_BOX, default http://127.0.0.1:7004)
+    #[argh(option, long = "box")]
+    pub entry_box: Option<String>,
     /// file with the token, else MAGPIE_TOKEN (MAGPIE_TOKEN_FILE)
     #[argh(option)]
     pub token_file: Option<String>,
@@ -30,6 +33,7 @@
     Job(Job),
     Worker(Worker),
     Cell(Cell),
+    Hall(Hall),
 }
 
 /// The operators' table.
@@ -274,3 +278,27 @@
     #[argh(switch)]
     pub json: bool,
 }
+
+/// Data halls.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "hall")]
+pub struct Hall {
+    #[argh(subcommand)]
+    pub command: HallCommand,
+}
+
+/// What to do with data halls.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum HallCommand {
+    List(HallList),
+}
+
+/// List the data halls that are shut, since when and by whom.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+pub struct HallList {
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
--- a/programs/ctl/src/context.rs
+++ b/programs/ctl/src/context.rs
@@ -19,14 +19,21 @@
 pub struct Context {
     sched: String,
     table: String,
+    entry_box: String,
     client: Client,
 }
 
 /// Reads and checks the settings; ends the process when they are wrong.
-pub fn read(sched: Option<String>, table: Option<String>, token_file: Option<String>) -> Context {
+pub fn read(
+    sched: Option<String>,
+    table: Option<String>,
+    entry_box: Option<String>,
+    token_file: Option<String>,
+) -> Context {
     let mut reader = Reader::new();
     let sched = reader.url("sched", sched, Some("http://127.0.0.1:7002"));
     let table = reader.url("table", table, Some("http://127.0.0.1:7003"));
+    let entry_box = reader.url("box", entry_box, Some("http://127.0.0.1:7004"));
     let common = daemon::common(&mut reader, None, token_file);
     settle(reader.finish(), false);
     let token = common.and_then(|common| common.token);
@@ -34,6 +41,7 @@
     Context {
         sched,
         table,
+        entry_box: entry_box.unwrap_or_default(),
         client: Client::new(token),
     }
 }
@@ -57,6 +65,15 @@
         self.ask(&self.table, path, message)
     }
 
+    /// Asks a box of the users' platform.
+    pub fn entry_box<T: Serialize, R: DeserializeOwned>(
+        &self,
+        path: &str,
+        message: &T,
+    ) -> Result<R, Error> {
+        self.ask(&self.entry_box, path, message)
+    }
+
     fn ask<T: Serialize, R: DeserializeOwned>(
         &self,
         base: &str,
--- /dev/null
+++ b/programs/ctl/src/hall.rs
@@ -0,0 +1,44 @@
+//! Data halls on the users' platform.
+
+use {
+    crate::{cli::HallCommand, context::Context, exit::Error, show},
+    chrono::{DateTime, SecondsFormat},
+    node::{
+        message::{Ask, Shut, Told},
+        peer,
+    },
+};
+
+/// Runs a command on data halls.
+pub fn run(context: &Context, command: HallCommand) -> Result<(), Error> {
+    let HallCommand::List(command) = command;
+    let told: Told = context.entry_box(peer::PATH, &Ask::Halls { passed: false })?;
+    let Told::Halls(Some(halls)) = told else {
+        return Err(Error::Ended("no owner of the cell answers".to_owned()));
+    };
+    if command.json {
+        show::json(&halls);
+        return Ok(());
+    }
+    let row = |shut: &Shut| {
+        [
+            shut.hall.to_string(),
+            time(shut.since),
+            shut.by.as_deref().unwrap_or("-").to_owned(),
+        ]
+    };
+    let header = ["SHUT HALL", "KNOWN SINCE", "BY"];
+    show::columns(header, &halls.iter().map(row).collect::<Vec<_>>());
+    Ok(())
+}
+
+/// A time in milliseconds since 1970, for people.
+fn time(millis: u64) -> String {
+    let time = i64::try_from(millis)
+        .ok()
+        .and_then(DateTime::from_timestamp_millis);
+    time.map_or_else(
+        || millis.to_string(),
+        |time| time.to_rfc3339_opts(SecondsFormat::Secs, true),
+    )
+}
--- a/programs/ctl/src/main.rs
+++ b/programs/ctl/src/main.rs
@@ -4,6 +4,7 @@
 mod cli;
 mod context;
 mod exit;
+mod hall;
 mod job;
 mod show;
 mod table;
@@ -13,12 +14,18 @@
 
 fn main() {
     let arguments: cli::Arguments = daemon::arguments();
-    let context = context::read(arguments.sched, arguments.table, arguments.token_file);
+    let context = context::read(
+        arguments.sched,
+        arguments.table,
+        arguments.entry_box,
+        arguments.token_file,
+    );
     let done = match arguments.command {
         Command::Table(command) => table::run(&context, command.command),
         Command::Job(command) => job::run(&context, command.command),
         Command::Worker(command) => worker::run(&context, command.command),
         Command::Cell(command) => cell::run(&context, command.command),
+        Command::Hall(command) => hall::run(&context, command.command),
     };
     if let Err(error) = done {
         eprintln!("{error}");
--- a/programs/load/src/slope/owner/host.rs
+++ b/programs/load/src/slope/owner/host.rs
@@ -112,7 +112,7 @@
                     run.ends = now;
                 }
             }
-            Order::Pace { .. } => {}
+            Order::Pace { .. } | Order::Withdraw { .. } => {}
         }
     }
 }
