Soak: data halls are shut, and nothing may start there

Cause: the soak knew no halls; what keeps starts out of a shut one was proved by single cases only.

Checked: no start in a hall over 5 s after it was shut where no box has had trouble for 5 s.

--- a/programs/soak/src/check.rs
+++ b/programs/soak/src/check.rs
@@ -20,6 +20,8 @@
 /// Whatever trouble there is, it is started no oftener: an owner that is killed misses one crash, and a run has some ten
 /// owners.
 const BUDGET_MOST: usize = 14;
+/// No start comes in a hall so long after it was shut, where no box has had trouble for some time.
+const SHUT_AFTER: Micros = 5 * SECOND;
 /// A job is known to untroubled boxes so long after it was accepted.
 const VISIBLE: Micros = 2 * SECOND;
 
@@ -115,6 +117,51 @@
     Some(breach("unasked", &job.id, text))
 }
 
+/// A data hall that was shut.
+#[derive(Debug, Clone)]
+pub struct Closure {
+    /// Its name.
+    pub hall: String,
+    /// What the names of its workers begin with.
+    pub workers: Vec<String>,
+    /// When it was shut.
+    pub shut: Micros,
+    /// When it was opened again.
+    pub opened: Micros,
+}
+
+impl Closure {
+    /// True when it lasted so long that starts are judged.
+    pub fn is_long(&self) -> bool {
+        self.opened > self.shut + SHUT_AFTER
+    }
+}
+
+/// Nothing starts in a hall that was shut some time ago, where the troubles of all boxes are over.
+pub fn shut_halls(closures: &[Closure], runs: &[Run], boxes: &[Trouble]) -> Vec<Breach> {
+    let mut found = Vec::new();
+    for closure in closures.iter().filter(|closure| closure.is_long()) {
+        for run in runs {
+            let is_judged = run.begun > closure.shut + SHUT_AFTER && run.begun < closure.opened;
+            let is_there = || {
+                closure
+                    .workers
+                    .iter()
+                    .any(|own| run.worker.starts_with(own))
+            };
+            let from = run.begun.saturating_sub(CALM);
+            let is_calm = || boxes.iter().all(|own| own.is_calm(from, run.begun));
+            if !is_judged || !is_there() || !is_calm() {
+                continue;
+            }
+            let Closure { hall, shut, .. } = closure;
+            let text = format!("{} began at {} us, shut at {shut} us", run.task, run.begun);
+            found.push(breach("shut", hall, text));
+        }
+    }
+    found
+}
+
 /// Of how many runs it is judged whether they were gone in time after a cancellation.
 pub fn judged_stops(jobs: &Jobs, runs: &[Run], trouble: &Trouble) -> usize {
     let is_judged = |run: &&Run| {
@@ -359,6 +406,33 @@
         assert_eq!(found, rule);
     }
 
+    #[test_case(5, NEVER, 0, &[]; "soon after")]
+    #[test_case(6, NEVER, 0, &["shut"]; "late")]
+    #[test_case(9, 8, 0, &[]; "open again")]
+    #[test_case(6, NEVER, 3, &[]; "after trouble")]
+    fn shut_halls_cases(begun: Micros, opened: Micros, troubled: Micros, rule: &[&str]) {
+        let closure = Closure {
+            hall: "h1".to_owned(),
+            workers: vec!["w1-".to_owned(), "w4-".to_owned()],
+            shut: SECOND,
+            opened: opened.saturating_mul(SECOND),
+        };
+        let mut there = run("a.0.0.0", begun * SECOND + 1, NEVER, "");
+        there.worker = "w4-2".to_owned();
+        let elsewhere = run("a.0.0.1", begun * SECOND + 1, NEVER, "");
+        let mut trouble = Trouble::default();
+        if troubled > 0 {
+            trouble.note(troubled * SECOND, 1);
+        }
+        let found = shut_halls(
+            &[closure],
+            &[there, elsewhere],
+            &[Trouble::default(), trouble],
+        );
+        let found: Vec<&str> = found.iter().map(|breach| breach.rule).collect();
+        assert_eq!(found, rule);
+    }
+
     #[test]
     fn completed_stays() {
         let runs = [run("a.0.0.0", 5, 9, "done"), run("a.0.1.0", 9, 20, "done")];
--- a/programs/soak/src/fault.rs
+++ b/programs/soak/src/fault.rs
@@ -136,6 +136,7 @@
                 self.stale.insert(place, world.crash(number));
             }
             Fault::Unlisted(number) => world.unlist(&world.life(number)),
+            Fault::Shut(hall) => world.shut(hall),
             Fault::Version => world.write_version(),
             Fault::OldVersion => world.write_older(),
             Fault::Shrunk(number, cores) => world.resize(number, cores),
@@ -158,6 +159,12 @@
             Fault::Unlisted(number) | Fault::Garbled(number) => self.world.list(number),
             Fault::Shrunk(number, _) => self.world.resize(number, CORES),
             Fault::Foreign(kind) => self.world.unlist_foreign(kind),
+            Fault::Shut(hall) => {
+                let is_other = |fault| fault == Fault::Shut(hall);
+                if !self.faults().any(is_other) {
+                    self.world.open_hall(hall);
+                }
+            }
             Fault::OldVersion => self.world.write_latest(),
             _ => {}
         }
--- a/programs/soak/src/plan.rs
+++ b/programs/soak/src/plan.rs
@@ -16,6 +16,14 @@
 const CALM: std::ops::Range<u64> = 9_500..11_500;
 /// Tells the chance of faults of entries and room from that of the others.
 const ODD: u64 = 0x6f64_6400;
+/// Tells the chance of shut halls from that of the others.
+const HALLS_CHANCE: u64 = 0x6861_6c6c;
+/// Data halls in which workers stand, in turn.
+pub const HALLS: usize = 3;
+/// How long a hall is shut, in milliseconds: most often longer than the 5 s after which nothing may start there.
+const SHUT_FOR: std::ops::Range<u64> = 500..14_000;
+/// From one hall that is shut to the next, in milliseconds.
+const SHUT_GAP: std::ops::Range<u64> = 1_000..16_000;
 /// The most time between two of these, in milliseconds.
 const ODD_GAP: u64 = 5_000;
 /// The lease of an owner, in milliseconds.
@@ -82,6 +90,8 @@
     Garbled(usize),
     /// Something that is no worker is listed beside the workers.
     Foreign(usize),
+    /// The operators shut a data hall.
+    Shut(usize),
     /// The operators write a new version of the configuration.
     Version,
     /// An older version shows for a while.
@@ -115,7 +125,7 @@
 
     /// True for changes that operators make on any day.
     pub fn is_change(self) -> bool {
-        matches!(self, Fault::Version | Fault::OldVersion)
+        matches!(self, Fault::Version | Fault::OldVersion | Fault::Shut(_))
     }
 
     /// True while it keeps a box from running.
@@ -175,6 +185,7 @@
         at += rng.u64(800..5_000);
     }
     plan.extend(odd(seed, end, workers));
+    plan.extend(shut(seed, end));
     plan.sort_by_key(|event| event.at);
     plan
 }
@@ -199,6 +210,20 @@
     plan
 }
 
+/// Halls that are shut, one after the other or at the same time, also with a chance of their own.
+fn shut(seed: u64, end: u64) -> Vec<Event> {
+    let mut rng = Rng::with_seed(seed ^ HALLS_CHANCE);
+    let mut plan = Vec::new();
+    let mut at = rng.u64(SHUT_GAP);
+    while at < end {
+        let fault = Fault::Shut(rng.usize(0..HALLS));
+        let lasts = rng.u64(SHUT_FOR).min(end - at);
+        plan.push(Event { at, lasts, fault });
+        at += rng.u64(SHUT_GAP);
+    }
+    plan
+}
+
 /// The time until the next series.
 fn pause(rng: &mut Rng) -> u64 {
     match rng.u64(0..10) {
@@ -277,6 +302,6 @@
                 kinds.insert(std::mem::discriminant(&event.fault));
             }
         }
-        assert_eq!(kinds.len(), 31);
+        assert_eq!(kinds.len(), 32);
     }
 }
--- a/programs/soak/src/report.rs
+++ b/programs/soak/src/report.rs
@@ -45,10 +45,10 @@
     let (total, cancelled) = (jobs.len(), cancelled.count());
     drop(jobs);
     let (runs, versions, crashes) = (world.runs().len(), world.latest(), world.crashes());
-    let stops = world.judged_stops();
+    let (stops, closures) = (world.judged_stops(), world.judged_closures());
     let breaches = world.breaches().len();
     println!(
-        "seed {seed}: {breaches} breaches; {total} jobs, {accepted} accepted, {cancelled} cancelled; {runs} runs, {crashes} crashes under tasks, {stops} stops in calm; {versions} versions; {stalls} stalls of the stand-ins"
+        "seed {seed}: {breaches} breaches; {total} jobs, {accepted} accepted, {cancelled} cancelled; {runs} runs, {crashes} crashes under tasks, {stops} stops in calm; {closures} halls shut for long; {versions} versions; {stalls} stalls of the stand-ins"
     );
     if breaches > 0 {
         println!("seed {seed}: logs of the boxes lie in {}", logs.display());
--- a/programs/soak/src/world.rs
+++ b/programs/soak/src/world.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
-        check::{self, Breach},
+        check::{self, Breach, Closure},
         history::{Jobs, Micros, NEVER, Run, Trouble},
+        plan::HALLS,
         process::{Process, Program},
         versions::{Followed, Written, write},
     },
@@ -71,6 +72,7 @@
     troubles: Mutex<Troubles>,
     written: Mutex<Written>,
     followed: Mutex<HashMap<(usize, u64), Followed>>,
+    closures: Mutex<Vec<Closure>>,
     breaches: Mutex<Vec<Breach>>,
     /// Bounds of time are judged.
     pub timed: bool,
@@ -98,6 +100,7 @@
             troubles: Mutex::default(),
             written: Mutex::default(),
             followed: Mutex::default(),
+            closures: Mutex::default(),
             breaches: Mutex::default(),
             timed,
         };
@@ -130,6 +133,7 @@
         let address = entry["address"].as_str().unwrap_or_default();
         let line = Line::open(address.parse()?)?;
         entry["address"] = line.address().to_string().into();
+        entry["zone"] = hall_name(number % HALLS).into();
         self.kv.put(&key, &encode(&entry));
         Ok(Worker {
             runner,
@@ -186,6 +190,36 @@
         old
     }
 
+    /// Shuts a data hall, as the operators do.
+    pub fn shut(&self, hall: usize) {
+        let name = hall_name(hall);
+        let key = format!("op/evacuate/{name}");
+        if self.kv.value(&key).is_some() {
+            return;
+        }
+        self.kv.put(&key, &encode(&json!({})));
+        let shut = self.now();
+        let workers = (hall..self.workers.len()).step_by(HALLS);
+        lock(&self.closures).push(Closure {
+            hall: name,
+            workers: workers.map(|number| format!("w{number}-")).collect(),
+            shut,
+            opened: NEVER,
+        });
+    }
+
+    /// Opens it again.
+    pub fn open_hall(&self, hall: usize) {
+        let name = hall_name(hall);
+        let now = self.now();
+        for closure in lock(&self.closures).iter_mut() {
+            if closure.hall == name && closure.opened == NEVER {
+                closure.opened = now;
+            }
+        }
+        self.kv.remove(&format!("op/evacuate/{name}"));
+    }
+
     /// Takes a life of a worker from the listing.
     pub fn unlist(&self, life: &str) {
         self.kv.remove(&format!("servers/{life}"));
@@ -324,11 +358,26 @@
             let id = task.split('.').next().unwrap_or_default();
             self.break_rule("room", id, text);
         }
-        for breach in check::all(&jobs, &self.runs(), &trouble, self.now()) {
+        let runs = self.runs();
+        for breach in check::all(&jobs, &runs, &trouble, self.now()) {
+            self.keep(breach);
+        }
+        // Whatever befalls workers is no reason to start anything in a hall that is shut.
+        let boxes = match self.timed {
+            true => lock(&self.troubles).boxes.clone(),
+            false => vec![Trouble::always()],
+        };
+        for breach in check::shut_halls(&lock(&self.closures), &runs, &boxes) {
             self.keep(breach);
         }
     }
 
+    /// How many times a hall was shut for longer than starts may go on there.
+    pub fn judged_closures(&self) -> usize {
+        let closures = lock(&self.closures);
+        closures.iter().filter(|own| own.is_long()).count()
+    }
+
     /// Of how many runs it was judged whether they were gone in time after a cancellation.
     pub fn judged_stops(&self) -> usize {
         let jobs = lock(&self.jobs).clone();
@@ -357,6 +406,11 @@
     }
 }
 
+/// The name of a data hall.
+fn hall_name(hall: usize) -> String {
+    format!("h{hall}")
+}
+
 fn foreign(kind: usize) -> String {
     format!("servers/x-{kind}")
 }
