An owner on an island doubts before another box may claim its cell

Cause: an owner that reaches neither the store nor most of its workers lets no lease go on; but it counted workers as reached that had answered within 3 s, while the cell may be claimed 2.3 s after a cut. Leases that the island renews in between end up to half a second after the new owner takes them for over, where the cut lasts over 7 s: a task could run twice.

Change: a worker is silent once a poll is overdue (its wait and 1 s); an owner without the store that hears no more workers than are silent is in doubt (Cell::reach).

Ruled out: a longer wait of the new owner (each takeover with one silent worker would take a second longer, against 6 s for lasting tasks); counting answers within 1.5 s alone (idle workers' polls are held for 2 s: doubt without a cut whenever the store is away).

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -12,7 +12,7 @@
         told::Done,
         turns::Turns,
         wave,
-        worker::{Entry, Key, Worker},
+        worker::{Clock, Entry, Key, Worker},
     },
     job::{Id, Phase, Progress, State},
     serde::{Deserialize, Serialize},
@@ -82,6 +82,15 @@
     pub wait: u64,
 }
 
+/// How many workers are reached. One whose poll is held, and that has not answered for long, is neither heard nor silent.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Reach {
+    /// Those that have answered lately.
+    pub heard: usize,
+    /// Those that have left a poll without an answer.
+    pub silent: usize,
+}
+
 /// One cell of workers and its jobs.
 pub struct Cell {
     pub(crate) timing: Timing,
@@ -255,6 +264,7 @@
         } else {
             worker.poll_wait()
         };
+        worker.due = Some(now + wait + timing::POLL_LATE);
         Some(Poll {
             deadline,
             seen: worker.kept,
@@ -274,10 +284,19 @@
         worker.is_some_and(|worker| worker.is_unwritten() || worker.left)
     }
 
-    /// How many workers have reported since this time.
-    pub fn heard_since(&self, time: u64) -> usize {
-        let clocks = self.workers.values().filter_map(|worker| worker.clock);
-        clocks.filter(|clock| clock.at >= time).count()
+    /// How many workers are reached now, and how many are not.
+    pub fn reach(&self, now: u64) -> Reach {
+        let mut reach = Reach::default();
+        for worker in self.workers.values() {
+            let is_overdue = worker.due.is_some_and(|due| now > due);
+            let is_fresh = |clock: Clock| now <= clock.at + timing::HEARD_WITHIN;
+            if worker.failing || is_overdue {
+                reach.silent += 1;
+            } else if worker.clock.is_some_and(is_fresh) {
+                reach.heard += 1;
+            }
+        }
+        reach
     }
 
     /// How many workers are known.
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -35,7 +35,7 @@
 mod write;
 
 pub use advise::{Advice, Question};
-pub use cell::{Cell, Poll};
+pub use cell::{Cell, Poll, Reach};
 pub use disturb::Disturbance;
 pub use order::{End, How, Order, Outcome, Reason, Report, Run, Start};
 pub use summary::Summary;
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -42,6 +42,7 @@
         worker.fenced = true;
         worker.heard = true;
         worker.failing = false;
+        worker.due = None;
         worker.silent = None;
         worker.changed = true;
         worker.clock = Some(Clock {
--- a/components/cell/src/timing.rs
+++ b/components/cell/src/timing.rs
@@ -33,6 +33,12 @@
 /// last half second, and filling tasks may be placed beside them meanwhile.
 pub const POLL_SHARED: u64 = 500;
 
+/// The answer to a poll is overdue this long after its wait: 0.8 s after which whoever polls gives it up, and the way over a
+/// relay and back.
+pub const POLL_LATE: u64 = 1_000;
+/// A worker that has answered within this time is reached: the wait of a poll of a worker with serving tasks, and how long
+/// its answer may take.
+pub const HEARD_WITHIN: u64 = POLL_SHARED + POLL_LATE;
 /// The time until a lease of this length on a worker's clock is over on ours.
 pub const fn until_over(length: u64) -> u64 {
     length + length * CLOCK_DRIFT / 1_000 + LEASE_SLACK
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -119,6 +119,8 @@
     pub heard: bool,
     /// The last poll that is over had no answer: the worker is not to be reached.
     pub failing: bool,
+    /// When the answer to the poll on its way is overdue; `None` while there is none.
+    pub due: Option<u64>,
     /// Since when it has not been reached.
     pub silent: Option<u64>,
     /// The last reading of its clock.
@@ -177,6 +179,7 @@
             fenced: false,
             heard: false,
             failing: false,
+            due: None,
             silent: None,
             clock: None,
             granted: 0,
--- a/components/cell/tests/decisions/silence.rs
+++ b/components/cell/tests/decisions/silence.rs
@@ -1,9 +1,9 @@
 //! Workers that do not answer, that are not asked in time, or whose life is over.
 
 use {
-    crate::common::{JOB, World, end, entry, ordered, other_than, running, state, step},
-    job::State,
-    magpie_cell::{How, Order, Outcome, Reason, Report},
+    crate::common::{JOB, World, end, entry, ordered, other_than, run, running, state, step},
+    job::{State, Step},
+    magpie_cell::{How, Order, Outcome, Reach, Reason, Report},
     std::sync::Arc,
 };
 
@@ -117,3 +117,50 @@
     assert!(!world.cell.knows(&worker));
     assert_eq!(world.starts().len(), 1);
 }
+
+/// Workers that each have a serving task and were polled again right after they had answered.
+fn serving(workers: &[&str]) -> World {
+    let mut world = World::new(workers);
+    let serving = Step {
+        lasting: true,
+        target: 10,
+        image: Some("image".into()),
+        ..step(workers.len() as u32, 3_000)
+    };
+    world.submit(JOB, vec![serving]);
+    for (worker, start) in world.starts() {
+        world.answer(&worker, &start, Outcome::Done);
+        world.report(&worker, vec![run(JOB, start.address.index, 1)], vec![]);
+    }
+    world
+}
+
+/// A hall with the owner in it is cut off, where only w1 is: the others are silent half a second before the lease of the
+/// owner is over in the store (2 s), after which another box may claim the cell. They counted as heard for 3 s, and the
+/// owner let the lease of w1 go on 0.6 s after the cell had been claimed.
+#[test]
+fn cut_off_workers_are_silent_before_another_claims() {
+    let mut world = serving(&["w1", "w2", "w3", "w4"]);
+    let cut = world.now;
+    let reach = |heard, silent| Reach { heard, silent };
+    assert_eq!(world.cell.reach(cut + 1_000), reach(4, 0));
+    for _ in 0..3 {
+        world.now += 500;
+        world.report("w1", vec![run(JOB, 0, 1)], vec![]);
+    }
+    world.cell.take_orders();
+    assert_eq!(world.cell.reach(cut + 1_500), reach(4, 0));
+    assert_eq!(world.cell.reach(cut + 1_501), reach(1, 3));
+    // Polls that fail show it sooner.
+    world.cell.unheard("w1", world.now);
+    assert_eq!(world.cell.reach(cut + 1_501), reach(0, 4));
+}
+
+/// While the store is away for all, no worker is silent, and those whose polls are held for long are no sign of a cut.
+#[test]
+fn idle_workers_are_not_silent() {
+    let world = World::new(&["w1", "w2"]);
+    for after in [0, 1_500, 2_900] {
+        assert_eq!(world.cell.reach(world.now + after).silent, 0);
+    }
+}
--- a/components/node/src/tenure/doubt.rs
+++ b/components/node/src/tenure/doubt.rs
@@ -15,13 +15,10 @@
         settings::{LEASE, RENEW},
         time,
     },
+    cell::Reach,
     std::{collections::HashSet, sync::Arc},
 };
 
-/// A worker that is reached has answered a poll within this time, in milliseconds: polls are held for up to 2 s, and have
-/// 0.8 s besides.
-const HEARD_WITHIN: u64 = 3_000;
-
 /// A doubt.
 #[derive(Debug)]
 pub(super) struct Doubt {
@@ -46,15 +43,20 @@
     /// Doubts when neither the store nor most of the workers have shown for a while that this box owns the cell: on the
     /// other side of a cut another box may have claimed it, and reckon leases over that this one lets go on. While the store
     /// is away for all, nobody can, and the workers answer.
+    ///
+    /// It must doubt no later than another box may claim: that one waits as long for leases as this one gives, and no
+    /// longer. Seen with a hall cut off with the owner in it: the other claimed 2.4 s after the cut, and this one let
+    /// leases go on until 3 s after it, while it counted workers that had answered in the last 3 s. Serving workers are
+    /// silent 1.5 s after a cut; those without serving tasks, whose polls are held for 2 s, only 3 s after it.
     pub(super) fn doubt_if_alone(&mut self) {
         let now = time::now();
         let is_proven = now < self.proven + LEASE.as_millis() as u64;
         if is_proven || self.doubt.is_some() {
             return;
         }
-        let heard = self.cell.heard_since(now.saturating_sub(HEARD_WITHIN));
-        if heard * 2 <= self.cell.size() {
-            log::warn!(target: "owner", fence = self.fence, heard, workers = self.cell.size(); "This box reaches neither the store nor most of the workers; another may own the cell.");
+        let Reach { heard, silent } = self.cell.reach(now);
+        if silent > 0 && silent >= heard {
+            log::warn!(target: "owner", fence = self.fence, heard, silent, workers = self.cell.size(); "This box reaches neither the store nor most of the workers; another may own the cell.");
             self.doubt();
         }
     }
