--- a/components/cell/src/halls.rs
+++ b/components/cell/src/halls.rs
@@ -35,9 +35,6 @@
             }
             log::info!(target: "cell", hall = &**hall, workers = count, tasks = running; "A data hall is shut: nothing more starts there.");
         }
-        for hall in former.difference(&self.shut) {
-            log::info!(target: "cell", hall = &**hall; "A data hall is open again.");
-        }
     }
 
     /// True for a worker in a data hall that is shut.
--- a/components/kernel/src/line.rs
+++ b/components/kernel/src/line.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::wall,
-    chrono::{DateTime, SecondsFormat},
+    chrono::SecondsFormat,
     log::{
         Record,
         kv::{self, Key, Value, VisitSource, VisitValue},
@@ -67,12 +67,7 @@
 
 /// A time as text, as in `2026-08-27T13:05:20.238Z`; empty beyond what the calendar holds.
 fn utc(millis: u64) -> String {
-    i64::try_from(millis)
-        .ok()
-        .and_then(DateTime::from_timestamp_millis)
-        .map_or(String::new(), |time| {
-            time.to_rfc3339_opts(SecondsFormat::Millis, true)
-        })
+    wall::utc(millis, SecondsFormat::Millis).unwrap_or_default()
 }
 
 /// What a value shows of itself, also when it fails on its way.
--- a/programs/ctl/src/hall.rs
+++ b/programs/ctl/src/hall.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{cli::HallCommand, context::Context, exit::Error, show},
-    chrono::{DateTime, SecondsFormat},
+    chrono::SecondsFormat,
+    kernel::wall,
     node::{
         message::{Ask, Shut, Told},
         peer,
@@ -34,11 +35,5 @@
 
 /// A time in milliseconds since 1970, for people.
 fn time(millis: u64) -> String {
-    let time = i64::try_from(millis)
-        .ok()
-        .and_then(DateTime::from_timestamp_millis);
-    time.map_or_else(
-        || millis.to_string(),
-        |time| time.to_rfc3339_opts(SecondsFormat::Secs, true),
-    )
+    wall::utc(millis, SecondsFormat::Secs).unwrap_or_else(|| millis.to_string())
 }
