Tell why a lasting task waits

What no line told: whether a lasting task that does not run is in line, what it is suspected of, which of the conditions of a placement rules out how many workers, and which suspects are being tried.

`Cell::suits` is now `Cell::obstacle`, which names the condition, so that what is told is what decides. No change of logic: the conditions and their order are as they were. Once a second, four tasks at most, after 6 s; gauges for all of them.

Figures of processor time: not measured; a look at all workers for four tasks a second.

--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -5,6 +5,7 @@
         cell::{Cell, Job, Rank},
         crashes::Suspicion,
         disturb::Image,
+        waits::Obstacle,
         worker::{Key, Worker},
     },
     job::{Address, Step},
@@ -81,13 +82,12 @@
     ) -> Option<Arc<str>> {
         let job = self.jobs.get(&rank.id)?;
         let step = &job.progress.submission.spec.steps[address.step as usize];
-        let failures = if step.lasting { 0 } else { past.failures };
         let image = self.image(step);
-        let will_do = |id: &Arc<str>, worker: &Worker| {
+        let will_do = |_: &Arc<str>, worker: &Worker| {
             self.suits(job, address, image, worker, 0, now)
-                && worker.is_trusted(failures, now)
-                && job.is_advised(address, id, now)
-                && self.may_try(id, past.suspicion)
+                && self
+                    .obstacle_of_past(job, address, worker, past, now)
+                    .is_none()
         };
         if past.suspicion == Suspicion::Alone {
             return self.least_harmed(will_do);
@@ -143,32 +143,80 @@
         before: u64,
         now: u64,
     ) -> bool {
+        self.obstacle(job, address, image, worker, before, now)
+            .is_none()
+    }
+
+    /// What keeps a task of the step from running on the worker; see [`Cell::suits`].
+    pub(crate) fn obstacle(
+        &self,
+        job: &Job,
+        address: Address,
+        image: Image,
+        worker: &Worker,
+        before: u64,
+        now: u64,
+    ) -> Option<Obstacle> {
         let step = &job.progress.submission.spec.steps[address.step as usize];
         // Room goes first: it is what most workers lack, and quick to see.
         if !has_room(step, worker, before) {
-            return false;
+            return Some(Obstacle::Room);
         }
         let is_open = worker.is_open(now) || (job.pressed && worker.is_set_aside());
-        let is_open = is_open && !worker.held && !self.is_shut(worker);
-        if !is_open || !self.is_room_known(worker, now) || self.is_kept_alone(&worker.entry.id) {
-            return false;
+        if !is_open {
+            return Some(Obstacle::Closed);
+        }
+        if worker.held {
+            return Some(Obstacle::Held);
+        }
+        if self.is_shut(worker) {
+            return Some(Obstacle::Shut);
+        }
+        if !self.is_room_known(worker, now) {
+            return Some(Obstacle::RoomUnknown);
+        }
+        if self.is_kept_alone(&worker.entry.id) {
+            return Some(Obstacle::KeptAlone);
         }
         if worker.entry.pool != job.progress.submission.queue.pool {
-            return false;
+            return Some(Obstacle::Pool);
         }
         if let Some(label) = &step.label
             && !worker.entry.bears(label)
         {
-            return false;
+            return Some(Obstacle::Label);
         }
         if step.fills
             && !self
                 .effect(step, image, worker, before + 1)
                 .is_bearable(self.press(job))
         {
-            return false;
+            return Some(Obstacle::Disturbs);
+        }
+        let is_apart =
+            step.spread == 0 || self.held(job, address, worker) + before < u64::from(step.spread);
+        (!is_apart).then_some(Obstacle::Spread)
+    }
+
+    /// What keeps a task that has failed so often and is so much suspected from running on a worker that suits it.
+    pub(crate) fn obstacle_of_past(
+        &self,
+        job: &Job,
+        address: Address,
+        worker: &Worker,
+        past: Past,
+        now: u64,
+    ) -> Option<Obstacle> {
+        let id = &worker.entry.id;
+        let step = &job.progress.submission.spec.steps[address.step as usize];
+        let failures = if step.lasting { 0 } else { past.failures };
+        if !worker.is_trusted(failures, now) {
+            return Some(Obstacle::Untrusted);
+        }
+        if !job.is_advised(address, id, now) {
+            return Some(Obstacle::Unadvised);
         }
-        step.spread == 0 || self.held(job, address, worker) + before < u64::from(step.spread)
+        (!self.may_try(id, past.suspicion)).then_some(Obstacle::Trial)
     }
 
     /// The least is the best: near its data, and for tasks that take room, the fullest worker with
--- a/components/cell/src/crashes/trial.rs
+++ b/components/cell/src/crashes/trial.rs
@@ -72,8 +72,7 @@
         if suspicion == Suspicion::None {
             return false;
         }
-        let trials = self.crashes.trials.values();
-        let of_job = trials.filter(|trial| trial.key.job == *id).count();
+        let of_job = self.trials_of(id);
         if suspicion == Suspicion::Shared {
             return of_job >= OF_JOB || self.has_strong_suspect(id);
         }
@@ -85,6 +84,17 @@
         is_unkept || of_job >= OF_JOB_ALONE || alone.count() >= most
     }
 
+    /// How many tasks of a job are being tried.
+    pub(crate) fn trials_of(&self, id: &Id) -> usize {
+        let trials = self.crashes.trials.values();
+        trials.filter(|trial| trial.key.job == *id).count()
+    }
+
+    /// How many suspected tasks are being tried.
+    pub(crate) fn trials(&self) -> usize {
+        self.crashes.trials.len()
+    }
+
     /// True for a job with a task that is tried alone: that goes first, since it may end the job before others of its
     /// tasks take a worker each.
     fn has_strong_suspect(&self, id: &Id) -> bool {
@@ -144,6 +154,7 @@
         if trial.is_none_or(|trial| trial.key != *key) {
             return;
         }
+        log::info!(target: "cell", job = key.job.as_str(), place = key.place, worker = &**id; "The trial of a suspected task is over.");
         self.crashes.trials.remove(id);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.changed = true;
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -30,6 +30,7 @@
 mod timing;
 mod told;
 mod turns;
+mod waits;
 mod wave;
 mod worker;
 mod write;
--- a/components/cell/src/summary.rs
+++ b/components/cell/src/summary.rs
@@ -33,6 +33,8 @@
     pub waiting: u64,
     /// Processors of ready filling tasks.
     pub filling: u64,
+    /// Suspected tasks that are being tried.
+    pub trials: usize,
 }
 
 impl Cell {
@@ -41,6 +43,7 @@
         let mut summary = Summary {
             jobs: self.jobs.len(),
             workers: self.workers.len(),
+            trials: self.trials(),
             ..Summary::default()
         };
         for worker in self.workers.values() {
--- a/components/node/src/tenure/mod.rs
+++ b/components/node/src/tenure/mod.rs
@@ -217,13 +217,17 @@
             return;
         };
         let sum = tenure.cell.summary(time::now());
-        log::info!(target: "cell", fence, jobs = sum.jobs, placed = sum.placed, workers = sum.workers, open = sum.open, unserving = sum.unserving, mixed = sum.mixed, paced = sum.paced, serving = sum.serving, firm = sum.firm, free = sum.free, largest = sum.largest, unused = sum.unused, waiting = sum.waiting, filling = sum.filling; "The cell now.");
+        log::info!(target: "cell", fence, jobs = sum.jobs, placed = sum.placed, workers = sum.workers, open = sum.open, unserving = sum.unserving, mixed = sum.mixed, paced = sum.paced, serving = sum.serving, firm = sum.firm, free = sum.free, largest = sum.largest, unused = sum.unused, waiting = sum.waiting, filling = sum.filling, trials = sum.trials; "The cell now.");
         metrics::gauge!("magpie_cell_jobs").set(sum.jobs as f64);
         metrics::gauge!("magpie_cell_tasks_placed").set(sum.placed as f64);
         metrics::gauge!("magpie_cell_workers_open").set(sum.open as f64);
         metrics::gauge!("magpie_cell_cores_free").set(sum.free as f64 / 1e3);
         metrics::gauge!("magpie_cell_cores_waiting").set(sum.waiting as f64 / 1e3);
         metrics::gauge!("magpie_cell_cores_filling_waiting").set(sum.filling as f64 / 1e3);
+        metrics::gauge!("magpie_cell_trials").set(sum.trials as f64);
+        let overdue = tenure.cell.tell_waits(wall::millis(), time::now());
+        metrics::gauge!("magpie_cell_lasting_overdue").set(overdue as f64);
+        metrics::gauge!("magpie_cell_places_lost").set(tenure.cell.lost_places() as f64);
         after!(SUM_UP, [cx], |this, cx| this.sum_up(cx, fence));
     }
 
