--- a/components/cell/tests/decisions/farm.rs
+++ b/components/cell/tests/decisions/farm.rs
@@ -40,6 +40,8 @@
     is_cut: bool,
     is_leaving: bool,
     begun: u64,
+    /// On its own clock: what runs there ends then, unless a poll or a start lets it go on.
+    lease: u64,
     /// When the worker is back that has crashed.
     back: Option<u64>,
     /// When it crashes.
@@ -107,6 +109,7 @@
                 is_cut: false,
                 is_leaving: false,
                 begun: 1_000,
+                lease: 0,
                 back: None,
                 crash: None,
                 runs: BTreeMap::new(),
@@ -155,7 +158,24 @@
         }
     }
 
-    /// Cuts machines off: they run on, and nobody reaches them.
+    /// Takes a machine away for good, without a word.
+    pub fn remove(&mut self, machine: usize) {
+        let own = &mut self.machines[machine];
+        own.back = Some(u64::MAX);
+        own.runs.clear();
+        self.stale.push((own.entry(), self.now + ENTRY_LAPSES));
+    }
+
+    /// The machine on which a task runs.
+    pub fn holder(&self, id: &str, place: usize) -> Option<usize> {
+        let id = Id::new(id).unwrap();
+        self.machines.iter().position(|machine| {
+            let mut names = machine.runs.keys();
+            names.any(|(job, address)| *job == id && address.index as usize == place)
+        })
+    }
+
+    /// Cuts machines off: they run on as long as their leases, and nobody reaches them.
     pub fn cut_off(&mut self, machines: std::ops::Range<usize>, is_cut: bool) {
         for machine in &mut self.machines[machines] {
             machine.is_cut = is_cut;
@@ -202,6 +222,7 @@
         while self.now < end {
             self.now += STEP;
             self.crash_due();
+            self.lapse_due();
             self.come_back();
             if self.now.is_multiple_of(LIST_GAP) {
                 self.list();
@@ -252,6 +273,19 @@
         self.seen.down = self.seen.down.max(down.count());
     }
 
+    /// Ends what runs under leases that are over.
+    fn lapse_due(&mut self) {
+        let now = self.now;
+        for machine in &mut self.machines {
+            if machine.clock(now) <= machine.lease {
+                continue;
+            }
+            for (name, going) in std::mem::take(&mut machine.runs) {
+                machine.end(name, going.run, How::Lapsed);
+            }
+        }
+    }
+
     fn step(&self, job: &Id, address: Address) -> &Step {
         let submission = self.submitted.iter().find(|own| own.id == *job);
         &submission.unwrap().spec.steps[address.step as usize]
@@ -283,6 +317,7 @@
             machine.back = None;
             machine.is_leaving = false;
             machine.begun = self.now;
+            machine.lease = 0;
             machine.count = 0;
         }
     }
@@ -326,6 +361,7 @@
             if let Some(poll) = self.cell.poll(&entry.id, now)
                 && let Some(machine) = self.at(&entry)
             {
+                machine.lease = machine.lease.max(poll.deadline);
                 let report = machine.report(now, poll.seen);
                 self.cell.report(&entry.id, report, now, now, now);
             }
@@ -380,7 +416,13 @@
         }
     }
 
+    /// Its own clock.
+    fn clock(&self, now: u64) -> u64 {
+        now - self.begun + 1
+    }
+
     fn begin(&mut self, start: &Start, until: u64) {
+        self.lease = self.lease.max(start.deadline);
         let name = (start.key.job.clone(), start.address);
         let run = start.run;
         self.runs.insert(name, Going { run, until });
@@ -421,7 +463,7 @@
             figure: 0,
         });
         Report {
-            clock: now - self.begun + 1,
+            clock: self.clock(now),
             running: running.collect(),
             ended: self.ended.clone(),
         }
--- a/components/cell/tests/decisions/main.rs
+++ b/components/cell/tests/decisions/main.rs
@@ -17,4 +17,5 @@
 mod starts;
 mod takeover;
 mod told;
+mod waits;
 mod wave;
