The trial of a suspect ends once its run is listed, suspected or not

What callers saw: one of nine tasks of a lasting job stood still for 39 s beside workers with room, until the cell changed hands.

Cause: a task whose worker fell silent under a run that counted as new is tried again as a suspect, four of a job at a time. The trial ended when its run had been listed for 1 s, but that look was skipped for a task that was not suspected any more. When a worker that had been given up came back, what was counted for it was taken back, also for tasks whose trial had just begun: the trial then lasted as long as the run, and a run that lasts has no end. Four such trials barred every other suspect of the job for good. Cuts of 5 to 6 s do it: a worker is given up 4.9 s after it was last heard, and the trial needs 1 s.

Ruled out in the reproduction: room (57 of 65 workers had nothing in the way), the line (it was in line), a place without a holder (none). The owner's line before the mend, from 6 s on: suspicion=Shared barred=true trials=4 free=57 Spread=8. Runs: its siblings' trials have number 66, so that the next owner begins with 131, as the users' record has it.

Why it holds: a trial now ends by its run alone: when it has been listed for 1 s, or when its worker does not hold it any more. Each run comes to one of these within the lease (4.9 s).

Test last_suspect_runs_once_others_are_back: red before; now it runs 9 s after the loss at the latest, as asked.

--- a/components/cell/src/crashes/mod.rs
+++ b/components/cell/src/crashes/mod.rs
@@ -166,12 +166,16 @@
     }
 
     /// Takes in that a run is listed: it has not crashed its worker so far.
+    ///
+    /// Its trial is over with that, whatever the task is suspected of by now. A trial that went on would hold back other
+    /// suspects of the job, and whatever waits for its worker, for as long as the run: one of nine lasting tasks stood
+    /// still for 39 s beside four trials whose suspicion had been taken back.
     pub(crate) fn survived(&mut self, id: &Arc<str>, key: &Key, now: u64) {
         let is_suspected = self
             .jobs
             .get(&key.job)
             .is_some_and(|job| job.progress.tasks[key.place].crashes.all > 0);
-        if !is_suspected {
+        if !is_suspected && !self.crashes.trials.contains_key(id) {
             return;
         }
         let slot = self
@@ -181,10 +185,16 @@
         let Some(Stage::Running { at }) = slot.map(|slot| slot.stage) else {
             return;
         };
+        if now < at + EARLY {
+            return;
+        }
+        self.end_trial(id, key);
+        if !is_suspected {
+            return;
+        }
         if now >= at + SOUND {
             self.absolve(key);
-        } else if now >= at + EARLY {
-            self.end_trial(id, key);
+        } else {
             self.clear_early(key);
         }
     }
--- a/components/cell/tests/decisions/waits.rs
+++ b/components/cell/tests/decisions/waits.rs
@@ -8,6 +8,11 @@
     job::Step,
 };
 
+/// A lasting task has to run again within this time of the loss of its worker, in milliseconds: 6 s, and 3 s beside room.
+const AGAIN: u64 = 9_000;
+/// The length of a cut, in milliseconds: a moment longer than it takes to give a worker up.
+const CUT: u64 = 5_500;
+
 /// Nine lasting tasks, each on a worker of its own.
 fn apart() -> Step {
     Step {
@@ -21,8 +26,17 @@
 /// went on; the last one did not run again for 39 s, beside workers with room, until another box took the cell over and
 /// started it at once.
 ///
-/// Here: a new owner has just adopted all runs, six of the workers fall silent, and five of them come back just after they
-/// were given up. The order of events and the cause are not proven yet.
+/// The order of events: a new owner had just adopted all runs. Six of the workers fell silent, so that their tasks were
+/// suspected of it; four of a job may be tried at a time, and the other two waited. Five of the six workers came back
+/// just after they had been given up, and what was counted for them was taken back, also for the four on trial.
+///
+/// The cause: a trial ended once its run had been listed for a second, but only for a task that was still suspected. The
+/// four trials went on as long as their runs, which last; the task whose worker was gone for good stayed the fifth.
+/// Trials are in the owner's memory, and the next owner had none.
+///
+/// The evidence: the owner told of the task as barred, with four trials of its job and 57 of 65 workers that had nothing in
+/// the way. Tasks 3 to 6 had been tried as run 66, the next owner goes on from 131, and so does the record of what users
+/// saw. With trials that end for any run that is listed, the fifth one starts as soon as the first of them are over.
 #[test]
 fn last_suspect_runs_once_others_are_back() {
     let mut farm = Farm::new(66, 1_000);
@@ -37,11 +51,11 @@
         farm.cut_off(machine..machine + 1, true);
     }
     farm.remove(holders[8]);
-    farm.run(5_500);
+    farm.run(CUT);
     for &machine in &holders[3..8] {
         farm.cut_off(machine..machine + 1, false);
     }
-    farm.run(20_000);
+    farm.run(AGAIN - CUT);
     for place in 0..9 {
         assert!(
             farm.holder(JOB, place).is_some(),
