Late crashes by themselves hold no task back

What callers would see: a lasting task stands still beside a task of its job that runs well (23.4 s), or, after a third loss of power in 24 s, until each of 180 others has been tried alone (91 s after the third loss), with the workers almost empty.

From three crashes of any kind on a task counted as a strong suspect until it had run for 30 s: no other suspect of its job was tried meanwhile, and two strong ones in the cell at a time. But late crashes (after the first second of a run, or together with many other workers) are nothing that a trial of a second can show.

Change: a task with late crashes only is chosen the worker on which the least is lost, as before, and takes part in no trial. It is given up after five crashes as before, and waits until what was counted is written down as before. Strong suspects are those with an early crash since their last run that went on for a second. The choice of a worker is one function with a cost given to it, where there were two.

Ruled out: dropping the choice of the least harm for them too; then `crashing_task_is_given_up` (late) fails, since a lasting neighbour collects five late crashes and is given up with it.

--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         cell::{Cell, Job, Rank},
-        crashes::Suspicion,
+        crashes::{Suspicion, harm},
         disturb::Image,
         waits::Obstacle,
         worker::{Key, Worker},
@@ -89,19 +89,24 @@
                     .obstacle_of_past(job, address, worker, past, now)
                     .is_none()
         };
-        if past.suspicion == Suspicion::Alone {
-            return self.least_harmed(will_do);
-        }
+        let cost = |worker: &Worker| {
+            if past.suspicion.is_harmful() {
+                harm(worker)
+            } else {
+                self.cost(step, image, worker)
+            }
+        };
         match among {
-            Among::All => self.cheapest(step, image, self.workers.iter(), will_do),
+            _ if past.suspicion == Suspicion::Alone => cheapest(self.workers.iter(), will_do, cost),
+            Among::All => cheapest(self.workers.iter(), will_do, cost),
             Among::From(id, count) => {
                 let before = self.workers.range(..id.clone());
                 let round = self.workers.range(id.clone()..).chain(before);
-                self.cheapest(step, image, round.take(count), will_do)
+                cheapest(round.take(count), will_do, cost)
             }
             Among::These(ids) => {
                 let known = ids.iter().filter_map(|id| self.workers.get_key_value(id));
-                self.cheapest(step, image, known, will_do)
+                cheapest(known, will_do, cost)
             }
         }
     }
@@ -111,27 +116,6 @@
         self.disturbance.find(step.image.as_ref())
     }
 
-    /// The worker of least cost among those that will do; the first of equal ones.
-    pub(crate) fn cheapest<'a>(
-        &self,
-        step: &Step,
-        image: Image,
-        workers: impl Iterator<Item = (&'a Arc<str>, &'a Worker)>,
-        will_do: impl Fn(&Arc<str>, &Worker) -> bool,
-    ) -> Option<Arc<str>> {
-        let mut best: Option<(u64, &Arc<str>)> = None;
-        for (id, worker) in workers {
-            if !will_do(id, worker) {
-                continue;
-            }
-            let cost = self.cost(step, image, worker);
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, id));
-            }
-        }
-        best.map(|(_, id)| id.clone())
-    }
-
     /// True when a task of the step, which has this image, may run on the worker, beside `before`
     /// others of it that are not started yet.
     pub(crate) fn suits(
@@ -270,6 +254,25 @@
     }
 }
 
+/// The worker of least cost among those that will do; the first of equal ones.
+pub(crate) fn cheapest<'a>(
+    workers: impl Iterator<Item = (&'a Arc<str>, &'a Worker)>,
+    will_do: impl Fn(&Arc<str>, &Worker) -> bool,
+    cost: impl Fn(&Worker) -> u64,
+) -> Option<Arc<str>> {
+    let mut best: Option<(u64, &Arc<str>)> = None;
+    for (id, worker) in workers {
+        if !will_do(id, worker) {
+            continue;
+        }
+        let cost = cost(worker);
+        if best.is_none_or(|(least, _)| cost < least) {
+            best = Some((cost, id));
+        }
+    }
+    best.map(|(_, id)| id.clone())
+}
+
 /// True when a task of the step fits on the worker beside `before` others of it that are not
 /// started yet.
 fn has_room(step: &Step, worker: &Worker, before: u64) -> bool {
--- a/components/cell/src/crashes/mod.rs
+++ b/components/cell/src/crashes/mod.rs
@@ -13,7 +13,10 @@
 mod lost;
 mod trial;
 
-pub(crate) use {lost::Losses, trial::Suspicion};
+pub(crate) use {
+    lost::Losses,
+    trial::{Suspicion, harm},
+};
 
 use {
     crate::{
--- a/components/cell/src/crashes/trial.rs
+++ b/components/cell/src/crashes/trial.rs
@@ -13,7 +13,9 @@
 /// told apart from it, since suspects are never tried together. With six tasks that crash their workers, on 66 workers, 18
 /// runs of others are lost in place of 33 where nothing is tried alone, and 36 where suspects are tried together.
 const ALONE_FROM: u32 = 2;
-/// The same for crashes of any kind.
+/// The same for crashes of any kind, where one of them was early. Late ones by themselves hold no task back: a trial, which is
+/// over after 1 s, cannot show them. After three losses of power in 24 s, with 180 lasting tasks on 66 workers, the last of
+/// them ran again 91 s after the third where each was tried alone, and within 8 s where none is.
 const ALONE_FROM_ALL: u32 = 3;
 /// Suspects of one job that are tried at one time. Tasks of a step are alike: where one crashes its workers, others may
 /// too, and each costs a worker.
@@ -33,12 +35,26 @@
 pub(crate) enum Suspicion {
     /// Not at all.
     None,
+    /// Workers have crashed under it again and again, but not as it started: it goes where the least is lost.
+    Late,
     /// It is not tried beside another suspect.
     Shared,
     /// It is tried where the least is lost, and nothing else starts there meanwhile.
     Alone,
 }
 
+impl Suspicion {
+    /// True for a task whose next run is a trial.
+    pub const fn is_tried(self) -> bool {
+        matches!(self, Suspicion::Shared | Suspicion::Alone)
+    }
+
+    /// True for a task that goes where the least is lost if its worker crashes.
+    pub const fn is_harmful(self) -> bool {
+        matches!(self, Suspicion::Late | Suspicion::Alone)
+    }
+}
+
 /// A suspect that runs, and has not been listed for long enough.
 #[derive(Debug)]
 pub(super) struct Trial {
@@ -54,12 +70,14 @@
             return Suspicion::None;
         };
         let crashes = job.progress.tasks[place].crashes;
-        if crashes.early >= ALONE_FROM || crashes.all >= ALONE_FROM_ALL {
+        if crashes.early == 0 && crashes.all >= ALONE_FROM_ALL {
+            Suspicion::Late
+        } else if crashes.early == 0 {
+            Suspicion::None
+        } else if crashes.early >= ALONE_FROM || crashes.all >= ALONE_FROM_ALL {
             Suspicion::Alone
-        } else if crashes.early > 0 {
-            Suspicion::Shared
         } else {
-            Suspicion::None
+            Suspicion::Shared
         }
     }
 
@@ -69,19 +87,26 @@
             return true;
         }
         let suspicion = self.suspicion(id, place);
-        if suspicion == Suspicion::None {
-            return false;
+        if !suspicion.is_tried() {
+            return self.is_unkept(id, place);
         }
         let of_job = self.trials_of(id);
         if suspicion == Suspicion::Shared {
             return of_job >= OF_JOB || self.has_strong_suspect(id);
         }
-        // The next owner is to know of the crashes before the next one.
-        let is_unkept = self.jobs.get(id).is_some_and(|job| job.unkept);
         let trials = self.crashes.trials.values();
         let alone = trials.filter(|trial| trial.suspicion == Suspicion::Alone);
         let most = 1 + self.workers.len() / WORKERS_EACH;
-        is_unkept || of_job >= OF_JOB_ALONE || alone.count() >= most
+        self.is_unkept(id, place) || of_job >= OF_JOB_ALONE || alone.count() >= most
+    }
+
+    /// True for a task under which several workers have crashed, as long as that is not written down: the next owner is to
+    /// know of these crashes before the next one.
+    fn is_unkept(&self, id: &Id, place: usize) -> bool {
+        self.jobs.get(id).is_some_and(|job| {
+            let crashes = job.progress.tasks[place].crashes;
+            job.unkept && (crashes.early >= ALONE_FROM || crashes.all >= ALONE_FROM_ALL)
+        })
     }
 
     /// How many tasks of a job are being tried.
@@ -106,7 +131,7 @@
 
     /// True when a task that is so much suspected may start on a worker: not beside another suspect.
     pub(crate) fn may_try(&self, id: &Arc<str>, suspicion: Suspicion) -> bool {
-        suspicion == Suspicion::None || !self.crashes.trials.contains_key(id)
+        !suspicion.is_tried() || !self.crashes.trials.contains_key(id)
     }
 
     /// True when nothing else may start on a worker for now.
@@ -115,28 +140,10 @@
         trial.is_some_and(|trial| trial.suspicion == Suspicion::Alone)
     }
 
-    /// Among the workers that will do, the one on which the least is lost if it crashes.
-    pub(crate) fn least_harmed(
-        &self,
-        will_do: impl Fn(&Arc<str>, &Worker) -> bool,
-    ) -> Option<Arc<str>> {
-        let mut best: Option<(u64, &Arc<str>)> = None;
-        for (id, worker) in &self.workers {
-            if !will_do(id, worker) {
-                continue;
-            }
-            let harm = harm(worker);
-            if best.is_none_or(|(least, _)| harm < least) {
-                best = Some((harm, id));
-            }
-        }
-        best.map(|(_, id)| id.clone())
-    }
-
     /// Notes that a task starts on a worker, which is a trial where it is suspected.
     pub(crate) fn try_out(&mut self, id: &Arc<str>, key: Key, run: u64) {
         let suspicion = self.suspicion(&key.job, key.place);
-        if suspicion == Suspicion::None {
+        if !suspicion.is_tried() {
             return;
         }
         log::info!(target: "cell", job = key.job.as_str(), place = key.place, worker = &**id, run, suspicion:? = suspicion; "A suspected task is tried.");
@@ -180,7 +187,7 @@
 }
 
 /// What is lost if a worker crashes, in thousandths of a core.
-fn harm(worker: &Worker) -> u64 {
+pub(crate) fn harm(worker: &Worker) -> u64 {
     let new = worker.slots.values().filter(|slot| worker.is_early(slot));
     worker.firm.cpu + worker.filling + new.count() as u64 * NEWCOMER
 }
--- a/components/cell/src/gang.rs
+++ b/components/cell/src/gang.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         cell::{Cell, Rank},
-        crashes::Suspicion,
+        choose::cheapest,
+        worker::Worker,
     },
     job::{Address, Step},
     std::{collections::HashMap, sync::Arc},
@@ -87,18 +88,20 @@
         let mut choices = Vec::new();
         for &place in places {
             let suspicion = self.suspicion(&rank.id, place);
-            let id = self.cheapest(step, image, self.workers.iter(), |id, worker| {
+            let will_do = |id: &Arc<str>, worker: &Worker| {
                 let is_here = rack
                     .as_ref()
                     .is_none_or(|rack| &**rack == worker.entry.rack());
                 let before = taken.get(id).copied().unwrap_or_default();
-                let is_alone = suspicion == Suspicion::None || before == 0;
+                let is_alone = !suspicion.is_tried() || before == 0;
                 is_here
                     && is_alone
                     && self.may_try(id, suspicion)
                     && job.is_advised(address, id, now)
                     && self.suits(job, address, image, worker, before, now)
-            })?;
+            };
+            let cost = |worker: &Worker| self.cost(step, image, worker);
+            let id = cheapest(self.workers.iter(), will_do, cost)?;
             *taken.entry(id.clone()).or_default() += 1;
             choices.push((place, id));
         }
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -4,7 +4,6 @@
     crate::{
         cell::{Cell, Job, Rank},
         choose::{Among, Past},
-        crashes::Suspicion,
         order::{Order, Start},
         slot::{Slot, Stage},
         strain::Press,
@@ -180,7 +179,7 @@
             let past = self.past(rank, place);
             let is_placed = self.place_task(rank, address, place, past, among, now);
             // Fewer workers will do for a task that has failed or is suspected: the others may find room.
-            if is_placed || past.failures > 0 || past.suspicion != Suspicion::None {
+            if is_placed || past.failures > 0 || past.suspicion.is_tried() {
                 continue;
             }
             if submission.queue.advised {
--- a/components/cell/tests/decisions/waits.rs
+++ b/components/cell/tests/decisions/waits.rs
@@ -63,3 +63,56 @@
         );
     }
 }
+
+/// Takes the power of a task's worker away, and lets time pass.
+fn lose(farm: &mut Farm, place: usize, time: u64) {
+    let machine = farm.holder(JOB, place).unwrap();
+    farm.cut_power(machine..machine + 1);
+    farm.run(time);
+}
+
+/// True when all nine tasks of a job run.
+fn is_whole(farm: &Farm, id: &str) -> bool {
+    (0..9).all(|place| farm.holder(id, place).is_some())
+}
+
+/// The story: three workers had crashed in a row under one task of a lasting job, each after seconds of work; it ran well by
+/// now. Then the worker of another task of the job crashed under a run that was new. That task stood still for 23 s.
+///
+/// The cause: crashes of any kind made a strong suspect, and until it had run for 30 s no other suspect of its job was
+/// tried.
+#[test]
+fn suspect_runs_beside_one_that_crashed_late() {
+    let mut farm = Farm::new(66, 1_000);
+    farm.submit(JOB, apart());
+    farm.run(3_000);
+    for _ in 0..3 {
+        lose(&mut farm, 0, 6_000);
+    }
+    assert!(is_whole(&farm, JOB));
+    lose(&mut farm, 8, 2_700);
+    lose(&mut farm, 8, AGAIN);
+    assert!(is_whole(&farm, JOB));
+}
+
+/// The story: all workers lost power three times in 24 s. Of the lasting tasks two at a time were started again, one in a
+/// second for each; the last ones stood still for a minute and a half, with all workers almost empty.
+///
+/// The cause: as above. A task that had been lost three times with all the others was tried alone, as one that crashes
+/// workers as it starts.
+#[test]
+fn lasting_tasks_run_after_third_loss_of_power() {
+    let mut farm = Farm::new(66, 1_000);
+    let ids: Vec<String> = (0..20).map(|number| format!("{number:016x}")).collect();
+    for id in &ids {
+        farm.submit(id, apart());
+    }
+    farm.run(3_000);
+    for _ in 0..3 {
+        farm.cut_power(0..66);
+        farm.run(8_000);
+    }
+    for id in &ids {
+        assert!(is_whole(&farm, id), "{id}");
+    }
+}
