A run that is adopted has not just started

What callers would see: lasting tasks whose workers are lost in the second after a takeover are away for a second or two longer than others.

Cause: for how long a run has gone on was reckoned from its adoption. A run of hours counted as new for the first second of each owner, and its task as one that may crash workers by starting: tried apart from others, four of a job at a time.

Change: a slot knows that it was adopted; such a run is no early one. Its crash counts as a late one, and the bound of five crashes in a row holds as before.

Tests: adopted_tasks_are_no_suspects, red before (not all nine run 5.2 s after the loss), green after. last_new_suspect_runs_once_others_are_back plays the incident with runs that are new in any case, since the first test of it no longer makes suspects; it is red where a trial of a task that is not suspected any more goes on. 177 decisions pass.

--- a/components/cell/src/crashes/lost.rs
+++ b/components/cell/src/crashes/lost.rs
@@ -194,8 +194,10 @@
 }
 
 impl Worker {
-    /// True when a run is not known to have gone on for long.
+    /// True when a run is not known to have gone on for long. One that was adopted has: it was listed to this owner, and a
+    /// takeover takes 2 s from the death of the former one. Counted from its adoption, all that ran on workers lost in the
+    /// second after a takeover were suspects, and their tasks were away for a second or two longer.
     pub(super) fn is_early(&self, slot: &Slot) -> bool {
-        self.known_to_run(slot).is_none_or(|age| age < EARLY)
+        !slot.adopted && self.known_to_run(slot).is_none_or(|age| age < EARLY)
     }
 }
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -172,6 +172,7 @@
         let image = self.disturbance.number(step.image.as_ref());
         let stage = Stage::Running { at: moment.now };
         let slot = Slot {
+            adopted: true,
             percent: UNKNOWN_PACE,
             figure: run.figure,
             ..Slot::new(step, run.address, image, run.run, stage)
--- a/components/cell/src/slot.rs
+++ b/components/cell/src/slot.rs
@@ -30,6 +30,8 @@
     pub address: Address,
     /// The number of the run.
     pub run: u64,
+    /// It ran before this owner knew of it.
+    pub adopted: bool,
     /// What it takes.
     pub size: Size,
     /// It takes no room for processors.
@@ -66,6 +68,7 @@
         Slot {
             address,
             run,
+            adopted: false,
             size: step.size,
             fills: step.fills,
             target: step.target,
--- a/components/cell/tests/decisions/waits.rs
+++ b/components/cell/tests/decisions/waits.rs
@@ -42,26 +42,38 @@
     let mut farm = Farm::new(66, 1_000);
     farm.submit(JOB, apart());
     farm.run(3_000);
-    let holders: Vec<usize> = (0..9)
-        .map(|place| farm.holder(JOB, place).unwrap())
-        .collect();
     farm.hand_over(&farm.records());
     farm.run(300);
-    for &machine in &holders[3..8] {
+    lose_six_and_regain_five(&mut farm);
+    assert!(is_whole(&farm, JOB));
+}
+
+/// The same right after the tasks have started, without another owner: these runs are new, and their tasks suspects in
+/// any case.
+#[test]
+fn last_new_suspect_runs_once_others_are_back() {
+    let mut farm = Farm::new(66, 1_000);
+    farm.submit(JOB, apart());
+    farm.run(400);
+    lose_six_and_regain_five(&mut farm);
+    assert!(is_whole(&farm, JOB));
+}
+
+/// Cuts the workers of tasks 3 to 7 off, takes that of task 8 away for good, and lets time pass until all tasks have to run
+/// again; the workers that were cut off are back just after they were given up.
+fn lose_six_and_regain_five(farm: &mut Farm) {
+    let holders: Vec<usize> = (3..9)
+        .map(|place| farm.holder(JOB, place).unwrap())
+        .collect();
+    for &machine in &holders[..5] {
         farm.cut_off(machine..machine + 1, true);
     }
-    farm.remove(holders[8]);
+    farm.remove(holders[5]);
     farm.run(CUT);
-    for &machine in &holders[3..8] {
+    for &machine in &holders[..5] {
         farm.cut_off(machine..machine + 1, false);
     }
     farm.run(AGAIN - CUT);
-    for place in 0..9 {
-        assert!(
-            farm.holder(JOB, place).is_some(),
-            "task {place} does not run"
-        );
-    }
 }
 
 /// Takes the power of a task's worker away, and lets time pass.
@@ -116,3 +128,23 @@
         assert!(is_whole(&farm, id), "{id}");
     }
 }
+
+/// The story: a new owner had just adopted all runs, among them those of nine lasting tasks that had run for seconds, when
+/// their nine workers were lost for good. Four of the tasks ran again at once, the others a second or two later.
+///
+/// The cause: how long a run has gone on was reckoned from its adoption, so that each run that had just been adopted
+/// counted as one that had just started, and its task as a suspect.
+#[test]
+fn adopted_tasks_are_no_suspects() {
+    let mut farm = Farm::new(66, 1_000);
+    farm.submit(JOB, apart());
+    farm.run(3_000);
+    farm.hand_over(&farm.records());
+    farm.run(300);
+    for machine in 0..9 {
+        let holder = farm.holder(JOB, machine).unwrap();
+        farm.remove(holder);
+    }
+    farm.run(5_200);
+    assert!(is_whole(&farm, JOB));
+}
