A worker that was set aside gets its next probe beside a long one

What callers would see: a worker with room stands still, lasting tasks beside it, for as long as the one batch task runs that it is tried with: an hour, say.

Change: the next probe may go there once the last one has run for as long as a faulty worker gets none (3 s). Its failures are not taken back by that: a task that ends after more than 3 s may still fail.

--- a/components/cell/src/slot.rs
+++ b/components/cell/src/slot.rs
@@ -91,6 +91,11 @@
         Size { cpu, ..self.size }
     }
 
+    /// True when it has been known for so long, in milliseconds, that the run has begun.
+    pub fn has_run(&self, time: u64, now: u64) -> bool {
+        matches!(self.stage, Stage::Running { at } if now >= at + time)
+    }
+
     /// True when the worker has not confirmed the start.
     pub fn is_sent(&self) -> bool {
         matches!(self.stage, Stage::Sent { .. })
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -1,12 +1,7 @@
 //! One worker as the owner of its cell sees it.
 
 use {
-    crate::{
-        disturb::Image,
-        slot::{Slot, Stage},
-        strain::Strain,
-        timing,
-    },
+    crate::{disturb::Image, slot::Slot, strain::Strain, timing},
     job::{Address, Id, spec::Size},
     serde::{Deserialize, Serialize},
     std::{
@@ -254,13 +249,14 @@
 
     /// True when it may be given a task that has failed so often. A worker whose last run failed
     /// just now gets none that has failed before, since attempts are few. A faulty one gets one
-    /// task to try it with.
+    /// task to try it with, and the next one once that has run for as long as a faulty one gets none: a batch task may
+    /// run for hours, for which the worker would stand still.
     pub fn is_trusted(&self, failures: u32, now: u64) -> bool {
         if self.failures > 0 && failures > 0 && now < self.failed + FAULTY_FOR {
             return false;
         }
-        let probing = self.probe.as_ref();
-        !self.is_faulty() || probing.is_none_or(|key| !self.slots.contains_key(key))
+        let probing = self.probe.as_ref().and_then(|key| self.slots.get(key));
+        !self.is_faulty() || probing.is_none_or(|slot| slot.has_run(FAULTY_FOR, now))
     }
 
     /// True when it is faulty and has run the task that it is tried with for as long as a faulty one gets
@@ -269,8 +265,8 @@
         if !self.is_faulty() || self.probe.as_ref() != Some(key) {
             return false;
         }
-        let stage = self.slots.get(key).map(|slot| slot.stage);
-        matches!(stage, Some(Stage::Running { at }) if now >= at + FAULTY_FOR)
+        let slot = self.slots.get(key);
+        slot.is_some_and(|slot| slot.has_run(FAULTY_FOR, now))
     }
 
     /// True after several runs in a row that failed.
--- a/components/cell/tests/decisions/place.rs
+++ b/components/cell/tests/decisions/place.rs
@@ -409,6 +409,33 @@
     assert_eq!(world.starts().len(), 2);
 }
 
+/// Found by a review of what holds others back for as long as a task runs: a worker that was set aside was tried with a
+/// batch task of an hour, and got nothing else for that hour, lasting tasks included.
+#[test]
+fn faulty_worker_gets_next_probe_beside_long_one() {
+    let (mut world, ends) = failing();
+    world.report("w1", vec![], ends);
+    world.now += 3_000;
+    world.report("w1", vec![], vec![]);
+    let probe = world.starts();
+    assert_eq!(probe.len(), 1);
+    world.answer(&probe[0].0, &probe[0].1, Outcome::Done);
+    let lasting = "00000000000000c3";
+    let watch = Step {
+        lasting: true,
+        ..step(1, 1_000)
+    };
+    world.submit(lasting, vec![watch]);
+    let mut long = run(probe[0].1.key.job.as_str(), 0, probe[0].1.run);
+    long.address = probe[0].1.address;
+    world.now += 2_900;
+    world.report("w1", vec![long.clone()], vec![]);
+    assert!(world.starts().is_empty());
+    world.now += 200;
+    world.report("w1", vec![long], vec![]);
+    assert_eq!(world.starts().len(), 1);
+}
+
 /// Seen on a day with filling tasks one after the other beside the same serving task: the end of
 /// the first made the worker look well again, and the next one went on disturbing.
 #[test]
