Workers get work again when their wave of upkeep is taken back

What callers would see: a worker with room stands still for the rest of its life once the operators have taken a wave back, or its machine out of it, while it was being emptied.

Change: with each look at the waves, workers that are emptied for no wave any more get work again; the owner looks once more after the last wave has gone. Waves that could not be read are no longer taken for none, which would now forget which machines are down.

Test worker_gets_work_again_when_wave_is_taken_back, two cases, red before. 180 decisions and the tests of the node pass.

--- a/components/cell/src/wave.rs
+++ b/components/cell/src/wave.rs
@@ -74,6 +74,7 @@
             .iter()
             .map(|machine| (&*machine.name, machine))
             .collect();
+        self.reopen(waves, &listed);
         let mut orders = Vec::new();
         for wave in waves {
             let mut progress = self.waves.remove(&wave.number).unwrap_or_default();
@@ -95,6 +96,35 @@
         orders
     }
 
+    /// Lets workers have work again that were emptied for a wave which the operators have taken back, or for a machine
+    /// that they have taken out of it. Nothing else would: such a worker stood still for the rest of its life.
+    fn reopen(&mut self, waves: &[Wave], listed: &BTreeMap<&str, &Machine>) {
+        self.waves
+            .retain(|number, _| waves.iter().any(|wave| wave.number == *number));
+        let mut closing: HashSet<Arc<str>> = HashSet::new();
+        for wave in waves {
+            let Some(progress) = self.waves.get_mut(&wave.number) else {
+                continue;
+            };
+            progress
+                .closing
+                .retain(|name, _| wave.machines.contains(name));
+            for name in progress.closing.keys() {
+                let machine = listed.get(&**name);
+                closing.extend(machine.and_then(|machine| machine.worker.clone()));
+            }
+            closing.extend(progress.begun.values().flatten().cloned());
+        }
+        for (id, worker) in &mut self.workers {
+            if !worker.closing || closing.contains(id) {
+                continue;
+            }
+            log::info!(target: "cell", worker = &**id; "A worker is emptied for its upkeep no longer.");
+            worker.closing = false;
+            worker.changed = true;
+        }
+    }
+
     /// Takes in that an order was surely not carried out.
     pub fn upkeep_refused(&mut self, order: &Upkeep) {
         if let Some(progress) = self.waves.get_mut(&order.wave) {
--- a/components/cell/tests/decisions/wave.rs
+++ b/components/cell/tests/decisions/wave.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::common::{JOB, World, run, step},
+    job::Step,
     magpie_cell::{Machine, Upkeep, Wave},
+    test_case::test_case,
 };
 
 fn wave(limit: usize) -> Wave {
@@ -108,3 +110,28 @@
     let again = world.cell.upkeep(&[wave(1)], &both(), world.now);
     assert_eq!(again, orders);
 }
+
+/// Found by a review of what holds others back and may never be lifted: the operators took a wave back, or a machine out
+/// of it, while the machine was being emptied. Its worker got no work for the rest of its life.
+#[test_case(&[]; "no wave is left")]
+#[test_case(&["m2"]; "the machine is in no wave")]
+fn worker_gets_work_again_when_wave_is_taken_back(machines: &[&str]) {
+    let mut world = World::new(&["w1"]);
+    let lasting = Step {
+        lasting: true,
+        ..step(1, 1_000)
+    };
+    world.submit(JOB, vec![lasting]);
+    let (worker, start) = world.starts()[0].clone();
+    world.report(&worker, vec![run(JOB, 0, start.run)], vec![]);
+    let list = [machine("m1", Some("w1"))];
+    assert!(world.cell.upkeep(&[wave(1)], &list, world.now).is_empty());
+    world.submit("00000000000000b2", vec![step(1, 1_000)]);
+    assert!(world.starts().is_empty());
+    let mut left = wave(1);
+    left.machines = machines.iter().map(|name| (*name).into()).collect();
+    let waves = [left];
+    let count = usize::from(!machines.is_empty());
+    world.cell.upkeep(&waves[..count], &list, world.now);
+    assert_eq!(world.starts().len(), 1);
+}
--- a/components/node/src/owning.rs
+++ b/components/node/src/owning.rs
@@ -37,9 +37,19 @@
 fn upkeep(node: &Node, fence: u64) {
     let machines = &node.outside.machines;
     let mut told: HashMap<u64, Standing> = HashMap::new();
+    let mut had_waves = false;
     while !is_over(node, fence) {
-        let waves = machines.waves().unwrap_or_default();
-        if waves.is_empty() {
+        let waves = match machines.waves() {
+            Ok(waves) => waves,
+            Err(failure) => {
+                log::info!(target: "owner", error:% = failure; "Which waves of upkeep there are was not read.");
+                thread::sleep(WAVE_GAP);
+                continue;
+            }
+        };
+        let has_waves = !waves.is_empty();
+        // Once more after the last of them: workers that were emptied for it get work again.
+        if !has_waves && !had_waves {
             thread::sleep(WAVE_GAP);
             continue;
         }
@@ -54,6 +64,7 @@
         let Ok((orders, standings)) = asked else {
             return;
         };
+        had_waves = has_waves;
         for order in orders {
             let is_done = machines.upkeep(&order, &node.settings.name, fence);
             log::info!(target: "owner", wave = order.wave, machine = &*order.machine, fence, done = is_done; "A machine is told to go down for its upkeep.");
