--- a/programs/soak/src/check.rs
+++ b/programs/soak/src/check.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::history::{Asked, Job, Jobs, Micros, NEVER, Run, SECOND, Trouble},
-    std::{collections::HashMap, fmt},
+    std::{
+        collections::{HashMap, HashSet},
+        fmt,
+    },
 };
 
 /// A start may still come so long after its job was shown as ended: the start may be under way.
@@ -25,6 +28,11 @@
 /// A job is known to untroubled boxes so long after it was accepted.
 const VISIBLE: Micros = 2 * SECOND;
 
+/// Cores that are free beside a task that lasts and waits: twice what it takes.
+const ROOM: usize = 2;
+/// States in which a job has ended.
+pub const FINAL: [&str; 3] = ["completed", "failed", "cancelled"];
+
 /// A rule that was broken.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Breach {
@@ -256,6 +264,30 @@
     None
 }
 
+/// No task that lasts stands still while so many cores are free, each task taking one.
+pub fn standing(jobs: &Jobs, runs: &[Run], free: usize) -> Option<Breach> {
+    if free < ROOM {
+        return None;
+    }
+    let going: HashSet<&str> = runs
+        .iter()
+        .filter(|run| run.ended == NEVER)
+        .map(|run| &*run.task)
+        .collect();
+    for job in jobs.values() {
+        let is_over = job.is_unwanted() || FINAL.iter().any(|state| job.shown(state).is_some());
+        if !job.lasting || is_over || job.accepted().is_none() {
+            continue;
+        }
+        let mut names = (0..job.steps.len()).flat_map(|step| job.tasks(step));
+        if let Some(name) = names.find(|name| !going.contains(&**name)) {
+            let text = format!("{name} is to last and does not run, with {free} cores free");
+            return Some(breach("lasting", &job.id, text));
+        }
+    }
+    None
+}
+
 /// A task that crashes its workers is given up. What crashes under it while its owner is killed may be missed.
 fn budget(job: &Job, tasks: &Tasks<'_>, trouble: &Trouble) -> Option<Breach> {
     let (step, index) = job.crashing?;
@@ -433,6 +465,28 @@
         assert_eq!(found, rule);
     }
 
+    #[test_case(NEVER, 2, &[]; "runs")]
+    #[test_case(9, 2, &["lasting"]; "does not run")]
+    #[test_case(9, 1, &[]; "no room")]
+    fn standing_cases(ended: Micros, free: usize, rule: &[&str]) {
+        let job = Job {
+            id: "a".to_owned(),
+            steps: vec![2],
+            lasting: true,
+            said: vec![taken()],
+            ..Job::default()
+        };
+        let jobs = Jobs::from([("a".to_owned(), job)]);
+        let runs = [
+            run("a.0.0.0", 5, NEVER, ""),
+            run("a.0.0.1", 5, 9, "lapsed"),
+            run("a.0.0.1", 20, ended, ""),
+        ];
+        let found = standing(&jobs, &runs, free);
+        let found: Vec<&str> = found.iter().map(|breach| breach.rule).collect();
+        assert_eq!(found, rule);
+    }
+
     #[test]
     fn completed_stays() {
         let runs = [run("a.0.0.0", 5, 9, "done"), run("a.0.1.0", 9, 20, "done")];
--- a/programs/soak/src/settle.rs
+++ b/programs/soak/src/settle.rs
@@ -1,7 +1,7 @@
 //! The end of a run: faults are over, and what was accepted ends and is known everywhere.
 
 use {
-    crate::{callers::ask, history::Asked, world::World},
+    crate::{callers::ask, check, history::Asked, world::World},
     kernel::{Client, sync::lock},
     std::{
         thread,
@@ -14,7 +14,6 @@
 /// The time for it on a machine of unknown speed: what lasts longer has hung.
 const FOREVER: Duration = Duration::from_secs(240);
 const LOOK: Duration = Duration::from_millis(100);
-const FINAL: [&str; 3] = ["completed", "failed", "cancelled"];
 
 fn time(world: &World) -> Duration {
     if world.timed { TIME } else { FOREVER }
@@ -39,11 +38,12 @@
 
 /// Lets all jobs end, and checks that each box knows each accepted one.
 pub fn run(world: &World) {
-    let begun = Instant::now();
     let client = Client::new(None);
     if !wait_ready(world) {
         return;
     }
+    wait_lasting(world);
+    let begun = Instant::now();
     let is_over = || begun.elapsed() > time(world);
     for (id, is_accepted) in lasting(world) {
         while !is_over() {
@@ -69,6 +69,22 @@
     }
 }
 
+/// Waits until each task of each lasting job runs, and checks that none stands still beside room.
+fn wait_lasting(world: &World) {
+    let begun = Instant::now();
+    loop {
+        let jobs = lock(&world.jobs).clone();
+        let Some(breach) = check::standing(&jobs, &world.runs(), world.free()) else {
+            return;
+        };
+        if begun.elapsed() > time(world) {
+            world.break_rule(breach.rule, &breach.of, breach.text);
+            return;
+        }
+        thread::sleep(LOOK);
+    }
+}
+
 /// Jobs that last until they are cancelled, and whether each is accepted.
 fn lasting(world: &World) -> Vec<(String, bool)> {
     let jobs = lock(&world.jobs);
@@ -90,5 +106,5 @@
     ask(world, client, number, id, Asked::State, None);
     let jobs = lock(&world.jobs);
     let last = jobs.get(id).and_then(|job| job.said.last());
-    last.is_some_and(|said| FINAL.contains(&said.state.as_str()))
+    last.is_some_and(|said| check::FINAL.contains(&said.state.as_str()))
 }
--- a/programs/soak/src/world.rs
+++ b/programs/soak/src/world.rs
@@ -330,6 +330,19 @@
         }
     }
 
+    /// Cores of all workers on which nothing runs.
+    pub fn free(&self) -> usize {
+        let runs = self.runs();
+        let mut free = 0;
+        for (number, worker) in self.workers.iter().enumerate() {
+            let life = self.life(number);
+            let is_there = |run: &&Run| run.worker == life && run.ended == NEVER;
+            let taken = runs.iter().filter(is_there).count();
+            free += (worker.runner.cores() as usize).saturating_sub(taken);
+        }
+        free
+    }
+
     /// All runs of tasks so far.
     pub fn runs(&self) -> Vec<Run> {
         let seen = lock(&self.seen);
