The next probe of a worker starts by what its reports show

What callers would see: a worker that was set aside and tried with a lasting task took one task each 3 s from then on, and stayed set aside.

Change: by the last report, not by the clock.

--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -256,7 +256,9 @@
             return false;
         }
         let probing = self.probe.as_ref().and_then(|key| self.slots.get(key));
-        !self.is_faulty() || probing.is_none_or(|slot| slot.has_run(FAULTY_FOR, now))
+        // By its last report: the one that shows it clears the worker where the probe lasts, and goes first.
+        let heard = self.clock.map_or(0, |clock| clock.at);
+        !self.is_faulty() || probing.is_none_or(|slot| slot.has_run(FAULTY_FOR, heard))
     }
 
     /// True when it is faulty and has run the task that it is tried with for as long as a faulty one gets
--- a/components/cell/tests/decisions/place.rs
+++ b/components/cell/tests/decisions/place.rs
@@ -436,6 +436,57 @@
     assert_eq!(world.starts().len(), 1);
 }
 
+/// The story: a worker that had failed its tasks was tried with a lasting task, which ran well; its next report, which is
+/// 2 s apart from the last, would have cleared it. A pass of placement came before that, and put the next task there as the
+/// new probe. The worker took one task in 3 s from then on and stayed set aside.
+///
+/// The cause: the next probe may start once the last one has run for 3 s, and takes its place; what clears the worker is
+/// a report of the present probe alone.
+#[test]
+fn lasting_probe_clears_whatever_starts_before_its_report() {
+    let mut world = World::new(&["w1"]);
+    let other = "00000000000000b2";
+    world.submit(JOB, vec![step(1, 1_000)]);
+    world.submit(other, vec![step(1, 1_000)]);
+    for (worker, start) in world.starts() {
+        world.answer(&worker, &start, Outcome::Done);
+    }
+    let ends: Vec<End> = vec![
+        end(1, JOB, 0, 1, How::Failed),
+        end(2, other, 0, 1, How::Failed),
+    ];
+    for id in [JOB, other] {
+        let id = Id::new(id).unwrap();
+        world.cell.cancel(&id, world.now, 1);
+    }
+    world.report("w1", vec![], ends);
+    world.now += 3_000;
+    let lasting = "00000000000000c3";
+    let watch = Step {
+        lasting: true,
+        ..step(4, 1_000)
+    };
+    world.submit(lasting, vec![watch]);
+    world.report("w1", vec![], vec![]);
+    let mut listed = Vec::new();
+    let mut taken = Vec::new();
+    // Passes each 100 ms, reports each 2 s, as where no poll has anything to tell.
+    for pass in 0..=60 {
+        if pass % 20 == 1 {
+            world.report("w1", listed.clone(), vec![]);
+        }
+        for (worker, start) in world.starts() {
+            world.answer(&worker, &start, Outcome::Done);
+            let mut own = run(lasting, 0, start.run);
+            own.address = start.address;
+            listed.push(own);
+            taken.push(world.now - 4_000);
+        }
+        world.now += 100;
+    }
+    assert_eq!(taken.len(), 4, "starts at {taken:?}");
+}
+
 /// Seen on a day with filling tasks one after the other beside the same serving task: the end of
 /// the first made the worker look well again, and the next one went on disturbing.
 #[test]
