A gang whose members are suspects starts again

What callers would see: a gang of eight on four workers never runs again once one of them has crashed in the first second of its run, with all four empty. And while the store is away, a gang that crashes its workers starts once more than its next owner can know of.

And what holds other tasks back until their crashes are written down was not looked at for gangs.

Change: suspects of a gang go to workers of their own where there are so many, and together where not.

Tests gang_runs_again_two_to_a_worker and gang_waits_for_record_of_crashes, red before.

--- a/components/cell/src/crashes/trial.rs
+++ b/components/cell/src/crashes/trial.rs
@@ -102,7 +102,7 @@
 
     /// True for a task under which several workers have crashed, as long as that is not written down: the next owner is to
     /// know of these crashes before the next one.
-    fn is_unkept(&self, id: &Id, place: usize) -> bool {
+    pub(crate) fn is_unkept(&self, id: &Id, place: usize) -> bool {
         self.jobs.get(id).is_some_and(|job| {
             let crashes = job.progress.tasks[place].crashes;
             job.unkept && (crashes.early >= ALONE_FROM || crashes.all >= ALONE_FROM_ALL)
--- a/components/cell/src/gang.rs
+++ b/components/cell/src/gang.rs
@@ -13,6 +13,14 @@
 /// A task and the worker chosen for it.
 type Choice = (usize, Arc<str>);
 
+/// Where a gang may be placed.
+struct Site {
+    /// The rack; any where there is none.
+    rack: Option<Arc<str>>,
+    /// Suspects among the members go to workers of their own, so that the next crash tells them apart.
+    is_apart: bool,
+}
+
 impl Cell {
     /// A gang starts whole or not at all, with one run number.
     pub(crate) fn place_gang(
@@ -27,12 +35,13 @@
             .jobs
             .get(&rank.id)
             .map_or(0, |job| job.progress.left(address.time, address.step));
-        if places.len() < left as usize || self.is_condemned(&rank.id) {
+        let is_unkept = |&place: &usize| self.is_unkept(&rank.id, place);
+        let is_held = self.is_condemned(&rank.id) || places.iter().any(is_unkept);
+        if places.len() < left as usize || is_held {
             return;
         }
-        let racks = self.racks(step);
-        for rack in racks {
-            let Some(choices) = self.choose_gang(rank, address, places, step, &rack, now) else {
+        for site in self.sites(rank, places, step) {
+            let Some(choices) = self.choose_gang(rank, address, places, step, &site, now) else {
                 continue;
             };
             let runs = choices.iter().map(|(place, _)| self.next_run(rank, *place));
@@ -58,8 +67,8 @@
         }
     }
 
-    /// The racks to try for a gang: each by itself where it wants one rack, then all together.
-    fn racks(&self, step: &Step) -> Vec<Option<Arc<str>>> {
+    /// Where to try a gang: on each rack by itself where it wants one rack, then on all together.
+    fn sites(&self, rank: &Rank, places: &[usize], step: &Step) -> Vec<Site> {
         let mut racks = Vec::new();
         if step.one_rack {
             let own = self.workers.values().map(|worker| worker.entry.rack());
@@ -69,7 +78,22 @@
             racks.extend(names.into_iter().map(|name| Some(name.into())));
         }
         racks.push(None);
-        racks
+        let is_suspect = |&place: &usize| self.suspicion(&rank.id, place).is_tried();
+        let has_suspects = places.iter().any(is_suspect);
+        let mut sites = Vec::new();
+        for rack in racks {
+            let is_apart = has_suspects;
+            sites.push(Site {
+                rack: rack.clone(),
+                is_apart,
+            });
+            // They start together or never, and just a run can clear them.
+            sites.extend(has_suspects.then_some(Site {
+                rack,
+                is_apart: false,
+            }));
+        }
+        sites
     }
 
     /// Chooses workers for all members as if those before were placed already.
@@ -79,7 +103,7 @@
         address: Address,
         places: &[usize],
         step: &Step,
-        rack: &Option<Arc<str>>,
+        site: &Site,
         now: u64,
     ) -> Option<Vec<Choice>> {
         let job = self.jobs.get(&rank.id)?;
@@ -89,11 +113,12 @@
         for &place in places {
             let suspicion = self.suspicion(&rank.id, place);
             let will_do = |id: &Arc<str>, worker: &Worker| {
-                let is_here = rack
+                let is_here = site
+                    .rack
                     .as_ref()
                     .is_none_or(|rack| &**rack == worker.entry.rack());
                 let before = taken.get(id).copied().unwrap_or_default();
-                let is_alone = !suspicion.is_tried() || before == 0;
+                let is_alone = before == 0 || !site.is_apart || !suspicion.is_tried();
                 is_here
                     && is_alone
                     && self.may_try(id, suspicion)
--- a/components/cell/tests/decisions/crashes.rs
+++ b/components/cell/tests/decisions/crashes.rs
@@ -308,3 +308,51 @@
     }
     assert_eq!(farm.state(OTHER), Some(State::Running));
 }
+
+/// The story: a gang of eight ran two to a worker on four workers, its room in full. One of the workers crashed in the first
+/// second of the gang's run and was back 2 s later. The gang never ran again, with all four workers empty.
+///
+/// The cause: two suspects are not tried on one worker, also not two of a gang that starts whole; what would clear them is a
+/// run of a second, which there cannot be.
+#[test_case(100; "two suspects")]
+#[test_case(1_600; "no suspects")]
+fn gang_runs_again_two_to_a_worker(before: u64) {
+    let mut farm = Farm::new(4, 60_000);
+    let gang = Step {
+        gang: true,
+        ..step(8, 2_000)
+    };
+    farm.submit(JOB, gang);
+    while farm.holder(JOB, 7).is_none() {
+        farm.run(10);
+    }
+    farm.run(before);
+    let machine = farm.holder(JOB, 7).unwrap();
+    assert_eq!(farm.holder(JOB, 6), Some(machine));
+    farm.cut_power(machine..machine + 1);
+    farm.run(20_000);
+    let count = (0..8)
+        .filter(|&place| farm.holder(JOB, place).is_some())
+        .count();
+    assert_eq!(count, 8);
+}
+
+/// The story: the store was away while a gang crashed its workers; each start was one more that the next owner would not know of.
+///
+/// The cause: what holds other tasks back until their crashes are written down is not looked at for gangs.
+#[test]
+fn gang_waits_for_record_of_crashes() {
+    let mut farm = Farm::new(12, 5_000);
+    farm.submit(
+        JOB,
+        Step {
+            gang: true,
+            ..step(3, 1_000)
+        },
+    );
+    farm.poison(JOB, 1, CRASH_AFTER);
+    farm.run(1_000);
+    farm.hold_writes(true);
+    farm.run(20_000);
+    assert_eq!(farm.started(JOB, 1), 2);
+}
