A suspect that no worker suits holds up no other of its job

What callers would see: a task stands still for good beside seven empty workers, since another task of its job has lost the only rack it may run on.

Change: the job notes for which of these no worker was found when it was last looked for one; they hold up nobody.

Test suspect_runs_beside_one_that_no_worker_suits, case "tried alone", red before; strong_suspects_of_many_jobs_run_again (16 jobs, two losses of power) was green and stays. 189 decisions pass.

--- a/components/cell/src/admit.rs
+++ b/components/cell/src/admit.rs
@@ -61,6 +61,7 @@
             hurried: false,
             pressed: false,
             unkept: false,
+            stranded: BTreeSet::new(),
             suspects: progress
                 .crashed()
                 .into_iter()
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -45,6 +45,8 @@
     pub pressed: bool,
     /// Tasks under which workers crashed, by place.
     pub suspects: BTreeSet<usize>,
+    /// Those of them for which there was no worker when it was last looked for one.
+    pub stranded: BTreeSet<usize>,
     /// A crash that was counted against a task of it is not written down yet.
     pub unkept: bool,
     /// It is about to miss its objective: its filling tasks may also go where they disturb.
--- a/components/cell/src/crashes/trial.rs
+++ b/components/cell/src/crashes/trial.rs
@@ -121,14 +121,21 @@
     }
 
     /// True for a job with a task that is tried alone: that goes first, since it may end the job before others of its
-    /// tasks take a worker each.
+    /// tasks take a worker each. One that no worker will do for holds nothing up: its rack may be gone for good.
     fn has_strong_suspect(&self, id: &Id) -> bool {
         self.jobs.get(id).is_some_and(|job| {
-            let mut places = job.suspects.iter();
+            let mut places = job.suspects.difference(&job.stranded);
             places.any(|&place| self.suspicion(id, place) == Suspicion::Alone)
         })
     }
 
+    /// Notes that there is no worker for a task that is tried alone.
+    pub(crate) fn strand(&mut self, id: &Id, place: usize) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.stranded.insert(place);
+        }
+    }
+
     /// True when a task that is so much suspected may start on a worker: not beside another suspect.
     pub(crate) fn may_try(&self, id: &Arc<str>, suspicion: Suspicion) -> bool {
         !suspicion.is_tried() || !self.crashes.trials.contains_key(id)
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -4,6 +4,7 @@
     crate::{
         cell::{Cell, Job, Rank},
         choose::{Among, Past},
+        crashes::Suspicion,
         order::{Order, Start},
         slot::{Slot, Stage},
         strain::Press,
@@ -179,6 +180,9 @@
             let past = self.past(rank, place);
             let is_placed = self.place_task(rank, address, place, past, among, now);
             // Fewer workers will do for a task that has failed or is suspected: the others may find room.
+            if !is_placed && past.suspicion == Suspicion::Alone {
+                self.strand(&rank.id, place);
+            }
             if is_placed || past.failures > 0 || past.suspicion.is_tried() {
                 continue;
             }
@@ -314,6 +318,7 @@
         task.run = run;
         task.phase = Phase::Placed(id.clone());
         self.ready.remove(&place);
+        self.stranded.remove(&place);
         let saved = task.saved.clone();
         let spec = &self.progress.submission.spec;
         let address = spec.address(place);
--- a/components/cell/tests/decisions/waits.rs
+++ b/components/cell/tests/decisions/waits.rs
@@ -5,7 +5,8 @@
         common::{JOB, step},
         farm::Farm,
     },
-    job::Step,
+    job::{Step, spec::Size},
+    test_case::test_case,
 };
 
 /// A lasting task has to run again within this time of the loss of its worker, in milliseconds: 6 s, and 3 s beside room.
@@ -15,10 +16,15 @@
 
 /// Nine lasting tasks, each on a worker of its own.
 fn apart() -> Step {
+    so_many_apart(9)
+}
+
+/// Lasting tasks, each on a worker of its own.
+fn so_many_apart(count: u32) -> Step {
     Step {
         lasting: true,
         spread: 1,
-        ..step(9, 1_000)
+        ..step(count, 1_000)
     }
 }
 
@@ -85,7 +91,15 @@
 
 /// True when all nine tasks of a job run.
 fn is_whole(farm: &Farm, id: &str) -> bool {
-    (0..9).all(|place| farm.holder(id, place).is_some())
+    running(farm, id, 9) == 9
+}
+
+/// How many of the tasks of a job run.
+fn running(farm: &Farm, id: &str, count: usize) -> usize {
+    let places = 0..count;
+    places
+        .filter(|&place| farm.holder(id, place).is_some())
+        .count()
 }
 
 /// The story: three workers had crashed in a row under one task of a lasting job, each after seconds of work; it ran well by
@@ -148,3 +162,88 @@
     farm.run(5_200);
     assert!(is_whole(&farm, JOB));
 }
+
+/// The story: one task of a job can only run on the workers of one rack, and two of these had crashed under it as it started
+/// when the rack went away for good. Another task of the job, which runs on another rack, then lost its worker right after it
+/// had started there; it never ran again, beside seven empty workers of its rack.
+///
+/// The cause: a task that is tried alone goes before the other suspects of its job, also while there is no worker for it.
+#[test_case(0; "control, not suspected")]
+#[test_case(1; "control, suspected once")]
+#[test_case(2; "tried alone")]
+fn suspect_runs_beside_one_that_no_worker_suits(crashes: u32) {
+    let mut farm = Farm::new(66, 1_000);
+    let bound = Step {
+        label: Some("r0".into()),
+        ..so_many_apart(1)
+    };
+    let other = Step {
+        label: Some("r1".into()),
+        ..so_many_apart(1)
+    };
+    farm.submit_steps(JOB, vec![bound, other]);
+    farm.run(400);
+    for _ in 0..crashes {
+        let machine = farm.holder_of(JOB, 0, 0).unwrap();
+        farm.cut_power(machine..machine + 1);
+        for _ in 0..500 {
+            farm.run(10);
+            if farm.holder_of(JOB, 0, 0).is_some() {
+                break;
+            }
+        }
+    }
+    for machine in 0..8 {
+        farm.remove(machine);
+    }
+    // The other task begins anew, so that its run is a new one.
+    let machine = farm.holder_of(JOB, 1, 0).unwrap();
+    farm.cut_power(machine..machine + 1);
+    for _ in 0..500 {
+        farm.run(10);
+        if let Some(machine) = farm.holder_of(JOB, 1, 0) {
+            farm.run(100);
+            farm.cut_power(machine..machine + 1);
+            farm.run(10);
+            break;
+        }
+    }
+    farm.run(20_000);
+    assert!(farm.holder_of(JOB, 0, 0).is_none());
+    assert!(farm.holder_of(JOB, 1, 0).is_some());
+}
+
+/// The story: sixteen lasting jobs had just started one task each; half of four racks lost power, and again a moment after
+/// the tasks were back. Two of them at a time ran again then.
+///
+/// The cause: two suspects are tried alone at a time in a cell of 66 workers, whatever their jobs.
+#[test]
+fn strong_suspects_of_many_jobs_run_again() {
+    let mut farm = Farm::new(66, 1_000);
+    let ids: Vec<String> = (0..16).map(|number| format!("{number:016x}")).collect();
+    for id in &ids {
+        farm.submit(
+            id,
+            Step {
+                size: Size {
+                    cpu: 4_000,
+                    memory: 100,
+                    gpus: 0,
+                },
+                ..so_many_apart(1)
+            },
+        );
+    }
+    farm.run(400);
+    for _ in 0..2 {
+        for id in &ids {
+            if let Some(holder) = farm.holder(id, 0) {
+                farm.cut_power(holder..holder + 1);
+            }
+        }
+        farm.run(2_500);
+    }
+    farm.run(AGAIN - 2_500);
+    let count = ids.iter().filter(|id| farm.holder(id, 0).is_some()).count();
+    assert_eq!(count, 16);
+}
