A job that has left the line has not waited

What callers would see: minutes after a takeover a lasting task that lost its worker goes before short tasks at once, and the owner tells that it has waited for minutes.

Test wait_begins_with_the_loss, case "after a takeover", red before.

--- a/components/cell/src/ends.rs
+++ b/components/cell/src/ends.rs
@@ -170,6 +170,7 @@
         }
         if job.ready.is_empty() {
             self.line.remove(&job.rank);
+            job.leave_line();
         }
         self.dirty.insert(key.job.clone());
         elsewhere
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -122,9 +122,7 @@
         };
         if job.ready.is_empty() {
             self.line.remove(rank);
-            job.lined = None;
-            job.pressed = false;
-            job.rank.lasting = job.progress.submission.spec.is_lasting();
+            job.leave_line();
         }
     }
 
@@ -311,6 +309,13 @@
 }
 
 impl Job {
+    /// Forgets for how long its tasks have waited: none of them does any more.
+    pub(crate) fn leave_line(&mut self) {
+        self.lined = None;
+        self.pressed = false;
+        self.rank.lasting = self.progress.submission.spec.is_lasting();
+    }
+
     /// Marks a ready task as placed on a worker. Returns what the worker has to know for its start.
     fn assign(&mut self, key: Key, run: u64, id: &Arc<str>, deadline: u64, now: u64) -> Start {
         let place = key.place;
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -167,6 +167,7 @@
         job.ready.remove(&key.place);
         if job.ready.is_empty() {
             self.line.remove(&job.rank);
+            job.leave_line();
         }
         let step = job.progress.step(key.place);
         let image = self.disturbance.number(step.image.as_ref());
--- a/components/cell/tests/decisions/waits.rs
+++ b/components/cell/tests/decisions/waits.rs
@@ -290,3 +290,35 @@
     let count = ids.iter().filter(|id| farm.holder(id, 0).is_some()).count();
     assert_eq!(count, 16);
 }
+
+/// The story: minutes after a takeover a lasting task lost its worker, with no room for it elsewhere. The owner told at once
+/// that it had waited for minutes, and put it before short tasks, which is for those that have waited for 2 s.
+///
+/// The cause: since when a job waits is noted while a takeover holds it back, and not forgotten when its runs are
+/// adopted.
+#[test_case(false; "control, without a takeover")]
+#[test_case(true; "after a takeover")]
+fn wait_begins_with_the_loss(is_taken_over: bool) {
+    let mut farm = Farm::new(9, 1_000);
+    farm.submit(JOB, apart());
+    farm.run(3_000);
+    if is_taken_over {
+        // One worker does not answer the new owner for a moment, so that its jobs wait in line.
+        farm.cut_off(8..9, true);
+        farm.hand_over(&farm.records());
+        farm.run(1_000);
+        farm.cut_off(8..9, false);
+    }
+    farm.run(30_000);
+    assert_eq!(running(&farm, JOB, 9), 9);
+    farm.remove(0);
+    for _ in 0..1_000 {
+        farm.run(10);
+        if farm.cell.summary(farm.now).waiting > 0 {
+            break;
+        }
+    }
+    assert!(farm.cell.summary(farm.now).waiting > 0);
+    farm.run(200);
+    assert_eq!(farm.cell.tell_waits(farm.now, farm.now), 0);
+}
