A machine is emptied for its upkeep whatever life its worker has

What operators would see: a wave that never ends, since a worker crashed while its machine was being emptied, and its next life was given lasting tasks that nobody moved.

Test wave_goes_on_with_next_life, red before.

--- a/components/cell/src/wave.rs
+++ b/components/cell/src/wave.rs
@@ -74,7 +74,7 @@
             .iter()
             .map(|machine| (&*machine.name, machine))
             .collect();
-        self.reopen(waves, &listed);
+        self.note_closing(waves, &listed);
         let mut orders = Vec::new();
         for wave in waves {
             let mut progress = self.waves.remove(&wave.number).unwrap_or_default();
@@ -96,9 +96,10 @@
         orders
     }
 
-    /// Lets workers have work again that were emptied for a wave which the operators have taken back, or for a machine
-    /// that they have taken out of it. Nothing else would: such a worker stood still for the rest of its life.
-    fn reopen(&mut self, waves: &[Wave], listed: &BTreeMap<&str, &Machine>) {
+    /// Notes which workers are emptied: those of machines that are to go down, whatever lives these have now. Others get
+    /// work again: their wave was taken back by the operators, or their machine taken out of it. Nothing else tells; such
+    /// a worker stood still for the rest of its life.
+    fn note_closing(&mut self, waves: &[Wave], listed: &BTreeMap<&str, &Machine>) {
         self.waves
             .retain(|number, _| waves.iter().any(|wave| wave.number == *number));
         let mut closing: HashSet<Arc<str>> = HashSet::new();
@@ -116,11 +117,12 @@
             closing.extend(progress.begun.values().flatten().cloned());
         }
         for (id, worker) in &mut self.workers {
-            if !worker.closing || closing.contains(id) {
+            let is_closing = closing.contains(id);
+            if worker.closing == is_closing {
                 continue;
             }
-            log::info!(target: "cell", worker = &**id; "A worker is emptied for its upkeep no longer.");
-            worker.closing = false;
+            log::info!(target: "cell", worker = &**id, closing = is_closing; "Whether a worker is emptied for its upkeep has changed.");
+            worker.closing = is_closing;
             worker.changed = true;
         }
     }
--- a/components/cell/tests/decisions/farm.rs
+++ b/components/cell/tests/decisions/farm.rs
@@ -141,17 +141,6 @@
         assert!(self.cell.admit(submission, self.now));
     }
 
-    /// The number of the run of a task that goes on.
-    pub fn run_of(&self, id: &str, place: usize) -> Option<u64> {
-        let id = Id::new(id).unwrap();
-        self.machines.iter().find_map(|machine| {
-            let mut runs = machine.runs.iter();
-            let found =
-                runs.find(|((job, address), _)| *job == id && address.index as usize == place);
-            found.map(|(_, going)| going.run)
-        })
-    }
-
     /// The machine on which a task of a step runs.
     pub fn holder_of(&self, id: &str, step: u16, index: u32) -> Option<usize> {
         let id = Id::new(id).unwrap();
--- a/components/cell/tests/decisions/waits.rs
+++ b/components/cell/tests/decisions/waits.rs
@@ -43,14 +43,19 @@
 /// The evidence: the owner told of the task as barred, with four trials of its job and 57 of 65 workers that had nothing in
 /// the way. Tasks 3 to 6 had been tried as run 66, the next owner goes on from 131, and so does the record of what users
 /// saw. With trials that end for any run that is listed, the fifth one starts as soon as the first of them are over.
-#[test]
-fn last_suspect_runs_once_others_are_back() {
+#[test_case(false, 300, CUT; "adopted just before")]
+#[test_case(true, 300, CUT; "adopted just before, polls held")]
+#[test_case(true, 1_700, 3_800; "adopted 1.7 s before, polls held")]
+fn last_suspect_runs_once_others_are_back(is_held: bool, adopted: u64, cut: u64) {
     let mut farm = Farm::new(66, 1_000);
+    if is_held {
+        farm.hold_polls();
+    }
     farm.submit(JOB, apart());
     farm.run(3_000);
     farm.hand_over(&farm.records());
-    farm.run(300);
-    lose_six_and_regain_five(&mut farm);
+    farm.run(adopted);
+    lose_six_and_regain_five(&mut farm, cut);
     assert!(is_whole(&farm, JOB));
 }
 
@@ -61,13 +66,13 @@
     let mut farm = Farm::new(66, 1_000);
     farm.submit(JOB, apart());
     farm.run(400);
-    lose_six_and_regain_five(&mut farm);
+    lose_six_and_regain_five(&mut farm, CUT);
     assert!(is_whole(&farm, JOB));
 }
 
 /// Cuts the workers of tasks 3 to 7 off, takes that of task 8 away for good, and lets time pass until all tasks have to run
 /// again; the workers that were cut off are back just after they were given up.
-fn lose_six_and_regain_five(farm: &mut Farm) {
+fn lose_six_and_regain_five(farm: &mut Farm, cut: u64) {
     let holders: Vec<usize> = (3..9)
         .map(|place| farm.holder(JOB, place).unwrap())
         .collect();
@@ -75,11 +80,11 @@
         farm.cut_off(machine..machine + 1, true);
     }
     farm.remove(holders[5]);
-    farm.run(CUT);
+    farm.run(cut);
     for &machine in &holders[..5] {
         farm.cut_off(machine..machine + 1, false);
     }
-    farm.run(AGAIN - CUT);
+    farm.run(AGAIN - cut);
 }
 
 /// Takes the power of a task's worker away, and lets time pass.
--- a/components/cell/tests/decisions/wave.rs
+++ b/components/cell/tests/decisions/wave.rs
@@ -1,9 +1,10 @@
 //! Waves of upkeep: limit, emptying, and what counts as done.
 
 use {
-    crate::common::{JOB, World, run, step},
-    job::Step,
-    magpie_cell::{Machine, Upkeep, Wave},
+    crate::common::{JOB, World, end, entry, run, step},
+    job::{Id, Step},
+    magpie_cell::{How, Machine, Order, Outcome, Run, Upkeep, Wave},
+    std::{collections::HashMap, slice::from_ref},
     test_case::test_case,
 };
 
@@ -95,7 +96,7 @@
             .upkeep(&[one.clone()], &both(), world.now)
             .is_empty()
     );
-    let ended = crate::common::end(1, JOB, 0, start.run, magpie_cell::How::Stopped);
+    let ended = end(1, JOB, 0, start.run, How::Stopped);
     world.report(&worker, vec![], vec![ended]);
     assert_ne!(world.starts()[0].0, worker);
     let orders = world.cell.upkeep(&[one], &both(), world.now);
@@ -135,3 +136,88 @@
     world.cell.upkeep(&waves[..count], &list, world.now);
     assert_eq!(world.starts().len(), 1);
 }
+
+/// The story: a machine was being emptied for its upkeep when its worker crashed. The next life of the worker was given
+/// lasting tasks, and nobody moved them off: the machine never went down, and the wave never ended.
+///
+/// The cause: that a worker is emptied is noted on the life that was there when it began; what the wave waits for is
+/// whatever life is there now.
+#[test]
+fn wave_goes_on_with_next_life() {
+    let mut world = World::new(&["w1", "w2"]);
+    let wave = Wave {
+        number: 3,
+        machines: vec!["m1".into()],
+        limit: 1,
+        done: Vec::new(),
+    };
+    let machine = |worker: &str| Machine {
+        name: "m1".into(),
+        up: true,
+        worker: Some(worker.into()),
+    };
+    let lasting = Step {
+        lasting: true,
+        spread: 1,
+        ..step(2, 1_000)
+    };
+    world.submit(JOB, vec![lasting]);
+    let mut listed = HashMap::new();
+    for (worker, start) in world.starts() {
+        world.answer(&worker, &start, Outcome::Done);
+        let mut own = run(JOB, 0, start.run);
+        own.address = start.address;
+        listed.insert(worker, own);
+    }
+    world.now += 100;
+    let orders = world
+        .cell
+        .upkeep(from_ref(&wave), &[machine("w1")], world.now);
+    assert!(orders.is_empty());
+    // Another life of the worker is there now.
+    world
+        .cell
+        .end_life(&"w1".into(), "another life answers", world.now);
+    world.list(vec![entry("w3", 4), entry("w2", 4)]);
+    let mut begun = Vec::new();
+    let mut other: Option<Id> = None;
+    let mut number = 0;
+    let mut on_third: Vec<Run> = Vec::new();
+    for _ in 0..300 {
+        world.now += 100;
+        let kept = listed.get("w2").cloned().into_iter().collect();
+        world.report("w2", kept, vec![]);
+        world.report("w3", on_third.clone(), vec![]);
+        world.cell.rerank(world.now, world.now);
+        world.cell.place(world.now);
+        for (worker, order) in world.cell.take_orders() {
+            match &order {
+                Order::Start(start) if &*worker == "w3" => {
+                    world
+                        .cell
+                        .answered(&worker, &order, Outcome::Done, world.now);
+                    let mut own = run(JOB, 0, start.run);
+                    own.address = start.address;
+                    on_third.push(own);
+                    other = Some(start.key.job.clone());
+                }
+                Order::Stop { run, address, .. } if &*worker == "w3" => {
+                    on_third.clear();
+                    number += 1;
+                    let mut ended = end(number, JOB, 0, *run, How::Stopped);
+                    ended.address = *address;
+                    world.report("w3", vec![], vec![ended]);
+                }
+                _ => {}
+            }
+        }
+        world.write();
+        begun.extend(
+            world
+                .cell
+                .upkeep(from_ref(&wave), &[machine("w3")], world.now),
+        );
+    }
+    assert!(other.is_some(), "no task came to the next life");
+    assert_eq!(begun.len(), 1, "the machine is not told to go down in 30 s");
+}
