--- a/components/cell/src/admit.rs
+++ b/components/cell/src/admit.rs
@@ -77,6 +77,7 @@
             progress,
         };
         self.jobs.insert(id.clone(), job);
+        self.name_strays(&id);
         if submission.spec.timetable.is_some() {
             self.timed.insert(id.clone());
         }
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -141,6 +141,8 @@
     pub(crate) crowded: bool,
     /// Needs that found no room when all workers were looked through.
     pub(crate) stuck: Vec<Stuck>,
+    /// Jobs that are not known and of which workers hold runs that must not be.
+    pub(crate) unknown: HashSet<Id>,
     /// What the present pass has placed of a job: place, run and worker.
     pub(crate) placed: Vec<(usize, u64, Arc<str>)>,
     /// How many more tasks the present pass may place.
@@ -192,6 +194,7 @@
             levels: Levels::default(),
             crowded: false,
             stuck: Vec::new(),
+            unknown: HashSet::new(),
             placed: Vec::new(),
             room: 0,
             looks: 0,
@@ -246,6 +249,7 @@
     pub fn forget(&mut self, ids: &[Id]) {
         for id in ids {
             self.closed.remove(id);
+            self.unknown.remove(id);
         }
     }
 
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -205,6 +205,9 @@
         if worker.slots.contains_key(&key) {
             return;
         }
+        if !self.jobs.contains_key(&key.job) {
+            self.unknown.insert(key.job.clone());
+        }
         let stage = Stage::Running { at: moment.now };
         let slot = Slot {
             stopping: Some(moment.now),
@@ -214,6 +217,30 @@
         worker.hold(key, slot);
     }
 
+    /// Gives runs of a job that was not known their places in it, now that it is: whatever looks at what a worker holds
+    /// looks for its task there.
+    pub(crate) fn name_strays(&mut self, id: &Id) {
+        if !self.unknown.remove(id) {
+            return;
+        }
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let spec = &job.progress.submission.spec;
+        for worker in self.workers.values_mut() {
+            let held = worker.slots.keys().filter(|key| key.job == *id);
+            for key in held.cloned().collect::<Vec<Key>>() {
+                let Some(slot) = worker.release(&key) else {
+                    continue;
+                };
+                let (job, place) = (key.job, spec.place(slot.address));
+                if let Some(place) = place {
+                    worker.hold(Key { job, place }, slot);
+                }
+            }
+        }
+    }
+
     /// What a run is reckoned to take that must not be there.
     fn step_of_stray(&self, id: &Arc<str>, key: &Key) -> Step {
         let known = self.jobs.get(&key.job);
--- /dev/null
+++ b/components/cell/tests/decisions/held.rs
@@ -0,0 +1,191 @@
+//! Workers with room that are not used, and tasks that count as placed where nothing runs: for as long as one owner lasts.
+
+use {
+    crate::common::{JOB, World, end, run, step, submission},
+    job::Step,
+    magpie_cell::{End, How, Machine, Outcome, Reason, Start, Upkeep, Wave},
+    std::sync::Arc,
+    test_case::test_case,
+};
+
+/// The owner looks at its cell so often, in milliseconds.
+const TICK: u64 = 100;
+
+fn lasting(cpu: u64) -> Step {
+    Step {
+        lasting: true,
+        ..step(1, cpu)
+    }
+}
+
+impl World {
+    /// One tick of the owner besides what is heard. Returns the starts that were ordered.
+    fn tick(&mut self) -> Vec<(Arc<str>, Start)> {
+        self.now += TICK;
+        self.cell.rerank(self.now, self.now);
+        self.cell.expire_tickets(self.now);
+        self.cell.lapse(self.now);
+        let starts = self.starts();
+        self.write();
+        starts
+    }
+}
+
+fn wave() -> Wave {
+    Wave {
+        number: 3,
+        machines: vec!["m1".into()],
+        limit: 1,
+        done: Vec::new(),
+    }
+}
+
+fn machines(names: &[&str]) -> Vec<Machine> {
+    let machine = |name: &&str| Machine {
+        name: (*name).into(),
+        up: true,
+        worker: Some(name.replace('m', "w").as_str().into()),
+    };
+    names.iter().map(machine).collect()
+}
+
+/// True when a lasting task runs on the only worker within 20 s.
+fn is_used(world: &mut World) -> bool {
+    world.submit(JOB, vec![lasting(1_000)]);
+    (0..200).any(|_| {
+        world.report("w1", vec![], vec![]);
+        !world.tick().is_empty()
+    })
+}
+
+/// The story: a machine was to go down for its upkeep, and the order was refused, as others were in turn. The operators
+/// took the wave back. Its worker got no work for as long as the owner lasted.
+#[test]
+fn upkeep_taken_back_opens_worker() {
+    let mut world = World::new(&["w1"]);
+    let orders: Vec<Upkeep> = world.cell.upkeep(&[wave()], &machines(&["m1"]), world.now);
+    assert_eq!(orders.len(), 1);
+    world.cell.upkeep_refused(&orders[0]);
+    world.cell.upkeep(&[], &machines(&["m1"]), world.now);
+    assert!(is_used(&mut world), "the worker stays closed");
+}
+
+/// The story: while a machine was emptied for its upkeep, one list of the machines lacked it. It counted as gone, and the
+/// upkeep as done; it was listed again with the same worker, which got no work for as long as the owner lasted.
+#[test]
+fn upkeep_of_machine_missing_once_opens_worker() {
+    let mut world = World::new(&["w1"]);
+    let orders = world.cell.upkeep(&[wave()], &machines(&["m1"]), world.now);
+    world.cell.upkeep_refused(&orders[0]);
+    world.cell.upkeep(&[wave()], &machines(&[]), world.now);
+    let orders = world.cell.upkeep(&[wave()], &machines(&["m1"]), world.now);
+    assert!(
+        !orders.is_empty() || is_used(&mut world),
+        "the worker stays closed and gets no upkeep"
+    );
+}
+
+/// The story: a run of a job that was not known was to be stopped, and its job came to be known before the worker's next
+/// report. The worker crashed in between, and the owner's process ended with it.
+///
+/// The cause: the run was held under a place of its own, which no task of the job has, and counting the crash looked for the
+/// task there.
+#[test]
+fn end_life_with_run_of_job_known_since() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.report("w1", vec![run(JOB, 0, 1)], vec![]);
+    world.submit(JOB, vec![lasting(1_000)]);
+    world
+        .cell
+        .end_life(&"w1".into(), "another life answers", world.now);
+    assert_eq!(world.starts().len(), 1);
+}
+
+/// A worker that lists another run than the one it was given keeps the place of the given one for no longer than the other
+/// takes to stop.
+#[test]
+fn missing_beside_another_run_of_the_task() {
+    let mut world = World::new(&["w1"]);
+    world.submit(JOB, vec![lasting(1_000)]);
+    let start = world.starts()[0].1.clone();
+    world.now += 10;
+    world.answer(&"w1".into(), &start, Outcome::Done);
+    for _ in 0..9 {
+        world.report("w1", vec![run(JOB, 0, 7)], vec![]);
+        assert!(!world.stops().is_empty());
+        world.now += TICK;
+    }
+    let stopped = end(1, JOB, 0, 7, How::Stopped);
+    world.report("w1", vec![], vec![stopped]);
+    assert_eq!(world.tick().len(), 1);
+}
+
+/// Runs of one job under three owners. What the second one orders and writes is told by the case.
+#[derive(Debug, Clone, Copy)]
+enum Second {
+    /// It starts the task, and its record is written after that.
+    StartsAndWrites,
+    /// It writes the record of the job without a start.
+    Writes,
+    /// It starts the task, and no record is written after that.
+    Starts,
+}
+
+/// The first run that a third owner orders: it leaves numbers out after the highest that the record has, which are also
+/// those that the second owner left out, whether it started anything or not.
+#[test_case(Second::StartsAndWrites, 131; "started and written")]
+#[test_case(Second::Writes, 130; "written")]
+#[test_case(Second::Starts, 66; "started")]
+fn resume_numbers_by_what_was_written(second: Second, expected: u64) {
+    let mut record = job::Record {
+        state: job::State::Running,
+        run: 1,
+        ..job::Record::default()
+    };
+    let mut world = resumed(&record);
+    if !matches!(second, Second::Writes) {
+        assert_eq!(world.starts()[0].1.run, 66);
+    }
+    if !matches!(second, Second::Starts) {
+        let dirty = run(JOB, 1, 1);
+        world.report("w1", vec![dirty], vec![]);
+        world.now += 10;
+        let lapsed = End {
+            address: run(JOB, 1, 1).address,
+            ..end(1, JOB, 0, 1, How::Lapsed)
+        };
+        world.report("w1", vec![], vec![lapsed]);
+        let change = world.cell.take_change(100);
+        record = change.records[0].1.clone();
+    }
+    let mut world = resumed(&record);
+    assert_eq!(world.starts()[0].1.run, expected);
+}
+
+/// A cell with one worker and a job of two lasting tasks that a former owner has left so.
+fn resumed(record: &job::Record) -> World {
+    let mut world = World::new(&["w1"]);
+    let step = Step {
+        count: 2,
+        spread: 1,
+        ..lasting(1_000)
+    };
+    world.cell.resume(submission(JOB, vec![step]), record, 1);
+    world
+}
+
+/// A start that is refused is nothing that lasts: however often a task is tried, its record is not written for it.
+#[test]
+fn take_change_without_tries() {
+    let mut world = World::new(&["w1"]);
+    world.submit(JOB, vec![lasting(1_000)]);
+    for number in 1..=65 {
+        let (worker, start) = world.starts()[0].clone();
+        assert_eq!(start.run, number);
+        let refused = Outcome::Refused(Reason::Room);
+        world.answer(&worker, &start, refused);
+        assert!(world.cell.take_change(100).records.is_empty());
+        world.now += 600;
+        world.report("w1", vec![], vec![]);
+    }
+}
--- a/components/cell/tests/decisions/main.rs
+++ b/components/cell/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod farm;
 mod fill;
 mod halls;
+mod held;
 mod lives;
 mod place;
 mod room;
