A worker that cannot be reached is given no starts

What callers would see: a lasting task on a worker that is cut off and stays listed runs again 12 to 18 s after, not 6.

Change: no work while the last poll that is over had no answer.

Test lapse_despite_starts_for_silent_worker: 11.9 s with three short tasks a second and 17.8 s with five before, all four cases within 6 s now.

--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -235,16 +235,17 @@
         Some(clock.at + timing::until_over(length))
     }
 
-    /// True when it may be given work: not before a new owner would know of it, whose listing may lack it
-    /// for a while.
+    /// True when it may be given work: not before a new owner would know of it, whose listing may lack it for a while; and not
+    /// while it cannot be reached, since each start puts off the moment at which all its leases are over. A lasting task
+    /// on one that is cut off ran again after 17.8 s where five short tasks came a second, and within 6 s where such a worker gets none.
     pub fn is_open(&self, now: u64) -> bool {
         let is_known = self.fenced && self.listed && self.recorded && !self.garbled;
-        is_known && !self.entry.leaving && !self.closing && now >= self.avoid
+        is_known && !self.failing && !self.entry.leaving && !self.closing && now >= self.avoid
     }
 
     /// True when it may be given work but for the failures that it was set aside for.
     pub fn is_set_aside(&self) -> bool {
-        self.is_faulty() && !self.failing && self.is_open(u64::MAX)
+        self.is_faulty() && self.is_open(u64::MAX)
     }
 
     /// True when it may be given a task that has failed so often. A worker whose last run failed
--- a/components/cell/tests/decisions/held.rs
+++ b/components/cell/tests/decisions/held.rs
@@ -1,15 +1,18 @@
 //! Workers with room that are not used, and tasks that count as placed where nothing runs: for as long as one owner lasts.
 
 use {
-    crate::common::{JOB, World, end, run, step, submission},
+    crate::common::{JOB, World, end, other_than, run, step, submission},
     job::Step,
-    magpie_cell::{End, How, Machine, Outcome, Reason, Start, Upkeep, Wave},
-    std::sync::Arc,
+    magpie_cell::{End, How, Machine, Outcome, Reason, Run, Start, Upkeep, Wave},
+    std::{collections::BTreeMap, sync::Arc},
     test_case::test_case,
 };
 
 /// The owner looks at its cell so often, in milliseconds.
 const TICK: u64 = 100;
+/// A lasting task has to run again this long after its worker was last heard, in milliseconds: 4.9 s until all leases are
+/// over, and some ticks.
+const AGAIN: u64 = 6_000;
 
 fn lasting(cpu: u64) -> Step {
     Step {
@@ -31,6 +34,89 @@
     }
 }
 
+/// Lists runs of jobs of one task each, by job.
+fn listed(runs: &BTreeMap<String, u64>) -> Vec<Run> {
+    runs.iter()
+        .map(|(job, number)| run(job, 0, *number))
+        .collect()
+}
+
+/// A worker that is listed and cut off: each poll takes 0.8 s and the next one follows 0.3 s later.
+struct Cut {
+    id: Arc<str>,
+    /// When the poll on its way fails.
+    fails: u64,
+    /// Starts without an answer, and when that is known.
+    unanswered: Vec<(u64, Start)>,
+}
+
+impl Cut {
+    /// Takes in what has failed by now.
+    fn fail(&mut self, world: &mut World) {
+        if world.now >= self.fails {
+            world.cell.unheard(&self.id, world.now);
+            world.cell.poll(&self.id, world.now);
+            self.fails = world.now + 1_100;
+        }
+        let due = self.unanswered.extract_if(.., |(at, _)| world.now >= *at);
+        for (_, start) in due.collect::<Vec<_>>() {
+            world.answer(&self.id, &start, Outcome::Unknown);
+        }
+    }
+}
+
+/// The story: a worker was cut off from the owner while it stayed listed, and held a lasting task. Between two failed polls
+/// it was given short tasks, since it was the fullest one with room; each of those starts put off the moment at which all
+/// its leases were over. The lasting task counted as running for as long as short ones came.
+#[test_case(0; "no other work")]
+#[test_case(2; "five short tasks a second")]
+#[test_case(3; "three short tasks a second")]
+#[test_case(10; "a short task each second")]
+fn lapse_despite_starts_for_silent_worker(short: u64) {
+    let mut world = World::new(&["w1", "w2"]);
+    world.submit(JOB, vec![lasting(1_000)]);
+    let (worker, start) = world.starts()[0].clone();
+    world.answer(&worker, &start, Outcome::Done);
+    let other = other_than(&worker);
+    // A run that was listed for so long is not suspected of what follows.
+    for _ in 0..20 {
+        world.report(&worker, vec![run(JOB, 0, 1)], vec![]);
+        world.report(other, vec![], vec![]);
+        world.tick();
+    }
+    world.report(&worker, vec![run(JOB, 0, 1)], vec![]);
+    let cut_at = world.now;
+    let mut cut = Cut {
+        id: worker,
+        fails: cut_at + 1_300,
+        unanswered: Vec::new(),
+    };
+    let mut runs = BTreeMap::new();
+    let mut again = None;
+    for tick in 1..=400 {
+        if short > 0 && tick % short == 0 {
+            world.submit(&format!("{tick:016x}"), vec![step(1, 50)]);
+        }
+        let starts = world.tick();
+        cut.fail(&mut world);
+        for (id, start) in starts {
+            if start.key.job.as_str() == JOB {
+                again.get_or_insert(world.now - cut_at);
+            }
+            if *id == *cut.id {
+                cut.unanswered.push((world.now + 750, start));
+                continue;
+            }
+            runs.insert(start.key.job.as_str().to_owned(), start.run);
+            world.answer(&id, &start, Outcome::Done);
+        }
+        if tick % 5 == 0 {
+            world.report(other, listed(&runs), vec![]);
+        }
+    }
+    assert!(again.is_some_and(|after| after <= AGAIN), "{again:?}");
+}
+
 fn wave() -> Wave {
     Wave {
         number: 3,
