A task that is suspected or has failed asks for advice too

What callers would see, on queues where a service chooses the workers: a task that has failed once, or whose worker crashed under it, waits for good once no worker with a ticket will do, unless another task of its step asks.

--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -176,19 +176,21 @@
             }
             let among = is_stuck.then_some(changed);
             let past = self.past(rank, place);
-            let is_placed = self.place_task(rank, address, place, past, among, now);
-            // Fewer workers will do for a task that has failed or is suspected: the others may find room.
-            if !is_placed && past.suspicion == Suspicion::Alone {
-                self.strand(&rank.id, place);
-            }
-            if is_placed || past.failures > 0 || past.suspicion.is_tried() {
+            if self.place_task(rank, address, place, past, among, now) {
                 continue;
             }
-            if submission.queue.advised {
+            if past.suspicion == Suspicion::Alone {
+                self.strand(&rank.id, place);
+            }
+            let is_advised = submission.queue.advised;
+            if is_advised {
                 self.ask(rank, address, step, now);
-                return;
             }
-            if is_stuck {
+            // Fewer workers will do for a task that has failed or is suspected: the others may find room.
+            if past.failures > 0 || past.suspicion.is_tried() {
+                continue;
+            }
+            if is_stuck || is_advised {
                 return;
             }
             self.stuck.push(Stuck {
--- a/components/cell/tests/decisions/held.rs
+++ b/components/cell/tests/decisions/held.rs
@@ -1,9 +1,9 @@
 //! Workers with room that are not used, and tasks that count as placed where nothing runs: for as long as one owner lasts.
 
 use {
-    crate::common::{JOB, World, end, other_than, run, step, submission},
+    crate::common::{JOB, World, end, entry, other_than, run, step, submission},
     job::Step,
-    magpie_cell::{End, How, Machine, Outcome, Reason, Run, Start, Upkeep, Wave},
+    magpie_cell::{Advice, End, How, Machine, Outcome, Reason, Run, Start, Upkeep, Wave},
     std::{collections::BTreeMap, sync::Arc},
     test_case::test_case,
 };
@@ -41,6 +41,72 @@
         .collect()
 }
 
+/// The story: on a queue where a service chooses the workers, a lasting task was lost with its worker a moment after it
+/// had started, and counts as a suspect. No worker with a ticket was left. A task that is suspected asks the service
+/// nothing, so it waited for as long as no other task of its step had a question.
+#[test]
+fn ask_for_suspect() {
+    let mut world = World::new(&["w1"]);
+    let mut job = submission(JOB, vec![lasting(1_000)]);
+    job.queue.advised = true;
+    world.cell.admit(job, 1);
+    let first = advise(&mut world);
+    assert_eq!(first.len(), 1);
+    let (worker, start) = &first[0];
+    world.answer(worker, start, Outcome::Done);
+    world.report("w1", vec![run(JOB, 0, 1)], vec![]);
+    world
+        .cell
+        .end_life(&"w1".into(), "another life answers", world.now);
+    world.list(vec![entry("w2", 4)]);
+    let mut again = Vec::new();
+    for _ in 0..AGAIN / TICK {
+        world.report("w2", vec![], vec![]);
+        again.extend(world.tick());
+        again.extend(advise(&mut world));
+    }
+    assert!(!again.is_empty(), "the task does not run again");
+}
+
+/// The story: the same for a task that has failed once. The only worker with a ticket had failed it just now, and was left
+/// alone for as long as the ticket held; then nobody asked for another one.
+#[test]
+fn ask_for_failed() {
+    let mut world = World::new(&["w1"]);
+    let mut job = submission(JOB, vec![step(1, 1_000)]);
+    job.queue.advised = true;
+    world.cell.admit(job, 1);
+    let first = advise(&mut world);
+    let (worker, start) = &first[0];
+    world.answer(worker, start, Outcome::Done);
+    world.now += 10;
+    world.report("w1", vec![], vec![end(1, JOB, 0, 1, How::Failed)]);
+    world.list(vec![entry("w1", 4), entry("w2", 4)]);
+    let mut again = Vec::new();
+    for _ in 0..200 {
+        world.report("w1", vec![], vec![]);
+        world.report("w2", vec![], vec![]);
+        again.extend(world.tick());
+        again.extend(advise(&mut world));
+    }
+    assert!(!again.is_empty(), "the task does not run again");
+}
+
+/// Has all workers advised that were asked about. Returns the starts that follow.
+fn advise(world: &mut World) -> Vec<(Arc<str>, Start)> {
+    let mut starts = world.starts();
+    for question in world.cell.take_questions() {
+        let good = question.workers.iter().cloned();
+        let advice = Advice {
+            good: good.map(|id| (id, "ticket".into())).collect(),
+            valid: 3_000,
+        };
+        world.cell.advised(&question, Some(advice), world.now);
+    }
+    starts.extend(world.starts());
+    starts
+}
+
 /// A worker that is listed and cut off: each poll takes 0.8 s and the next one follows 0.3 s later.
 struct Cut {
     id: Arc<str>,
