What is adopted late needs a worker that has been heard

What callers would see: a lasting task counts as placed on a worker that nobody reaches, for as long as the owner lasts.

Nothing had been heard of that life since, so that its leases never counted as over.

Test lapse_of_run_adopted_for_worker_listed_again, red before.

--- a/components/cell/src/takeover.rs
+++ b/components/cell/src/takeover.rs
@@ -157,7 +157,10 @@
         let of_job = pending.runs.extract_if(|(_, own, _), _| own == job);
         let found: Vec<_> = of_job.collect();
         for ((id, _, address), (run, moment)) in found {
-            if !self.knows(&id) {
+            // One that was forgotten and listed again meanwhile has said nothing since: its leases were over, and would
+            // never count as over where it says nothing again.
+            let is_heard = self.workers.get(&id).is_some_and(|own| own.clock.is_some());
+            if !is_heard {
                 continue;
             }
             if let Some(key) = self.key(&id, job, address) {
--- a/components/cell/tests/decisions/held.rs
+++ b/components/cell/tests/decisions/held.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::common::{JOB, World, end, entry, other_than, run, step, submission},
-    job::Step,
-    magpie_cell::{Advice, End, How, Machine, Outcome, Reason, Run, Start, Upkeep, Wave},
+    job::{Id, Step},
+    magpie_cell::{Advice, End, How, Machine, Order, Outcome, Reason, Run, Start, Upkeep, Wave},
     std::{collections::BTreeMap, sync::Arc},
     test_case::test_case,
 };
@@ -183,6 +183,38 @@
     assert!(again.is_some_and(|after| after <= AGAIN), "{again:?}");
 }
 
+/// The story: a new owner found a run of a job that it did not know yet. The worker of that run was cut off, was forgotten
+/// with its leases while its entry was away, and was listed again. Only then were the jobs read once more, and the run was
+/// adopted for a worker that had said nothing since: its leases never counted as over.
+#[test]
+fn lapse_of_run_adopted_for_worker_listed_again() {
+    let mut world = World::unheard(&["w1", "w2"]);
+    world.cell.recover(world.now);
+    world.report("w1", vec![run(JOB, 0, 1)], vec![]);
+    world.report("w2", vec![], vec![]);
+    world.now += 1_000;
+    world.list(vec![entry("w2", 4)]);
+    world.cell.unheard("w1", world.now);
+    for _ in 0..60 {
+        world.report("w2", vec![], vec![]);
+        assert!(world.tick().is_empty());
+    }
+    assert!(!world.cell.knows("w1"));
+    world.list(vec![entry("w1", 4), entry("w2", 4)]);
+    world.submit(JOB, vec![lasting(1_000)]);
+    world.cell.intake_read();
+    let mut again = Vec::new();
+    for _ in 0..300 {
+        world.cell.unheard("w1", world.now);
+        world.report("w2", vec![], vec![]);
+        again.extend(world.tick());
+        if !again.is_empty() {
+            break;
+        }
+    }
+    assert_eq!(again.len(), 1, "the task counts as placed for good");
+}
+
 fn wave() -> Wave {
     Wave {
         number: 3,
