A worker that does not list a start gets nothing for a moment

What callers would see: a lasting task is given again and again to a worker that answers its polls and gets no orders, each 2 s, beside another one with room: it stands still for as long as that lasts.

Test start_elsewhere_when_orders_vanish, both cases red before (ten tries in 20 s on one of two workers).

--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -317,6 +317,11 @@
             log::info!(target: "cell", job = key.job.as_str(), place = key.place, worker = &**id, stage:? = stage; "A worker does not list a run that it was given.");
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.release(&key);
+                if let Stage::Sent { .. } = stage {
+                    // Its polls are answered and its orders are not: without this it stays the best one, and the task was
+                    // given to it ten times in 20 s beside another worker with room.
+                    worker.shun(moment.now);
+                }
             }
             self.free_if_placed_nowhere(&key);
         }
--- a/components/cell/tests/decisions/held.rs
+++ b/components/cell/tests/decisions/held.rs
@@ -183,6 +183,63 @@
     assert!(again.is_some_and(|after| after <= AGAIN), "{again:?}");
 }
 
+/// What becomes of the orders to a worker whose polls are answered.
+#[derive(Debug, Clone, Copy)]
+enum Orders {
+    /// The owner has nobody who sends them.
+    Unsent,
+    /// They are sent, and have no answer and no effect.
+    Unanswered,
+}
+
+/// The story: a worker answered its polls, and no order reached it. A task placed there counted as started until the
+/// deadline of its start had passed, and then went to the very same worker, which was the best one by its room, again and
+/// again: one try each two seconds, beside another worker with room.
+#[test_case(Orders::Unsent; "unsent")]
+#[test_case(Orders::Unanswered; "unanswered")]
+fn start_elsewhere_when_orders_vanish(orders: Orders) {
+    let mut world = World::new(&["w1", "w2"]);
+    world.submit(JOB, vec![lasting(1_000)]);
+    let mut tries = Vec::new();
+    let mut due: Vec<(u64, Order)> = Vec::new();
+    for tick in 1..=200 {
+        world.now += TICK;
+        world.cell.rerank(world.now, world.now);
+        world.cell.lapse(world.now);
+        world.cell.place(world.now);
+        for (id, order) in world.cell.take_orders() {
+            if let Order::Start(start) = &order {
+                tries.push((world.now - 1_000, id.to_string(), start.run));
+            }
+            if &*id == "w1" {
+                due.push((world.now + 750, order));
+            } else {
+                world.cell.answered(&id, &order, Outcome::Done, world.now);
+            }
+        }
+        let now = world.now;
+        for (_, order) in due.extract_if(.., |(at, _)| now >= *at) {
+            if let Orders::Unanswered = orders {
+                world
+                    .cell
+                    .answered(&"w1".into(), &order, Outcome::Unknown, now);
+            }
+        }
+        if tick % 5 == 0 {
+            world.report("w1", vec![], vec![]);
+            let here = tries.iter().rev().find(|(_, id, _)| id == "w2");
+            let runs: Vec<Run> = here
+                .map(|(_, _, number)| run(JOB, 0, *number))
+                .into_iter()
+                .collect();
+            world.report("w2", runs, vec![]);
+        }
+        world.write();
+    }
+    let elsewhere = tries.iter().find(|(_, id, _)| id == "w2");
+    assert!(elsewhere.is_some_and(|(at, ..)| *at <= AGAIN), "{tries:?}");
+}
+
 /// The story: a new owner found a run of a job that it did not know yet. The worker of that run was cut off, was forgotten
 /// with its leases while its entry was away, and was listed again. Only then were the jobs read once more, and the run was
 /// adopted for a worker that had said nothing since: its leases never counted as over.
