Seeded sequences: no lasting task stands still after calm

The yard that it plays in is stricter than the farm: polls are held and time out as in the node, orders and answers take 10 ms, workers refuse as their interface says.

--- a/components/cell/tests/decisions/held.rs
+++ b/components/cell/tests/decisions/held.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::common::{JOB, World, end, entry, other_than, run, step, submission},
-    job::{Id, Step},
+    job::Step,
     magpie_cell::{Advice, End, How, Machine, Order, Outcome, Reason, Run, Start, Upkeep, Wave},
     std::{collections::BTreeMap, sync::Arc},
     test_case::test_case,
--- /dev/null
+++ b/components/cell/tests/decisions/yard.rs
@@ -0,0 +1,792 @@
+//! Workers that keep all rules of their interface, and links to them that lose, delay and cut, beside a cell that decides
+//! for them, on a clock that steps.
+//!
+//! Where the [`crate::farm::Farm`] answers at once, here polls are held, answers and orders take their time or are lost,
+//! and a worker refuses what it must: a start that comes after its deadline, a run that is not above one that it knows,
+//! what does not fit, and whatever comes from a former owner.
+
+use {
+    crate::common::{TIMING, entry, submission},
+    job::{Address, Id, Record, State, Step, Submission},
+    magpie_cell::{Cell, End, Entry, How, Order, Outcome, Reason, Report, Run, Start},
+    std::{
+        collections::{BTreeMap, HashMap, HashSet},
+        ops::Range,
+        sync::Arc,
+    },
+};
+
+/// The clock steps so far at once, in milliseconds.
+const STEP: u64 = 10;
+/// Between two listings, in milliseconds.
+const LIST_GAP: u64 = 700;
+/// Between two looks at leases and at the line, in milliseconds.
+const LOOK_GAP: u64 = 100;
+/// The entry of a worker that crashed lapses after this time, in milliseconds.
+const ENTRY_LAPSES: u64 = 3_300;
+/// A worker that crashed is back after this time, in milliseconds.
+const DOWN: u64 = 2_000;
+/// An answer that does not come is given up after this time, in milliseconds.
+const GIVEN_UP: u64 = 800;
+/// After a poll that failed the next one goes after this time, in milliseconds.
+const POLL_AGAIN: u64 = 300;
+/// A worker is not polled for so long while its ends are not written, in milliseconds.
+const UNWRITTEN: u64 = 1_000;
+/// An order and its answer take this long each, in milliseconds.
+const ON_THE_WAY: u64 = 10;
+/// What each worker has, in thousandths of a core.
+const CORES: u64 = 4_000;
+
+/// One task: its job and its place.
+pub type Name = (Id, usize);
+
+/// The name of a job by its number.
+pub fn id(number: u64) -> Id {
+    Id::new(&format!("{number:016x}")).unwrap()
+}
+
+/// Something that happens to machines, to the store or to the owner. Times are in milliseconds.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// Nobody reaches them for so long; what runs there goes on under its lease.
+    Cut(Range<usize>, u64),
+    /// Their power is gone for a moment.
+    Crash(Range<usize>),
+    /// It is gone for good, without a word.
+    Remove(usize),
+    /// It announces that it leaves, and is gone for good after so long.
+    Leave(usize, u64),
+    /// Nothing is written for so long.
+    Hold(u64),
+    /// Nothing is written for the first time; then the owner is gone, and another one is there after the second.
+    Takeover(u64, u64),
+    /// Orders to them get no answer for so long; they arrive so late, or never.
+    Mute(Range<usize>, u64, Option<u64>),
+    /// They refuse starts for so long.
+    Refuse(Range<usize>, u64, Reason),
+    /// All that they start fails, for so long.
+    Fail(Range<usize>, u64),
+    /// Their entries are missing for so long.
+    Hide(Range<usize>, u64),
+    /// Answers to polls of them are lost for so long.
+    Deafen(Range<usize>, u64),
+}
+
+/// A run on a worker.
+#[derive(Debug, Clone)]
+struct Going {
+    run: u64,
+    until: u64,
+    cpu: u64,
+    fails: bool,
+}
+
+/// A machine, and the life of the worker on it.
+struct Machine {
+    id: Arc<str>,
+    address: Arc<str>,
+    rack: usize,
+    is_leaving: bool,
+    begun: u64,
+    fence: u64,
+    /// On its own clock: what runs there ends then.
+    lease: u64,
+    /// When the worker is back that is down.
+    back: Option<u64>,
+    /// When it crashes, or goes.
+    crash: Option<u64>,
+    goes: Option<u64>,
+    cut_until: u64,
+    deaf_until: u64,
+    hidden_until: u64,
+    failing_until: u64,
+    mute: (u64, Option<u64>),
+    refuses: (u64, Reason),
+    runs: BTreeMap<(Id, Address), Going>,
+    /// The highest run of each task that was stopped or ended there.
+    over: HashMap<(Id, Address), u64>,
+    ended: Vec<End>,
+    count: u64,
+}
+
+/// A poll on its way.
+struct Held {
+    sent: u64,
+    until: u64,
+    seen: u64,
+    is_lost: bool,
+    /// The answer on its way, and when it arrives.
+    answer: Option<(u64, Report)>,
+}
+
+/// An order on its way.
+struct Sent {
+    at: u64,
+    fence: u64,
+    id: Arc<str>,
+    order: Order,
+    is_answered: bool,
+}
+
+/// What must not be.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fault {
+    /// A task runs twice.
+    Twice(u64, Name),
+    /// A lasting job shows as failed.
+    Failed(u64, Id),
+    /// So many places were lost.
+    Lost(u64, usize),
+    /// A lasting task waits beside room.
+    Waits(Name),
+}
+
+impl Fault {
+    /// True for the same kind of fault.
+    pub fn is_like(&self, other: &Fault) -> bool {
+        std::mem::discriminant(self) == std::mem::discriminant(other)
+    }
+}
+
+/// A cell, its workers and what lies between them.
+pub struct Yard {
+    pub cell: Cell,
+    pub now: u64,
+    /// The first thing that must not be.
+    pub fault: Option<Fault>,
+    /// When a worker crashed last by a task.
+    pub crashed: u64,
+    machines: Vec<Machine>,
+    stale: Vec<(Entry, u64)>,
+    jobs: Vec<Submission>,
+    written: HashMap<Id, Record>,
+    fleet: Vec<Entry>,
+    held_until: u64,
+    /// When the next owner is there, while there is none.
+    owner_back: Option<u64>,
+    /// When the owner goes, and for how long.
+    owner_goes: Option<(u64, u64)>,
+    fence: u64,
+    polls: BTreeMap<Arc<str>, Held>,
+    next_polls: HashMap<Arc<str>, u64>,
+    sent: Vec<Sent>,
+    answers: Vec<(u64, Arc<str>, Order, Outcome)>,
+    crashing: HashMap<Name, u64>,
+    lives: u32,
+    work: u64,
+}
+
+impl Yard {
+    /// So many workers of 4 cores, 8 a rack, whose tasks run for `work` milliseconds.
+    pub fn new(workers: usize, work: u64) -> Self {
+        let machine = |number: usize| Machine {
+            id: format!("w{number:04}").into(),
+            address: format!("10.0.0.{number}:80").into(),
+            rack: number / 8,
+            is_leaving: false,
+            begun: 1_000,
+            fence: 0,
+            lease: 0,
+            back: None,
+            crash: None,
+            goes: None,
+            cut_until: 0,
+            deaf_until: 0,
+            hidden_until: 0,
+            failing_until: 0,
+            mute: (0, None),
+            refuses: (0, Reason::Room),
+            runs: BTreeMap::new(),
+            over: HashMap::new(),
+            ended: Vec::new(),
+            count: 0,
+        };
+        let mut yard = Yard {
+            cell: Cell::new(TIMING),
+            now: 1_000,
+            fault: None,
+            crashed: 0,
+            machines: (0..workers).map(machine).collect(),
+            stale: Vec::new(),
+            jobs: Vec::new(),
+            written: HashMap::new(),
+            fleet: Vec::new(),
+            held_until: 0,
+            owner_back: None,
+            owner_goes: None,
+            fence: 1,
+            polls: BTreeMap::new(),
+            next_polls: HashMap::new(),
+            sent: Vec::new(),
+            answers: Vec::new(),
+            crashing: HashMap::new(),
+            lives: workers as u32,
+            work,
+        };
+        yard.list();
+        yard
+    }
+
+    /// Submits a job of one step with a priority, of which 0 goes first.
+    pub fn submit(&mut self, number: u64, step: Step, priority: u32) -> Id {
+        let id = id(number);
+        let mut submission = submission(id.as_str(), vec![step]);
+        submission.accepted = self.now;
+        submission.queue.priority = priority;
+        self.jobs.push(submission.clone());
+        if self.owner_back.is_none() {
+            assert!(self.cell.admit(submission, self.now));
+        }
+        id
+    }
+
+    /// Makes a task crash whatever worker starts it, so many milliseconds later.
+    pub fn poison(&mut self, id: &Id, place: usize, after: u64) {
+        self.crashing.insert((id.clone(), place), after);
+    }
+
+    /// The machine on which a task runs.
+    pub fn holder(&self, id: &Id, place: usize) -> Option<usize> {
+        self.machines.iter().position(|machine| {
+            let mut names = machine.runs.keys();
+            names.any(|(job, address)| job == id && address.index as usize == place)
+        })
+    }
+
+    /// Lets something happen.
+    pub fn happen(&mut self, event: &Event) {
+        let now = self.now;
+        match event {
+            Event::Cut(range, time) => {
+                self.each(range, |own| own.cut_until = own.cut_until.max(now + time));
+            }
+            Event::Crash(range) => self.each(range, |own| own.crash = Some(now)),
+            Event::Remove(machine) => {
+                self.each(&(*machine..machine + 1), |own| own.goes = Some(now));
+            }
+            Event::Leave(machine, after) => self.each(&(*machine..machine + 1), |own| {
+                own.is_leaving = true;
+                own.goes = Some(now + after);
+            }),
+            Event::Hold(time) => self.held_until = self.held_until.max(now + time),
+            Event::Takeover(held, away) => {
+                self.held_until = self.held_until.max(now + held);
+                self.owner_goes = Some((now + held, *away));
+            }
+            Event::Mute(range, time, late) => {
+                self.each(range, |own| own.mute = (now + time, *late))
+            }
+            Event::Refuse(range, time, reason) => {
+                self.each(range, |own| own.refuses = (now + time, *reason));
+            }
+            Event::Fail(range, time) => self.each(range, |own| own.failing_until = now + time),
+            Event::Hide(range, time) => self.each(range, |own| own.hidden_until = now + time),
+            Event::Deafen(range, time) => self.each(range, |own| own.deaf_until = now + time),
+        }
+    }
+
+    fn each(&mut self, range: &Range<usize>, act: impl Fn(&mut Machine)) {
+        let up = self.machines[range.clone()].iter_mut();
+        up.filter(|own| own.back.is_none()).for_each(act);
+    }
+
+    /// Lets time pass, in milliseconds.
+    pub fn run(&mut self, time: u64) {
+        let end = self.now + time;
+        while self.now < end && self.fault.is_none() {
+            self.now += STEP;
+            self.go_due();
+            self.advance();
+            self.come_back();
+            self.arrive();
+            self.own();
+            self.check();
+        }
+    }
+
+    /// What the owner does, where there is one.
+    fn own(&mut self) {
+        let now = self.now;
+        if self.owner_goes.is_some_and(|(at, _)| at <= now)
+            && let Some((_, away)) = self.owner_goes.take()
+        {
+            self.owner_back = Some(now + away);
+        }
+        if let Some(back) = self.owner_back {
+            if now < back {
+                return;
+            }
+            self.take_over();
+        }
+        if now.is_multiple_of(LIST_GAP) {
+            self.list();
+        }
+        self.poll();
+        for (id, order, outcome) in self.answers_due() {
+            let is_deposed = self.cell.answered(&id, &order, outcome, now);
+            assert!(!is_deposed, "the one owner is told of another");
+        }
+        if now.is_multiple_of(LOOK_GAP) {
+            self.cell.rerank(now, now);
+            self.cell.lapse(now);
+        }
+        if self.cell.is_intake_due() {
+            self.cell.intake_read();
+        }
+        self.cell.place(now);
+        for (id, order) in self.cell.take_orders() {
+            self.send(id, order);
+        }
+        self.write();
+    }
+
+    fn take_over(&mut self) {
+        self.owner_back = None;
+        self.fence += 1;
+        self.polls.clear();
+        self.next_polls.clear();
+        self.answers.clear();
+        self.sent.retain(|sent| !sent.is_answered);
+        self.cell = Cell::new(TIMING);
+        self.list();
+        self.cell.inherit(self.fleet.clone());
+        for job in &self.jobs {
+            let record = self.written.get(&job.id).cloned().unwrap_or_default();
+            if record.state.is_final() {
+                self.cell.close(job.id.clone(), &record);
+            } else {
+                self.cell.resume(job.clone(), &record, self.now);
+            }
+        }
+        self.cell.recover(self.now);
+    }
+
+    fn list(&mut self) {
+        let now = self.now;
+        self.stale.retain(|(_, until)| now < *until);
+        let up = self.machines.iter();
+        let up = up.filter(|own| own.back.is_none() && own.hidden_until <= now);
+        let mut entries: Vec<Entry> = up.map(Machine::entry).collect();
+        entries.extend(self.stale.iter().map(|(entry, _)| entry.clone()));
+        self.cell.list(entries, now);
+    }
+
+    fn write(&mut self) {
+        if self.now < self.held_until {
+            return;
+        }
+        let change = self.cell.take_change(100);
+        self.cell.written(&change);
+        self.written.extend(change.records);
+        if let Some(fleet) = change.fleet {
+            self.fleet = fleet;
+        }
+    }
+
+    fn poll(&mut self) {
+        let known: Vec<Entry> = self.cell.entries().cloned().collect();
+        let ids: HashSet<&Arc<str>> = known.iter().map(|entry| &entry.id).collect();
+        self.polls.retain(|id, _| ids.contains(id));
+        for entry in &known {
+            if self.polls.contains_key(&entry.id) {
+                self.hear(entry);
+            } else if self.may_poll(&entry.id) {
+                self.ask(entry);
+            }
+        }
+    }
+
+    fn may_poll(&self, id: &Arc<str>) -> bool {
+        let next = self.next_polls.get(id).copied().unwrap_or_default();
+        let is_written = !self.cell.is_unwritten(id) || self.now >= next + UNWRITTEN;
+        self.now >= next && is_written
+    }
+
+    /// Sends a poll.
+    fn ask(&mut self, entry: &Entry) {
+        let (now, fence) = (self.now, self.fence);
+        let Some(poll) = self.cell.poll(&entry.id, now) else {
+            return;
+        };
+        let mut machines = self.machines.iter_mut();
+        let machine = machines.find(|own| own.address == entry.address);
+        let Some(machine) = machine.filter(|own| own.back.is_none()) else {
+            self.unheard(&entry.id);
+            return;
+        };
+        let is_cut = now < machine.cut_until;
+        if !is_cut && machine.id != entry.id {
+            let cause = "another life answers";
+            self.cell.end_life(&entry.id, cause, now);
+            return;
+        }
+        if !is_cut {
+            machine.fence = fence;
+            machine.lease = machine.lease.max(poll.deadline);
+            machine.ended.retain(|end| end.number > poll.seen);
+        }
+        let held = Held {
+            sent: now,
+            until: now + poll.wait,
+            seen: poll.seen,
+            is_lost: is_cut,
+            answer: None,
+        };
+        self.polls.insert(entry.id.clone(), held);
+    }
+
+    fn unheard(&mut self, id: &Arc<str>) {
+        self.polls.remove(id);
+        self.next_polls.insert(id.clone(), self.now + POLL_AGAIN);
+        self.cell.unheard(id, self.now);
+    }
+
+    /// Takes the answer to a poll, where there is one.
+    fn hear(&mut self, entry: &Entry) {
+        let now = self.now;
+        let Some(held) = self.polls.get_mut(&entry.id) else {
+            return;
+        };
+        if let Some((at, _)) = &held.answer {
+            if now >= *at
+                && let Some(held) = self.polls.remove(&entry.id)
+                && let Some((_, report)) = held.answer
+            {
+                self.next_polls.insert(entry.id.clone(), now);
+                self.cell.report(&entry.id, report, held.sent, now, now);
+            }
+            return;
+        }
+        let mut machines = self.machines.iter_mut();
+        let machine = machines.find(|own| own.id == entry.id && own.back.is_none());
+        let Some(machine) = machine.filter(|_| !held.is_lost) else {
+            // A crash is told by the broken connection, a cut by nothing.
+            if !held.is_lost || now >= held.until + GIVEN_UP {
+                self.unheard(&entry.id);
+            }
+            return;
+        };
+        let is_due = now >= held.until || machine.ended.iter().any(|end| end.number > held.seen);
+        if now < machine.cut_until || (is_due && now < machine.deaf_until) {
+            held.is_lost = true;
+        } else if is_due {
+            held.answer = Some((now + ON_THE_WAY, machine.report(now)));
+        }
+    }
+
+    fn answers_due(&mut self) -> Vec<(Arc<str>, Order, Outcome)> {
+        let now = self.now;
+        let due = self.answers.extract_if(.., |(at, ..)| *at <= now);
+        due.map(|(_, id, order, outcome)| (id, order, outcome))
+            .collect()
+    }
+
+    /// Sends an order.
+    fn send(&mut self, id: Arc<str>, order: Order) {
+        if matches!(order, Order::Withdraw { .. }) {
+            return;
+        }
+        let now = self.now;
+        let machine = self.machines.iter().find(|own| own.id == id);
+        let mute = machine.and_then(|own| (now < own.mute.0).then_some(own.mute.1));
+        if mute.is_some() {
+            let unknown = (now + GIVEN_UP, id.clone(), order.clone(), Outcome::Unknown);
+            self.answers.push(unknown);
+        }
+        let late = match mute {
+            Some(None) => return,
+            Some(Some(late)) => late,
+            None => 0,
+        };
+        self.sent.push(Sent {
+            at: now + ON_THE_WAY + late,
+            fence: self.fence,
+            id,
+            order,
+            is_answered: mute.is_none(),
+        });
+    }
+
+    /// Has orders arrive.
+    fn arrive(&mut self) {
+        let now = self.now;
+        let due: Vec<Sent> = self.sent.extract_if(.., |sent| sent.at <= now).collect();
+        for sent in due {
+            let outcome = self.carry_out(&sent);
+            if !sent.is_answered || sent.fence != self.fence {
+                continue;
+            }
+            let at = match outcome {
+                Outcome::Unknown => now + GIVEN_UP,
+                _ => now + ON_THE_WAY,
+            };
+            self.answers.push((at, sent.id, sent.order, outcome));
+        }
+    }
+
+    fn carry_out(&mut self, sent: &Sent) -> Outcome {
+        let now = self.now;
+        let Some(machine) = self.machines.iter_mut().find(|own| own.id == sent.id) else {
+            return Outcome::Refused(Reason::OtherLife);
+        };
+        if machine.back.is_some() {
+            return Outcome::Refused(Reason::NotSent);
+        }
+        if now < machine.cut_until {
+            return Outcome::Unknown;
+        }
+        if sent.fence < machine.fence {
+            return Outcome::Refused(Reason::Fence);
+        }
+        machine.fence = sent.fence;
+        match &sent.order {
+            Order::Start(start) => {
+                let of_job = self.jobs.iter().find(|own| own.id == start.key.job);
+                let step = &of_job.unwrap().spec.steps[0];
+                let outcome = machine.start(start, step, self.work, now);
+                let name = (start.key.job.clone(), start.key.place);
+                if outcome == Outcome::Done
+                    && let Some(after) = self.crashing.get(&name)
+                {
+                    machine.crash.get_or_insert(now + after);
+                    self.crashed = now + after;
+                }
+                outcome
+            }
+            Order::Stop {
+                key, address, run, ..
+            } => {
+                machine.stop(&key.job, *address, *run);
+                Outcome::Done
+            }
+            Order::Pace { .. } | Order::Withdraw { .. } => Outcome::Done,
+        }
+    }
+
+    /// Has machines crash, or go for good.
+    fn go_due(&mut self) {
+        let now = self.now;
+        for machine in &mut self.machines {
+            let crashes = machine.crash.is_some_and(|at| at <= now);
+            let goes = machine.goes.is_some_and(|at| at <= now);
+            if machine.back.is_some() || !(crashes || goes) {
+                continue;
+            }
+            machine.back = Some(if goes { u64::MAX } else { now + DOWN });
+            machine.crash = None;
+            machine.runs.clear();
+            machine.ended.clear();
+            self.stale.push((machine.entry(), now + ENTRY_LAPSES));
+        }
+    }
+
+    /// Ends what is done, and what runs under leases that are over.
+    fn advance(&mut self) {
+        let now = self.now;
+        for machine in &mut self.machines {
+            if machine.back.is_none() {
+                machine.advance(now);
+            }
+        }
+    }
+
+    fn come_back(&mut self) {
+        for machine in &mut self.machines {
+            if machine.back.is_none_or(|at| at > self.now) {
+                continue;
+            }
+            self.lives += 1;
+            machine.id = format!("w{:04}", self.lives).into();
+            machine.back = None;
+            machine.crash = None;
+            machine.begun = self.now;
+            machine.fence = 0;
+            machine.lease = 0;
+            machine.over.clear();
+            machine.count = 0;
+        }
+    }
+
+    fn check(&mut self) {
+        let mut seen = HashSet::new();
+        for machine in &self.machines {
+            for (job, address) in machine.runs.keys() {
+                let name = (job, address.index as usize);
+                if !seen.insert(name) {
+                    let name = (job.clone(), name.1);
+                    self.fault = Some(Fault::Twice(self.now, name));
+                    return;
+                }
+            }
+        }
+        if !self.now.is_multiple_of(LOOK_GAP) {
+            return;
+        }
+        let lost = self.cell.lost_places();
+        if lost > 0 {
+            self.fault = Some(Fault::Lost(self.now, lost));
+        }
+        let lasting = self.jobs.iter().filter(|own| own.spec.is_lasting());
+        for Submission { id, .. } in lasting {
+            let is_poisoned = self.crashing.keys().any(|(job, _)| job == id);
+            if self.cell.state(id) == Some(State::Failed) && !is_poisoned {
+                self.fault = Some(Fault::Failed(self.now, id.clone()));
+            }
+        }
+    }
+
+    /// The lasting tasks that do not run, though two workers have room for each.
+    pub fn waiting(&self) -> HashSet<Name> {
+        let mut waiting = HashSet::new();
+        for Submission { id, spec, .. } in &self.jobs {
+            let is_over = self.cell.state(id).is_some_and(State::is_final);
+            if !spec.is_lasting() || is_over {
+                continue;
+            }
+            let step = &spec.steps[0];
+            let roomy = self.machines.iter().filter(|own| own.suits(id, step));
+            if roomy.count() < 2 {
+                continue;
+            }
+            let places = 0..step.count as usize;
+            let missing = places.filter(|&place| self.holder(id, place).is_none());
+            waiting.extend(missing.map(|place| (id.clone(), place)));
+        }
+        waiting
+    }
+
+    /// The lasting tasks that wait beside room all the time that passes here, in milliseconds.
+    pub fn watch(&mut self, time: u64) -> HashSet<Name> {
+        let end = self.now + time;
+        let mut waiting = self.waiting();
+        while self.now < end && self.fault.is_none() && !waiting.is_empty() {
+            self.run(LOOK_GAP);
+            let still = self.waiting();
+            waiting.retain(|name| still.contains(name));
+        }
+        waiting
+    }
+}
+
+impl Machine {
+    fn entry(&self) -> Entry {
+        Entry {
+            address: self.address.clone(),
+            leaving: self.is_leaving,
+            labels: vec!["a".into(), format!("r{}", self.rack).into()],
+            ..entry(&self.id, CORES / 1_000)
+        }
+    }
+
+    /// Its own clock.
+    fn clock(&self, now: u64) -> u64 {
+        now - self.begun + 1
+    }
+
+    fn used(&self) -> u64 {
+        self.runs.values().map(|going| going.cpu).sum()
+    }
+
+    /// True when one more task of a step could run there.
+    fn suits(&self, job: &Id, step: &Step) -> bool {
+        let of_job = self.runs.keys().filter(|(own, _)| own == job).count();
+        let is_apart = step.spread == 0 || of_job < step.spread as usize;
+        let is_there = self.back.is_none() && !self.is_leaving;
+        is_there && is_apart && self.used() + step.size.cpu <= CORES
+    }
+
+    fn start(&mut self, start: &Start, step: &Step, work: u64, now: u64) -> Outcome {
+        if now < self.refuses.0 {
+            return Outcome::Refused(self.refuses.1);
+        }
+        let name = (start.key.job.clone(), start.address);
+        if let Some(going) = self.runs.get(&name) {
+            return if going.run == start.run {
+                Outcome::Done
+            } else {
+                Outcome::Refused(Reason::Old)
+            };
+        }
+        if self.over.get(&name).is_some_and(|&over| start.run <= over) {
+            return Outcome::Refused(Reason::Old);
+        }
+        if start.deadline < self.clock(now) {
+            return Outcome::Refused(Reason::Late);
+        }
+        if self.used() + step.size.cpu > CORES {
+            return Outcome::Refused(Reason::Room);
+        }
+        self.lease = self.lease.max(start.deadline);
+        let fails = now < self.failing_until;
+        let until = match (fails, step.lasting) {
+            (true, _) => now + 100,
+            (false, true) => u64::MAX,
+            (false, false) => now + work,
+        };
+        let going = Going {
+            run: start.run,
+            until,
+            cpu: step.size.cpu,
+            fails,
+        };
+        self.runs.insert(name, going);
+        Outcome::Done
+    }
+
+    fn stop(&mut self, job: &Id, address: Address, run: u64) {
+        let name = (job.clone(), address);
+        if self.runs.get(&name).is_some_and(|going| going.run == run) {
+            self.end(name.clone(), run, How::Stopped);
+        }
+        let over = self.over.entry(name).or_default();
+        *over = run.max(*over);
+    }
+
+    fn end(&mut self, (job, address): (Id, Address), run: u64, how: How) {
+        let name = (job.clone(), address);
+        self.runs.remove(&name);
+        let over = self.over.entry(name).or_default();
+        *over = run.max(*over);
+        self.count += 1;
+        self.ended.push(End {
+            number: self.count,
+            job,
+            address,
+            run,
+            how,
+            saved: None,
+        });
+    }
+
+    fn advance(&mut self, now: u64) {
+        let has_lapsed = self.clock(now) > self.lease;
+        let over = self.runs.iter();
+        let over = over.filter(|(_, going)| has_lapsed || going.until <= now);
+        let over: Vec<_> = over
+            .map(|(name, going)| (name.clone(), going.clone()))
+            .collect();
+        for (name, going) in over {
+            let how = match (going.until <= now, going.fails) {
+                (false, _) => How::Lapsed,
+                (true, true) => How::Failed,
+                (true, false) => How::Done,
+            };
+            self.end(name, going.run, how);
+        }
+    }
+
+    fn report(&self, now: u64) -> Report {
+        let running = self.runs.iter().map(|((job, address), going)| Run {
+            job: job.clone(),
+            address: *address,
+            run: going.run,
+            saved: None,
+            figure: 0,
+        });
+        Report {
+            clock: self.clock(now),
+            running: running.collect(),
+            ended: self.ended.clone(),
+        }
+    }
+}
