A worker that has done well again is not closed for its former failures

What callers would see: up to 36 cores stand open for 2 s beside lasting tasks that wait, which may go to workers that are set aside and not to this one.

Change: the time for failures is kept apart from that for refusals, and goes with the failures.

Test worker_cleared_by_a_good_end_has_room_for_lasting, red before.

--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -148,8 +148,10 @@
     pub strain: Vec<Strain>,
     /// Something has changed since the last pass that may make room.
     pub changed: bool,
-    /// No work before this time, on our clock.
+    /// No work before this time, on our clock, since it refused or did not answer.
     pub avoid: u64,
+    /// No work before this time, on our clock, since its runs failed.
+    pub aside: u64,
     /// Ends in a row that failed.
     pub failures: u32,
     /// When the last of them came, on our clock.
@@ -193,6 +195,7 @@
             changed: true,
             over_since: None,
             avoid: 0,
+            aside: 0,
             failures: 0,
             failed: 0,
             probe: None,
@@ -240,7 +243,8 @@
     /// on one that is cut off ran again after 17.8 s where five short tasks came a second, and within 6 s where such a worker gets none.
     pub fn is_open(&self, now: u64) -> bool {
         let is_known = self.fenced && self.listed && self.recorded && !self.garbled;
-        is_known && !self.failing && !self.entry.leaving && !self.closing && now >= self.avoid
+        let is_usable = is_known && !self.failing && !self.entry.leaving && !self.closing;
+        is_usable && now >= self.avoid && now >= self.aside
     }
 
     /// True when it may be given work but for the failures that it was set aside for.
@@ -331,16 +335,19 @@
         Some(slot)
     }
 
-    /// Notes how a run ended, and sets the worker aside when one run after the other fails.
+    /// Notes how a run ended, and sets the worker aside when one run after the other fails. One that ends well takes that
+    /// back, with the time for which nothing was to go there: 36 cores stood open for 2.1 s beside lasting tasks that
+    /// waited, which may go to workers that are set aside and not to ones that were.
     pub fn judge(&mut self, failed: bool, now: u64) {
         if !failed {
             self.failures = 0;
+            self.aside = 0;
             return;
         }
         self.failures += 1;
         self.failed = now;
         if self.is_faulty() {
-            self.avoid = self.avoid.max(now + FAULTY_FOR);
+            self.aside = now + FAULTY_FOR;
             log::warn!(target: "cell", worker = &*self.entry.id, failures = self.failures; "A worker fails its tasks and is set aside.");
         }
     }
--- a/components/cell/tests/decisions/main.rs
+++ b/components/cell/tests/decisions/main.rs
@@ -15,6 +15,7 @@
 mod place;
 mod room;
 mod silence;
+mod room_for_lasting;
 mod starts;
 mod steady;
 mod steady_cases;
--- /dev/null
+++ b/components/cell/tests/decisions/room_for_lasting.rs
@@ -0,0 +1,59 @@
+//! Room that stands open beside lasting tasks that wait.
+
+use {
+    crate::common::{JOB, World, end, ordered, run, step},
+    job::{Id, Step},
+    magpie_cell::{End, How, Outcome, Reason},
+};
+
+/// The job whose tasks fail.
+const OTHER: &str = "00000000000000b2";
+
+fn lasting(count: u32, cpu: u64) -> Step {
+    Step {
+        lasting: true,
+        ..step(count, cpu)
+    }
+}
+
+fn ended(index: u32, how: How) -> End {
+    let mut end = end(1 + u64::from(index), OTHER, 0, 1, how);
+    end.address.index = index;
+    end
+}
+
+/// A worker of 4 cores on which two runs of one core have failed, the one after the other, so that it is set aside. A
+/// third one goes on.
+fn set_aside() -> World {
+    let mut world = World::new(&["w1"]);
+    world.submit(OTHER, vec![step(3, 1_000)]);
+    let starts = world.starts();
+    assert_eq!(starts.len(), 3);
+    for (worker, start) in &starts {
+        world.answer(worker, start, Outcome::Done);
+    }
+    let failed = [0, 1].map(|index| ended(index, How::Failed));
+    world.report("w1", vec![run(OTHER, 2, 1)], failed.to_vec());
+    world.cell.cancel(&Id::new(OTHER).unwrap(), world.now, 1);
+    world
+}
+
+/// Seen on a day on which half of a fleet of 490 workers leaves, in three plays of three: up to 36 cores free for 2.1 s beside
+/// hundreds of lasting tasks that wait. Two runs in a row had failed on the worker, by chance, and it was set aside for
+/// 3 s; lasting tasks may go there all the same. Then a third run there was done well. That took the failures back, but not
+/// the time for which the worker is left alone: it was neither open nor set aside, so that nobody might go there.
+#[test]
+fn worker_cleared_by_a_good_end_has_room_for_lasting() {
+    let mut world = set_aside();
+    world.submit(JOB, vec![lasting(1, 3_000)]);
+    world.cell.rerank(1_000, world.now);
+    world.now += 100;
+    let done = ended(2, How::Done);
+    world.report("w1", vec![], vec![done]);
+    world.now += 2_000;
+    world.cell.rerank(3_100, world.now);
+    world.report("w1", vec![], vec![]);
+    let starts = world.starts();
+    assert_eq!(starts.len(), 1, "nothing starts beside 4 free cores");
+    assert_eq!(starts[0].1.key.job.as_str(), JOB);
+}
