A start that another life refuses has crashed nothing

What callers would see: four workers lose power at once, one of them with a lasting task; as soon as they are back its job shows as failed, for good.

The answer that another life is there proves that the start was not carried out, but its slot still counted as what the former life had held when it crashed: an early crash. Tried alone, the task went to the next of them, and 20 ms later it had three.

Change: the start is settled as refused before the life is ended.

--- a/components/cell/src/answer.rs
+++ b/components/cell/src/answer.rs
@@ -17,6 +17,10 @@
             return true;
         }
         if outcome == Outcome::Refused(Reason::OtherLife) {
+            // The start was surely not carried out, so that what it was for has crashed nothing.
+            if let Order::Start(start) = order {
+                self.started(id, start, outcome, now);
+            }
             self.end_life(id, "another life answers", now);
             return false;
         }
--- a/components/cell/tests/decisions/steady_cases.rs
+++ b/components/cell/tests/decisions/steady_cases.rs
@@ -47,6 +47,42 @@
     assert!(yard.holder(&id, 0).is_some());
 }
 
+/// The story: four workers lost their power in one moment, one of them with a run of a lasting job of nine tasks. As soon as
+/// they were back the job showed as failed, for good.
+///
+/// The order: nothing is known yet of the other three, whose polls are on their way to lives that are gone. The task is
+/// started on the first of these, whose address answers that another life is there. That counts as a second crash under it,
+/// and so does the answer of the next one, 20 ms later, as a third.
+///
+/// The cause: an answer that another life is there proves that the start was not carried out, and the crash is counted
+/// under it all the same.
+#[test]
+fn lives_that_are_gone_fail_no_job() {
+    let mut yard = Yard::new(20, 1_000);
+    let id = yard.submit(1, lasting(9, 1_000, 1), 0);
+    yard.run(300);
+    yard.happen(&Event::Cut(9..12, 1_800));
+    yard.run(50);
+    yard.happen(&Event::Crash(0..1));
+    yard.happen(&Event::Crash(9..12));
+    yard.run(20_000);
+    assert_eq!(yard.fault, None);
+    assert_eq!(yard.cell.state(&id), Some(State::Running));
+    assert!(yard.holder(&id, 0).is_some());
+}
+
+/// The same in one step: a start that was surely not carried out is no crash.
+#[test]
+fn answered_by_other_life_suspects_nobody() {
+    let (mut world, worker, start) = ordered(&["w1", "w2"], lasting(1, 1_000, 0));
+    let outcome = Outcome::Refused(Reason::OtherLife);
+    world.answer(&worker, &start, outcome);
+    let change = world.cell.take_change(100);
+    let records = change.records.iter();
+    let crashed: Vec<_> = records.flat_map(|(_, record)| &record.crashed).collect();
+    assert!(crashed.is_empty(), "{crashed:?}");
+}
+
 /// The story: the power of all workers was lost three times within half a minute. The workers were back two seconds later;
 /// the lasting tasks came back one after the other, the last of them 25 s later, beside workers with nothing to do.
 ///
@@ -137,3 +173,20 @@
     let starts = world.starts();
     assert_eq!(&*starts[0].0, "w2");
 }
+
+/// The story: the count of lost places, which ought to be none, went up with an error in the log whenever a lasting job was
+/// cancelled while the store was away.
+///
+/// The cause: tasks of a job that is over keep their places, and the job is kept until its end is written down. The count
+/// does not leave out jobs that are over.
+#[test]
+fn lost_places_leaves_out_job_that_is_over() {
+    let (mut world, worker, start) = running(&["w1"], lasting(1, 1_000, 0));
+    assert!(world.cell.cancel(&Id::new(JOB).unwrap(), world.now, 1));
+    world.report(
+        &worker,
+        vec![],
+        vec![end(1, JOB, 0, start.run, How::Stopped)],
+    );
+    assert_eq!(world.cell.lost_places(), 0);
+}
--- a/components/standin/src/runner.rs
+++ b/components/standin/src/runner.rs
@@ -79,6 +79,8 @@
     pub lost: u32,
     /// Starts are refused with 503.
     pub unwell: bool,
+    /// Once as many answers were lost, another life is there.
+    pub then_other: bool,
     /// Once as many answers were lost, starts are refused so.
     pub then_unwell: bool,
 }
@@ -292,6 +294,9 @@
         if core.faults.lost > 0 {
             core.faults.lost -= 1;
             core.faults.unwell |= core.faults.then_unwell && core.faults.lost == 0;
+            if core.faults.then_other && core.faults.lost == 0 {
+                core.id.push('+');
+            }
             return Told::Cut;
         }
         answer.into()
