Seeded sequences: no trial goes on after calm; the cases that were red

The check that finds the incident's cause by chance: after 12 s of calm no suspect is on trial any more. The six cases that failed with the trials mended are kept; they are green now.

--- a/components/cell/tests/decisions/steady.rs
+++ b/components/cell/tests/decisions/steady.rs
@@ -12,6 +12,7 @@
     job::Step,
     magpie_cell::Reason,
     std::{collections::BTreeSet, ops::Range},
+    test_case::test_case,
 };
 
 /// How many cases are run where nobody asks for more.
@@ -176,6 +177,10 @@
         if yard.fault.is_some() || yard.crashed + CALM > yard.now {
             return yard.fault;
         }
+        let trials = yard.cell.summary(yard.now).trials;
+        if trials > 0 {
+            return Some(Fault::Trials(trials));
+        }
         waiting.into_iter().min().map(Fault::Waits)
     }
 
@@ -365,8 +370,8 @@
     value.map_or(otherwise, |value| value.parse().unwrap())
 }
 
-/// After 12 s of calm each lasting task runs, or there is no room for it; none runs twice, no lasting job fails, and no
-/// place is lost.
+/// After 12 s of calm each lasting task runs, or there is no room for it; none runs twice, no lasting job fails, no place
+/// is lost, and no trial goes on.
 #[test]
 fn lasting_tasks_run_after_calm() {
     let (from, cases) = (asked("STEADY_FROM", 0), asked("STEADY_CASES", CASES));
@@ -386,3 +391,14 @@
     }
     assert!(faults.is_empty(), "{} of {cases} fail", faults.len());
 }
+
+/// Cases in which a lasting task stood still, or its job failed, each until one of the mends that `steady_cases` names.
+#[test_case(1136)]
+#[test_case(2413)]
+#[test_case(2925)]
+#[test_case(3020)]
+#[test_case(6218)]
+#[test_case(9779)]
+fn lasting_tasks_run_after_calm_case(seed: u64) {
+    assert_eq!(Case::by_chance(seed).play(), None);
+}
--- a/components/cell/tests/decisions/yard.rs
+++ b/components/cell/tests/decisions/yard.rs
@@ -137,6 +137,8 @@
     Failed(u64, Id),
     /// So many places were lost.
     Lost(u64, usize),
+    /// So many trials of suspects go on.
+    Trials(usize),
     /// A lasting task waits beside room.
     Waits(Name),
 }
