--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -302,7 +302,7 @@
             worker.probe = Some(key.clone());
         }
         let start = job.assign(key.clone(), run, id, deadline, now);
-        self.try_out(id, key, run);
+        self.try_out(id, key, run, now);
         self.room = self.room.saturating_sub(1);
         self.placed.push((place, run, id.clone()));
         self.orders.push((id.clone(), Order::Start(start)));
--- a/components/cell/src/summary.rs
+++ b/components/cell/src/summary.rs
@@ -35,15 +35,19 @@
     pub filling: u64,
     /// Suspected tasks that are being tried.
     pub trials: usize,
+    /// For how long the oldest of these trials has gone on, in milliseconds: some seconds, or something is wrong.
+    pub trial_age: u64,
 }
 
 impl Cell {
     /// Sums over the cell now.
     pub fn summary(&self, now: u64) -> Summary {
+        let (trials, trial_age) = self.trials(now);
         let mut summary = Summary {
             jobs: self.jobs.len(),
             workers: self.workers.len(),
-            trials: self.trials(),
+            trials,
+            trial_age,
             ..Summary::default()
         };
         for worker in self.workers.values() {
--- a/components/node/src/tenure/mod.rs
+++ b/components/node/src/tenure/mod.rs
@@ -217,7 +217,7 @@
             return;
         };
         let sum = tenure.cell.summary(time::now());
-        log::info!(target: "cell", fence, jobs = sum.jobs, placed = sum.placed, workers = sum.workers, open = sum.open, unserving = sum.unserving, mixed = sum.mixed, paced = sum.paced, serving = sum.serving, firm = sum.firm, free = sum.free, largest = sum.largest, unused = sum.unused, waiting = sum.waiting, filling = sum.filling, trials = sum.trials; "The cell now.");
+        log::info!(target: "cell", fence, jobs = sum.jobs, placed = sum.placed, workers = sum.workers, open = sum.open, unserving = sum.unserving, mixed = sum.mixed, paced = sum.paced, serving = sum.serving, firm = sum.firm, free = sum.free, largest = sum.largest, unused = sum.unused, waiting = sum.waiting, filling = sum.filling, trials = sum.trials, trial_age = sum.trial_age; "The cell now.");
         metrics::gauge!("magpie_cell_jobs").set(sum.jobs as f64);
         metrics::gauge!("magpie_cell_tasks_placed").set(sum.placed as f64);
         metrics::gauge!("magpie_cell_workers_open").set(sum.open as f64);
