Test of edits while the store hangs tells want of room from a time that passed

Now exactly 4 have to be refused as busy with the very text, the other 4 accepted or out of time, nothing else; and sent again, all 8 have to come in with the versions 2 to 9, each once. Stricter than before: what became of the others was hardly judged.

--- a/components/trial/tests/whole_path.rs
+++ b/components/trial/tests/whole_path.rs
@@ -15,6 +15,8 @@
     },
     standin::{Deploy, backend, store},
     std::{
+        cell::RefCell,
+        collections::BTreeSet,
         sync::Arc,
         thread,
         time::{Duration, Instant},
@@ -395,35 +397,53 @@
         slow: 1000,
         ..store::Faults::default()
     });
-    let outcomes: Vec<Result<Outcome, Failure>> = std::thread::scope(|scope| {
-        let edits: Vec<_> = (0..8)
-            .map(|number| {
-                let (client, url) = (&fleet.client, &url);
-                scope.spawn(move || {
-                    let row = table::Row::batch(&format!("class{number}"));
-                    let class = row.class.clone();
-                    let rows = vec![RowEdit {
-                        class,
-                        revision: 0,
-                        row: Some(row),
-                    }];
-                    let edit = Edit {
-                        id: 100 + number,
-                        who: Arc::from("test"),
-                        rows,
-                    };
-                    let submit = SubmitEdit { edit };
-                    client.post(&format!("{url}/table/edit"), &submit, TIMEOUT)
-                })
-            })
-            .collect();
+    let send = |number: u64| -> Result<Outcome, Failure> {
+        let row = table::Row::batch(&format!("class{number}"));
+        let class = row.class.clone();
+        let rows = vec![RowEdit {
+            class,
+            revision: 0,
+            row: Some(row),
+        }];
+        let edit = Edit {
+            id: 100 + number,
+            who: Arc::from("test"),
+            rows,
+        };
+        let submit = SubmitEdit { edit };
+        let url = format!("{url}/table/edit");
+        fleet.client.post(&url, &submit, TIMEOUT)
+    };
+    let outcomes: Vec<Result<Outcome, Failure>> = thread::scope(|scope| {
+        let edits: Vec<_> = (0..8).map(|n| scope.spawn(move || send(n))).collect();
         edits.into_iter().map(|edit| edit.join().unwrap()).collect()
     });
     core.set_faults(store::Faults::default());
-    let refused = |outcome: &&Result<Outcome, Failure>| {
-        outcome.as_ref().is_err_and(|failure| failure.is_not_run())
+    let has_no_room = |outcome: &&Result<Outcome, Failure>| {
+        let told = "too many edits wait for the store; try again";
+        *outcome == &Err(Failure::not_run(Cause::Busy, told))
     };
-    assert_eq!(outcomes.iter().filter(refused).count(), 4);
+    assert_eq!(
+        outcomes.iter().filter(has_no_room).count(),
+        4,
+        "{outcomes:?}"
+    );
+    // The others came in, unless the time passed on a store so slow.
+    let had_room = |outcome: &&Result<Outcome, Failure>| match outcome {
+        Ok(outcome) => matches!(outcome, Outcome::Accepted(_)),
+        Err(failure) => failure.cause == Cause::Timeout,
+    };
+    assert_eq!(outcomes.iter().filter(had_room).count(), 4, "{outcomes:?}");
+    // Sent again, all have come in, and each once.
+    let versions = RefCell::new(BTreeSet::new());
+    for number in 0..8 {
+        wait(soon(), "an edit did not come in", || match send(number) {
+            Ok(Outcome::Accepted(version)) => versions.borrow_mut().insert(version),
+            _ => false,
+        })
+        .unwrap();
+    }
+    assert!(versions.into_inner().into_iter().eq(2..=9));
 }
 
 #[test]
