--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -90,14 +90,18 @@
                     .is_none()
         };
         let cost = |worker: &Worker| {
-            if past.suspicion.is_harmful() {
+            if past.suspicion.is_risky() {
                 harm(worker)
             } else {
                 self.cost(step, image, worker)
             }
         };
+        let among = match past.suspicion {
+            // The one that suits it best may not be among those that have changed.
+            Suspicion::Alone => Among::All,
+            Suspicion::None | Suspicion::Late | Suspicion::Shared => among,
+        };
         match among {
-            _ if past.suspicion == Suspicion::Alone => cheapest(self.workers.iter(), will_do, cost),
             Among::All => cheapest(self.workers.iter(), will_do, cost),
             Among::From(id, count) => {
                 let before = self.workers.range(..id.clone());
--- a/components/cell/src/crashes/mod.rs
+++ b/components/cell/src/crashes/mod.rs
@@ -113,6 +113,14 @@
             return Vec::new();
         }
         held.sort();
+        self.clear_bystanders(&mut held);
+        held.retain(|(key, is_early)| self.count(key, *is_early));
+        held
+    }
+
+    /// Of the tasks that a worker held, and for which of them the crash was an early one, leaves those that may have caused
+    /// it.
+    fn clear_bystanders(&self, held: &mut Vec<(Key, bool)>) {
         let is_strong = |(key, is_early): &(Key, bool)| {
             *is_early && self.suspicion(&key.job, key.place) == Suspicion::Alone
         };
@@ -126,8 +134,6 @@
             // name. A task of several seconds was given up after five crashes under others' suspects, in 23 s.
             held.retain(|(_, is_early)| *is_early);
         }
-        held.retain(|(key, is_early)| self.count(key, *is_early));
-        held
     }
 
     /// True for a task that was suspected before.
--- a/components/cell/src/crashes/trial.rs
+++ b/components/cell/src/crashes/trial.rs
@@ -51,8 +51,8 @@
         matches!(self, Suspicion::Shared | Suspicion::Alone)
     }
 
-    /// True for a task that goes where the least is lost if its worker crashes.
-    pub const fn is_harmful(self) -> bool {
+    /// True for a task that has cost several workers, and goes where the least is lost if the next one crashes.
+    pub const fn is_risky(self) -> bool {
         matches!(self, Suspicion::Late | Suspicion::Alone)
     }
 }
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -241,9 +241,9 @@
         Some(clock.at + timing::until_over(length))
     }
 
-    /// True when it may be given work: not before a new owner would know of it, whose listing may lack it for a while; and not
-    /// while it cannot be reached, since each start puts off the moment at which all its leases are over. A lasting task
-    /// on one that is cut off ran again after 17.8 s where five short tasks came a second, and within 6 s where such a worker gets none.
+    /// True when it may be given work: not before a new owner would know of it, whose listing may lack it for a while; and
+    /// not while it cannot be reached, since each start puts off the moment at which all its leases are over. Where five
+    /// short tasks came a second, a lasting one on a worker that was cut off ran again after 17.8 s, and does within 6 s.
     pub fn is_open(&self, now: u64) -> bool {
         let is_known = self.fenced && self.listed && self.recorded && !self.garbled;
         let is_usable = is_known && !self.failing && !self.entry.leaving && !self.closing;
