One look-up of what a worker holds; one way for an answered start

- `Cell::slot` in place of four spellings of the same look-up (drain, trial, survived, lost places); `survived` asks `Slot::has_run`.
- The line on a task that waits takes its past from `Cell::past`, which the choice of a worker goes by.
- An answered start is settled in one place, whichever life has answered.
- Sites of a gang are racks times ways, without copies by hand; `crashes::lost::Among` is `Lost`, since `choose::Among` is another thing.

--- a/components/cell/src/answer.rs
+++ b/components/cell/src/answer.rs
@@ -16,24 +16,19 @@
         if outcome == Outcome::Refused(Reason::Fence) {
             return true;
         }
+        if let Order::Start(start) = order {
+            // Also where another life refuses it: it was surely not carried out, and what it was for has crashed nothing.
+            self.started(id, start, outcome, now);
+            self.renew_loss(id);
+        }
         if outcome == Outcome::Refused(Reason::OtherLife) {
-            // The start was surely not carried out, so that what it was for has crashed nothing.
-            if let Order::Start(start) = order {
-                self.started(id, start, outcome, now);
-                self.renew_loss(id);
-            }
             self.end_life(id, "another life answers", now);
             return false;
         }
-        match order {
-            Order::Start(start) => {
-                self.started(id, start, outcome, now);
-                self.renew_loss(id);
-            }
-            Order::Stop { key, run, .. } if outcome == Outcome::Done => {
-                self.stopped(id, key, *run, now);
-            }
-            Order::Stop { .. } | Order::Pace { .. } | Order::Withdraw { .. } => {}
+        if let Order::Stop { key, run, .. } = order
+            && outcome == Outcome::Done
+        {
+            self.stopped(id, key, *run, now);
         }
         false
     }
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -7,6 +7,7 @@
         disturb::{Disturbance, level::Levels},
         order::Order,
         place::Stuck,
+        slot::Slot,
         takeover::{Pending, Recovery},
         timing::{self, Timing},
         told::Done,
@@ -340,6 +341,11 @@
         self.line.insert(job.rank.clone());
     }
 
+    /// What a worker holds for a task.
+    pub(crate) fn slot(&self, id: &str, key: &Key) -> Option<&Slot> {
+        self.workers.get(id)?.slots.get(key)
+    }
+
     /// Orders a run to stop.
     pub(crate) fn stop(&mut self, id: &Arc<str>, key: &Key, now: u64) {
         let Some(slot) = self
--- a/components/cell/src/crashes/lost.rs
+++ b/components/cell/src/crashes/lost.rs
@@ -171,14 +171,14 @@
     /// True when so many were lost that a task of this job is not the cause: it had just started on half of them at
     /// the most.
     pub fn clears(&self, job: &Id) -> bool {
-        let is_cleared = |rack: Among| rack.clears(OF_RACK, job);
+        let is_cleared = |rack: Lost| rack.clears(OF_RACK, job);
         self.of_rack().is_some_and(is_cleared) || self.of_cell().clears(OF_CELL, job)
     }
 
     /// The worker among those of its rack.
-    pub fn of_rack(&self) -> Option<Among<'_>> {
+    pub fn of_rack(&self) -> Option<Lost<'_>> {
         let (own, known) = (&self.own, self.known);
-        Some(Among {
+        Some(Lost {
             own,
             known: known.filter(|known| known.rack == own.rack),
             group: self.index.rack(&own.rack)?,
@@ -186,8 +186,8 @@
     }
 
     /// The worker among those of the cell.
-    pub fn of_cell(&self) -> Among<'_> {
-        Among {
+    pub fn of_cell(&self) -> Lost<'_> {
+        Lost {
             own: &self.own,
             known: self.known,
             group: &self.index.cell,
@@ -196,14 +196,14 @@
 }
 
 /// A worker that was lost, among others.
-pub(super) struct Among<'a> {
+pub(super) struct Lost<'a> {
     own: &'a Loss,
     /// What the group has of it.
     known: Option<&'a Loss>,
     group: &'a Group,
 }
 
-impl Among<'_> {
+impl Lost<'_> {
     /// How many workers there are, be they lost or not.
     pub const fn all(&self) -> usize {
         self.group.all
--- a/components/cell/src/crashes/mod.rs
+++ b/components/cell/src/crashes/mod.rs
@@ -200,21 +200,15 @@
         if !is_suspected && !self.crashes.trials.contains_key(id) {
             return;
         }
-        let slot = self
-            .workers
-            .get(id)
-            .and_then(|worker| worker.slots.get(key));
-        let Some(Stage::Running { at }) = slot.map(|slot| slot.stage) else {
+        let Some(slot) = self.slot(id, key).filter(|slot| slot.has_run(EARLY, now)) else {
             return;
         };
-        if now < at + EARLY {
-            return;
-        }
+        let is_sound = slot.has_run(SOUND, now);
         self.pass_trial(id, key);
         if !is_suspected {
             return;
         }
-        if now >= at + SOUND {
+        if is_sound {
             self.absolve(key);
         } else {
             self.clear_early(key);
--- a/components/cell/src/crashes/trial.rs
+++ b/components/cell/src/crashes/trial.rs
@@ -204,8 +204,7 @@
     pub(crate) fn end_trials(&mut self) {
         let trials = &self.crashes.trials;
         let is_over = |(id, trial): &(&Arc<str>, &Trial)| {
-            let slots = self.workers.get(*id).map(|worker| &worker.slots);
-            let slot = slots.and_then(|slots| slots.get(&trial.key));
+            let slot = self.slot(id, &trial.key);
             slot.is_none_or(|slot| slot.run != trial.run)
         };
         let over = trials.iter().filter(is_over);
--- a/components/cell/src/drain.rs
+++ b/components/cell/src/drain.rs
@@ -103,10 +103,7 @@
             job: key.job.clone(),
             place,
         };
-        let slot = self
-            .workers
-            .get(at)
-            .and_then(|worker| worker.slots.get(&key));
+        let slot = self.slot(at, &key);
         slot.is_none_or(|slot| slot.stopping.is_some() || slot.percent < 100 || slot.is_sent())
     }
 }
--- a/components/cell/src/gang.rs
+++ b/components/cell/src/gang.rs
@@ -79,19 +79,17 @@
         }
         racks.push(None);
         let is_suspect = |&place: &usize| self.suspicion(&rank.id, place).is_tried();
-        let has_suspects = places.iter().any(is_suspect);
+        // Suspects start together with the others or never, and just a run can clear them.
+        let ways: &[bool] = match places.iter().any(is_suspect) {
+            true => &[true, false],
+            false => &[false],
+        };
         let mut sites = Vec::new();
         for rack in racks {
-            let is_apart = has_suspects;
-            sites.push(Site {
-                rack: rack.clone(),
-                is_apart,
-            });
-            // They start together or never, and just a run can clear them.
-            sites.extend(has_suspects.then_some(Site {
-                rack,
-                is_apart: false,
-            }));
+            for &is_apart in ways {
+                let rack = rack.clone();
+                sites.push(Site { rack, is_apart });
+            }
         }
         sites
     }
--- a/components/cell/src/waits.rs
+++ b/components/cell/src/waits.rs
@@ -78,14 +78,10 @@
         let waited = job.lined.map_or(0, |since| wall.saturating_sub(since));
         let is_in_line = self.line.contains(&job.rank);
         let must_wait = self.must_wait(&key.job, key.place);
-        let suspicion = self.suspicion(&key.job, key.place);
+        let past = self.past(&job.rank, key.place);
         let trials = self.trials_of(&key.job);
         let cpu = job.progress.step(key.place).size.cpu;
         let is_unsure = job.unsure && self.recovery.is_some();
-        let past = Past {
-            failures: 0,
-            suspicion,
-        };
         let obstacles = self.obstacles(job, key.place, past, now);
         let free = obstacles.get(&None).copied().unwrap_or_default();
         let told: Vec<String> = obstacles
@@ -93,7 +89,7 @@
             .filter_map(|(obstacle, count)| Some(format!("{:?}={count}", (*obstacle)?)))
             .collect();
         let obstacles = told.join(" ");
-        log::warn!(target: "cell", job = key.job.as_str(), place = key.place, cpu, waited, line = is_in_line, unsure = is_unsure, suspicion:? = suspicion, unkept = job.unkept, barred = must_wait, trials, free, obstacles = obstacles.as_str(); "A lasting task waits.");
+        log::warn!(target: "cell", job = key.job.as_str(), place = key.place, cpu, waited, line = is_in_line, unsure = is_unsure, suspicion:? = past.suspicion, unkept = job.unkept, barred = must_wait, trials, free, obstacles = obstacles.as_str(); "A lasting task waits.");
     }
 
     /// How many workers each obstacle keeps from being given a task; those without one are under `None`.
@@ -132,8 +128,7 @@
                     job: id.clone(),
                     place,
                 };
-                let holder = self.workers.get(at);
-                if holder.is_none_or(|worker| !worker.slots.contains_key(&key)) {
+                if self.slot(at, &key).is_none() {
                     log::error!(target: "cell", job = id.as_str(), place, worker = &**at; "A task counts as placed on a worker that does not hold it.");
                     count += 1;
                 }
