Tests of suspects and probes share what they begin with

task_beside_suspects_keeps_its_name plays both ways of polling as cases; the one with polls that are held judges the number of crashes now, too. Two tests of probes begin with one worker that was set aside.

--- a/components/cell/tests/decisions/crashes.rs
+++ b/components/cell/tests/decisions/crashes.rs
@@ -266,35 +266,16 @@
 
 /// Seen in a soak: a task of some seconds, on workers that others' suspects were tried on, was given up after five crashes
 /// in a row, none of them its own.
-#[test]
-fn task_beside_suspects_keeps_its_name() {
-    let mut farm = Farm::new(2, 1_000);
-    farm.submit(
-        OTHER,
-        Step {
-            lasting: true,
-            ..step(2, 1_000)
-        },
-    );
-    for number in 0..3 {
-        let id = format!("00000000000000d{number}");
-        farm.submit(&id, step(1, 1_000));
-        farm.poison(&id, 0, CRASH_AFTER);
-        farm.run(9_500);
-    }
-    assert!(farm.seen.crashes >= 9, "{:?}", farm.seen);
-    assert_eq!(farm.state(OTHER), Some(State::Running));
-}
-
-/// The same with workers that hold their polls for 2 s, as they do where nothing serves users: the lasting job was given up
-/// after five crashes under others' suspects.
 ///
-/// The cause: what starts on a worker a moment before a suspect that is tried there alone was as much suspected by the crash
-/// as that one.
-#[test]
-fn task_beside_suspects_keeps_its_name_with_held_polls() {
+/// The same with workers that hold their polls for 2 s, as they do where nothing serves users: the lasting job was given up,
+/// since what starts on a worker a moment before a suspect that is tried there alone was as much suspected as that one.
+#[test_case(false; "polls answered at once")]
+#[test_case(true; "polls held")]
+fn task_beside_suspects_keeps_its_name(is_held: bool) {
     let mut farm = Farm::new(2, 1_000);
-    farm.hold_polls();
+    if is_held {
+        farm.hold_polls();
+    }
     farm.submit(
         OTHER,
         Step {
@@ -308,6 +289,7 @@
         farm.poison(&id, 0, CRASH_AFTER);
         farm.run(9_500);
     }
+    assert!(farm.seen.crashes >= 9, "{:?}", farm.seen);
     assert_eq!(farm.state(OTHER), Some(State::Running));
 }
 
--- a/components/cell/tests/decisions/place.rs
+++ b/components/cell/tests/decisions/place.rs
@@ -344,6 +344,18 @@
     (world, ends)
 }
 
+/// The same 3 s after the ends were reported, with both jobs cancelled: the worker may be tried again.
+fn set_aside() -> World {
+    let (mut world, ends) = failing();
+    for id in [JOB, "00000000000000b2"] {
+        let id = Id::new(id).unwrap();
+        world.cell.cancel(&id, world.now, 1);
+    }
+    world.report("w1", vec![], ends);
+    world.now += 3_000;
+    world
+}
+
 /// Seen on a day with workers that fail all they start: the second and last attempt of a task was
 /// spent on the worker that had failed the first.
 #[test]
@@ -379,13 +391,7 @@
 /// nothing more for the rest of the day, since that task never ended.
 #[test]
 fn faulty_worker_is_cleared_by_lasting_probe() {
-    let (mut world, ends) = failing();
-    world.cell.cancel(&Id::new(JOB).unwrap(), world.now, 1);
-    world
-        .cell
-        .cancel(&Id::new("00000000000000b2").unwrap(), world.now, 1);
-    world.report("w1", vec![], ends);
-    world.now += 3_000;
+    let mut world = set_aside();
     let lasting = "00000000000000c3";
     let watch = Step {
         lasting: true,
@@ -444,23 +450,7 @@
 /// a report of the present probe alone.
 #[test]
 fn lasting_probe_clears_whatever_starts_before_its_report() {
-    let mut world = World::new(&["w1"]);
-    let other = "00000000000000b2";
-    world.submit(JOB, vec![step(1, 1_000)]);
-    world.submit(other, vec![step(1, 1_000)]);
-    for (worker, start) in world.starts() {
-        world.answer(&worker, &start, Outcome::Done);
-    }
-    let ends: Vec<End> = vec![
-        end(1, JOB, 0, 1, How::Failed),
-        end(2, other, 0, 1, How::Failed),
-    ];
-    for id in [JOB, other] {
-        let id = Id::new(id).unwrap();
-        world.cell.cancel(&id, world.now, 1);
-    }
-    world.report("w1", vec![], ends);
-    world.now += 3_000;
+    let mut world = set_aside();
     let lasting = "00000000000000c3";
     let watch = Step {
         lasting: true,
