Failing test: a worker that starts again under its former name

The stand-in of a worker may start again under the name that it had; its entry and its lists tell when it was born, and a crash ends the connections that were open.

--- a/components/standin/src/runner.rs
+++ b/components/standin/src/runner.rs
@@ -8,9 +8,10 @@
         kv::{Kv, decode, encode},
         port::{self, Asked, Told, reply},
     },
-    kernel::{Reply, sync::lock},
+    kernel::{Reply, sync::lock, wall},
     serde_json::{Value, json},
     std::{
+        cell::Cell,
         collections::{BTreeMap, HashMap},
         io,
         net::SocketAddr,
@@ -20,6 +21,11 @@
     },
 };
 
+thread_local! {
+    /// When the life began to which the connection of this thread leads; 0 before its first call.
+    static LED_TO: Cell<u64> = const { Cell::new(0) };
+}
+
 /// Connections that a port takes.
 const CONNECTIONS: usize = 64;
 /// The longest lease, in milliseconds.
@@ -70,6 +76,24 @@
     pub over: Vec<(Instant, Arc<str>, Arc<str>)>,
 }
 
+impl Seen {
+    /// Tasks that were started after a run of theirs had ended well and that end was acknowledged.
+    pub fn started_after_done(&self) -> Vec<Arc<str>> {
+        let mut done: HashMap<&str, Instant> = HashMap::new();
+        for ran in &self.ran {
+            if let Some((at, "done")) = ran.ended
+                && ran.noted.is_some()
+            {
+                let first = done.entry(&ran.task).or_insert(at);
+                *first = at.min(*first);
+            }
+        }
+        let is_again = |ran: &&Ran| done.get(&*ran.task).is_some_and(|&at| ran.begun > at);
+        let again = self.ran.iter().filter(is_again);
+        again.map(|ran| ran.task.clone()).collect()
+    }
+}
+
 /// What goes wrong with a worker.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Faults {
@@ -112,6 +136,8 @@
     /// When it last got fewer.
     shrunk: Option<Instant>,
     begun: Instant,
+    /// When this life began, in milliseconds since 1970.
+    born: u64,
     /// It has crashed and is not back yet.
     is_down: bool,
     /// How often it has crashed under a task.
@@ -162,6 +188,7 @@
                 size: cores * 1_000,
                 shrunk: None,
                 begun: Instant::now(),
+                born: wall::millis(),
                 is_down: false,
                 crashes: 0,
                 fence: 0,
@@ -181,6 +208,7 @@
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let url = port::open(any, CONNECTIONS, move |asked| own.handle(&asked))?;
         let entry = json!({
+            "born": runner.born(),
             "service": pool,
             "address": url.trim_start_matches("http://"),
             "zone": "h1",
@@ -214,13 +242,24 @@
     }
 
     /// Crashes and starts again at once: a new life at the same address, which records itself in the
-    /// store. The entry of the former one stays.
+    /// store. The entry of the former one stays, unless it has the same name.
     pub fn restart(&self, kv: &Kv, id: &str) {
+        let entry = kv.value(&format!("servers/{}", self.id()));
+        self.restart_unlisted(id);
+        let text = decode(&entry.unwrap_or_default());
+        if let Ok(mut entry) = serde_json::from_slice::<Value>(&text) {
+            entry["born"] = self.born().into();
+            kv.put(&format!("servers/{id}"), &encode(&entry));
+        }
+    }
+
+    /// The same, but for the entry in the store, which stays as it is.
+    pub fn restart_unlisted(&self, id: &str) {
         let mut core = lock(&self.core);
         core.lose_all();
-        let entry = kv.value(&format!("servers/{}", core.id));
         core.id = id.to_owned();
         core.begun = Instant::now();
+        core.born = wall::millis().max(core.born + 1);
         core.fence = 0;
         core.lease = 0;
         core.over.clear();
@@ -228,8 +267,21 @@
         core.lapsed = None;
         core.count = 0;
         core.is_down = false;
-        drop(core);
-        kv.put(&format!("servers/{id}"), &entry.unwrap_or_default());
+    }
+
+    /// Writes the present life into its entry.
+    pub fn list(&self, kv: &Kv) {
+        let key = format!("servers/{}", self.id());
+        let text = decode(&kv.value(&key).unwrap_or_default());
+        if let Ok(mut entry) = serde_json::from_slice::<Value>(&text) {
+            entry["born"] = self.born().into();
+            kv.put(&key, &encode(&entry));
+        }
+    }
+
+    /// When the present life began, in milliseconds since 1970.
+    pub fn born(&self) -> u64 {
+        lock(&self.core).born
     }
 
     /// The present life.
@@ -261,9 +313,9 @@
 
     fn handle(&self, asked: &Asked) -> Told {
         let core = lock(&self.core);
-        let (faults, is_down) = (core.faults, core.is_down);
+        let (faults, is_down, born) = (core.faults, core.is_down, core.born);
         drop(core);
-        if faults.reset || is_down {
+        if faults.reset || is_down || !leads_to(born) {
             return Told::Cut;
         }
         let Ok(body) = serde_json::from_slice::<Value>(&asked.body) else {
@@ -289,13 +341,14 @@
         }
         let answer = core.start(body);
         if answer.status == 200 && is_crashing(body) {
-            self.crash_soon(&core.id);
+            self.crash_soon(core.id.clone(), core.born);
         }
         if core.faults.lost > 0 {
             core.faults.lost -= 1;
             core.faults.unwell |= core.faults.then_unwell && core.faults.lost == 0;
             if core.faults.then_other && core.faults.lost == 0 {
                 core.id.push('+');
+                core.born += 1;
             }
             return Told::Cut;
         }
@@ -303,21 +356,21 @@
     }
 
     /// Crashes this life of the worker shortly, which comes back as another one at the same address.
-    fn crash_soon(&self, life: &str) {
-        let (own, life) = (self.clone(), life.to_owned());
+    fn crash_soon(&self, id: String, born: u64) {
+        let own = self.clone();
         thread::spawn(move || {
             thread::sleep(CRASH_AFTER);
             let mut core = lock(&own.core);
-            if core.id != life || core.is_down {
+            if core.born != born || core.is_down {
                 return;
             }
             core.lose_all();
             core.is_down = true;
             core.crashes += 1;
-            let next = format!("{life}+{}", core.crashes);
+            let next = format!("{id}+{}", core.crashes);
             drop(core);
             thread::sleep(CRASHED_FOR);
-            if lock(&own.core).id == life {
+            if own.born() == born {
                 own.restart(&own.kv, &next);
             }
         });
@@ -332,10 +385,10 @@
     fn hold(&self, body: &Value) -> Told {
         let until = Instant::now() + Duration::from_millis(number(body, "waitMs"));
         lock(&self.core).renew(body);
-        let life = lock(&self.core).id.clone();
+        let born = self.born();
         loop {
             let mut core = lock(&self.core);
-            if core.id != life || core.is_down {
+            if core.born != born || core.is_down {
                 return Told::Cut;
             }
             core.advance();
@@ -545,11 +598,20 @@
             .iter()
             .map(|end| json!([end.count, end.name, end.run, end.how, ""]))
             .collect();
-        let report = json!({ "clockMs": self.clock(), "running": running, "ended": ended });
+        let report = json!({
+            "born": self.born, "clockMs": self.clock(), "running": running, "ended": ended,
+        });
         reply(200, &report)
     }
 }
 
+/// True unless the connection of this thread was opened to an earlier life: a crash ends all connections.
+fn leads_to(born: u64) -> bool {
+    let led_to = LED_TO.get();
+    LED_TO.set(if led_to == 0 { born } else { led_to });
+    led_to == 0 || led_to == born
+}
+
 /// True for the start of a task that crashes its worker.
 fn is_crashing(body: &Value) -> bool {
     let text = body["specification"].as_str().unwrap_or_default();
--- a/programs/box/tests/whole_path.rs
+++ b/programs/box/tests/whole_path.rs
@@ -20,6 +20,7 @@
     },
     std::{
         net::{SocketAddr, TcpListener},
+        ops::Range,
         process::{Child, Command, Stdio},
         sync::{Arc, Mutex},
         thread,
@@ -32,6 +33,8 @@
 const FOREVER: Duration = Duration::from_secs(60);
 const LOOK: Duration = Duration::from_millis(20);
 const WORK: Duration = Duration::from_millis(50);
+/// For so long the entry of a new life may be behind.
+const BEHIND: Duration = Duration::from_millis(600);
 
 fn free_port() -> u16 {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -200,6 +203,21 @@
     }
 
     /// The number of tasks that run on all workers.
+    /// Submits jobs of these numbers and waits until they are completed.
+    fn complete(&self, boxes: &[Process], jobs: Range<u32>) {
+        let port = boxes[0].callers;
+        let paths: Vec<String> = jobs.map(|number| format!("/q/{number:016x}")).collect();
+        for path in &paths {
+            until("a job is accepted", || {
+                let answer = send(port, "POST", path, Some(&job(12)));
+                answer.is_some_and(|answer| answer.status == 200)
+            });
+        }
+        for path in &paths {
+            until("a job is completed", || state(port, path) == "completed");
+        }
+    }
+
     fn running(&self) -> usize {
         self.runners.iter().map(Runner::running).sum()
     }
@@ -456,6 +474,54 @@
     assert_eq!(seen.starts.values().sum::<u32>(), 16);
 }
 
+/// What users saw: something that must run once ran twice, and jobs stood still to the end of the day. Workers had started
+/// again under the names that they had, and counted their ends anew.
+#[test_case(1, 70, false, false; "one box")]
+#[test_case(1, 70, true, false; "entry behind")]
+#[test_case(2, 1, false, false; "relay")]
+#[test_case(2, 1, true, false; "relay and entry behind")]
+#[test_case(2, 70, false, true; "killed owner")]
+#[test_case(3, 1, true, true; "killed owner with relays and entry behind")]
+fn worker_under_its_former_name(boxes: usize, own: usize, behind: bool, kills: bool) {
+    let world = World::new(WORK);
+    let mut boxes = world.sharing_boxes(boxes, own);
+    until("the cell has an owner", || world.owner().is_some());
+    // The former lives have ended more runs than the new ones will for a while.
+    world.complete(&boxes, 1..5);
+    send(
+        boxes[0].callers,
+        "POST",
+        "/q/00000000000000aa",
+        Some(&job(12)),
+    )
+    .unwrap();
+    for (number, runner) in world.runners.iter().enumerate() {
+        let id = format!("i-{number}");
+        if behind {
+            runner.restart_unlisted(&id);
+        } else {
+            runner.restart(&world.kv, &id);
+        }
+    }
+    if kills {
+        let owner = world.owner().unwrap();
+        let index = boxes.iter().position(|own| own.name == owner).unwrap();
+        boxes.remove(index).signal("-KILL");
+    }
+    thread::sleep(BEHIND);
+    for runner in &world.runners {
+        runner.list(&world.kv);
+    }
+    world.complete(&boxes, 5..9);
+    until("what began before is completed", || {
+        state(boxes[0].callers, "/q/00000000000000aa") == "completed"
+    });
+    let seen = lock(&world.seen);
+    assert!(seen.doubled.is_empty(), "at once: {:?}", seen.doubled);
+    let again = seen.started_after_done();
+    assert!(again.is_empty(), "again: {again:?}");
+}
+
 /// The story of the incident of crashing tasks with real boxes: a task crashes each worker that starts it; the worker
 /// is back 0.7 s later as another life. Before crashes were counted it was started for as long as the trial ran, also
 /// where its owner was killed meanwhile, and its job never showed `failed`.
