Calls that are bound to the connection that the last answer came by

A crash ends the connections of a process, so whoever answers on one is the one that answered before. What is meant for one life of a receiver can be sent over its connection or not at all (`Client::send_over`, `not-run` where it is gone); answers tell their connection. A client apart has connections of its own, since the library closes others of a receiver while it looks for the one that is wanted. Nothing uses it yet.

--- a/components/kernel/src/client.rs
+++ b/components/kernel/src/client.rs
@@ -17,7 +17,10 @@
     std::{
         cell::Cell,
         fmt, io,
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
         time::{Duration, Instant},
     },
     ureq::{
@@ -44,8 +47,21 @@
     static SENT: Cell<usize> = const { Cell::new(0) };
     /// How long the present call of this thread may hear nothing; `None` where only its whole time counts.
     static QUIET: Cell<Option<Quiet>> = const { Cell::new(None) };
+    /// The only connection that the present call of this thread may use, if it is bound to one.
+    static BOUND: Cell<Option<Connection>> = const { Cell::new(None) };
+    /// The connection that the present call of this thread has last used.
+    static USED: Cell<Connection> = const { Cell::new(Connection(0)) };
 }
 
+/// The number of the last connection that was opened.
+static OPENED: AtomicU64 = AtomicU64::new(0);
+
+/// One connection, told apart from all others of the process.
+///
+/// Whoever answers on it is the one that answered on it before: the end of a process ends its connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Connection(u64);
+
 /// Bounds a time-out of the library by the quiet time of the present call of this thread, if it has one.
 fn bound(timeout: NextTimeout) -> NextTimeout {
     QUIET.get().map_or(timeout, |quiet| quiet.bound(timeout))
@@ -75,6 +91,8 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Vec<u8>,
+    /// What it came by.
+    pub connection: Connection,
 }
 
 impl Answer {
@@ -123,6 +141,7 @@
     /// One for each pool.
     agents: Arc<[Agent]>,
     token: Option<Token>,
+    limits: Limits,
     trust: Arc<Trust>,
     /// All calls have so many times the time that they are given.
     stretch: u32,
@@ -167,6 +186,7 @@
         Client {
             agents: std::iter::repeat_with(agent).take(POOLS).collect(),
             token,
+            limits,
             trust,
             stretch: 1,
         }
@@ -182,6 +202,31 @@
         }
     }
 
+    /// A client like this one with connections of its own.
+    #[must_use]
+    pub fn apart(&self) -> Self {
+        Client {
+            stretch: self.stretch,
+            ..Self::with_limits(self.token.clone(), self.limits)
+        }
+    }
+
+    /// Makes the call once over this connection, or not at all.
+    ///
+    /// Other connections to the receiver that nobody uses may be closed by it: whoever binds calls keeps them in a
+    /// client [apart](Client::apart), where each receiver has one connection.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`]; `not-run` where the connection is gone.
+    pub fn send_over(&self, call: &Call, connection: Connection) -> Result<Answer, Failure> {
+        let span = call.time.stretched(self.stretch).first(call.body.len());
+        BOUND.set(Some(connection));
+        let result = self.attempt(call, span);
+        BOUND.set(None);
+        result
+    }
+
     /// Makes the call and takes in the whole answer.
     ///
     /// # Errors
@@ -250,6 +295,7 @@
             status: parts.status.as_u16(),
             headers: parts.headers,
             body,
+            connection: USED.get(),
         })
     }
 
@@ -372,9 +418,14 @@
         details: &ConnectionDetails,
         chained: Option<()>,
     ) -> Result<Option<Self::Out>, Error> {
+        if BOUND.get().is_some() {
+            let text = "the connection that the call is bound to is gone";
+            return Err(Error::Io(io::Error::new(io::ErrorKind::NotConnected, text)));
+        }
         let inner = self.tcp.connect(details, chained)?;
         let authority = details.uri.authority();
         Ok(inner.map(|inner| Counting {
+            number: Connection(OPENED.fetch_add(1, Ordering::Relaxed) + 1),
             inner,
             receiver: authority.map_or("", |own| own.as_str()).into(),
             proof: Mark::now(),
@@ -386,6 +437,7 @@
 /// A connection that notes each hand-over of bytes before it happens, and when it last brought some.
 #[derive(Debug)]
 struct Counting<T> {
+    number: Connection,
     inner: T,
     receiver: Box<str>,
     /// When it was opened, or last brought bytes.
@@ -400,6 +452,7 @@
 
     fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
         SENT.set(SENT.get() + amount);
+        USED.set(self.number);
         self.inner.transmit_output(amount, bound(timeout))
     }
 
@@ -412,6 +465,10 @@
 
     /// The pool asks this before it uses a connection again.
     fn is_open(&mut self) -> bool {
+        let is_other = |bound| bound != self.number;
+        if BOUND.get().is_some_and(is_other) {
+            return false;
+        }
         self.trust.is_trusted(&self.receiver, self.proof) && self.inner.is_open()
     }
 }
