Seeded sequences play workers that start again under their names

The yard's workers may keep their names: a life is told by its birth, entries may be behind, polls and orders may be carried out late by whichever life is there, owners change meanwhile. The links behave as the adapter speaks: a poll or an order reaches the life that it is meant for or none, and the first poll on a new connection binds nothing. New checks: no start after a good end that was noted, no job that stands still beside room, no owner that is told of another one.

--- a/components/cell/tests/decisions/steady.rs
+++ b/components/cell/tests/decisions/steady.rs
@@ -29,6 +29,8 @@
 /// A trial of a suspect is over after this time, in milliseconds: its run is listed for 1 s by then, or its worker is given
 /// up, which takes 1.5 s for the start and 4.9 s for the leases.
 const TRIAL: u64 = 6_500;
+/// Tells the chance of what befalls the lives of workers from that of the rest.
+const NAMES_CHANCE: u64 = 0x6e61_6d65;
 /// Between two short jobs, in milliseconds.
 const SHORT_GAP: u64 = 300;
 
@@ -53,6 +55,8 @@
     /// A task of a short job that crashes its workers, after so long.
     poison: Option<u64>,
     events: Vec<Planned>,
+    /// Workers start again under the names that they had.
+    keeps_names: bool,
 }
 
 /// An event to come.
@@ -148,12 +152,45 @@
             lasting,
             poison: (rng.u8(0..8) == 0).then(|| rng.u64(1..=150) * 10),
             events,
+            keeps_names: false,
         }
     }
 
+    /// The same with workers that keep their names, and more that befalls their lives. That has a chance of its own.
+    fn keeping_names(seed: u64) -> Self {
+        let mut case = Case::by_chance(seed);
+        let mut rng = Rng::with_seed(seed ^ NAMES_CHANCE);
+        let last = case.events.iter().map(|own| own.at).max();
+        for _ in 0..rng.usize(1..=8) {
+            // Most of it comes beside what else happens.
+            let at = if rng.u8(0..4) == 0 {
+                rng.u64(START..EVENTFUL)
+            } else {
+                last.unwrap_or(START) + rng.u64(0..4_000)
+            };
+            let range = some(&mut rng, case.workers);
+            let (time, late) = (rng.u64(1..=30) * 100, rng.u64(1..=60) * 100);
+            let event = match rng.u8(0..6) {
+                0..3 => Event::Restart(range, rng.u64(1..=30) * 50, rng.u64(0..=25) * 100),
+                3 => Event::Delay(range, time, late),
+                4 => Event::Mute(range, time, Some(late)),
+                _ => Event::Takeover(rng.u64(0..=1) * 500, rng.u64(0..=20) * 100),
+            };
+            let holders = rng.bool().then(|| (rng.u64(1..=3), 0..rng.usize(1..=6)));
+            let holders = holders.filter(|_| event.is_of_machines());
+            case.events.push(Planned { at, event, holders });
+        }
+        case.events.sort_by_key(|own| own.at);
+        case.keeps_names = true;
+        case
+    }
+
     /// What goes wrong in it.
     fn play(&self) -> Option<Fault> {
-        let mut yard = Yard::new(self.workers, self.work);
+        let mut yard = match self.keeps_names {
+            true => Yard::keeping_names(self.workers, self.work),
+            false => Yard::new(self.workers, self.work),
+        };
         let mut rng = Rng::with_seed(!self.seed);
         let events = self.events.iter();
         let last = events.map(|own| own.at + own.event.lasts()).max();
@@ -184,7 +221,13 @@
         if age > TRIAL {
             return Some(Fault::Trial(age));
         }
-        waiting.into_iter().min().map(Fault::Waits)
+        if let Some(waits) = waiting.into_iter().min() {
+            return Some(Fault::Waits(waits));
+        }
+        // No more short jobs come; those that are there end.
+        yard.run(CALM);
+        let open = yard.open_job(BESIDE_ROOM).map(Fault::Open);
+        yard.fault.or(open)
     }
 
     fn submit_short(&self, yard: &mut Yard, id: u64, rng: &mut Rng) {
@@ -279,6 +322,8 @@
             | Event::Hide(_, time)
             | Event::Deafen(_, time) => *time,
             Event::Takeover(held, away) => held + away,
+            Event::Restart(_, down, behind) => down + behind,
+            Event::Delay(_, time, late) => time + late,
             Event::Mute(_, time, late) => time + late.unwrap_or_default(),
         }
     }
@@ -296,6 +341,8 @@
             Event::Fail(_, time) => Event::Fail(one, time),
             Event::Hide(_, time) => Event::Hide(one, time),
             Event::Deafen(_, time) => Event::Deafen(one, time),
+            Event::Restart(_, down, behind) => Event::Restart(one, down, behind),
+            Event::Delay(_, time, late) => Event::Delay(one, time, late),
             other @ (Event::Hold(_) | Event::Takeover(..)) => other,
         }
     }
@@ -323,6 +370,14 @@
             Event::Deafen(range, time) => {
                 fewer(&range).map(|own| Event::Deafen(own, time)).collect()
             }
+            Event::Restart(range, down, behind) => {
+                let events = fewer(&range).map(|own| Event::Restart(own, down, behind));
+                events.collect()
+            }
+            Event::Delay(range, time, late) => {
+                let events = fewer(&range).map(|own| Event::Delay(own, time, late));
+                events.collect()
+            }
             Event::Remove(_) | Event::Leave(..) | Event::Hold(_) | Event::Takeover(..) => vec![],
         }
     }
@@ -377,11 +432,22 @@
 /// is lost, and no trial goes on for long.
 #[test]
 fn lasting_tasks_run_after_calm() {
+    play_all(Case::by_chance);
+}
+
+/// The same where workers start again under their names: besides, nothing is started again after a good end that was noted,
+/// and no job stands still beside room.
+#[test]
+fn lives_of_one_name_are_told_apart() {
+    play_all(Case::keeping_names);
+}
+
+fn play_all(case_of: impl Fn(u64) -> Case) {
     let (from, cases) = (asked("STEADY_FROM", 0), asked("STEADY_CASES", CASES));
     let shrunk = asked("STEADY_SHRINK", 1);
     let mut faults = Vec::new();
     for seed in from..from + cases {
-        let case = Case::by_chance(seed);
+        let case = case_of(seed);
         let Some(fault) = case.play() else {
             continue;
         };
--- a/components/cell/tests/decisions/yard.rs
+++ b/components/cell/tests/decisions/yard.rs
@@ -4,11 +4,17 @@
 //! Where the [`crate::farm::Farm`] answers at once, here polls are held, answers and orders take their time or are lost,
 //! and a worker refuses what it must: a start that comes after its deadline, a run that is not above one that it knows,
 //! what does not fit, and whatever comes from a former owner.
+//!
+//! Where workers keep their names, a life is told by when it began, and what is sent to one is spoken of as the adapter
+//! speaks to workers: a poll or an order of the owner reaches the life that it is meant for or none, and the first poll on a
+//! new connection binds nothing. What a worker itself carries out late meets whichever life is there by then.
 
 use {
     crate::common::{TIMING, entry, submission},
     job::{Address, Id, Record, State, Step, Submission},
-    magpie_cell::{Cell, End, Entry, How, Order, Outcome, Reason, Report, Run, Start},
+    magpie_cell::{
+        Cell, End, Entry, Followed, How, Order, Outcome, Poll, Reason, Report, Run, Start,
+    },
     std::{
         collections::{BTreeMap, HashMap, HashSet},
         ops::Range,
@@ -70,6 +76,10 @@
     Hide(Range<usize>, u64),
     /// Answers to polls of them are lost for so long.
     Deafen(Range<usize>, u64),
+    /// They crash and are back after the first time; their entries show it only after the second.
+    Restart(Range<usize>, u64, u64),
+    /// Polls of them get no answer for so long, and are carried out so late.
+    Delay(Range<usize>, u64, u64),
 }
 
 /// A run on a worker.
@@ -84,6 +94,9 @@
 /// A machine, and the life of the worker on it.
 struct Machine {
     id: Arc<str>,
+    name: Arc<str>,
+    /// When the life began, where workers tell that.
+    born: Option<u64>,
     address: Arc<str>,
     rack: usize,
     is_leaving: bool,
@@ -93,6 +106,14 @@
     lease: u64,
     /// When the worker is back that is down.
     back: Option<u64>,
+    /// How long it is down after the next crash, and how long its entry is behind after that.
+    down: (u64, u64),
+    /// The entry of its life is not listed until then.
+    behind_until: u64,
+    /// Polls get no answer until the first time, and are carried out so late.
+    delayed: (u64, u64),
+    /// When its lease was last seen to be over.
+    lapsed: u64,
     /// When it crashes, or goes.
     crash: Option<u64>,
     goes: Option<u64>,
@@ -106,9 +127,19 @@
     /// The highest run of each task that was stopped or ended there.
     over: HashMap<(Id, Address), u64>,
     ended: Vec<End>,
+    /// When each of these ended.
+    ended_at: HashMap<u64, u64>,
     count: u64,
 }
 
+/// A poll that its worker carries out late.
+struct Delayed {
+    at: u64,
+    name: Arc<str>,
+    fence: u64,
+    poll: Poll,
+}
+
 /// A poll on its way.
 struct Held {
     sent: u64,
@@ -122,8 +153,11 @@
 /// An order on its way.
 struct Sent {
     at: u64,
+    /// The owner's fence, and the one that the worker is shown.
+    owner: u64,
     fence: u64,
     id: Arc<str>,
+    name: Arc<str>,
     order: Order,
     is_answered: bool,
 }
@@ -133,6 +167,12 @@
 pub enum Fault {
     /// A task runs twice.
     Twice(u64, Name),
+    /// A task is started after it had ended well and that was noted.
+    Again(u64, Name),
+    /// A worker is said to be under another owner, and there is none.
+    Deposed(u64),
+    /// A job that does not last stands still beside room.
+    Open(Id),
     /// A lasting job shows as failed.
     Failed(u64, Id),
     /// So many places were lost.
@@ -170,6 +210,15 @@
     owner_goes: Option<(u64, u64)>,
     fence: u64,
     polls: BTreeMap<Arc<str>, Held>,
+    /// Lives that answered on the connection that is open.
+    connected: HashSet<Arc<str>>,
+    /// Lives that nobody polls any more, since a later one has answered.
+    followed: HashSet<Arc<str>>,
+    delayed: Vec<Delayed>,
+    /// Tasks whose good end was noted.
+    noted: HashSet<Name>,
+    /// Workers start again under the names that they had.
+    keeps_names: bool,
     next_polls: HashMap<Arc<str>, u64>,
     sent: Vec<Sent>,
     answers: Vec<(u64, Arc<str>, Order, Outcome)>,
@@ -183,6 +232,8 @@
     pub fn new(workers: usize, work: u64) -> Self {
         let machine = |number: usize| Machine {
             id: format!("w{number:04}").into(),
+            name: format!("w{number:04}").into(),
+            born: None,
             address: format!("10.0.0.{number}:80").into(),
             rack: number / 8,
             is_leaving: false,
@@ -190,6 +241,10 @@
             fence: 0,
             lease: 0,
             back: None,
+            down: (DOWN, 0),
+            behind_until: 0,
+            delayed: (0, 0),
+            lapsed: 0,
             crash: None,
             goes: None,
             cut_until: 0,
@@ -201,6 +256,7 @@
             runs: BTreeMap::new(),
             over: HashMap::new(),
             ended: Vec::new(),
+            ended_at: HashMap::new(),
             count: 0,
         };
         let mut yard = Yard {
@@ -218,6 +274,11 @@
             owner_goes: None,
             fence: 1,
             polls: BTreeMap::new(),
+            connected: HashSet::new(),
+            followed: HashSet::new(),
+            delayed: Vec::new(),
+            noted: HashSet::new(),
+            keeps_names: false,
             next_polls: HashMap::new(),
             sent: Vec::new(),
             answers: Vec::new(),
@@ -229,6 +290,19 @@
         yard
     }
 
+    /// The same, with workers that start again under the names that they had.
+    pub fn keeping_names(workers: usize, work: u64) -> Self {
+        let mut yard = Yard::new(0, work);
+        yard.keeps_names = true;
+        yard.machines = Yard::new(workers, work).machines;
+        for machine in &mut yard.machines {
+            machine.born = Some(1_000);
+            machine.id = Entry::life(&machine.name, machine.born);
+        }
+        yard.list();
+        yard
+    }
+
     /// Submits a job of one step with a priority, of which 0 goes first.
     pub fn submit(&mut self, number: u64, step: Step, priority: u32) -> Id {
         let id = id(number);
@@ -284,6 +358,13 @@
             Event::Fail(range, time) => self.each(range, |own| own.failing_until = now + time),
             Event::Hide(range, time) => self.each(range, |own| own.hidden_until = now + time),
             Event::Deafen(range, time) => self.each(range, |own| own.deaf_until = now + time),
+            Event::Restart(range, down, behind) => self.each(range, |own| {
+                own.crash = Some(now);
+                own.down = (*down, *behind);
+            }),
+            Event::Delay(range, time, late) => self.each(range, |own| {
+                own.delayed = (now + time, *late);
+            }),
         }
     }
 
@@ -325,8 +406,9 @@
         }
         self.poll();
         for (id, order, outcome) in self.answers_due() {
-            let is_deposed = self.cell.answered(&id, &order, outcome, now);
-            assert!(!is_deposed, "the one owner is told of another");
+            if self.cell.answered(&id, &order, outcome, now) {
+                self.fault = Some(Fault::Deposed(now));
+            }
         }
         if now.is_multiple_of(LOOK_GAP) {
             self.cell.rerank(now, now);
@@ -346,6 +428,8 @@
         self.owner_back = None;
         self.fence += 1;
         self.polls.clear();
+        self.connected.clear();
+        self.followed.clear();
         self.next_polls.clear();
         self.answers.clear();
         self.sent.retain(|sent| !sent.is_answered);
@@ -367,12 +451,24 @@
         let now = self.now;
         self.stale.retain(|(_, until)| now < *until);
         let up = self.machines.iter();
-        let up = up.filter(|own| own.back.is_none() && own.hidden_until <= now);
-        let mut entries: Vec<Entry> = up.map(Machine::entry).collect();
-        entries.extend(self.stale.iter().map(|(entry, _)| entry.clone()));
+        let is_shown = |own: &&Machine| {
+            own.back.is_none() && own.hidden_until <= now && own.behind_until <= now
+        };
+        let mut entries: Vec<Entry> = up.filter(is_shown).map(Machine::entry).collect();
+        for (entry, _) in &self.stale {
+            // Lives of one name have one place in the listing.
+            if entries.iter().all(|own| own.name != entry.name) {
+                entries.push(entry.clone());
+            }
+        }
         self.cell.list(entries, now);
     }
 
+    /// The fence that a life is shown.
+    fn fence_of(&self, generation: u32) -> u64 {
+        self.fence << 10 | u64::from(generation)
+    }
+
     fn write(&mut self) {
         if self.now < self.held_until {
             return;
@@ -390,6 +486,9 @@
         let ids: HashSet<&Arc<str>> = known.iter().map(|entry| &entry.id).collect();
         self.polls.retain(|id, _| ids.contains(id));
         for entry in &known {
+            if self.followed.contains(&entry.id) {
+                continue;
+            }
             if self.polls.contains_key(&entry.id) {
                 self.hear(entry);
             } else if self.may_poll(&entry.id) {
@@ -406,10 +505,18 @@
 
     /// Sends a poll.
     fn ask(&mut self, entry: &Entry) {
-        let (now, fence) = (self.now, self.fence);
-        let Some(poll) = self.cell.poll(&entry.id, now) else {
+        let (now, fence) = (self.now, self.fence_of(entry.generation));
+        let Some(mut poll) = self.cell.poll(&entry.id, now) else {
             return;
         };
+        let is_bound = !self.keeps_names || self.connected.contains(&entry.id);
+        if !is_bound {
+            poll = Poll {
+                deadline: 0,
+                seen: 0,
+                wait: 0,
+            };
+        }
         let mut machines = self.machines.iter_mut();
         let machine = machines.find(|own| own.address == entry.address);
         let Some(machine) = machine.filter(|own| own.back.is_none()) else {
@@ -418,27 +525,64 @@
         };
         let is_cut = now < machine.cut_until;
         if !is_cut && machine.id != entry.id {
-            let cause = "another life answers";
-            self.cell.end_life(&entry.id, cause, now);
+            if machine.name != entry.name {
+                let cause = "another life answers";
+                self.cell.end_life(&entry.id, cause, now);
+                return;
+            }
+            if fence < machine.fence {
+                self.refused(entry);
+                return;
+            }
+            // A look that binds nothing, but shows its fence.
+            machine.fence = fence;
+            let born = machine.born.unwrap();
+            match self.cell.follow(&entry.id, born, now) {
+                Followed::Not => self.unheard(&entry.id),
+                Followed::Known | Followed::New(_) => {
+                    self.followed.insert(entry.id.clone());
+                }
+            }
+            return;
+        }
+        if !is_cut && fence < machine.fence {
+            self.refused(entry);
             return;
         }
-        if !is_cut {
+        let is_delayed = !is_cut && is_bound && now < machine.delayed.0;
+        if is_delayed {
+            self.delayed.push(Delayed {
+                at: now + machine.delayed.1,
+                name: entry.name.clone(),
+                fence,
+                poll,
+            });
+        } else if !is_cut {
             machine.fence = fence;
-            machine.lease = machine.lease.max(poll.deadline);
-            machine.ended.retain(|end| end.number > poll.seen);
+            let noted = machine.take(poll, now);
+            self.noted.extend(noted);
         }
         let held = Held {
             sent: now,
             until: now + poll.wait,
             seen: poll.seen,
-            is_lost: is_cut,
+            is_lost: is_cut || is_delayed,
             answer: None,
         };
         self.polls.insert(entry.id.clone(), held);
     }
 
+    /// A worker has seen a higher fence: that of a later life, or there is another owner.
+    fn refused(&mut self, entry: &Entry) {
+        if !self.cell.is_past(&entry.id) {
+            self.fault = Some(Fault::Deposed(self.now));
+        }
+        self.unheard(&entry.id);
+    }
+
     fn unheard(&mut self, id: &Arc<str>) {
         self.polls.remove(id);
+        self.connected.remove(id);
         self.next_polls.insert(id.clone(), self.now + POLL_AGAIN);
         self.cell.unheard(id, self.now);
     }
@@ -455,6 +599,7 @@
                 && let Some((_, report)) = held.answer
             {
                 self.next_polls.insert(entry.id.clone(), now);
+                self.connected.insert(entry.id.clone());
                 self.cell.report(&entry.id, report, held.sent, now, now);
             }
             return;
@@ -489,6 +634,10 @@
             return;
         }
         let now = self.now;
+        // What is ordered of a worker that is gone goes nowhere.
+        let Some(entry) = self.cell.entry(&id).cloned() else {
+            return;
+        };
         let machine = self.machines.iter().find(|own| own.id == id);
         let mute = machine.and_then(|own| (now < own.mute.0).then_some(own.mute.1));
         if mute.is_some() {
@@ -502,8 +651,10 @@
         };
         self.sent.push(Sent {
             at: now + ON_THE_WAY + late,
-            fence: self.fence,
+            owner: self.fence,
+            fence: self.fence_of(entry.generation),
             id,
+            name: entry.name,
             order,
             is_answered: mute.is_none(),
         });
@@ -512,10 +663,23 @@
     /// Has orders arrive.
     fn arrive(&mut self) {
         let now = self.now;
+        let due: Vec<Delayed> = self.delayed.extract_if(.., |own| own.at <= now).collect();
+        for Delayed {
+            name, fence, poll, ..
+        } in due
+        {
+            let mut machines = self.machines.iter_mut();
+            let machine = machines.find(|own| own.name == name && own.back.is_none());
+            if let Some(machine) = machine.filter(|own| own.fence <= fence) {
+                machine.fence = fence;
+                let noted = machine.take(poll, now);
+                self.noted.extend(noted);
+            }
+        }
         let due: Vec<Sent> = self.sent.extract_if(.., |sent| sent.at <= now).collect();
         for sent in due {
             let outcome = self.carry_out(&sent);
-            if !sent.is_answered || sent.fence != self.fence {
+            if !sent.is_answered || sent.owner != self.fence {
                 continue;
             }
             let at = match outcome {
@@ -528,10 +692,17 @@
 
     fn carry_out(&mut self, sent: &Sent) -> Outcome {
         let now = self.now;
-        let Some(machine) = self.machines.iter_mut().find(|own| own.id == sent.id) else {
+        let mut machines = self.machines.iter_mut();
+        let Some(machine) = machines.find(|own| own.name == sent.name) else {
             return Outcome::Refused(Reason::OtherLife);
         };
-        if machine.back.is_some() {
+        let is_other = machine.id != sent.id;
+        if is_other && !self.keeps_names {
+            return Outcome::Refused(Reason::OtherLife);
+        }
+        // What goes over a connection reaches the life that it is meant for or none; what was there already, and is carried
+        // out late, meets whichever is there.
+        if machine.back.is_some() || (is_other && sent.is_answered) {
             return Outcome::Refused(Reason::NotSent);
         }
         if now < machine.cut_until {
@@ -545,8 +716,12 @@
             Order::Start(start) => {
                 let of_job = self.jobs.iter().find(|own| own.id == start.key.job);
                 let step = &of_job.unwrap().spec.steps[0];
+                let before = machine.runs.len();
                 let outcome = machine.start(start, step, self.work, now);
                 let name = (start.key.job.clone(), start.key.place);
+                if machine.runs.len() > before && self.noted.contains(&name) {
+                    self.fault = Some(Fault::Again(now, name.clone()));
+                }
                 if outcome == Outcome::Done
                     && let Some(after) = self.crashing.get(&name)
                 {
@@ -574,10 +749,11 @@
             if machine.back.is_some() || !(crashes || goes) {
                 continue;
             }
-            machine.back = Some(if goes { u64::MAX } else { now + DOWN });
+            machine.back = Some(if goes { u64::MAX } else { now + machine.down.0 });
             machine.crash = None;
             machine.runs.clear();
             machine.ended.clear();
+            machine.ended_at.clear();
             self.stale.push((machine.entry(), now + ENTRY_LAPSES));
         }
     }
@@ -598,7 +774,15 @@
                 continue;
             }
             self.lives += 1;
-            machine.id = format!("w{:04}", self.lives).into();
+            if self.keeps_names {
+                machine.born = Some(self.now);
+                machine.id = Entry::life(&machine.name, machine.born);
+                machine.behind_until = self.now + machine.down.1;
+            } else {
+                machine.id = format!("w{:04}", self.lives).into();
+                machine.name = machine.id.clone();
+            }
+            machine.down = (DOWN, 0);
             machine.back = None;
             machine.crash = None;
             machine.begun = self.now;
@@ -637,6 +821,37 @@
         }
     }
 
+    /// The first job that does not last and has stood still all the time that passes here, in milliseconds, beside two workers
+    /// with room for its tasks.
+    pub fn open_job(&mut self, time: u64) -> Option<Id> {
+        let end = self.now + time;
+        let mut open = self.still_jobs();
+        while self.now < end && self.fault.is_none() && !open.is_empty() {
+            self.run(LOOK_GAP);
+            let still = self.still_jobs();
+            open.retain(|id| still.contains(id));
+        }
+        open.into_iter().next()
+    }
+
+    fn still_jobs(&self) -> Vec<Id> {
+        let mut still = Vec::new();
+        for Submission { id, spec, .. } in &self.jobs {
+            let is_over = self.cell.state(id).is_some_and(State::is_final);
+            let is_poisoned = self.crashing.keys().any(|(job, _)| job == id);
+            if spec.is_lasting() || is_over || is_poisoned {
+                continue;
+            }
+            let mut names = self.machines.iter().flat_map(|own| own.runs.keys());
+            let roomy = self.machines.iter();
+            let roomy = roomy.filter(|own| own.suits(id, &spec.steps[0])).count();
+            if roomy >= 2 && !names.any(|(job, _)| job == id) {
+                still.push(id.clone());
+            }
+        }
+        still
+    }
+
     /// The lasting tasks that do not run, though two workers have room for each.
     pub fn waiting(&self) -> HashSet<Name> {
         let mut waiting = HashSet::new();
@@ -673,11 +888,33 @@
 impl Machine {
     fn entry(&self) -> Entry {
         Entry {
+            id: self.id.clone(),
+            born: self.born,
             address: self.address.clone(),
             leaving: self.is_leaving,
             labels: vec!["a".into(), format!("r{}", self.rack).into()],
-            ..entry(&self.id, CORES / 1_000)
+            ..entry(&self.name, CORES / 1_000)
+        }
+    }
+
+    /// Takes a poll in: forgets ends that are written down, and extends the lease. Returns the tasks whose good ends are noted
+    /// by that.
+    fn take(&mut self, poll: Poll, now: u64) -> Vec<Name> {
+        let told = self.ended.extract_if(.., |end| end.number <= poll.seen);
+        let mut noted = Vec::new();
+        for end in told {
+            let at = self.ended_at.remove(&end.number).unwrap_or_default();
+            if end.how == How::Done && at > self.lapsed {
+                noted.push((end.job, end.address.index as usize));
+            }
+        }
+        if self.clock(now) > self.lease {
+            self.lapsed = now;
         }
+        self.lease = self
+            .lease
+            .max(poll.deadline.min(self.clock(now) + TIMING.lease));
+        noted
     }
 
     /// Its own clock.
@@ -718,7 +955,8 @@
         if self.used() + step.size.cpu > CORES {
             return Outcome::Refused(Reason::Room);
         }
-        self.lease = self.lease.max(start.deadline);
+        let most = self.clock(now) + TIMING.lease;
+        self.lease = self.lease.max(start.deadline.min(most));
         let fails = now < self.failing_until;
         let until = match (fails, step.lasting) {
             (true, _) => now + 100,
@@ -774,6 +1012,7 @@
                 (true, false) => How::Done,
             };
             self.end(name, going.run, how);
+            self.ended_at.insert(self.count, now);
         }
     }
 
