Tests of boxes: a box whose port was taken is not taken for ready

Cause, shown by box_without_port_is_not_taken_for_ready (red without the mend): ports are looked for free and taken later. Where the box of another test has taken the one for readiness meanwhile, that box answers the probe, the own one has ended with 1 and is never started again, and the store of the test has no owner.

Change: a box counts as ready once it has written that its ports are open, and answers so.

--- a/programs/box/tests/whole_path.rs
+++ b/programs/box/tests/whole_path.rs
@@ -19,10 +19,14 @@
         runner::Seen,
     },
     std::{
+        io::{BufRead, BufReader},
         net::{SocketAddr, TcpListener},
         ops::Range,
         process::{Child, Command, Stdio},
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, Ordering},
+        },
         thread,
         time::{Duration, Instant},
     },
@@ -58,12 +62,35 @@
     callers: u16,
     ready: u16,
     inside: u16,
+    /// It has told that all its ports are open.
+    runs: Arc<AtomicBool>,
+}
+
+/// The line of a box whose ports are all open.
+const RUNS: &str = "\"The box runs.\"";
+
+/// Reads what a box writes to its end, and notes that its ports are open.
+fn read_lines(child: &mut Child) -> Arc<AtomicBool> {
+    let runs = Arc::new(AtomicBool::new(false));
+    let (own, out) = (runs.clone(), child.stdout.take().unwrap());
+    thread::spawn(move || {
+        for line in BufReader::new(out).lines().map_while(Result::ok) {
+            own.fetch_or(line.contains(RUNS), Ordering::AcqRel);
+        }
+    });
+    runs
 }
 
 impl Process {
     fn start(name: &str, store: &str, own_workers: usize) -> Self {
-        let (callers, ready, inside) = (free_port(), free_port(), free_port());
-        let child = Command::new(env!("CARGO_BIN_EXE_magpie-box"))
+        let ports = [free_port(), free_port(), free_port()];
+        Process::start_at(name, store, own_workers, ports)
+    }
+
+    /// The ports are those of callers, of readiness and of other boxes.
+    fn start_at(name: &str, store: &str, own_workers: usize, ports: [u16; 3]) -> Self {
+        let [callers, ready, inside] = ports;
+        let mut child = Command::new(env!("CARGO_BIN_EXE_magpie-box"))
             .env("MAGPIE_NAME", name)
             .env("MAGPIE_HALL", "h1")
             .env("MAGPIE_CALLERS", format!("127.0.0.1:{callers}"))
@@ -71,9 +98,10 @@
             .env("MAGPIE_PORTS", inside.to_string())
             .env("MAGPIE_STORE", store)
             .env("MAGPIE_OWN_WORKERS", own_workers.to_string())
-            .stdout(Stdio::null())
+            .stdout(Stdio::piped())
             .spawn()
             .unwrap();
+        let runs = read_lines(&mut child);
         Process {
             name: name.to_owned(),
             store: store.to_owned(),
@@ -82,6 +110,7 @@
             callers,
             ready,
             inside,
+            runs,
         }
     }
 
@@ -95,8 +124,11 @@
         *self = Process::start(&self.name, &self.store, self.own_workers);
     }
 
+    /// True once it answers so itself: another box may have taken the port that was found free for this one.
     fn is_ready(&self) -> bool {
-        send(self.ready, "GET", "/readiness", None).is_some_and(|answer| answer.status == 200)
+        self.runs.load(Ordering::Acquire)
+            && send(self.ready, "GET", "/readiness", None)
+                .is_some_and(|answer| answer.status == 200)
     }
 
     /// Tells the box, as another one would, that a job is cancelled.
@@ -477,6 +509,23 @@
     assert_eq!(seen.starts.values().sum::<u32>(), 16);
 }
 
+/// Seen beside busy processes: a test waited for an owner in vain. The port of its box's readiness had been taken by the box of
+/// another test, which answered that it was ready; its own had ended without a port, and nobody started it again.
+#[test]
+fn box_without_port_is_not_taken_for_ready() {
+    let world = World::new(WORK);
+    let other = world.boxes(1).remove(0);
+    let free = (free_port(), free_port());
+    let mut own = Process::start_at("b1", &world.store, 70, [free.0, other.ready, free.1]);
+    let ended = own.child.wait().unwrap();
+    assert_eq!(ended.code(), Some(1));
+    assert!(other.is_ready() && !own.is_ready());
+    until("it is started again and ready", || {
+        own.start_again_without_ports();
+        own.is_ready()
+    });
+}
+
 /// What users saw: something that must run once ran twice, and jobs stood still to the end of the day. Workers had started
 /// again under the names that they had, and counted their ends anew. The owner told a life by the worker's name alone: it
 /// skipped the first ends of the new life as known, had that life forget them, and started their tasks again when their runs
--- a/programs/soak/src/fault.rs
+++ b/programs/soak/src/fault.rs
@@ -135,6 +135,8 @@
             Fault::Crash(number) => {
                 self.stale.insert(place, world.crash(number));
             }
+            Fault::Reborn(number, is_behind) => world.reborn(number, is_behind),
+            Fault::CallsLate(number, count) => world.workers[number].runner.hold_back(count),
             Fault::Unlisted(number) => world.unlist(&world.life(number)),
             Fault::Shut(hall) => world.shut(hall),
             Fault::Version => world.write_version(),
@@ -156,7 +158,10 @@
                     self.world.unlist(&life);
                 }
             }
-            Fault::Unlisted(number) | Fault::Garbled(number) => self.world.list(number),
+            Fault::Unlisted(number) | Fault::Garbled(number) | Fault::Reborn(number, _) => {
+                self.world.list(number);
+            }
+            Fault::CallsLate(number, _) => self.world.workers[number].runner.carry_out(),
             Fault::Shrunk(number, _) => self.world.resize(number, CORES),
             Fault::Foreign(kind) => self.world.unlist_foreign(kind),
             Fault::Shut(hall) => {
--- a/programs/soak/src/plan.rs
+++ b/programs/soak/src/plan.rs
@@ -16,6 +16,10 @@
 const CALM: std::ops::Range<u64> = 9_500..11_500;
 /// Tells the chance of faults of entries and room from that of the others.
 const ODD: u64 = 0x6f64_6400;
+/// Tells the chance of workers that start again under their names from that of the others.
+const NAMES_CHANCE: u64 = 0x6e61_6d65;
+/// The most time between two of these, in milliseconds.
+const NAMES_GAP: u64 = 4_000;
 /// Tells the chance of shut halls from that of the others.
 const HALLS_CHANCE: u64 = 0x6861_6c6c;
 /// Data halls in which workers stand, in turn.
@@ -76,6 +80,10 @@
     WorkerSlow(usize, u64),
     /// A worker crashes and starts again; the entry of its former life stays until the end.
     Crash(usize),
+    /// A worker crashes and starts again under its name; its entry shows it at once, or at the end.
+    Reborn(usize, bool),
+    /// A worker leaves so many calls without an answer, and carries them out at the end.
+    CallsLate(usize, u32),
     /// A worker refuses starts.
     Unwell(usize),
     /// A worker cuts every call.
@@ -185,6 +193,7 @@
         at += rng.u64(800..5_000);
     }
     plan.extend(odd(seed, end, workers));
+    plan.extend(names(seed, end, workers));
     plan.extend(shut(seed, end));
     plan.sort_by_key(|event| event.at);
     plan
@@ -210,6 +219,28 @@
     plan
 }
 
+/// Workers that start again under their names, some of them at the same moment, and carry calls out late; also with a chance
+/// of their own.
+fn names(seed: u64, end: u64, workers: usize) -> Vec<Event> {
+    let mut rng = Rng::with_seed(seed ^ NAMES_CHANCE);
+    let mut plan = Vec::new();
+    let mut at = rng.u64(500..NAMES_GAP);
+    while at + 1_000 < end {
+        let first = rng.usize(0..workers);
+        let count = rng.usize(1..=2);
+        for worker in first..workers.min(first + count) {
+            let fault = match rng.u64(0..4) {
+                0 => Fault::CallsLate(worker, rng.u32(1..4)),
+                _ => Fault::Reborn(worker, rng.bool()),
+            };
+            let lasts = rng.u64(50..2_500).min(end - at);
+            plan.push(Event { at, lasts, fault });
+        }
+        at += rng.u64(300..NAMES_GAP);
+    }
+    plan
+}
+
 /// Halls that are shut, one after the other or at the same time, also with a chance of their own.
 fn shut(seed: u64, end: u64) -> Vec<Event> {
     let mut rng = Rng::with_seed(seed ^ HALLS_CHANCE);
@@ -302,6 +333,6 @@
                 kinds.insert(std::mem::discriminant(&event.fault));
             }
         }
-        assert_eq!(kinds.len(), 32);
+        assert_eq!(kinds.len(), 34);
     }
 }
--- a/programs/soak/src/world.rs
+++ b/programs/soak/src/world.rs
@@ -190,6 +190,16 @@
         old
     }
 
+    /// Crashes a worker and starts it again under its name. Its entry may be behind.
+    pub fn reborn(&self, number: usize, is_behind: bool) {
+        self.workers[number]
+            .runner
+            .restart_unlisted(&self.life(number));
+        if !is_behind {
+            self.list(number);
+        }
+    }
+
     /// Shuts a data hall, as the operators do.
     pub fn shut(&self, hall: usize) {
         let name = hall_name(hall);
@@ -237,6 +247,7 @@
         let mut entry = worker.entry.clone();
         // A worker tells what it has now, whatever else has befallen its entry meanwhile.
         entry["capacity"]["cpu"] = (worker.runner.cores() * 1_000).into();
+        entry["born"] = worker.runner.born().into();
         self.kv.put(&key, &encode(&entry));
     }
 
