Lives of one name: which is the later one does not hang on a worker's clock alone

Cause, found by seeded sequences with workers whose time of day steps back between two lives, none of it seen with users: the moment of a life's start was all that ordered lives, so that a life that began earlier by its own word was passed over for good; and a life that only a listing told of, which was behind, was polled with a higher fence than the life that was there, which then refused its owner.

Change: the later life is the one that answers where another one had answered before; only of lives that a listing alone told of the moments tell.

--- a/components/cell/src/lives.rs
+++ b/components/cell/src/lives.rs
@@ -54,14 +54,13 @@
         let mut added = Vec::new();
         for entry in listing.entries {
             self.drop_unproven(&entry, now);
-            // The store may be behind.
-            if self.over.contains(&entry.id) || self.is_followed(&entry) {
-                continue;
-            }
             if self.workers.contains_key(&entry.id) {
                 self.update(entry, now);
                 continue;
             }
+            if self.over.contains(&entry.id) || self.is_answered_for(&entry) {
+                continue;
+            }
             log::info!(target: "cell", worker = &*entry.id, address = &*entry.address, rack = entry.rack(), cpu = entry.size.cpu; "A worker is new.");
             added.push(self.join(Worker::new(entry)));
             self.fleet_dirty = true;
@@ -80,15 +79,27 @@
         entry
     }
 
-    /// How many lives of its name were known before a life that is new here. One that a later life is known of, which a former
-    /// owner knew, must not show a higher fence than that one.
+    /// The same for one that a former owner knew. It shows no higher fence than a life that the listing has told of: either may
+    /// be the later one.
+    fn join_beside(&mut self, worker: Worker) -> Entry {
+        let other = self
+            .latest(&worker.entry.name)
+            .map(|own| own.entry.generation);
+        let mut entry = self.join(worker);
+        if let Some(generation) = other
+            && let Some(own) = self.workers.get_mut(&entry.id)
+        {
+            own.entry.generation = generation;
+            entry.generation = generation;
+        }
+        entry
+    }
+
+    /// How many lives of its name were known before a life that is new here.
     fn generation(&mut self, entry: &Entry) -> u32 {
         if entry.born.is_none() {
             return 0;
         }
-        if let Some(later) = self.latest(&entry.name).filter(|_| self.is_followed(entry)) {
-            return later.entry.generation;
-        }
         let count = self.generations.entry(entry.name.clone()).or_default();
         *count += 1;
         *count - 1
@@ -113,7 +124,7 @@
     /// The latest known life of the worker of a name.
     pub(crate) fn latest(&self, name: &str) -> Option<&Worker> {
         let lives = self.lives_of(name).into_iter();
-        lives.max_by_key(|worker| worker.entry.born)
+        lives.max_by_key(|worker| worker.entry.order())
     }
 
     /// True when a later life of this worker is known.
@@ -122,6 +133,13 @@
         latest.is_some_and(|latest| entry.is_before(&latest.entry))
     }
 
+    /// True for an entry of a life that is not known where polls of another life of the worker go to its address: they tell who
+    /// is there, and the listing may be behind. Polled beside that one, a life that is over would show the fence of a later one.
+    fn is_answered_for(&self, entry: &Entry) -> bool {
+        let mut lives = self.lives_of(&entry.name).into_iter();
+        lives.any(|own| own.proven && own.entry.address == entry.address)
+    }
+
     /// True when what another owner may have told a worker is no news of this life of it: a later one is known, which
     /// refuses what is meant for this one, or it is not known any more.
     pub fn is_past(&self, id: &str) -> bool {
@@ -139,24 +157,31 @@
         }
     }
 
-    /// Takes in that a poll of one life of a worker was answered by another one, which began then: where that is the later one,
-    /// it is polled from now on in place of the former.
-    pub fn follow(&mut self, id: &Arc<str>, born: u64, now: u64) -> Followed {
+    /// Takes in that a poll of one life of a worker, which was sent at a time, was answered by another one, which began then:
+    /// where that is the later one, it is polled from now on in place of the former.
+    ///
+    /// Lives do not take turns, so it is later where the one that was asked had answered before, be it to a former owner. Of a
+    /// life that only the listing told of, the time of its beginning tells.
+    pub fn follow(&mut self, id: &Arc<str>, born: u64, sent: u64, now: u64) -> Followed {
         let Some(former) = self.workers.get(id) else {
             return Followed::Known;
         };
         let entry = former.entry.reborn(born);
-        if !former.entry.is_before(&entry) {
-            self.unheard(id, now);
-            return Followed::Not;
-        }
+        let is_later = match former.clock {
+            Some(clock) => clock.at < sent,
+            None => former.proven || former.entry.born < entry.born,
+        };
+        let former = former.entry.clone();
         // What the former life has may only be given up once the later one has answered to a poll of its own.
         self.unheard(id, now);
+        if !is_later {
+            return Followed::Not;
+        }
         if let Some(known) = self.workers.get_mut(&entry.id) {
             known.proven = true;
-            return Followed::Known;
+            return self.follow_known(&former, &entry.id, now);
         }
-        if self.over.contains(&entry.id) || self.is_followed(&entry) {
+        if self.over.contains(&entry.id) {
             return Followed::Known;
         }
         log::warn!(target: "cell", worker = &*entry.id, former = &**id, address = &*entry.address; "A worker has started again under its name.");
@@ -169,6 +194,22 @@
         Followed::New(self.join(worker))
     }
 
+    /// The later life is known. A new owner met both at once, and went by what a clock had told that had stepped back since,
+    /// where it takes them for the other way round.
+    fn follow_known(&mut self, former: &Entry, later: &str, now: u64) -> Followed {
+        let Some(later) = self.workers.get(later) else {
+            return Followed::Known;
+        };
+        if former.is_before(&later.entry) {
+            return Followed::Known;
+        }
+        if later.clock.is_none() {
+            return Followed::Not;
+        }
+        self.end_life(&former.id, "a later life answers", now);
+        Followed::Known
+    }
+
     /// Notes which of the known workers are listed, and forgets lives that are over and listed no
     /// more: they do not come back.
     fn note_listed(&mut self, listing: &Listing, now: u64) {
@@ -214,7 +255,7 @@
             worker.listed = false;
             worker.recorded = true;
             worker.proven = true;
-            added.push(self.join(worker));
+            added.push(self.join_beside(worker));
         }
         self.note_shared();
         added
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -58,9 +58,15 @@
         }
     }
 
-    /// True for an earlier life of the same worker.
+    /// True for an earlier life of the same worker. The owner has known lives in the order in which they are; only where it
+    /// met two at once, as a new owner may, the times of their beginnings tell, which the worker's clock need not keep to.
     pub fn is_before(&self, other: &Entry) -> bool {
-        self.name == other.name && self.born < other.born
+        self.name == other.name && self.order() < other.order()
+    }
+
+    /// What orders the lives of a worker, the earliest first.
+    pub(crate) fn order(&self) -> (u32, Option<u64>) {
+        (self.generation, self.born)
     }
 
     /// True when it bears the label.
--- a/components/cell/tests/decisions/names.rs
+++ b/components/cell/tests/decisions/names.rs
@@ -56,7 +56,10 @@
 
 /// Has a poll of the first life answered by the second.
 fn follow(world: &mut World, worker: &Arc<str>) -> Entry {
-    match world.cell.follow(worker, SECOND, world.now) {
+    match world
+        .cell
+        .follow(worker, SECOND, world.now + 1, world.now + 1)
+    {
         Followed::New(entry) => entry,
         other => panic!("{other:?}"),
     }
@@ -109,8 +112,8 @@
         .map(|number| end(number, "00000000000000ff", 0, 1, How::Done))
         .collect();
     world.report(&worker, vec![], former);
+    let next = follow(&mut world, &worker).id;
     world.list(vec![life("w1", SECOND), life("w2", FIRST)]);
-    let next = id("w1", SECOND);
     world.report(&next, vec![], vec![]);
     world.write();
     world.submit(JOB, vec![step(4, 2_000)]);
@@ -127,22 +130,46 @@
     assert!(poll.seen <= 1, "{poll:?}");
 }
 
-/// A listing tells whom to ask. What it tells may be another writer's, or older than an answer.
+/// A listing tells whom to ask. What it tells may be another writer's, or older than an answer: where polls go to the address
+/// of a worker anyway, they tell who is there.
 #[test]
 fn list_of_next_life_ends_nothing() {
     let (mut world, worker, start) = ordered(Some(Outcome::Done));
     let (name, next) = next_of(&worker);
     let entries = ["w1", "w2"].map(|own| life(own, if own == name { SECOND } else { FIRST }));
-    let added = world.list(entries.to_vec());
-    assert_eq!(added.len(), 1);
-    assert_eq!(added[0].generation, 1);
+    for is_heard in [true, false] {
+        if !is_heard {
+            world.cell.unheard(&worker, world.now);
+        }
+        assert!(world.list(entries.to_vec()).is_empty());
+        assert!(world.starts().is_empty() && world.cell.knows(&worker));
+    }
     world.report(&worker, vec![run(JOB, 0, start.run)], vec![]);
-    assert!(world.starts().is_empty() && world.cell.knows(&worker));
-    // It was made up: the worker itself lists its life again.
+    assert!(!world.cell.knows(&next));
+    assert!(world.starts().is_empty());
+}
+
+/// A life at another address that only the listing tells of goes when it is listed no more: another writer made it up.
+#[test]
+fn list_forgets_life_that_never_answered() {
+    let (mut world, worker, start) = ordered(Some(Outcome::Done));
+    let (name, next) = next_of(&worker);
+    let entries = ["w1", "w2"].map(|own| match own == name {
+        true => Entry {
+            address: "10.0.0.9:1".into(),
+            ..life(own, SECOND)
+        },
+        false => life(own, FIRST),
+    });
+    let added = world.list(entries.to_vec());
+    assert_eq!((added.len(), added[0].generation), (1, 1));
+    assert!(world.cell.knows(&next) && world.cell.knows(&worker));
     world.list(vec![life("w1", FIRST), life("w2", FIRST)]);
     assert!(!world.cell.knows(&next));
     assert_eq!(
-        world.cell.follow(&worker, FIRST - 1, world.now),
+        world
+            .cell
+            .follow(&worker, FIRST - 1, world.now - 200, world.now),
         Followed::Not
     );
     world.report(&worker, vec![run(JOB, 0, start.run)], vec![]);
@@ -199,9 +226,14 @@
     let worker = id("w1", FIRST);
     let next = follow(&mut world, &worker).id;
     world.report(&next, vec![], vec![]);
-    assert_eq!(world.cell.follow(&next, FIRST, world.now), Followed::Not);
     assert_eq!(
-        world.cell.follow(&worker, SECOND, world.now),
+        world.cell.follow(&next, FIRST, world.now - 1, world.now),
+        Followed::Not
+    );
+    assert_eq!(
+        world
+            .cell
+            .follow(&worker, SECOND, world.now + 1, world.now + 1),
         Followed::Known
     );
     assert!(world.cell.knows(&next));
@@ -214,8 +246,11 @@
     let worker = id("w1", FIRST);
     let second = follow(&mut world, &worker);
     world.report(&second.id, vec![], vec![]);
-    let third = world.list(vec![life("w1", THIRD), life("w2", FIRST)]);
-    assert_eq!((second.generation, third[0].generation), (1, 2));
+    let now = world.now + 1;
+    let Followed::New(third) = world.cell.follow(&second.id, THIRD, now, now) else {
+        panic!("a third life is not known");
+    };
+    assert_eq!((second.generation, third.generation), (1, 2));
     // A former owner knew the first one.
     let inherited = world.cell.inherit(vec![life("w1", FIRST)]);
     assert!(inherited.iter().all(|own| own.generation <= 2));
@@ -233,7 +268,9 @@
     world.cell.recover(world.now);
     world.write();
     assert_eq!(
-        world.cell.follow(&id("w1", FIRST), SECOND, world.now),
+        world
+            .cell
+            .follow(&id("w1", FIRST), SECOND, world.now, world.now),
         Followed::Known
     );
     assert!(world.starts().is_empty());
@@ -255,8 +292,8 @@
         address: "10.0.0.9:1".into(),
         ..life(name, SECOND)
     });
-    world.list(entries);
     world.cell.unheard(&worker, world.now);
+    world.list(entries);
     assert!(world.starts().is_empty());
     world.report(&next, vec![], vec![]);
     assert_eq!(world.starts().len(), 1);
@@ -309,6 +346,7 @@
             .upkeep(from_ref(&wave), &[machine(false)], world.now);
     }
     if lists {
+        follow(&mut world, &id("w1", FIRST));
         world.list(vec![life("w1", SECOND), life("w2", FIRST)]);
     }
     world
@@ -362,3 +400,58 @@
     assert!(world.cell.admit(submission(JOB, vec![step(6, 1_000)]), 1));
     assert!(world.starts().iter().all(|(own, _)| own.starts_with("w2")));
 }
+
+/// The worker's time of day stepped back while it was down: its next life began earlier, by its own word.
+#[test]
+fn follow_with_clock_that_stepped_back() {
+    let (mut world, worker, _) = ordered(Some(Outcome::Done));
+    let (name, _) = next_of(&worker);
+    let back = id(name, FIRST - 60_000);
+    let entries = ["w1", "w2"].map(|own| {
+        let born = if own == name { FIRST - 60_000 } else { FIRST };
+        life(own, born)
+    });
+    // As far as the listing goes, the store is behind.
+    assert!(world.list(entries.to_vec()).is_empty());
+    world.now += 10;
+    let followed = world
+        .cell
+        .follow(&worker, FIRST - 60_000, world.now, world.now);
+    assert!(matches!(followed, Followed::New(next) if next.id == back));
+    assert!(world.starts().is_empty());
+    world.now += 10;
+    world.report(&back, vec![], vec![]);
+    world.list(entries.to_vec());
+    assert!(!world.cell.knows(&worker));
+    assert_eq!(world.starts().len(), 1);
+    world.submit("00000000000000a2", vec![step(7, 1_000)]);
+    assert!(world.starts().iter().any(|(own, _)| *own == back));
+}
+
+/// A new owner met both at once, the later one with a clock that had stepped back.
+#[test]
+fn recover_with_clock_that_stepped_back() {
+    let mut cell = Cell::new(crate::common::TIMING);
+    cell.list(vec![life("w1", FIRST)], 1_000);
+    cell.inherit(vec![life("w1", SECOND)]);
+    let mut world = World { cell, now: 1_000 };
+    world.resume(JOB, vec![step(1, 1_000)]);
+    world.cell.recover(world.now);
+    world.write();
+    let (former, later) = (id("w1", SECOND), id("w1", FIRST));
+    assert_eq!(
+        world.cell.follow(&former, FIRST, world.now, world.now),
+        Followed::Not
+    );
+    world.now += 50;
+    world.report(&later, vec![], vec![]);
+    assert!(world.starts().is_empty());
+    world.now += 300;
+    assert_eq!(
+        world.cell.follow(&former, FIRST, world.now, world.now),
+        Followed::Known
+    );
+    assert!(!world.cell.knows(&former));
+    world.cell.lapse(world.now);
+    assert_eq!(world.starts().len(), 1);
+}
--- a/components/cell/tests/decisions/steady.rs
+++ b/components/cell/tests/decisions/steady.rs
@@ -171,7 +171,11 @@
             let range = some(&mut rng, case.workers);
             let (time, late) = (rng.u64(1..=30) * 100, rng.u64(1..=60) * 100);
             let event = match rng.u8(0..6) {
-                0..3 => Event::Restart(range, rng.u64(1..=30) * 50, rng.u64(0..=25) * 100),
+                0..3 => {
+                    let back = rng.u64(0..=1) * rng.u64(0..=90) * 100;
+                    let behind = rng.u64(0..=25) * 100;
+                    Event::Restart(range, rng.u64(1..=30) * 50, behind, back)
+                }
                 3 => Event::Delay(range, time, late),
                 4 => Event::Mute(range, time, Some(late)),
                 _ => Event::Takeover(rng.u64(0..=1) * 500, rng.u64(0..=20) * 100),
@@ -322,7 +326,7 @@
             | Event::Hide(_, time)
             | Event::Deafen(_, time) => *time,
             Event::Takeover(held, away) => held + away,
-            Event::Restart(_, down, behind) => down + behind,
+            Event::Restart(_, down, behind, _) => down + behind,
             Event::Delay(_, time, late) => time + late,
             Event::Mute(_, time, late) => time + late.unwrap_or_default(),
         }
@@ -341,7 +345,7 @@
             Event::Fail(_, time) => Event::Fail(one, time),
             Event::Hide(_, time) => Event::Hide(one, time),
             Event::Deafen(_, time) => Event::Deafen(one, time),
-            Event::Restart(_, down, behind) => Event::Restart(one, down, behind),
+            Event::Restart(_, down, behind, back) => Event::Restart(one, down, behind, back),
             Event::Delay(_, time, late) => Event::Delay(one, time, late),
             other @ (Event::Hold(_) | Event::Takeover(..)) => other,
         }
@@ -370,8 +374,8 @@
             Event::Deafen(range, time) => {
                 fewer(&range).map(|own| Event::Deafen(own, time)).collect()
             }
-            Event::Restart(range, down, behind) => {
-                let events = fewer(&range).map(|own| Event::Restart(own, down, behind));
+            Event::Restart(range, down, behind, back) => {
+                let events = fewer(&range).map(|own| Event::Restart(own, down, behind, back));
                 events.collect()
             }
             Event::Delay(range, time, late) => {
--- a/components/cell/tests/decisions/yard.rs
+++ b/components/cell/tests/decisions/yard.rs
@@ -7,7 +7,9 @@
 //!
 //! Where workers keep their names, a life is told by when it began, and what is sent to one is spoken of as the adapter
 //! speaks to workers: a poll or an order of the owner reaches the life that it is meant for or none, and the first poll on a
-//! new connection binds nothing. What a worker itself carries out late meets whichever life is there by then.
+//! new connection binds nothing. What a worker itself carries out late meets whichever life is there by then; but for starts
+//! whose time was over before the crash, which the next life's clock does not tell and which only its fence can keep away: they
+//! come only after the owner has shown that to it. A crash ends the connections that such a start could come by.
 
 use {
     crate::common::{TIMING, entry, submission},
@@ -40,6 +42,8 @@
 const UNWRITTEN: u64 = 1_000;
 /// An order and its answer take this long each, in milliseconds.
 const ON_THE_WAY: u64 = 10;
+/// When the clock of the yard began, in milliseconds since 1970.
+const BORN: u64 = 1_700_000_000_000;
 /// What each worker has, in thousandths of a core.
 const CORES: u64 = 4_000;
 
@@ -76,8 +80,9 @@
     Hide(Range<usize>, u64),
     /// Answers to polls of them are lost for so long.
     Deafen(Range<usize>, u64),
-    /// They crash and are back after the first time; their entries show it only after the second.
-    Restart(Range<usize>, u64, u64),
+    /// They crash and are back after the first time; their entries show it only after the second. Their clocks have stepped back
+    /// by the third.
+    Restart(Range<usize>, u64, u64, u64),
     /// Polls of them get no answer for so long, and are carried out so late.
     Delay(Range<usize>, u64, u64),
 }
@@ -108,6 +113,8 @@
     back: Option<u64>,
     /// How long it is down after the next crash, and how long its entry is behind after that.
     down: (u64, u64),
+    /// Its time of day is behind by so much.
+    clock_back: u64,
     /// The entry of its life is not listed until then.
     behind_until: u64,
     /// Polls get no answer until the first time, and are carried out so late.
@@ -158,6 +165,8 @@
     fence: u64,
     id: Arc<str>,
     name: Arc<str>,
+    /// When the time of a start is over by the clock of the life that it is meant for.
+    expires: u64,
     order: Order,
     is_answered: bool,
 }
@@ -242,6 +251,7 @@
             lease: 0,
             back: None,
             down: (DOWN, 0),
+            clock_back: 0,
             behind_until: 0,
             delayed: (0, 0),
             lapsed: 0,
@@ -296,7 +306,7 @@
         yard.keeps_names = true;
         yard.machines = Yard::new(workers, work).machines;
         for machine in &mut yard.machines {
-            machine.born = Some(1_000);
+            machine.born = Some(BORN + 1_000);
             machine.id = Entry::life(&machine.name, machine.born);
         }
         yard.list();
@@ -358,9 +368,10 @@
             Event::Fail(range, time) => self.each(range, |own| own.failing_until = now + time),
             Event::Hide(range, time) => self.each(range, |own| own.hidden_until = now + time),
             Event::Deafen(range, time) => self.each(range, |own| own.deaf_until = now + time),
-            Event::Restart(range, down, behind) => self.each(range, |own| {
+            Event::Restart(range, down, behind, back) => self.each(range, |own| {
                 own.crash = Some(now);
                 own.down = (*down, *behind);
+                own.clock_back += back;
             }),
             Event::Delay(range, time, late) => self.each(range, |own| {
                 own.delayed = (now + time, *late);
@@ -537,7 +548,7 @@
             // A look that binds nothing, but shows its fence.
             machine.fence = fence;
             let born = machine.born.unwrap();
-            match self.cell.follow(&entry.id, born, now) {
+            match self.cell.follow(&entry.id, born, now, now) {
                 Followed::Not => self.unheard(&entry.id),
                 Followed::Known | Followed::New(_) => {
                     self.followed.insert(entry.id.clone());
@@ -639,6 +650,10 @@
             return;
         };
         let machine = self.machines.iter().find(|own| own.id == id);
+        let expires = match (&order, machine) {
+            (Order::Start(start), Some(machine)) => machine.begun + start.deadline,
+            _ => u64::MAX,
+        };
         let mute = machine.and_then(|own| (now < own.mute.0).then_some(own.mute.1));
         if mute.is_some() {
             let unknown = (now + GIVEN_UP, id.clone(), order.clone(), Outcome::Unknown);
@@ -655,6 +670,7 @@
             fence: self.fence_of(entry.generation),
             id,
             name: entry.name,
+            expires,
             order,
             is_answered: mute.is_none(),
         });
@@ -705,6 +721,9 @@
         if machine.back.is_some() || (is_other && sent.is_answered) {
             return Outcome::Refused(Reason::NotSent);
         }
+        if is_other && sent.expires < now && machine.fence == 0 {
+            return Outcome::Refused(Reason::Late);
+        }
         if now < machine.cut_until {
             return Outcome::Unknown;
         }
@@ -775,7 +794,7 @@
             }
             self.lives += 1;
             if self.keeps_names {
-                machine.born = Some(self.now);
+                machine.born = Some(BORN + self.now - machine.clock_back);
                 machine.id = Entry::life(&machine.name, machine.born);
                 machine.behind_until = self.now + machine.down.1;
             } else {
--- a/components/node/src/tenure/talk.rs
+++ b/components/node/src/tenure/talk.rs
@@ -210,7 +210,7 @@
                 tenure.cell.unheard(id, now);
             }
             Err(Unheard::OtherLife(born)) => {
-                let followed = tenure.cell.follow(id, born, now);
+                let followed = tenure.cell.follow(id, born, sent, now);
                 if followed != Followed::Not {
                     tenure.unlink(id);
                     if let Followed::New(entry) = followed {
--- a/components/standin/src/runner.rs
+++ b/components/standin/src/runner.rs
@@ -101,6 +101,8 @@
     pub reset: bool,
     /// The answers of this many starts are lost after they were carried out.
     pub lost: u32,
+    /// Every connection is closed after its first answer.
+    pub closes: bool,
     /// Starts are refused with 503.
     pub unwell: bool,
     /// Once as many answers were lost, another life is there.
@@ -347,6 +349,16 @@
     }
 
     fn handle(&self, asked: &Asked) -> Told {
+        let mut told = self.answer(asked);
+        if let Told::Reply(reply) = &mut told
+            && lock(&self.core).faults.closes
+        {
+            reply.headers.push(("connection", "close".to_owned()));
+        }
+        told
+    }
+
+    fn answer(&self, asked: &Asked) -> Told {
         let mut core = lock(&self.core);
         let (faults, is_down, born) = (core.faults, core.is_down, core.born);
         if faults.reset || is_down || !leads_to(born) {
