--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -142,6 +142,8 @@
     pub garbled: bool,
     /// Not the listing alone tells of this life: it has answered, or a former owner knew it.
     pub proven: bool,
+    /// A later life has answered in its place, and is polled instead.
+    pub followed: bool,
     /// The record of the fleet names it: a new owner would ask it.
     pub recorded: bool,
     /// When the listing lost it, on our clock.
@@ -212,6 +214,7 @@
             listed: true,
             garbled: false,
             proven: false,
+            followed: false,
             recorded: false,
             vanished: None,
             held: false,
