What follows a life is told by the cell's own state; silence is kept once

No change of behaviour, from reading the change once more.

- `Cell::follow` returns the later life where it is new; whether the one that was asked is polled on is `Cell::is_polled`, which the flag `followed` held already.
The enum of three outcomes, a return of its own in the owner's `reported` and a copy of the set in the sequences' yard go.
The order in the owner stays: the former life is left, then the later one is given to somebody.
- `Worker::failing` said the same as `Worker::silent`, in each place that set either; it is `Worker::is_silent` now.
- A worker joins with its generation in one place (`join_as`); before, one that a former owner knew joined and was patched after it.
- `Cell::answered` settles what a refusal by fence means in one match.
- Tests of names share a wave, a machine and the answer of another life; all assertions are as they were, with `None` and `is_polled` for the enum's outcomes.

--- a/components/cell/src/answer.rs
+++ b/components/cell/src/answer.rs
@@ -13,13 +13,13 @@
 impl Cell {
     /// Takes in what came of an order. True when it shows that another owner has taken over.
     pub fn answered(&mut self, id: &Arc<str>, order: &Order, outcome: Outcome, now: u64) -> bool {
-        let mut outcome = outcome;
-        if outcome == Outcome::Refused(Reason::Fence) {
-            if !self.is_past(id) {
-                return true;
+        let outcome = match outcome {
+            Outcome::Refused(Reason::Fence) if self.is_past(id) => {
+                Outcome::Refused(Reason::NotSent)
             }
-            outcome = Outcome::Refused(Reason::NotSent);
-        }
+            Outcome::Refused(Reason::Fence) => return true,
+            outcome => outcome,
+        };
         if let Order::Start(start) = order {
             // Also where another life refuses it: it was surely not carried out, and what it was for has crashed nothing.
             self.started(id, start, outcome, now);
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -302,7 +302,7 @@
         for worker in self.workers.values() {
             let is_overdue = worker.due.is_some_and(|due| now > due);
             let is_fresh = |clock: Clock| now <= clock.at + timing::HEARD_WITHIN;
-            if worker.failing || is_overdue {
+            if worker.is_silent() || is_overdue {
                 reach.silent += 1;
             } else if worker.clock.is_some_and(is_fresh) {
                 reach.heard += 1;
--- a/components/cell/src/crashes/mod.rs
+++ b/components/cell/src/crashes/mod.rs
@@ -82,7 +82,7 @@
     /// The same for a worker that cannot be reached and whose leases are over, as long as it does not come back.
     pub(crate) fn suspect_lapsed(&mut self, id: &Arc<str>, now: u64) {
         // Where this owner was late to ask, nothing speaks for a crash.
-        if !self.workers.get(id).is_some_and(|worker| worker.failing) {
+        if !self.workers.get(id).is_some_and(Worker::is_silent) {
             return;
         }
         let tasks = self.suspect(id, now);
@@ -319,7 +319,7 @@
         held.sort();
         held.truncate(TOGETHER);
         let tasks = held.join(" ");
-        log::warn!(target: "cell", worker = &**id, cause, heard:? = heard, leaving = worker.entry.leaving, listed = worker.listed, failing = worker.failing, count = worker.slots.len(), tasks = tasks.as_str(); "A worker is lost with its tasks.");
+        log::warn!(target: "cell", worker = &**id, cause, heard:? = heard, leaving = worker.entry.leaving, listed = worker.listed, failing = worker.is_silent(), count = worker.slots.len(), tasks = tasks.as_str(); "A worker is lost with its tasks.");
     }
 }
 
--- a/components/cell/src/follow.rs
+++ b/components/cell/src/follow.rs
@@ -8,36 +8,32 @@
     std::{ops::Bound, sync::Arc},
 };
 
-/// What another life's answer to a poll means.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Followed {
-    /// Nothing: it is none that began later.
-    Not,
-    /// The life that was asked is over. The later one is known already.
-    Known,
-    /// The same, and this is the later one.
-    New(Entry),
-}
-
 impl Cell {
+    /// Takes a worker in that was not known. Returns its entry, with its generation.
+    pub(crate) fn join(&mut self, worker: Worker) -> Entry {
+        let generation = self.generation(&worker.entry);
+        self.join_as(worker, generation)
+    }
+
     /// The same for one that a former owner knew. It shows no higher fence than a life that the listing has told of: either may
     /// be the later one.
     pub(crate) fn join_beside(&mut self, worker: Worker) -> Entry {
-        let other = self
-            .latest(&worker.entry.name)
-            .map(|own| own.entry.generation);
-        let mut entry = self.join(worker);
-        if let Some(generation) = other
-            && let Some(own) = self.workers.get_mut(&entry.id)
-        {
-            own.entry.generation = generation;
-            entry.generation = generation;
-        }
+        let other = self.latest(&worker.entry.name);
+        let other = other.map(|own| own.entry.generation);
+        let generation = self.generation(&worker.entry);
+        self.join_as(worker, other.unwrap_or(generation))
+    }
+
+    fn join_as(&mut self, mut worker: Worker, generation: u32) -> Entry {
+        worker.entry.generation = generation;
+        let entry = worker.entry.clone();
+        self.crashes.losses.join(&worker);
+        self.workers.insert(entry.id.clone(), worker);
         entry
     }
 
     /// How many lives of its name were known before a life that is new here.
-    pub(crate) fn generation(&mut self, entry: &Entry) -> u32 {
+    fn generation(&mut self, entry: &Entry) -> u32 {
         if entry.born.is_none() {
             return 0;
         }
@@ -99,58 +95,52 @@
     }
 
     /// Takes in that a poll of one life of a worker, which was sent at a time, was answered by another one, which began then:
-    /// where that is the later one, it is polled from now on in place of the former.
+    /// where that is the later one, it is polled from now on in place of the former. Returns it where it is new.
     ///
     /// Lives do not take turns, so it is later where the one that was asked had answered before, be it to a former owner. Of a
     /// life that only the listing told of, the time of its beginning tells.
-    pub fn follow(&mut self, id: &Arc<str>, born: u64, sent: u64, now: u64) -> Followed {
-        let Some(former) = self.workers.get(id) else {
-            return Followed::Known;
-        };
-        let entry = former.entry.reborn(born);
+    pub fn follow(&mut self, id: &Arc<str>, born: u64, sent: u64, now: u64) -> Option<Entry> {
+        let former = self.workers.get(id)?;
+        let later = former.entry.reborn(born);
         let is_later = match former.clock {
             Some(clock) => clock.at < sent,
-            None => former.proven || former.entry.born < entry.born,
+            None => former.proven || former.entry.born < later.born,
         };
-        let former = former.entry.clone();
         // What the former life has may only be given up once the later one has answered to a poll of its own.
         self.unheard(id, now);
-        if !is_later {
-            return Followed::Not;
-        }
-        if let Some(known) = self.workers.get_mut(&entry.id) {
-            known.proven = true;
-            return self.follow_known(&former, &entry.id, now);
+        if !is_later || self.over.contains(&later.id) {
+            return None;
         }
-        if self.over.contains(&entry.id) {
-            return Followed::Not;
+        if self.workers.contains_key(&later.id) {
+            self.follow_known(id, &later.id, now);
+            return None;
         }
-        log::warn!(target: "cell", worker = &*entry.id, former = &**id, address = &*entry.address; "A worker has started again under its name.");
-        let mut worker = Worker::new(entry.clone());
+        log::warn!(target: "cell", worker = &*later.id, former = &**id, address = &*later.address; "A worker has started again under its name.");
+        self.shared.insert(later.name.clone());
+        self.fleet_dirty = true;
+        self.leave_to_next(id);
+        let mut worker = Worker::new(later);
         worker.proven = true;
         // What it has, its own entry must tell.
         worker.garbled = true;
-        self.shared.insert(entry.name.clone());
-        self.fleet_dirty = true;
-        self.leave_to_next(&former.id);
-        Followed::New(self.join(worker))
+        Some(self.join(worker))
     }
 
     /// The later life is known. A new owner met both at once, and went by what a clock had told that had stepped back since,
     /// where it takes them for the other way round.
-    fn follow_known(&mut self, former: &Entry, later: &str, now: u64) -> Followed {
-        let Some(later) = self.workers.get(later) else {
-            return Followed::Known;
+    fn follow_known(&mut self, former: &Arc<str>, later: &str, now: u64) {
+        let Some(later) = self.workers.get_mut(later) else {
+            return;
         };
-        if former.is_before(&later.entry) {
-            self.leave_to_next(&former.id);
-            return Followed::Known;
+        later.proven = true;
+        let is_heard = later.clock.is_some();
+        let later = later.entry.clone();
+        let known = self.workers.get(former);
+        if known.is_some_and(|known| known.entry.is_before(&later)) {
+            self.leave_to_next(former);
+        } else if is_heard {
+            self.end_life(former, "a later life answers", now);
         }
-        if later.clock.is_none() {
-            return Followed::Not;
-        }
-        self.end_life(&former.id, "a later life answers", now);
-        Followed::Known
     }
 
     /// Notes that a life is polled no more, since a later one is.
@@ -159,4 +149,9 @@
             former.followed = true;
         }
     }
+
+    /// True for a life that is known and is polled itself: no later one is in its place.
+    pub fn is_polled(&self, id: &str) -> bool {
+        self.workers.get(id).is_some_and(|own| !own.followed)
+    }
 }
--- a/components/cell/src/lapse.rs
+++ b/components/cell/src/lapse.rs
@@ -14,7 +14,6 @@
     /// Notes that a poll of a worker failed: it gets no work for a moment.
     pub fn unheard(&mut self, id: &str, now: u64) {
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.failing = true;
             worker.shun(now);
             if worker.silent.is_none() {
                 worker.silent = Some(now);
@@ -32,7 +31,7 @@
         for (id, worker) in &self.workers {
             let (is_over, may_tell) = match worker.lapses() {
                 Some(lapses) => {
-                    let is_reached = worker.listed && !worker.failing;
+                    let is_reached = worker.listed && !worker.is_silent();
                     (now >= lapses, is_reached && now < lapses + TELL)
                 }
                 None => (!worker.listed && self.recovery.is_none(), false),
@@ -79,7 +78,7 @@
         if keys.is_empty() {
             return;
         }
-        log::warn!(target: "cell", worker = &**id, tasks = keys.len(), failing = worker.failing, lasting_only; "All leases of a worker are over.");
+        log::warn!(target: "cell", worker = &**id, tasks = keys.len(), failing = worker.is_silent(), lasting_only; "All leases of a worker are over.");
         for key in &keys {
             worker.release(key);
         }
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -39,7 +39,6 @@
 pub use advise::{Advice, Candidate, Question};
 pub use cell::{Cell, Poll, Reach};
 pub use disturb::Disturbance;
-pub use follow::Followed;
 pub use order::{End, How, Order, Outcome, Reason, Report, Run, Start};
 pub use summary::Summary;
 pub use timing::Timing;
--- a/components/cell/src/lives.rs
+++ b/components/cell/src/lives.rs
@@ -58,15 +58,6 @@
         added
     }
 
-    /// Takes a worker in that was not known. Returns its entry, with its generation.
-    pub(crate) fn join(&mut self, mut worker: Worker) -> Entry {
-        worker.entry.generation = self.generation(&worker.entry);
-        let entry = worker.entry.clone();
-        self.crashes.losses.join(&worker);
-        self.workers.insert(entry.id.clone(), worker);
-        entry
-    }
-
     /// Notes which of the known workers are listed, and forgets lives that are over and listed no
     /// more: they do not come back.
     fn note_listed(&mut self, listing: &Listing, now: u64) {
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -42,7 +42,6 @@
         worker.fenced = true;
         worker.heard = true;
         worker.proven = true;
-        worker.failing = false;
         worker.due = None;
         let was_silent = worker.silent.take().is_some();
         worker.changed = true;
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -156,8 +156,6 @@
     pub fenced: bool,
     /// The last poll was answered.
     pub heard: bool,
-    /// The last poll that is over had no answer: the worker is not to be reached.
-    pub failing: bool,
     /// When the answer to the poll on its way is overdue; `None` while there is none.
     pub due: Option<u64>,
     /// Since when it has not been reached.
@@ -221,7 +219,6 @@
             closing: false,
             fenced: false,
             heard: false,
-            failing: false,
             due: None,
             silent: None,
             clock: None,
@@ -284,12 +281,17 @@
         Some(clock.at + timing::until_over(length))
     }
 
+    /// True when the last poll that is over had no answer: the worker is not to be reached.
+    pub const fn is_silent(&self) -> bool {
+        self.silent.is_some()
+    }
+
     /// True when it may be given work: not before a new owner would know of it, whose listing may lack it for a while; and
     /// not while it cannot be reached, since each start puts off the moment at which all its leases are over. Where five
     /// short tasks came a second, a lasting one on a worker that was cut off ran again after 17.8 s, and does within 6 s.
     pub fn is_open(&self, now: u64) -> bool {
         let is_known = self.fenced && self.listed && self.recorded && !self.garbled;
-        let is_usable = is_known && !self.failing && !self.entry.leaving && !self.closing;
+        let is_usable = is_known && !self.is_silent() && !self.entry.leaving && !self.closing;
         is_usable && now >= self.avoid && now >= self.aside
     }
 
--- a/components/cell/tests/decisions/names.rs
+++ b/components/cell/tests/decisions/names.rs
@@ -3,8 +3,7 @@
 use {
     crate::common::{JOB, World, end, entry, run, step, submission},
     magpie_cell::{
-        Cell, End, Entry, Followed, How, Listing, Machine, Order, Outcome, Reason, Report, Start,
-        Wave,
+        Cell, End, Entry, How, Listing, Machine, Order, Outcome, Reason, Report, Start, Wave,
     },
     std::{slice::from_ref, sync::Arc},
     test_case::test_case,
@@ -56,13 +55,23 @@
 
 /// Has a poll of the first life answered by the second.
 fn follow(world: &mut World, worker: &Arc<str>) -> Entry {
-    match world
-        .cell
-        .follow(worker, SECOND, world.now + 1, world.now + 1)
-    {
-        Followed::New(entry) => entry,
-        other => panic!("{other:?}"),
-    }
+    let now = world.now + 1;
+    let added = world.cell.follow(worker, SECOND, now, now);
+    assert!(!world.cell.is_polled(worker));
+    added.unwrap()
+}
+
+/// A poll of a life, sent then, is answered by one that began then. Returns that one where it is new, and whether the one
+/// that was asked is polled on.
+fn answered_by(
+    world: &mut World,
+    asked: &Arc<str>,
+    born: u64,
+    sent: u64,
+) -> (Option<Arc<str>>, bool) {
+    let now = world.now.max(sent);
+    let later = world.cell.follow(asked, born, sent, now);
+    (later.map(|own| own.id), world.cell.is_polled(asked))
 }
 
 /// What was meant for the former life may have been begun by the next one: its task is not started elsewhere before that one
@@ -166,11 +175,10 @@
     assert!(world.cell.knows(&next) && world.cell.knows(&worker));
     world.list(vec![life("w1", FIRST), life("w2", FIRST)]);
     assert!(!world.cell.knows(&next));
+    let sent = world.now - 200;
     assert_eq!(
-        world
-            .cell
-            .follow(&worker, FIRST - 1, world.now - 200, world.now),
-        Followed::Not
+        answered_by(&mut world, &worker, FIRST - 1, sent),
+        (None, true)
     );
     world.report(&worker, vec![run(JOB, 0, start.run)], vec![]);
     assert!(world.starts().is_empty());
@@ -226,15 +234,11 @@
     let worker = id("w1", FIRST);
     let next = follow(&mut world, &worker).id;
     world.report(&next, vec![], vec![]);
+    let (before, after) = (world.now - 1, world.now + 1);
+    assert_eq!(answered_by(&mut world, &next, FIRST, before), (None, true));
     assert_eq!(
-        world.cell.follow(&next, FIRST, world.now - 1, world.now),
-        Followed::Not
-    );
-    assert_eq!(
-        world
-            .cell
-            .follow(&worker, SECOND, world.now + 1, world.now + 1),
-        Followed::Known
+        answered_by(&mut world, &worker, SECOND, after),
+        (None, false)
     );
     assert!(world.cell.knows(&next));
 }
@@ -247,9 +251,7 @@
     let second = follow(&mut world, &worker);
     world.report(&second.id, vec![], vec![]);
     let now = world.now + 1;
-    let Followed::New(third) = world.cell.follow(&second.id, THIRD, now, now) else {
-        panic!("a third life is not known");
-    };
+    let third = world.cell.follow(&second.id, THIRD, now, now).unwrap();
     assert_eq!((second.generation, third.generation), (1, 2));
     // A former owner knew the first one.
     let inherited = world.cell.inherit(vec![life("w1", FIRST)]);
@@ -273,12 +275,9 @@
 #[test]
 fn recover_with_both_lives() {
     let mut world = taken_over(SECOND, FIRST);
-    assert_eq!(
-        world
-            .cell
-            .follow(&id("w1", FIRST), SECOND, world.now, world.now),
-        Followed::Known
-    );
+    let now = world.now;
+    let former = id("w1", FIRST);
+    assert_eq!(answered_by(&mut world, &former, SECOND, now), (None, false));
     assert!(world.starts().is_empty());
     world.now += 50;
     world.report(&id("w1", SECOND), vec![], vec![]);
@@ -325,23 +324,32 @@
     assert_eq!(begun.len(), 1);
 }
 
-/// A machine is done when its worker is back after its upkeep, under the name that it had.
-#[test_case(true, false; "a later life is listed")]
-#[test_case(false, true; "it was seen down")]
-fn wave_is_done_under_same_name(lists: bool, sees: bool) {
-    let mut world = world();
-    let wave = Wave {
+/// A wave of the machine of `w1`.
+fn wave() -> Wave {
+    Wave {
         number: 3,
         machines: vec!["m1".into()],
         limit: 1,
         done: Vec::new(),
-    };
-    let machine = |up: bool| Machine {
+    }
+}
+
+/// That machine, up or down for its upkeep.
+fn machine(up: bool) -> Machine {
+    Machine {
         name: "m1".into(),
         up,
         upkeep: !up,
         worker: up.then(|| "w1".into()),
-    };
+    }
+}
+
+/// A machine is done when its worker is back after its upkeep, under the name that it had.
+#[test_case(true, false; "a later life is listed")]
+#[test_case(false, true; "it was seen down")]
+fn wave_is_done_under_same_name(lists: bool, sees: bool) {
+    let mut world = world();
+    let wave = wave();
     let orders = world
         .cell
         .upkeep(from_ref(&wave), &[machine(true)], world.now);
@@ -365,22 +373,11 @@
 #[test]
 fn wave_is_not_done_by_order_alone() {
     let mut world = world();
-    let wave = Wave {
-        number: 3,
-        machines: vec!["m1".into()],
-        limit: 1,
-        done: Vec::new(),
-    };
-    let machine = Machine {
-        name: "m1".into(),
-        up: true,
-        upkeep: false,
-        worker: Some("w1".into()),
-    };
+    let wave = wave();
     for _ in 0..3 {
         world
             .cell
-            .upkeep(from_ref(&wave), from_ref(&machine), world.now);
+            .upkeep(from_ref(&wave), &[machine(true)], world.now);
     }
     assert!(!world.cell.standings(from_ref(&wave))[0].complete);
 }
@@ -420,10 +417,9 @@
     // As far as the listing goes, the store is behind.
     assert!(world.list(entries.to_vec()).is_empty());
     world.now += 10;
-    let followed = world
-        .cell
-        .follow(&worker, FIRST - 60_000, world.now, world.now);
-    assert!(matches!(followed, Followed::New(next) if next.id == back));
+    let now = world.now;
+    let followed = answered_by(&mut world, &worker, FIRST - 60_000, now);
+    assert_eq!(followed, (Some(back.clone()), false));
     assert!(world.starts().is_empty());
     world.now += 10;
     world.report(&back, vec![], vec![]);
@@ -439,18 +435,14 @@
 fn recover_with_clock_that_stepped_back() {
     let mut world = taken_over(FIRST, SECOND);
     let (former, later) = (id("w1", SECOND), id("w1", FIRST));
-    assert_eq!(
-        world.cell.follow(&former, FIRST, world.now, world.now),
-        Followed::Not
-    );
+    let now = world.now;
+    assert_eq!(answered_by(&mut world, &former, FIRST, now), (None, true));
     world.now += 50;
     world.report(&later, vec![], vec![]);
     assert!(world.starts().is_empty());
     world.now += 300;
-    assert_eq!(
-        world.cell.follow(&former, FIRST, world.now, world.now),
-        Followed::Known
-    );
+    let now = world.now;
+    assert_eq!(answered_by(&mut world, &former, FIRST, now), (None, false));
     assert!(!world.cell.knows(&former));
     world.cell.lapse(world.now);
     assert_eq!(world.starts().len(), 1);
--- a/components/cell/tests/decisions/yard.rs
+++ b/components/cell/tests/decisions/yard.rs
@@ -14,9 +14,7 @@
 use {
     crate::common::{TIMING, entry, submission},
     job::{Address, Id, Record, State, Step, Submission},
-    magpie_cell::{
-        Cell, End, Entry, Followed, How, Order, Outcome, Poll, Reason, Report, Run, Start,
-    },
+    magpie_cell::{Cell, End, Entry, How, Order, Outcome, Poll, Reason, Report, Run, Start},
     std::{
         collections::{BTreeMap, HashMap, HashSet},
         ops::Range,
@@ -225,8 +223,6 @@
     polls: BTreeMap<Arc<str>, Held>,
     /// Lives that answered on the connection that is open.
     connected: HashSet<Arc<str>>,
-    /// Lives that nobody polls any more, since a later one has answered.
-    followed: HashSet<Arc<str>>,
     delayed: Vec<Delayed>,
     /// Tasks whose good end was noted.
     noted: HashSet<Name>,
@@ -291,7 +287,6 @@
             fence: 1,
             polls: BTreeMap::new(),
             connected: HashSet::new(),
-            followed: HashSet::new(),
             delayed: Vec::new(),
             noted: HashSet::new(),
             keeps_names: false,
@@ -447,7 +442,6 @@
         self.fence += 1;
         self.polls.clear();
         self.connected.clear();
-        self.followed.clear();
         self.next_polls.clear();
         self.answers.clear();
         self.sent.retain(|sent| !sent.is_answered);
@@ -504,7 +498,7 @@
         let ids: HashSet<&Arc<str>> = known.iter().map(|entry| &entry.id).collect();
         self.polls.retain(|id, _| ids.contains(id));
         for entry in &known {
-            if self.followed.contains(&entry.id) {
+            if !self.cell.is_polled(&entry.id) {
                 continue;
             }
             if self.polls.contains_key(&entry.id) {
@@ -555,11 +549,9 @@
             // A look that binds nothing, but shows its fence.
             machine.fence = fence;
             let born = machine.born.unwrap();
-            match self.cell.follow(&entry.id, born, now, now) {
-                Followed::Not => self.unheard(&entry.id),
-                Followed::Known | Followed::New(_) => {
-                    self.followed.insert(entry.id.clone());
-                }
+            self.cell.follow(&entry.id, born, now, now);
+            if self.cell.is_polled(&entry.id) {
+                self.unheard(&entry.id);
             }
             return;
         }
--- a/components/node/src/tenure/talk.rs
+++ b/components/node/src/tenure/talk.rs
@@ -8,7 +8,7 @@
         outside::Unheard,
         time,
     },
-    cell::{Entry, Followed, Order, Outcome, Poll, Reason, Report},
+    cell::{Entry, Order, Outcome, Poll, Reason, Report},
     kernel::{
         host::Answerer,
         stakker::{Cx, after},
@@ -197,6 +197,7 @@
             return Next::Never;
         };
         let now = time::now();
+        let mut later = None;
         match result {
             Ok(report) => {
                 tenure.answered_by(id, sent);
@@ -210,15 +211,7 @@
                 tenure.cell.unheard(id, now);
             }
             Err(Unheard::OtherLife(born)) => {
-                let followed = tenure.cell.follow(id, born, sent, now);
-                if followed != Followed::Not {
-                    tenure.unlink(id);
-                    if let Followed::New(entry) = followed {
-                        self.tend(fence, entry);
-                    }
-                    self.settle(cx);
-                    return Next::Never;
-                }
+                later = tenure.cell.follow(id, born, sent, now);
             }
             Err(Unheard::Refused(Reason::OtherLife)) => {
                 tenure.cell.end_life(id, "another life answers", now);
@@ -226,7 +219,7 @@
             Err(_) => tenure.cell.unheard(id, now),
         }
         tenure.unlink_gone();
-        let next = if !tenure.cell.knows(id) {
+        let next = if !tenure.cell.is_polled(id) {
             tenure.unlink(id);
             Next::Never
         } else if tenure.cell.is_unwritten(id) {
@@ -237,6 +230,9 @@
         } else {
             Next::Poll
         };
+        if let Some(entry) = later {
+            self.tend(fence, entry);
+        }
         self.settle(cx);
         next
     }
