Stand-ins: one way to record a worker, one to list runs; the yard in three files

No change of behaviour, from reading the change once more.

- The stand-in of a worker records itself by one function where three wrote the same out; it uses the store that it was opened with, which callers had to hand in again.
- Farm and yard tell runs and ends by the same two functions of common.rs.
What stays so for a while is watched in one place.

--- a/components/cell/tests/decisions/common.rs
+++ b/components/cell/tests/decisions/common.rs
@@ -225,3 +225,35 @@
         saved: None,
     }
 }
+
+/// What a worker tells of runs, by name and number, and of ends.
+pub fn report_of<'a>(
+    clock: u64,
+    runs: impl Iterator<Item = (&'a (Id, Address), u64)>,
+    ended: &[End],
+) -> Report {
+    let running = runs.map(|((job, address), run)| Run {
+        job: job.clone(),
+        address: *address,
+        run,
+        saved: None,
+        figure: 0,
+    });
+    Report {
+        clock,
+        running: running.collect(),
+        ended: ended.to_vec(),
+    }
+}
+
+/// The end of a run, as its worker counts it.
+pub fn end_of(number: u64, (job, address): (Id, Address), run: u64, how: How) -> End {
+    End {
+        number,
+        job,
+        address,
+        run,
+        how,
+        saved: None,
+    }
+}
--- a/components/cell/tests/decisions/farm.rs
+++ b/components/cell/tests/decisions/farm.rs
@@ -1,9 +1,9 @@
 //! Workers that run tasks, crash and come back, beside a cell that decides for them, on a clock that steps.
 
 use {
-    crate::common::{TIMING, entry, submission},
+    crate::common::{TIMING, end_of, entry, report_of, submission},
     job::{Address, Id, Record, State, Step, Submission},
-    magpie_cell::{Cell, End, Entry, How, Order, Outcome, Reason, Report, Run, Start},
+    magpie_cell::{Cell, End, Entry, How, Order, Outcome, Reason, Report, Start},
     std::{
         collections::{BTreeMap, HashMap},
         sync::Arc,
@@ -497,16 +497,9 @@
         }
     }
 
-    fn end(&mut self, (job, address): (Id, Address), run: u64, how: How) {
+    fn end(&mut self, name: (Id, Address), run: u64, how: How) {
         self.count += 1;
-        self.ended.push(End {
-            number: self.count,
-            job,
-            address,
-            run,
-            how,
-            saved: None,
-        });
+        self.ended.push(end_of(self.count, name, run, how));
     }
 
     fn report(&mut self, now: u64, seen: u64) -> Report {
@@ -516,17 +509,7 @@
         for (name, going) in over {
             self.end(name, going.run, How::Done);
         }
-        let running = self.runs.iter().map(|((job, address), going)| Run {
-            job: job.clone(),
-            address: *address,
-            run: going.run,
-            saved: None,
-            figure: 0,
-        });
-        Report {
-            clock: self.clock(now),
-            running: running.collect(),
-            ended: self.ended.clone(),
-        }
+        let runs = self.runs.iter().map(|(name, going)| (name, going.run));
+        report_of(self.clock(now), runs, &self.ended)
     }
 }
--- a/components/cell/tests/decisions/yard.rs
+++ b/components/cell/tests/decisions/yard.rs
@@ -11,12 +11,20 @@
 //! whose time was over before the crash, which the next life's clock does not tell and which only its fence can keep away: they
 //! come only after the owner has shown that to it. A crash ends the connections that such a start could come by.
 
+mod links;
+mod machine;
+
 use {
-    crate::common::{TIMING, entry, submission},
-    job::{Address, Id, Record, State, Step, Submission},
-    magpie_cell::{Cell, End, Entry, How, Order, Outcome, Poll, Reason, Report, Run, Start},
+    self::{
+        links::{Delayed, Held, Sent},
+        machine::{DOWN, Machine},
+    },
+    crate::common::{TIMING, submission},
+    job::{Id, Record, State, Step, Submission},
+    magpie_cell::{Cell, Entry, Order, Outcome, Reason},
     std::{
         collections::{BTreeMap, HashMap, HashSet},
+        hash::Hash,
         ops::Range,
         sync::Arc,
     },
@@ -30,20 +38,8 @@
 const LOOK_GAP: u64 = 100;
 /// The entry of a worker that crashed lapses after this time, in milliseconds.
 const ENTRY_LAPSES: u64 = 3_300;
-/// A worker that crashed is back after this time, in milliseconds.
-const DOWN: u64 = 2_000;
-/// An answer that does not come is given up after this time, in milliseconds.
-const GIVEN_UP: u64 = 800;
-/// After a poll that failed the next one goes after this time, in milliseconds.
-const POLL_AGAIN: u64 = 300;
-/// A worker is not polled for so long while its ends are not written, in milliseconds.
-const UNWRITTEN: u64 = 1_000;
-/// An order and its answer take this long each, in milliseconds.
-const ON_THE_WAY: u64 = 10;
 /// When the clock of the yard began, in milliseconds since 1970.
 const BORN: u64 = 1_700_000_000_000;
-/// What each worker has, in thousandths of a core.
-const CORES: u64 = 4_000;
 
 /// One task: its job and its place.
 pub type Name = (Id, usize);
@@ -85,94 +81,6 @@
     Delay(Range<usize>, u64, u64),
 }
 
-/// A run on a worker.
-#[derive(Debug, Clone)]
-struct Going {
-    run: u64,
-    until: u64,
-    cpu: u64,
-    fails: bool,
-}
-
-/// A machine, and the life of the worker on it.
-struct Machine {
-    id: Arc<str>,
-    name: Arc<str>,
-    /// When the life began, where workers tell that.
-    born: Option<u64>,
-    /// When all of its lives began.
-    births: HashSet<u64>,
-    address: Arc<str>,
-    rack: usize,
-    is_leaving: bool,
-    begun: u64,
-    fence: u64,
-    /// A poll that was meant for this life has reached it.
-    is_met: bool,
-    /// On its own clock: what runs there ends then.
-    lease: u64,
-    /// When the worker is back that is down.
-    back: Option<u64>,
-    /// How long it is down after the next crash, and how long its entry is behind after that.
-    down: (u64, u64),
-    /// Its time of day is behind by so much.
-    clock_back: u64,
-    /// The entry of its life is not listed until then.
-    behind_until: u64,
-    /// Polls get no answer until the first time, and are carried out so late.
-    delayed: (u64, u64),
-    /// When its lease was last seen to be over.
-    lapsed: u64,
-    /// When it crashes, or goes.
-    crash: Option<u64>,
-    goes: Option<u64>,
-    cut_until: u64,
-    deaf_until: u64,
-    hidden_until: u64,
-    failing_until: u64,
-    mute: (u64, Option<u64>),
-    refuses: (u64, Reason),
-    runs: BTreeMap<(Id, Address), Going>,
-    /// The highest run of each task that was stopped or ended there.
-    over: HashMap<(Id, Address), u64>,
-    ended: Vec<End>,
-    /// When each of these ended.
-    ended_at: HashMap<u64, u64>,
-    count: u64,
-}
-
-/// A poll that its worker carries out late.
-struct Delayed {
-    at: u64,
-    name: Arc<str>,
-    fence: u64,
-    poll: Poll,
-}
-
-/// A poll on its way.
-struct Held {
-    sent: u64,
-    until: u64,
-    seen: u64,
-    is_lost: bool,
-    /// The answer on its way, and when it arrives.
-    answer: Option<(u64, Report)>,
-}
-
-/// An order on its way.
-struct Sent {
-    at: u64,
-    /// The owner's fence, and the one that the worker is shown.
-    owner: u64,
-    fence: u64,
-    id: Arc<str>,
-    name: Arc<str>,
-    /// When the time of a start is over by the clock of the life that it is meant for.
-    expires: u64,
-    order: Order,
-    is_answered: bool,
-}
-
 /// What must not be.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Fault {
@@ -239,44 +147,12 @@
 impl Yard {
     /// So many workers of 4 cores, 8 a rack, whose tasks run for `work` milliseconds.
     pub fn new(workers: usize, work: u64) -> Self {
-        let machine = |number: usize| Machine {
-            id: format!("w{number:04}").into(),
-            name: format!("w{number:04}").into(),
-            born: None,
-            births: HashSet::new(),
-            address: format!("10.0.0.{number}:80").into(),
-            rack: number / 8,
-            is_leaving: false,
-            begun: 1_000,
-            fence: 0,
-            is_met: false,
-            lease: 0,
-            back: None,
-            down: (DOWN, 0),
-            clock_back: 0,
-            behind_until: 0,
-            delayed: (0, 0),
-            lapsed: 0,
-            crash: None,
-            goes: None,
-            cut_until: 0,
-            deaf_until: 0,
-            hidden_until: 0,
-            failing_until: 0,
-            mute: (0, None),
-            refuses: (0, Reason::Room),
-            runs: BTreeMap::new(),
-            over: HashMap::new(),
-            ended: Vec::new(),
-            ended_at: HashMap::new(),
-            count: 0,
-        };
         let mut yard = Yard {
             cell: Cell::new(TIMING),
             now: 1_000,
             fault: None,
             crashed: 0,
-            machines: (0..workers).map(machine).collect(),
+            machines: (0..workers).map(Machine::new).collect(),
             stale: Vec::new(),
             jobs: Vec::new(),
             written: HashMap::new(),
@@ -493,272 +369,6 @@
         }
     }
 
-    fn poll(&mut self) {
-        let known: Vec<Entry> = self.cell.entries().cloned().collect();
-        let ids: HashSet<&Arc<str>> = known.iter().map(|entry| &entry.id).collect();
-        self.polls.retain(|id, _| ids.contains(id));
-        for entry in &known {
-            if !self.cell.is_polled(&entry.id) {
-                continue;
-            }
-            if self.polls.contains_key(&entry.id) {
-                self.hear(entry);
-            } else if self.may_poll(&entry.id) {
-                self.ask(entry);
-            }
-        }
-    }
-
-    fn may_poll(&self, id: &Arc<str>) -> bool {
-        let next = self.next_polls.get(id).copied().unwrap_or_default();
-        let is_written = !self.cell.is_unwritten(id) || self.now >= next + UNWRITTEN;
-        self.now >= next && is_written
-    }
-
-    /// Sends a poll.
-    fn ask(&mut self, entry: &Entry) {
-        let (now, fence) = (self.now, self.fence_of(entry.generation));
-        let Some(mut poll) = self.cell.poll(&entry.id, now) else {
-            return;
-        };
-        let is_bound = !self.keeps_names || self.connected.contains(&entry.id);
-        if !is_bound {
-            poll = Poll {
-                deadline: 0,
-                seen: 0,
-                wait: 0,
-            };
-        }
-        let mut machines = self.machines.iter_mut();
-        let machine = machines.find(|own| own.address == entry.address);
-        let Some(machine) = machine.filter(|own| own.back.is_none()) else {
-            self.unheard(&entry.id);
-            return;
-        };
-        let is_cut = now < machine.cut_until;
-        if !is_cut && machine.id != entry.id {
-            if machine.name != entry.name {
-                let cause = "another life answers";
-                self.cell.end_life(&entry.id, cause, now);
-                return;
-            }
-            if fence < machine.fence {
-                self.refused(entry);
-                return;
-            }
-            // A look that binds nothing, but shows its fence.
-            machine.fence = fence;
-            let born = machine.born.unwrap();
-            self.cell.follow(&entry.id, born, now, now);
-            if self.cell.is_polled(&entry.id) {
-                self.unheard(&entry.id);
-            }
-            return;
-        }
-        if !is_cut && fence < machine.fence {
-            self.refused(entry);
-            return;
-        }
-        machine.is_met |= !is_cut;
-        let is_delayed = !is_cut && is_bound && now < machine.delayed.0;
-        if is_delayed {
-            self.delayed.push(Delayed {
-                at: now + machine.delayed.1,
-                name: entry.name.clone(),
-                fence,
-                poll,
-            });
-        } else if !is_cut {
-            machine.fence = fence;
-            let noted = machine.take(poll, now);
-            self.noted.extend(noted);
-        }
-        let held = Held {
-            sent: now,
-            until: now + poll.wait,
-            seen: poll.seen,
-            is_lost: is_cut || is_delayed,
-            answer: None,
-        };
-        self.polls.insert(entry.id.clone(), held);
-    }
-
-    /// A worker has seen a higher fence: that of a later life, or there is another owner.
-    fn refused(&mut self, entry: &Entry) {
-        if !self.cell.is_past(&entry.id) {
-            self.fault = Some(Fault::Deposed(self.now));
-        }
-        self.unheard(&entry.id);
-    }
-
-    fn unheard(&mut self, id: &Arc<str>) {
-        self.polls.remove(id);
-        self.connected.remove(id);
-        self.next_polls.insert(id.clone(), self.now + POLL_AGAIN);
-        self.cell.unheard(id, self.now);
-    }
-
-    /// Takes the answer to a poll, where there is one.
-    fn hear(&mut self, entry: &Entry) {
-        let now = self.now;
-        let Some(held) = self.polls.get_mut(&entry.id) else {
-            return;
-        };
-        if let Some((at, _)) = &held.answer {
-            if now >= *at
-                && let Some(held) = self.polls.remove(&entry.id)
-                && let Some((_, report)) = held.answer
-            {
-                self.next_polls.insert(entry.id.clone(), now);
-                self.connected.insert(entry.id.clone());
-                self.cell.report(&entry.id, report, held.sent, now, now);
-            }
-            return;
-        }
-        let mut machines = self.machines.iter_mut();
-        let machine = machines.find(|own| own.id == entry.id && own.back.is_none());
-        let Some(machine) = machine.filter(|_| !held.is_lost) else {
-            // A crash is told by the broken connection, a cut by nothing.
-            if !held.is_lost || now >= held.until + GIVEN_UP {
-                self.unheard(&entry.id);
-            }
-            return;
-        };
-        let is_due = now >= held.until || machine.ended.iter().any(|end| end.number > held.seen);
-        if now < machine.cut_until || (is_due && now < machine.deaf_until) {
-            held.is_lost = true;
-        } else if is_due {
-            held.answer = Some((now + ON_THE_WAY, machine.report(now)));
-        }
-    }
-
-    fn answers_due(&mut self) -> Vec<(Arc<str>, Order, Outcome)> {
-        let now = self.now;
-        let due = self.answers.extract_if(.., |(at, ..)| *at <= now);
-        due.map(|(_, id, order, outcome)| (id, order, outcome))
-            .collect()
-    }
-
-    /// Sends an order.
-    fn send(&mut self, id: Arc<str>, order: Order) {
-        if matches!(order, Order::Withdraw { .. }) {
-            return;
-        }
-        let now = self.now;
-        // What is ordered of a worker that is gone goes nowhere.
-        let Some(entry) = self.cell.entry(&id).cloned() else {
-            return;
-        };
-        let machine = self.machines.iter().find(|own| own.id == id);
-        let expires = match (&order, machine) {
-            (Order::Start(start), Some(machine)) => machine.begun + start.deadline,
-            _ => u64::MAX,
-        };
-        let mute = machine.and_then(|own| (now < own.mute.0).then_some(own.mute.1));
-        if mute.is_some() {
-            let unknown = (now + GIVEN_UP, id.clone(), order.clone(), Outcome::Unknown);
-            self.answers.push(unknown);
-        }
-        let late = match mute {
-            Some(None) => return,
-            Some(Some(late)) => late,
-            None => 0,
-        };
-        self.sent.push(Sent {
-            at: now + ON_THE_WAY + late,
-            owner: self.fence,
-            fence: self.fence_of(entry.generation),
-            id,
-            name: entry.name,
-            expires,
-            order,
-            is_answered: mute.is_none(),
-        });
-    }
-
-    /// Has orders arrive.
-    fn arrive(&mut self) {
-        let now = self.now;
-        let due: Vec<Delayed> = self.delayed.extract_if(.., |own| own.at <= now).collect();
-        for Delayed {
-            name, fence, poll, ..
-        } in due
-        {
-            let mut machines = self.machines.iter_mut();
-            let machine = machines.find(|own| own.name == name && own.back.is_none());
-            if let Some(machine) = machine.filter(|own| own.fence <= fence) {
-                machine.fence = fence;
-                let noted = machine.take(poll, now);
-                self.noted.extend(noted);
-            }
-        }
-        let due: Vec<Sent> = self.sent.extract_if(.., |sent| sent.at <= now).collect();
-        for sent in due {
-            let outcome = self.carry_out(&sent);
-            if !sent.is_answered || sent.owner != self.fence {
-                continue;
-            }
-            let at = match outcome {
-                Outcome::Unknown => now + GIVEN_UP,
-                _ => now + ON_THE_WAY,
-            };
-            self.answers.push((at, sent.id, sent.order, outcome));
-        }
-    }
-
-    fn carry_out(&mut self, sent: &Sent) -> Outcome {
-        let now = self.now;
-        let mut machines = self.machines.iter_mut();
-        let Some(machine) = machines.find(|own| own.name == sent.name) else {
-            return Outcome::Refused(Reason::OtherLife);
-        };
-        let is_other = machine.id != sent.id;
-        if is_other && !self.keeps_names {
-            return Outcome::Refused(Reason::OtherLife);
-        }
-        // What goes over a connection reaches the life that it is meant for or none; what was there already, and is carried
-        // out late, meets whichever is there.
-        if machine.back.is_some() || (is_other && sent.is_answered) {
-            return Outcome::Refused(Reason::NotSent);
-        }
-        if is_other && sent.expires < now && !machine.is_met {
-            return Outcome::Refused(Reason::Late);
-        }
-        if now < machine.cut_until {
-            return Outcome::Unknown;
-        }
-        if sent.fence < machine.fence {
-            return Outcome::Refused(Reason::Fence);
-        }
-        machine.fence = sent.fence;
-        match &sent.order {
-            Order::Start(start) => {
-                let of_job = self.jobs.iter().find(|own| own.id == start.key.job);
-                let step = &of_job.unwrap().spec.steps[0];
-                let before = machine.runs.len();
-                let outcome = machine.start(start, step, self.work, now);
-                let name = (start.key.job.clone(), start.key.place);
-                if machine.runs.len() > before && self.noted.contains(&name) {
-                    self.fault = Some(Fault::Again(now, name.clone()));
-                }
-                if outcome == Outcome::Done
-                    && let Some(after) = self.crashing.get(&name)
-                {
-                    machine.crash.get_or_insert(now + after);
-                    self.crashed = now + after;
-                }
-                outcome
-            }
-            Order::Stop {
-                key, address, run, ..
-            } => {
-                machine.stop(&key.job, *address, *run);
-                Outcome::Done
-            }
-            Order::Pace { .. } | Order::Withdraw { .. } => Outcome::Done,
-        }
-    }
-
     /// Has machines crash, or go for good.
     fn go_due(&mut self) {
         let now = self.now;
@@ -849,18 +459,23 @@
     /// The first job that does not last and has stood still all the time that passes here, in milliseconds, beside two workers
     /// with room for its tasks.
     pub fn open_job(&mut self, time: u64) -> Option<Id> {
+        self.stay(time, Yard::still_jobs).into_iter().min()
+    }
+
+    /// What is so all the time that passes here, in milliseconds.
+    fn stay<T: Eq + Hash>(&mut self, time: u64, seen: impl Fn(&Yard) -> HashSet<T>) -> HashSet<T> {
         let end = self.now + time;
-        let mut open = self.still_jobs();
-        while self.now < end && self.fault.is_none() && !open.is_empty() {
+        let mut staying = seen(self);
+        while self.now < end && self.fault.is_none() && !staying.is_empty() {
             self.run(LOOK_GAP);
-            let still = self.still_jobs();
-            open.retain(|id| still.contains(id));
+            let still = seen(self);
+            staying.retain(|one| still.contains(one));
         }
-        open.into_iter().next()
+        staying
     }
 
-    fn still_jobs(&self) -> Vec<Id> {
-        let mut still = Vec::new();
+    fn still_jobs(&self) -> HashSet<Id> {
+        let mut still = HashSet::new();
         for Submission { id, spec, .. } in &self.jobs {
             let is_over = self.cell.state(id).is_some_and(State::is_final);
             let is_poisoned = self.crashing.keys().any(|(job, _)| job == id);
@@ -871,7 +486,7 @@
             let roomy = self.machines.iter();
             let roomy = roomy.filter(|own| own.suits(id, &spec.steps[0])).count();
             if roomy >= 2 && !names.any(|(job, _)| job == id) {
-                still.push(id.clone());
+                still.insert(id.clone());
             }
         }
         still
@@ -899,160 +514,6 @@
 
     /// The lasting tasks that wait beside room all the time that passes here, in milliseconds.
     pub fn watch(&mut self, time: u64) -> HashSet<Name> {
-        let end = self.now + time;
-        let mut waiting = self.waiting();
-        while self.now < end && self.fault.is_none() && !waiting.is_empty() {
-            self.run(LOOK_GAP);
-            let still = self.waiting();
-            waiting.retain(|name| still.contains(name));
-        }
-        waiting
-    }
-}
-
-impl Machine {
-    fn entry(&self) -> Entry {
-        Entry {
-            id: self.id.clone(),
-            born: self.born,
-            address: self.address.clone(),
-            leaving: self.is_leaving,
-            labels: vec!["a".into(), format!("r{}", self.rack).into()],
-            ..entry(&self.name, CORES / 1_000)
-        }
-    }
-
-    /// Takes a poll in: forgets ends that are written down, and extends the lease. Returns the tasks whose good ends are noted
-    /// by that.
-    fn take(&mut self, poll: Poll, now: u64) -> Vec<Name> {
-        let told = self.ended.extract_if(.., |end| end.number <= poll.seen);
-        let mut noted = Vec::new();
-        for end in told {
-            let at = self.ended_at.remove(&end.number).unwrap_or_default();
-            if end.how == How::Done && at > self.lapsed {
-                noted.push((end.job, end.address.index as usize));
-            }
-        }
-        if self.clock(now) > self.lease {
-            self.lapsed = now;
-        }
-        self.lease = self
-            .lease
-            .max(poll.deadline.min(self.clock(now) + TIMING.lease));
-        noted
-    }
-
-    /// Its own clock.
-    fn clock(&self, now: u64) -> u64 {
-        now - self.begun + 1
-    }
-
-    fn used(&self) -> u64 {
-        self.runs.values().map(|going| going.cpu).sum()
-    }
-
-    /// True when one more task of a step could run there.
-    fn suits(&self, job: &Id, step: &Step) -> bool {
-        let of_job = self.runs.keys().filter(|(own, _)| own == job).count();
-        let is_apart = step.spread == 0 || of_job < step.spread as usize;
-        let is_there = self.back.is_none() && !self.is_leaving;
-        is_there && is_apart && self.used() + step.size.cpu <= CORES
-    }
-
-    fn start(&mut self, start: &Start, step: &Step, work: u64, now: u64) -> Outcome {
-        if now < self.refuses.0 {
-            return Outcome::Refused(self.refuses.1);
-        }
-        let name = (start.key.job.clone(), start.address);
-        if let Some(going) = self.runs.get(&name) {
-            return if going.run == start.run {
-                Outcome::Done
-            } else {
-                Outcome::Refused(Reason::Old)
-            };
-        }
-        if self.over.get(&name).is_some_and(|&over| start.run <= over) {
-            return Outcome::Refused(Reason::Old);
-        }
-        if start.deadline < self.clock(now) {
-            return Outcome::Refused(Reason::Late);
-        }
-        if self.used() + step.size.cpu > CORES {
-            return Outcome::Refused(Reason::Room);
-        }
-        let most = self.clock(now) + TIMING.lease;
-        self.lease = self.lease.max(start.deadline.min(most));
-        let fails = now < self.failing_until;
-        let until = match (fails, step.lasting) {
-            (true, _) => now + 100,
-            (false, true) => u64::MAX,
-            (false, false) => now + work,
-        };
-        let going = Going {
-            run: start.run,
-            until,
-            cpu: step.size.cpu,
-            fails,
-        };
-        self.runs.insert(name, going);
-        Outcome::Done
-    }
-
-    fn stop(&mut self, job: &Id, address: Address, run: u64) {
-        let name = (job.clone(), address);
-        if self.runs.get(&name).is_some_and(|going| going.run == run) {
-            self.end(name.clone(), run, How::Stopped);
-        }
-        let over = self.over.entry(name).or_default();
-        *over = run.max(*over);
-    }
-
-    fn end(&mut self, (job, address): (Id, Address), run: u64, how: How) {
-        let name = (job.clone(), address);
-        self.runs.remove(&name);
-        let over = self.over.entry(name).or_default();
-        *over = run.max(*over);
-        self.count += 1;
-        self.ended.push(End {
-            number: self.count,
-            job,
-            address,
-            run,
-            how,
-            saved: None,
-        });
-    }
-
-    fn advance(&mut self, now: u64) {
-        let has_lapsed = self.clock(now) > self.lease;
-        let over = self.runs.iter();
-        let over = over.filter(|(_, going)| has_lapsed || going.until <= now);
-        let over: Vec<_> = over
-            .map(|(name, going)| (name.clone(), going.clone()))
-            .collect();
-        for (name, going) in over {
-            let how = match (going.until <= now, going.fails) {
-                (false, _) => How::Lapsed,
-                (true, true) => How::Failed,
-                (true, false) => How::Done,
-            };
-            self.end(name, going.run, how);
-            self.ended_at.insert(self.count, now);
-        }
-    }
-
-    fn report(&self, now: u64) -> Report {
-        let running = self.runs.iter().map(|((job, address), going)| Run {
-            job: job.clone(),
-            address: *address,
-            run: going.run,
-            saved: None,
-            figure: 0,
-        });
-        Report {
-            clock: self.clock(now),
-            running: running.collect(),
-            ended: self.ended.clone(),
-        }
+        self.stay(time, Yard::waiting)
     }
 }
--- a/components/standin/src/runner.rs
+++ b/components/standin/src/runner.rs
@@ -235,13 +235,19 @@
 
     /// Stands in another data hall than `h1` from now on, as its entry says.
     pub fn stand_in(&self, hall: &str) {
-        let key = format!("servers/{}", self.id());
-        let text = decode(&self.kv.value(&key).unwrap_or_default());
+        let id = self.id();
+        self.record(&id, &id, "zone", hall.into());
+    }
+
+    /// Records a life, as the entry of one has it but for one field.
+    fn record(&self, former: &str, id: &str, field: &str, value: Value) {
+        let entry = self.kv.value(&format!("servers/{former}"));
+        let text = decode(&entry.unwrap_or_default());
         let Ok(mut entry) = serde_json::from_slice::<Value>(&text) else {
             return;
         };
-        entry["zone"] = hall.into();
-        self.kv.put(&key, &encode(&entry));
+        entry[field] = value;
+        self.kv.put(&format!("servers/{id}"), &encode(&entry));
     }
 
     /// Sets what goes wrong.
@@ -251,14 +257,10 @@
 
     /// Crashes and starts again at once: a new life at the same address, which records itself in the
     /// store. The entry of the former one stays, unless it has the same name.
-    pub fn restart(&self, kv: &Kv, id: &str) {
-        let entry = kv.value(&format!("servers/{}", self.id()));
+    pub fn restart(&self, id: &str) {
+        let former = self.id();
         self.restart_unlisted(id);
-        let text = decode(&entry.unwrap_or_default());
-        if let Ok(mut entry) = serde_json::from_slice::<Value>(&text) {
-            entry["born"] = self.born().into();
-            kv.put(&format!("servers/{id}"), &encode(&entry));
-        }
+        self.record(&former, id, "born", self.born().into());
     }
 
     /// The same, but for the entry in the store, which stays as it is.
@@ -278,13 +280,9 @@
     }
 
     /// Writes the present life into its entry.
-    pub fn list(&self, kv: &Kv) {
-        let key = format!("servers/{}", self.id());
-        let text = decode(&kv.value(&key).unwrap_or_default());
-        if let Ok(mut entry) = serde_json::from_slice::<Value>(&text) {
-            entry["born"] = self.born().into();
-            kv.put(&key, &encode(&entry));
-        }
+    pub fn list(&self) {
+        let id = self.id();
+        self.record(&id, &id, "born", self.born().into());
     }
 
     /// When the present life began, in milliseconds since 1970.
@@ -423,7 +421,7 @@
             drop(core);
             thread::sleep(CRASHED_FOR);
             if own.born() == born {
-                own.restart(&own.kv, &next);
+                own.restart(&next);
             }
         });
     }
--- a/programs/box/tests/whole_path.rs
+++ b/programs/box/tests/whole_path.rs
@@ -497,7 +497,7 @@
     let path = "/q/00000000000000a1";
     send(boxes[0].callers, "POST", path, Some(&job(12))).unwrap();
     until("its tasks fill all workers", || world.running() == 12);
-    world.runners[0].restart(&world.kv, "i-new");
+    world.runners[0].restart("i-new");
     until("what was lost runs again", || world.running() == 12);
     let _empty = Runner::open(&world.kv, "pool", "i-other", 4, FOREVER, &world.seen).unwrap();
     let before = world.kv.calls();
@@ -556,7 +556,7 @@
         if behind {
             runner.restart_unlisted(&id);
         } else {
-            runner.restart(&world.kv, &id);
+            runner.restart(&id);
         }
     }
     if kills {
@@ -566,7 +566,7 @@
     }
     thread::sleep(BEHIND);
     for runner in &world.runners {
-        runner.list(&world.kv);
+        runner.list();
     }
     world.complete(&boxes, 5..9);
     until("what began before is completed", || {
--- a/programs/soak/src/world.rs
+++ b/programs/soak/src/world.rs
@@ -184,9 +184,7 @@
         self.list(number);
         let mut lives = lock(&worker.lives);
         *lives += 1;
-        worker
-            .runner
-            .restart(&self.kv, &format!("w{number}-{lives}"));
+        worker.runner.restart(&format!("w{number}-{lives}"));
         old
     }
 
