Calls wait on one thread, and workers are talked to by tasks

Cause: a relay and an owner kept two threads for each worker (a held poll, orders), and the calls' library a buffer of 16 KiB each way for each connection. Threads grew with the workers: 181 to 197 on each of 70 relays of the fleet, 664 to 674 on its owner.

Ruled out: one thread that takes workers in turn (a held poll lasts 2 s); fewer workers a relay (the same threads on more boxes); two libraries side by side (the blocking one for the store): one way of deciding "not run" is enough.

Change: kernel::Client is built on hyper's connections; they wait on the thread of all connections. Blocking callers wait for the same futures. Bytes are counted before each hand-over as before, and a call that is given up seals its connection first, so that "not run" stays true. Time-outs, distrust of silent connections, bound calls and bounds on answers are as they were; deadline_moves_with_bytes replaces quiet_begins_anew_with_bytes and checks the whole deadline besides. The interface to workers (`node::Workers`) gives futures; polls and orders of a worker are two tasks. A specification that a start waits for is read on a thread for work that blocks.

Conclusion: threads no longer grow with workers; what is left on an owner is its fixed tasks and what blocks.

--- a/components/kernel/src/client.rs
+++ b/components/kernel/src/client.rs
@@ -1,71 +1,46 @@
-//! HTTP calls by `ureq`, with a verdict on every failure.
+//! HTTP calls by `hyper`, with a verdict on every failure.
 //!
 //! The library's error does not say whether a request left, so the connections are wrapped and
 //! count the bytes that they hand to the system: with none handed over, the request did not run.
 
+mod link;
+mod pool;
+
 use {
     crate::{
-        clock::{Mark, Moment},
-        time::{Quiet, Span},
+        clock::Moment,
+        net,
+        time::Span,
         token::Token,
         traffic,
         trust::Trust,
-        verdict::{Cause, Failure, once_more},
+        verdict::{Cause, Failure},
         wire,
     },
+    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
+    hyper::{
+        HeaderMap, Request, Response, Uri,
+        body::{Bytes, Incoming},
+        header::{self, HeaderName, HeaderValue},
+    },
+    pool::{Kept, Pool},
     serde::{Serialize, de::DeserializeOwned},
     std::{
-        cell::Cell,
         fmt, io,
-        sync::{
-            Arc,
-            atomic::{AtomicU64, Ordering},
-        },
+        sync::Arc,
         time::{Duration, Instant},
     },
-    ureq::{
-        Agent, Error, RequestExt, Timeout,
-        config::Config,
-        http::{self, HeaderMap, header},
-        unversioned::{
-            resolver::{ResolvedSocketAddrs, Resolver},
-            transport::{
-                Buffers, ConnectionDetails, Connector, NextTimeout, TcpConnector, Transport,
-            },
-        },
-    },
-    xxhash_rust::xxh3::xxh3_64,
 };
 
-pub use crate::time::{BULK, Time};
+pub use crate::{
+    client::link::Connection,
+    time::{BULK, Time},
+};
 
 /// The largest answer that a call takes in, in bytes.
 pub const MAX_ANSWER: u64 = 16 * 1024 * 1024;
-
-thread_local! {
-    /// Bytes that the present call of this thread handed to the system.
-    static SENT: Cell<usize> = const { Cell::new(0) };
-    /// How long the present call of this thread may hear nothing; `None` where only its whole time counts.
-    static QUIET: Cell<Option<Quiet>> = const { Cell::new(None) };
-    /// The only connection that the present call of this thread may use, if it is bound to one.
-    static BOUND: Cell<Option<Connection>> = const { Cell::new(None) };
-    /// The connection that the present call of this thread has last used.
-    static USED: Cell<Connection> = const { Cell::new(Connection(0)) };
-}
-
-/// The number of the last connection that was opened.
-static OPENED: AtomicU64 = AtomicU64::new(0);
-
-/// One connection, told apart from all others of the process.
-///
-/// Whoever answers on it is the one that answered on it before: the end of a process ends its connections.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Connection(u64);
-
-/// Bounds a time-out of the library by the quiet time of the present call of this thread, if it has one.
-fn bound(timeout: NextTimeout) -> NextTimeout {
-    QUIET.get().map_or(timeout, |quiet| quiet.bound(timeout))
-}
+/// What calls name themselves.
+const AGENT: HeaderValue = HeaderValue::from_static("magpiesaddle");
 
 /// One request.
 #[derive(Debug, Clone, Copy)]
@@ -126,23 +101,12 @@
     }
 }
 
-/// Receivers are dealt to so many pools. The library goes through all of a pool's connections, once for
-/// each receiver among them, with every call: with 90 receivers in one pool that took most of a call.
-const POOLS: usize = 64;
-
-/// The buffer of a connection each way, in bytes, which is touched in whole once it is used. Most bodies are shorter;
-/// longer ones pass in parts. The library's own have 128 KiB, and a box keeps two connections to each of up to 90
-/// workers: with 97 boxes and 890 workers the largest box took 136 MB at its peak, and takes 33.
-const BUFFER: usize = 16 * 1024;
-
 /// A client that keeps connections and classifies failures.
 #[derive(Clone)]
 pub struct Client {
-    /// One for each pool.
-    agents: Arc<[Agent]>,
+    pool: Arc<Pool>,
     token: Option<Token>,
     limits: Limits,
-    trust: Arc<Trust>,
     /// All calls have so many times the time that they are given.
     stretch: u32,
 }
@@ -161,33 +125,10 @@
 
     /// A client with limits of its own.
     pub fn with_limits(token: Option<Token>, limits: Limits) -> Self {
-        let config = Config::builder()
-            .http_status_as_error(false)
-            .max_redirects(0)
-            .max_redirects_will_error(false)
-            .proxy(None)
-            .user_agent("magpiesaddle")
-            .accept("")
-            .max_idle_connections(limits.idle.div_ceil(POOLS).max(limits.host))
-            .max_idle_connections_per_host(limits.host)
-            .max_idle_age(limits.age)
-            .input_buffer_size(BUFFER)
-            .output_buffer_size(BUFFER)
-            .allow_non_standard_methods(true)
-            .build();
-        let trust = Arc::new(Trust::new(limits.age));
-        let agent = || {
-            let connector = CountingConnector {
-                tcp: TcpConnector::default(),
-                trust: trust.clone(),
-            };
-            Agent::with_parts(config.clone(), connector, NumbersOnly)
-        };
         Client {
-            agents: std::iter::repeat_with(agent).take(POOLS).collect(),
+            pool: Arc::new(Pool::new(limits, Trust::new(limits.age))),
             token,
             limits,
-            trust,
             stretch: 1,
         }
     }
@@ -219,12 +160,22 @@
     /// # Errors
     ///
     /// As [`Client::send`]; `not-run` where the connection is gone.
-    pub fn send_over(&self, call: &Call, connection: Connection) -> Result<Answer, Failure> {
+    pub async fn call_over(
+        &self,
+        call: &Call<'_>,
+        connection: Connection,
+    ) -> Result<Answer, Failure> {
         let span = call.time.stretched(self.stretch).first(call.body.len());
-        BOUND.set(Some(connection));
-        let result = self.attempt(call, span);
-        BOUND.set(None);
-        result
+        self.attempt(call, span, Some(connection)).await
+    }
+
+    /// Like [`Client::call_over`], from a thread that may wait.
+    ///
+    /// # Errors
+    ///
+    /// As there.
+    pub fn send_over(&self, call: &Call, connection: Connection) -> Result<Answer, Failure> {
+        wait(self.call_over(call, connection))
     }
 
     /// Makes the call and takes in the whole answer.
@@ -233,70 +184,94 @@
     ///
     /// `not-run` only when no byte left for the receiver; else `may-have-run`. An answer without
     /// a length of its own, or one that is cut, is `BadAnswer`.
-    pub fn send(&self, call: &Call) -> Result<Answer, Failure> {
+    pub async fn call(&self, call: &Call<'_>) -> Result<Answer, Failure> {
         let time = call.time.stretched(self.stretch);
         let body = call.body.len();
         let begun = Instant::now();
-        let result = self.attempt(call, time.first(body));
-        if !time.is_twice() {
-            return result;
-        }
-        once_more(result, || {
-            self.attempt(call, time.second(body, begun.elapsed()))
-        })
+        let first = match self.attempt(call, time.first(body), None).await {
+            Err(failure) if time.is_twice() && failure.is_silence() => failure,
+            result => return result,
+        };
+        let span = time.second(body, begun.elapsed());
+        let second = self.attempt(call, span, None).await;
+        second.map_err(|again| again.after(&first))
     }
 
-    /// The agent whose pool has the connections to a receiver.
-    fn agent(&self, url: &str) -> &Agent {
-        let hash = xxh3_64(receiver(url).as_bytes());
-        &self.agents[(hash % POOLS as u64) as usize]
+    /// Like [`Client::call`], from a thread that may wait.
+    ///
+    /// # Errors
+    ///
+    /// As there.
+    pub fn send(&self, call: &Call) -> Result<Answer, Failure> {
+        wait(self.call(call))
     }
 
     /// Makes the call once, within this time.
-    fn attempt(&self, call: &Call, span: Span) -> Result<Answer, Failure> {
-        SENT.set(0);
-        QUIET.set(span.quiet(Instant::now()));
-        let result = self.exchange(call, span);
+    async fn attempt(
+        &self,
+        call: &Call<'_>,
+        span: Span,
+        bound: Option<Connection>,
+    ) -> Result<Answer, Failure> {
+        let begun = Instant::now();
+        let request = self.request(call)?;
+        let receiver = receiver(call.url);
+        let mut kept = match self.pool.connection(receiver, span.connect(), bound).await {
+            Ok(kept) => kept,
+            Err(fault) => {
+                traffic::note(&traffic::kind(call.url), 0, 0);
+                return Err(self.failed(call, &fault, 0));
+            }
+        };
+        let result = exchange(&mut kept, request, span, begun).await;
+        let sent = kept.meter.sent();
         let heard = result
             .as_ref()
             .map_or(0, |answer| answer.body.len() + traffic::HEAD);
-        traffic::note(&traffic::kind(call.url), SENT.get(), heard);
-        result.map_err(|error| {
-            if matches!(error, Error::Timeout(_)) {
-                self.trust.distrust(receiver(call.url), Moment::now());
+        traffic::note(&traffic::kind(call.url), sent, heard);
+        match result {
+            Ok(answer) => {
+                self.pool.keep(receiver, kept);
+                Ok(answer)
             }
-            classify(&error, SENT.get())
-        })
+            Err(fault) => Err(self.failed(call, &fault, sent)),
+        }
     }
 
-    fn exchange(&self, call: &Call, span: Span) -> Result<Answer, Error> {
-        let mut builder = http::Request::builder().method(call.method).uri(call.url);
+    /// The failure that a fault is after so many bytes were handed over.
+    fn failed(&self, call: &Call, fault: &Fault, sent: usize) -> Failure {
+        if matches!(fault, Fault::Connecting | Fault::Late) {
+            self.pool.distrust(receiver(call.url), Moment::now());
+        }
+        classify(fault, sent)
+    }
+
+    fn request(&self, call: &Call) -> Result<Request<Full<Bytes>>, Failure> {
+        let invalid = |text: String| Failure::not_run(Cause::Invalid, text);
+        let uri: Uri = call
+            .url
+            .parse()
+            .map_err(|error| invalid(format!("{}: {error}", call.url)))?;
+        let path = uri.path_and_query().map_or("/", |path| path.as_str());
+        let mut builder = Request::builder()
+            .method(call.method)
+            .uri(path)
+            .header(header::USER_AGENT, AGENT);
+        let names_host = |(name, _): &(&str, &str)| name.eq_ignore_ascii_case("host");
+        if !call.headers.iter().any(names_host) {
+            builder = builder.header(header::HOST, receiver(call.url));
+        }
         for (name, value) in call.headers {
-            builder = builder.header(*name, *value);
+            let name = HeaderName::from_bytes(name.as_bytes());
+            builder = builder.header(name.map_err(|error| invalid(error.to_string()))?, *value);
         }
         if let Some(token) = &self.token {
             builder = builder.header(header::AUTHORIZATION, token.header());
         }
-        let request = builder.body(call.body)?;
-        let mut response = request
-            .with_agent(self.agent(call.url))
-            .configure()
-            .timeout_connect(span.connect())
-            .timeout_global(Some(span.end))
-            .run()?;
-        refuse_endless(response.headers(), response.status().as_u16())?;
-        let body = response
-            .body_mut()
-            .with_config()
-            .limit(MAX_ANSWER)
-            .read_to_vec()?;
-        let (parts, _) = response.into_parts();
-        Ok(Answer {
-            status: parts.status.as_u16(),
-            headers: parts.headers,
-            body,
-            connection: USED.get(),
-        })
+        let body = Full::from(Bytes::copy_from_slice(call.body));
+        builder
+            .body(body)
+            .map_err(|error| invalid(error.to_string()))
     }
 
     /// Posts a message to another process of ours and reads the message that answers it.
@@ -356,119 +331,99 @@
     rest.split('/').next().unwrap_or(rest)
 }
 
-/// Refuses an answer whose end is only the end of the connection: it may be cut unseen.
-fn refuse_endless(headers: &HeaderMap, status: u16) -> Result<(), Error> {
-    let bodiless = status == 204 || status == 304;
-    let chunked = headers.contains_key(header::TRANSFER_ENCODING);
-    if bodiless || chunked || headers.contains_key(header::CONTENT_LENGTH) {
-        return Ok(());
-    }
-    let text = "an answer without a length cannot be told from a cut one";
-    Err(Error::Io(io::Error::new(io::ErrorKind::InvalidData, text)))
-}
-
-/// Turns the library's error into a failure, by the bytes that left.
-fn classify(error: &Error, sent: usize) -> Failure {
-    let cause = match error {
-        Error::Timeout(Timeout::Connect) => Cause::Unreachable,
-        Error::Timeout(_) => Cause::Timeout,
-        Error::Io(e) if e.kind() == io::ErrorKind::InvalidData => Cause::BadAnswer,
-        Error::Io(_) if sent == 0 => Cause::Unreachable,
-        Error::Io(_) => Cause::Broken,
-        Error::BodyExceedsLimit(_) | Error::Protocol(_) => Cause::BadAnswer,
-        Error::Http(_) | Error::BadUri(_) => Cause::Invalid,
-        _ => Cause::Broken,
-    };
-    if sent == 0 {
-        return Failure::not_run(cause, error.to_string());
-    }
-    Failure::may_have_run(cause, error.to_string())
-}
-
-/// Takes addresses by number and asks no name server.
-#[derive(Debug)]
-struct NumbersOnly;
-
-impl Resolver for NumbersOnly {
-    fn resolve(
-        &self,
-        uri: &http::Uri,
-        _: &Config,
-        _: NextTimeout,
-    ) -> Result<ResolvedSocketAddrs, Error> {
-        let authority = uri.authority().map(|a| a.as_str()).unwrap_or_default();
-        let address = authority.parse().map_err(|_| Error::HostNotFound)?;
-        let mut found = self.empty();
-        found.push(address);
-        Ok(found)
-    }
+/// Why an attempt brought no answer.
+#[derive(Debug, displaydoc::Display)]
+enum Fault {
+    /// the time for connecting is over
+    Connecting,
+    /// the time is over
+    Late,
+    /// the connection that the call is bound to is gone
+    Gone,
+    /// {0}
+    Io(io::Error),
+    /// {0}
+    Library(hyper::Error),
+    /// an answer without a length cannot be told from a cut one
+    Endless,
+    /// the answer is too large
+    Large,
 }
 
-#[derive(Debug)]
-struct CountingConnector {
-    tcp: TcpConnector,
-    trust: Arc<Trust>,
+fn wait(work: impl Future<Output = Result<Answer, Failure>>) -> Result<Answer, Failure> {
+    net::wait(work)
+        .unwrap_or_else(|error| Err(Failure::not_run(Cause::Unreachable, error.to_string())))
 }
 
-impl Connector<()> for CountingConnector {
-    type Out = Counting<<TcpConnector as Connector<()>>::Out>;
-
-    fn connect(
-        &self,
-        details: &ConnectionDetails,
-        chained: Option<()>,
-    ) -> Result<Option<Self::Out>, Error> {
-        if BOUND.get().is_some() {
-            let text = "the connection that the call is bound to is gone";
-            return Err(Error::Io(io::Error::new(io::ErrorKind::NotConnected, text)));
+/// Sends a request and takes the whole answer in, within this time.
+async fn exchange(
+    kept: &mut Kept,
+    request: Request<Full<Bytes>>,
+    span: Span,
+    begun: Instant,
+) -> Result<Answer, Fault> {
+    let (connection, meter) = (kept.number, kept.meter.clone());
+    let work = async {
+        let response = kept.sender.send_request(request).await;
+        let response = response.map_err(Fault::Library)?;
+        refuse_endless(&response)?;
+        let (head, body) = response.into_parts();
+        Ok(Answer {
+            status: head.status.as_u16(),
+            headers: head.headers,
+            body: read_whole(body).await?,
+            connection,
+        })
+    };
+    let mut work = std::pin::pin!(work);
+    loop {
+        let deadline = span.deadline(begun, meter.heard());
+        tokio::select! {
+            biased;
+            result = work.as_mut() => return result,
+            () = tokio::time::sleep_until(deadline.into()) => {}
+        }
+        if span.deadline(begun, meter.heard()) <= Instant::now() {
+            meter.seal();
+            return Err(Fault::Late);
         }
-        let inner = self.tcp.connect(details, chained)?;
-        let authority = details.uri.authority();
-        Ok(inner.map(|inner| Counting {
-            number: Connection(OPENED.fetch_add(1, Ordering::Relaxed) + 1),
-            inner,
-            receiver: authority.map_or("", |own| own.as_str()).into(),
-            proof: Mark::now(),
-            trust: self.trust.clone(),
-        }))
     }
 }
 
-/// A connection that notes each hand-over of bytes before it happens, and when it last brought some.
-#[derive(Debug)]
-struct Counting<T> {
-    number: Connection,
-    inner: T,
-    receiver: Box<str>,
-    /// When it was opened, or last brought bytes.
-    proof: Mark,
-    trust: Arc<Trust>,
-}
-
-impl<T: Transport> Transport for Counting<T> {
-    fn buffers(&mut self) -> &mut dyn Buffers {
-        self.inner.buffers()
-    }
-
-    fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
-        SENT.set(SENT.get() + amount);
-        USED.set(self.number);
-        self.inner.transmit_output(amount, bound(timeout))
+async fn read_whole(body: Incoming) -> Result<Vec<u8>, Fault> {
+    match Limited::new(body, MAX_ANSWER as usize).collect().await {
+        Ok(whole) => Ok(whole.to_bytes().into()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Fault::Large),
+        Err(error) => Err(match error.downcast() {
+            Ok(error) => Fault::Library(*error),
+            Err(error) => Fault::Io(io::Error::other(error)),
+        }),
     }
+}
 
-    fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
-        let is_more = self.inner.await_input(bound(timeout))?;
-        self.proof = Mark::now();
-        QUIET.set(QUIET.get().map(|quiet| quiet.heard(self.proof.steady)));
-        Ok(is_more)
+/// Refuses an answer whose end is only the end of the connection: it may be cut unseen.
+fn refuse_endless<B>(response: &Response<B>) -> Result<(), Fault> {
+    let (status, headers) = (response.status().as_u16(), response.headers());
+    let bodiless = status == 204 || status == 304;
+    let chunked = headers.contains_key(header::TRANSFER_ENCODING);
+    if bodiless || chunked || headers.contains_key(header::CONTENT_LENGTH) {
+        return Ok(());
     }
+    Err(Fault::Endless)
+}
 
-    /// The pool asks this before it uses a connection again.
-    fn is_open(&mut self) -> bool {
-        let is_other = |bound| bound != self.number;
-        if BOUND.get().is_some_and(is_other) {
-            return false;
-        }
-        self.trust.is_trusted(&self.receiver, self.proof) && self.inner.is_open()
+/// Turns a fault into a failure, by the bytes that left.
+fn classify(fault: &Fault, sent: usize) -> Failure {
+    let cause = match fault {
+        Fault::Connecting | Fault::Gone => Cause::Unreachable,
+        Fault::Late => Cause::Timeout,
+        Fault::Endless | Fault::Large => Cause::BadAnswer,
+        Fault::Library(error) if error.is_parse() => Cause::BadAnswer,
+        Fault::Io(_) | Fault::Library(_) if sent == 0 => Cause::Unreachable,
+        Fault::Io(_) | Fault::Library(_) => Cause::Broken,
+    };
+    if sent == 0 {
+        return Failure::not_run(cause, fault.to_string());
     }
+    Failure::may_have_run(cause, fault.to_string())
 }
--- /dev/null
+++ b/components/kernel/src/client/link.rs
@@ -0,0 +1,150 @@
+//! A connection that counts what it hands to the system, and notes when it last brought some bytes.
+
+use {
+    crate::{clock::Mark, sync::lock},
+    hyper::rt::{Read, ReadBufCursor, Write},
+    hyper_util::rt::TokioIo,
+    std::{
+        io::{self, IoSlice},
+        pin::Pin,
+        sync::{
+            Mutex,
+            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+        },
+        task::{Context, Poll},
+        time::Instant,
+    },
+    tokio::net::TcpStream,
+};
+
+/// The number of the last connection that was opened.
+static OPENED: AtomicU64 = AtomicU64::new(0);
+
+/// One connection, told apart from all others of the process.
+///
+/// Whoever answers on it is the one that answered on it before: the end of a process ends its connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Connection(u64);
+
+impl Connection {
+    pub(super) fn next() -> Self {
+        Connection(OPENED.fetch_add(1, Ordering::Relaxed) + 1)
+    }
+}
+
+/// What a connection has moved in the present call.
+#[derive(Debug)]
+pub struct Meter {
+    /// Bytes handed to the system, noted before each hand-over.
+    sent: AtomicUsize,
+    /// Nothing more is handed over.
+    sealed: AtomicBool,
+    /// When the connection was opened, or last brought bytes.
+    proof: Mutex<Mark>,
+    /// It has brought bytes in the present call.
+    has_heard: AtomicBool,
+}
+
+impl Meter {
+    pub(super) fn new() -> Self {
+        Meter {
+            sent: AtomicUsize::new(0),
+            sealed: AtomicBool::new(false),
+            proof: Mutex::new(Mark::now()),
+            has_heard: AtomicBool::new(false),
+        }
+    }
+
+    /// Begins a call.
+    pub(super) fn begin(&self) {
+        self.sent.store(0, Ordering::SeqCst);
+        self.has_heard.store(false, Ordering::SeqCst);
+    }
+
+    /// The bytes of the present call.
+    pub(super) fn sent(&self) -> usize {
+        self.sent.load(Ordering::SeqCst)
+    }
+
+    /// Lets nothing more leave, so that the bytes counted are all there will be.
+    pub(super) fn seal(&self) {
+        self.sealed.store(true, Ordering::SeqCst);
+    }
+
+    /// When the present call last brought bytes; `None` before the first.
+    pub(super) fn heard(&self) -> Option<Instant> {
+        let has_heard = self.has_heard.load(Ordering::SeqCst);
+        has_heard.then(|| self.proof().steady)
+    }
+
+    /// When the connection was opened, or last brought bytes.
+    pub(super) fn proof(&self) -> Mark {
+        *lock(&self.proof)
+    }
+
+    fn note_heard(&self) {
+        *lock(&self.proof) = Mark::now();
+        self.has_heard.store(true, Ordering::SeqCst);
+    }
+
+    fn note_sent(&self, bytes: usize) -> io::Result<()> {
+        self.sent.fetch_add(bytes, Ordering::SeqCst);
+        if self.sealed.load(Ordering::SeqCst) {
+            return Err(io::ErrorKind::BrokenPipe.into());
+        }
+        Ok(())
+    }
+}
+
+/// A connection with its meter.
+pub(super) struct Metered {
+    pub(super) inner: TokioIo<TcpStream>,
+    pub(super) meter: std::sync::Arc<Meter>,
+}
+
+impl Read for Metered {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let read = Pin::new(&mut self.inner).poll_read(cx, buffer);
+        if read.is_ready() {
+            self.meter.note_heard();
+        }
+        read
+    }
+}
+
+impl Write for Metered {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.meter.note_sent(buffer.len())?;
+        Pin::new(&mut self.inner).poll_write(cx, buffer)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let bytes = buffers.iter().map(|buffer| buffer.len()).sum();
+        self.meter.note_sent(bytes)?;
+        Pin::new(&mut self.inner).poll_write_vectored(cx, buffers)
+    }
+}
--- a/components/kernel/src/host.rs
+++ b/components/kernel/src/host.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        task,
+        net, task,
         verdict::{Cause, Failure},
     },
     stakker::{ActorOwn, Cx, Fwd, LogID, Stakker, ret_nop, sync::Channel},
@@ -15,11 +15,12 @@
         sync::{
             Arc,
             atomic::{AtomicBool, Ordering},
-            mpsc::{self, Receiver, RecvTimeoutError, SyncSender},
+            mpsc::{self, SyncSender},
         },
         thread::{self, JoinHandle},
         time::{Duration, Instant},
     },
+    tokio::{sync::oneshot, time::timeout},
 };
 
 /// The longest sleep of a main loop without any timer.
@@ -42,13 +43,13 @@
 
 /// The way back for one answer that an actor may give later.
 pub struct Answerer<R> {
-    sender: SyncSender<R>,
+    sender: oneshot::Sender<R>,
 }
 
 impl<R> Answerer<R> {
     /// A way back and its far end, for those who are on the actor's thread themselves.
-    pub fn pair() -> (Self, Receiver<R>) {
-        let (sender, receiver) = mpsc::sync_channel(1);
+    pub fn pair() -> (Self, oneshot::Receiver<R>) {
+        let (sender, receiver) = oneshot::channel();
         (Answerer { sender }, receiver)
     }
 
@@ -88,7 +89,21 @@
     ) -> Result<R, Failure> {
         let (answerer, receiver) = Answerer::pair();
         self.tell(move |actor, cx| job(actor, cx, answerer));
-        receiver.recv().map_err(|_| gone())
+        receiver.blocking_recv().map_err(|_| gone())
+    }
+
+    /// Like [`Remote::ask_later`], for a task.
+    ///
+    /// # Errors
+    ///
+    /// As there.
+    pub async fn answered<R: Send + 'static>(
+        &self,
+        job: impl FnOnce(&mut A, &mut Cx<'_, A>, Answerer<R>) + Send + 'static,
+    ) -> Result<R, Failure> {
+        let (answerer, receiver) = Answerer::pair();
+        self.tell(move |actor, cx| job(actor, cx, answerer));
+        receiver.await.map_err(|_| gone())
     }
 
     /// Like [`Remote::ask_later`], but waits no longer than this.
@@ -103,12 +118,10 @@
     ) -> Result<R, Failure> {
         let (answerer, receiver) = Answerer::pair();
         self.tell(move |actor, cx| job(actor, cx, answerer));
-        receiver.recv_timeout(time).map_err(|error| match error {
-            RecvTimeoutError::Disconnected => gone(),
-            RecvTimeoutError::Timeout => {
-                Failure::may_have_run(Cause::Timeout, "it is not written down yet")
-            }
-        })
+        let late = || Failure::may_have_run(Cause::Timeout, "it is not written down yet");
+        let waited = net::wait(async { timeout(time, receiver).await });
+        let answered = waited.map_err(|error| Failure::not_run(Cause::Stopping, error.to_string()));
+        answered?.map_err(|_| late())?.map_err(|_| gone())
     }
 }
 
--- a/components/kernel/src/net.rs
+++ b/components/kernel/src/net.rs
@@ -2,10 +2,17 @@
 
 use {
     crate::{sync::lock, task},
-    std::{future, io, sync::Mutex, time::Duration},
+    std::{
+        future::{self, Future},
+        io,
+        sync::Mutex,
+        time::Duration,
+    },
     tokio::runtime::{Builder, Handle},
 };
 
+pub use tokio::time::sleep;
+
 /// Threads for work that blocks, at most. Ports have bounds of their own below this.
 const BLOCKING_MOST: usize = 1_024;
 /// How long such a thread waits for more work before it ends.
@@ -34,3 +41,27 @@
     *known = Some(handle.clone());
     Ok(handle)
 }
+
+/// Starts a task on the thread of all connections: it must not block.
+///
+/// # Errors
+///
+/// As for [`handle`].
+pub fn spawn(task: impl Future<Output = ()> + Send + 'static) -> io::Result<()> {
+    handle()?.spawn(task);
+    Ok(())
+}
+
+/// Waits on this thread for what tasks bring about.
+///
+/// # Errors
+///
+/// As for [`handle`].
+pub fn wait<T>(work: impl Future<Output = T>) -> io::Result<T> {
+    Ok(handle()?.block_on(work))
+}
+
+/// Runs work that blocks on a thread of its own, for a task. `None` where it panicked.
+pub async fn blocking<T: Send + 'static>(work: impl FnOnce() -> T + Send + 'static) -> Option<T> {
+    tokio::task::spawn_blocking(work).await.ok()
+}
--- a/components/kernel/src/time.rs
+++ b/components/kernel/src/time.rs
@@ -1,12 +1,6 @@
 //! The time that a call has: in all, and without hearing anything.
 
-use {
-    std::time::{Duration, Instant},
-    ureq::{
-        Timeout,
-        unversioned::transport::{NextTimeout, time::Duration as Left},
-    },
-};
+use std::time::{Duration, Instant};
 
 /// Added to the time of a call that moves much. The largest values that stores take have 1 MiB, which is
 /// 1.4 MB as text, and the slowest boxes have a link of 2 Mbit/s, which brings that in 5.6 s; the rest is
@@ -153,49 +147,19 @@
 }
 
 impl Span {
-    /// The time for connecting, where it is not bounded by the end alone.
-    pub fn connect(&self) -> Option<Duration> {
-        self.pause.map(|_| self.head)
+    /// The time for connecting.
+    pub fn connect(&self) -> Duration {
+        self.head.min(self.end)
     }
 
-    /// How long an attempt that begins now may hear nothing; `None` where only the end counts.
-    pub fn quiet(&self, now: Instant) -> Option<Quiet> {
-        self.pause.map(|pause| Quiet {
-            until: now + self.head,
-            pause,
-        })
-    }
-}
-
-/// How long an attempt may hear nothing.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Quiet {
-    /// By then the next bytes must have come.
-    until: Instant,
-    /// The time for those after them.
-    pause: Duration,
-}
-
-impl Quiet {
-    /// Bytes have come.
-    pub fn heard(self, now: Instant) -> Self {
-        Quiet {
-            until: now + self.pause,
-            ..self
-        }
-    }
-
-    /// A time-out of the library, no later than the end of the quiet time.
-    pub fn bound(self, timeout: NextTimeout) -> NextTimeout {
-        let left = Left::from(self.until.saturating_duration_since(Instant::now()));
-        if timeout.after <= left {
-            return timeout;
-        }
-        NextTimeout {
-            after: left,
-            reason: Timeout::PerRead,
-            ..timeout
-        }
+    /// By when an attempt that began at `begun` must have ended, or brought more bytes than those last `heard`.
+    pub fn deadline(&self, begun: Instant, heard: Option<Instant>) -> Instant {
+        let end = begun + self.end;
+        let Some(pause) = self.pause else {
+            return end;
+        };
+        let quiet = heard.map_or(begun + self.head, |heard| heard + pause);
+        quiet.min(end)
     }
 }
 
@@ -244,12 +208,17 @@
     }
 
     #[test]
-    fn quiet_begins_anew_with_bytes() {
+    fn deadline_moves_with_bytes() {
         let begun = Instant::now();
-        let quiet = FLOWING.first(0).quiet(begun).unwrap();
-        assert_eq!(quiet.until, begun + ms(400));
-        let quiet = quiet.heard(begun + ms(390));
-        assert_eq!(quiet.until, begun + ms(690));
-        assert!(TWICE.first(0).quiet(begun).is_none());
+        let span = FLOWING.first(0);
+        assert_eq!(span.deadline(begun, None), begun + ms(400));
+        let heard = |at| span.deadline(begun, Some(begun + ms(at)));
+        assert_eq!(heard(390), begun + ms(690));
+        assert_eq!(heard(8_800), begun + ms(8_900));
+        let whole = TWICE.first(0);
+        assert_eq!(
+            whole.deadline(begun, Some(begun + ms(390))),
+            begun + ms(400)
+        );
     }
 }
--- a/components/kernel/src/verdict.rs
+++ b/components/kernel/src/verdict.rs
@@ -104,7 +104,7 @@
     }
 
     /// This failure of the second of two tries: where the first may have run, so may both.
-    fn after(self, first: &Failure) -> Failure {
+    pub(crate) fn after(self, first: &Failure) -> Failure {
         match first.verdict {
             Verdict::NotRun => self,
             _ => Failure {
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -3,7 +3,7 @@
 //! The state is in one actor, [`core::Core`]. Around it, each written straight down: a task that
 //! follows the configuration, one that follows and claims ownership, one that accepts jobs, one that
 //! tells the owner of cancellations again, and while owning one that renews the lease, one that reads
-//! the intake, one that writes groups, one that lists workers, and two for each worker.
+//! the intake, one that writes groups, one that lists workers. Two for each worker wait on the thread of all connections.
 
 pub mod accept;
 pub mod callers;
@@ -35,7 +35,8 @@
 pub use callers::{Call, Reply};
 pub use core::{Core, Node};
 pub use outside::{
-    Advisor, Closure, Closures, Configs, Found, Machines, Outside, Read, Unheard, Waited, Workers,
+    Advisor, Closure, Closures, Configs, Found, Later, Machines, Outside, Read, Unheard, Waited,
+    Workers,
 };
 pub use settings::Settings;
 pub use store::Store;
--- a/components/node/src/outside.rs
+++ b/components/node/src/outside.rs
@@ -9,7 +9,7 @@
     job::Config,
     kernel::Failure,
     serde::{Deserialize, Serialize},
-    std::{sync::Arc, time::Duration},
+    std::{pin::Pin, sync::Arc, time::Duration},
 };
 
 /// Why a poll of a worker brought no report.
@@ -24,6 +24,9 @@
     Silent(Failure),
 }
 
+/// What comes later, for a task.
+pub type Later<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
+
 /// Workers, as they are listed and spoken to.
 pub trait Workers: Send + Sync {
     /// Lists all workers. An entry that cannot be read is no reason to fail.
@@ -34,7 +37,7 @@
     fn list(&self) -> Result<Listing, Failure>;
 
     /// Sends an order under a fence to this life of a worker: one of the same name that began later does not get it.
-    fn order(&self, worker: &Entry, fence: u64, order: &Order) -> Outcome;
+    fn order<'a>(&'a self, worker: &'a Entry, fence: u64, order: &'a Order) -> Later<'a, Outcome>;
 
     /// Renews the leases of all that runs on this life of a worker, acknowledges ends, and reads its report. Where nobody
     /// knows yet whether this life is there, just the report is read.
@@ -42,7 +45,12 @@
     /// # Errors
     ///
     /// See [`Unheard`].
-    fn poll(&self, worker: &Entry, fence: u64, poll: Poll) -> Result<Report, Unheard>;
+    fn poll<'a>(
+        &'a self,
+        worker: &'a Entry,
+        fence: u64,
+        poll: Poll,
+    ) -> Later<'a, Result<Report, Unheard>>;
 }
 
 /// A configuration as it was found.
--- a/components/node/src/queued.rs
+++ b/components/node/src/queued.rs
@@ -9,11 +9,9 @@
     kernel::sync::lock,
     std::{
         collections::HashSet,
-        sync::{
-            Arc, Mutex,
-            mpsc::{self, Receiver, Sender},
-        },
+        sync::{Arc, Mutex},
     },
+    tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
 };
 
 /// An order that waits for those before it.
@@ -50,20 +48,20 @@
 /// The way in of a worker's orders.
 #[derive(Debug)]
 pub struct Entrance {
-    orders: Sender<Queued>,
+    orders: UnboundedSender<Queued>,
     barred: Barred,
 }
 
 /// The way out of a worker's orders.
 #[derive(Debug)]
 pub struct Exit {
-    orders: Receiver<Queued>,
+    orders: UnboundedReceiver<Queued>,
     barred: Barred,
 }
 
 /// The way of a worker's orders.
 pub fn line() -> (Entrance, Exit) {
-    let (sender, receiver) = mpsc::channel();
+    let (sender, receiver) = mpsc::unbounded_channel();
     let barred = Barred::default();
     let entrance = Entrance {
         orders: sender,
@@ -93,8 +91,8 @@
 
 impl Exit {
     /// The next order, once there is one; `None` when no more will come.
-    pub fn next(&self) -> Option<Queued> {
-        let queued = self.orders.recv().ok()?;
+    pub async fn next(&mut self) -> Option<Queued> {
+        let queued = self.orders.recv().await?;
         if let Some(barred) = barred_by(&queued.order) {
             lock(&self.barred).remove(&barred);
         }
@@ -125,7 +123,7 @@
         crate::time,
         cell::{Key, Start},
         job::{Address, Id},
-        kernel::clock,
+        kernel::{clock, net},
         std::time::Duration,
         test_case::test_case,
     };
@@ -186,6 +184,10 @@
         assert!(queued.is_stale(time::now()));
     }
 
+    fn next(exit: &mut Exit) -> Queued {
+        net::wait(exit.next()).unwrap().unwrap()
+    }
+
     fn withdrawal() -> Order {
         Order::Withdraw { key: key(), run: 1 }
     }
@@ -194,13 +196,13 @@
     #[test_case(stop(); "stop")]
     #[test_case(withdrawal(); "withdrawal")]
     fn is_barred_by_order_on_its_way(order: Order) {
-        let (entrance, exit) = line();
+        let (entrance, mut exit) = line();
         entrance.send(Queued::new(start(), 0, 0, 1));
-        let first = exit.next().unwrap();
+        let first = next(&mut exit);
         assert!(!exit.is_barred(&first.order));
         entrance.send(Queued::new(order, 0, 0, 1));
         assert!(exit.is_barred(&first.order));
-        exit.next().unwrap();
+        next(&mut exit);
         assert!(!exit.is_barred(&first.order));
     }
 }
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -18,16 +18,14 @@
     },
     cell::{Entry, Order, Outcome, Poll, Reason, Report, Run},
     job::Id,
-    kernel::{Failure, sync::lock, task, wire},
+    kernel::{Failure, net, sync::lock, wire},
     std::{
         collections::HashMap,
-        sync::{
-            Arc, Mutex,
-            mpsc::{self, Receiver, Sender},
-        },
+        sync::{Arc, Mutex},
         thread,
         time::Duration,
     },
+    tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
 };
 
 /// The path of exchanges between relays and the owner.
@@ -35,7 +33,7 @@
 
 /// The ways to the two tasks of a worker.
 struct Ways {
-    polls: Sender<(u64, Poll)>,
+    polls: UnboundedSender<(u64, Poll)>,
     orders: Entrance,
 }
 
@@ -261,15 +259,13 @@
 
     fn tend(&mut self, node: &Node, entry: Entry) {
         lock(&self.heard).lists.insert(entry.id.clone(), Vec::new());
-        let (polls, next) = mpsc::channel();
+        let (polls, next) = mpsc::unbounded_channel();
         let (orders, sent) = queued::line();
         let id = entry.id.clone();
         let fence = self.fence;
-        let (own, heard, worker) = (node.clone(), self.heard.clone(), entry.clone());
-        let polling = task::spawn("poll", move || poll(&own, fence, &worker, &next, &heard));
-        let (own, heard) = (node.clone(), self.heard.clone());
-        let sending = task::spawn("orders", move || send(&own, fence, &entry, &sent, &heard));
-        if let Err(error) = polling.and(sending) {
+        let polling = poll(node.clone(), fence, entry.clone(), next, self.heard.clone());
+        let sending = send(node.clone(), fence, entry, sent, self.heard.clone());
+        if let Err(error) = net::spawn(polling).and_then(|()| net::spawn(sending)) {
             log::error!(target: "relay", error:% = error; "A worker's tasks cannot be started.");
             return;
         }
@@ -277,22 +273,28 @@
     }
 }
 
-fn poll(node: &Node, fence: u64, entry: &Entry, polls: &Receiver<(u64, Poll)>, heard: &Mutex<Ear>) {
-    for (at, poll) in polls {
-        let result = node.outside.workers.poll(entry, fence, poll);
+async fn poll(
+    node: Node,
+    fence: u64,
+    entry: Entry,
+    mut polls: UnboundedReceiver<(u64, Poll)>,
+    heard: Arc<Mutex<Ear>>,
+) {
+    while let Some((at, poll)) = polls.recv().await {
+        let result = node.outside.workers.poll(&entry, fence, poll).await;
         if let Err(Unheard::Silent(_)) = result {
             metrics::counter!("magpie_polls_failed_total").increment(1);
-            thread::sleep(POLL_PAUSE);
+            net::sleep(POLL_PAUSE).await;
         }
-        lock(heard).report(&entry.id, at, result);
+        lock(&heard).report(&entry.id, at, result);
     }
 }
 
-fn send(node: &Node, fence: u64, entry: &Entry, orders: &Exit, heard: &Mutex<Ear>) {
-    while let Some(queued) = orders.next() {
+async fn send(node: Node, fence: u64, entry: Entry, mut orders: Exit, heard: Arc<Mutex<Ear>>) {
+    while let Some(queued) = orders.next().await {
         let number = queued.number;
-        let outcome = worker::send_one(node, fence, entry, queued, orders);
-        lock(heard).heard.push(Heard::Answer(number, outcome));
+        let outcome = worker::send_one(&node, fence, &entry, queued, &orders).await;
+        lock(&heard).heard.push(Heard::Answer(number, outcome));
     }
 }
 
--- a/components/node/src/worker.rs
+++ b/components/node/src/worker.rs
@@ -9,20 +9,17 @@
         time,
     },
     cell::{Entry, Order, Outcome, Reason},
-    kernel::task,
-    std::thread,
+    kernel::{Failure, net, verdict::Cause},
 };
 
 /// Starts the tasks of a worker; they end with the tenure or with the worker. Returns the way for
 /// its orders.
 pub fn tend(node: &Node, fence: u64, entry: Entry) -> Option<Entrance> {
     let (entrance, orders) = queued::line();
-    let (own, other) = (node.clone(), node.clone());
-    let polled = entry.clone();
-    let started = task::spawn("poll", move || poll(&own, fence, &polled))
-        .and_then(|_| task::spawn("orders", move || send(&other, fence, &entry, &orders)));
-    match started {
-        Ok(_) => Some(entrance),
+    let polled = poll(node.clone(), fence, entry.clone());
+    let sent = send(node.clone(), fence, entry, orders);
+    match net::spawn(polled).and_then(|()| net::spawn(sent)) {
+        Ok(()) => Some(entrance),
         Err(error) => {
             log::error!(target: "owner", error:% = error; "A worker's tasks cannot be started.");
             None
@@ -30,35 +27,37 @@
     }
 }
 
-fn poll(node: &Node, fence: u64, entry: &Entry) {
+async fn poll(node: Node, fence: u64, entry: Entry) {
     let id = entry.id.clone();
-    let first = node.remote.ask(move |core, _| core.first_poll(fence, &id));
-    let Ok(mut next) = first else {
+    let first = node.remote.answered(move |core, _, answerer| {
+        answerer.send(core.first_poll(fence, &id));
+    });
+    let Ok(mut next) = first.await else {
         return;
     };
     while let Some(poll) = next {
         let sent = time::now();
-        let result = node.outside.workers.poll(entry, fence, poll);
+        let result = node.outside.workers.poll(&entry, fence, poll).await;
         if let Err(Unheard::Silent(_)) = result {
             metrics::counter!("magpie_polls_failed_total").increment(1);
-            thread::sleep(POLL_PAUSE);
+            net::sleep(POLL_PAUSE).await;
         }
         let id = entry.id.clone();
-        let answer = node.remote.ask_later(move |core, cx, answerer| {
+        let answer = node.remote.answered(move |core, cx, answerer| {
             core.polled(cx, fence, &id, sent, result, answerer);
         });
-        next = answer.unwrap_or_default();
+        next = answer.await.unwrap_or_default();
     }
 }
 
-fn send(node: &Node, fence: u64, entry: &Entry, orders: &Exit) {
-    while let Some(queued) = orders.next() {
+async fn send(node: Node, fence: u64, entry: Entry, mut orders: Exit) {
+    while let Some(queued) = orders.next().await {
         // Orders may have waited behind others while the tenure ended.
         if !node.shared.is_owning(fence) {
             return;
         }
         let order = queued.order.clone();
-        let outcome = send_one(node, fence, entry, queued, orders);
+        let outcome = send_one(&node, fence, &entry, queued, &orders).await;
         if outcome == Outcome::Unknown {
             log::info!(target: "owner", worker = &*entry.id, order:% = order; "An order has no answer.");
         }
@@ -73,7 +72,7 @@
 }
 
 /// Sends an order, unless it has waited for too long or must not leave any more; a start with the specification of its job.
-pub(crate) fn send_one(
+pub(crate) async fn send_one(
     node: &Node,
     fence: u64,
     entry: &Entry,
@@ -87,7 +86,9 @@
     if let Order::Start(start) = &mut queued.order
         && start.text.is_empty()
     {
-        match node.fetched.text(&*node.outside.store, &start.key.job) {
+        let (own, job) = (node.clone(), start.key.job.clone());
+        let read = move || own.fetched.text(&*own.outside.store, &job);
+        match net::blocking(read).await.unwrap_or_else(|| Err(unread())) {
             Ok(text) => start.text = text,
             Err(failure) => {
                 log::info!(target: "worker", job = start.key.job.as_str(), error:% = failure; "A specification was not read; its start is not sent.");
@@ -100,5 +101,12 @@
         return Outcome::Refused(Reason::NotSent);
     }
     metrics::counter!("magpie_orders_total").increment(1);
-    node.outside.workers.order(entry, fence, &queued.order)
+    node.outside
+        .workers
+        .order(entry, fence, &queued.order)
+        .await
+}
+
+fn unread() -> Failure {
+    Failure::not_run(Cause::Broken, "the read of a specification panicked")
 }
--- a/programs/box/tests/whole_path.rs
+++ b/programs/box/tests/whole_path.rs
@@ -349,6 +349,33 @@
     });
 }
 
+/// The threads that a box may have besides while it talks to workers, however many.
+const TALK_THREADS: usize = 16;
+const MANY: usize = 200;
+
+/// Two threads for each worker were 400 here.
+#[test_case(1, 1_000; "owner")]
+#[test_case(2, 1; "relay")]
+fn threads_of_box_with_many_workers(boxes: usize, own: usize) {
+    let world = World::new(WORK);
+    let open = |number| {
+        let id = format!("i-many-{number}");
+        Runner::open(&world.kv, "pool", &id, 4, FOREVER, &world.seen).unwrap()
+    };
+    let runners: Vec<Runner> = (0..MANY).map(open).collect();
+    let boxes = world.sharing_boxes(boxes, own);
+    let path = "/q/00000000000000a1";
+    let accepted = send(boxes[0].callers, "POST", path, Some(&job(8 * MANY as u32)));
+    assert_eq!(accepted.unwrap().status, 200);
+    until("every worker runs something", || {
+        runners.iter().all(|runner| runner.running() > 0)
+    });
+    for process in boxes {
+        let threads = process.threads();
+        assert!(threads <= IDLE_THREADS + TALK_THREADS, "{threads}");
+    }
+}
+
 #[test]
 fn refusals_tell_what_is_wrong() {
     let world = World::new(WORK);
--- a/programs/load/src/slope/pick.rs
+++ b/programs/load/src/slope/pick.rs
@@ -101,7 +101,7 @@
     };
     let (answerer, answer) = Answerer::<Result<_, Failure>>::pair();
     gate.pick(cx, wanted, answerer);
-    if let Ok(Ok(ticket)) = answer.recv() {
+    if let Ok(Ok(ticket)) = answer.blocking_recv() {
         gate.done(ticket.at, Duration::from_millis(5), true, now);
     }
 }
