Boxes read a new configuration as an old answer, and one task probes a store that fails

Change: told which revision is the newest, a box asks for an answer that may be old (a tenth of the price), and reads again only where that lacks the revision. Only the task of the configuration probes a store that fails, 0.25 to 0.5 s apart. A heartbeat whose lease was not renewed for 1.1 s, two renewals, counts as none.

Also: bytes of a call count as handed over when the system has taken them, no longer each time they were offered (a call of 0.8 MB had been told as one of 26 MB); "not run" stays as strict, since a hand-over that is under way counts as one byte.

--- a/components/kernel/src/client.rs
+++ b/components/kernel/src/client.rs
@@ -1,7 +1,7 @@
 //! HTTP calls by `hyper`, with a verdict on every failure.
 //!
 //! The library's error does not say whether a request left, so the connections are wrapped and
-//! count the bytes that they hand to the system: with none handed over, the request did not run.
+//! count the bytes that the system takes: with none taken, the request did not run.
 
 mod link;
 mod pool;
--- a/components/kernel/src/client/link.rs
+++ b/components/kernel/src/client/link.rs
@@ -35,8 +35,10 @@
 /// What a connection has moved in the present call.
 #[derive(Debug)]
 pub struct Meter {
-    /// Bytes handed to the system, noted before each hand-over.
+    /// Bytes that the system has taken.
     sent: AtomicUsize,
+    /// Bytes are being handed over: the system may have taken some.
+    is_handing: AtomicBool,
     /// Nothing more is handed over.
     sealed: AtomicBool,
     /// When the connection was opened, or last brought bytes.
@@ -49,6 +51,7 @@
     pub(super) fn new() -> Self {
         Meter {
             sent: AtomicUsize::new(0),
+            is_handing: AtomicBool::new(false),
             sealed: AtomicBool::new(false),
             proof: Mutex::new(Mark::now()),
             has_heard: AtomicBool::new(false),
@@ -61,9 +64,11 @@
         self.has_heard.store(false, Ordering::SeqCst);
     }
 
-    /// The bytes of the present call.
+    /// The bytes of the present call; at least one while some may be on their way.
     pub(super) fn sent(&self) -> usize {
-        self.sent.load(Ordering::SeqCst)
+        // In this order: a hand-over adds its bytes before it ends.
+        let least = usize::from(self.is_handing.load(Ordering::SeqCst));
+        self.sent.load(Ordering::SeqCst).max(least)
     }
 
     /// Lets nothing more leave, so that the bytes counted are all there will be.
@@ -87,12 +92,21 @@
         self.has_heard.store(true, Ordering::SeqCst);
     }
 
-    fn note_sent(&self, bytes: usize) -> io::Result<()> {
-        self.sent.fetch_add(bytes, Ordering::SeqCst);
-        if self.sealed.load(Ordering::SeqCst) {
-            return Err(io::ErrorKind::BrokenPipe.into());
+    /// Hands bytes over, unless the connection is sealed.
+    fn hand_over(
+        &self,
+        write: impl FnOnce() -> Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        self.is_handing.store(true, Ordering::SeqCst);
+        let written = match self.sealed.load(Ordering::SeqCst) {
+            true => Poll::Ready(Err(io::ErrorKind::BrokenPipe.into())),
+            false => write(),
+        };
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.sent.fetch_add(bytes, Ordering::SeqCst);
         }
-        Ok(())
+        self.is_handing.store(false, Ordering::SeqCst);
+        written
     }
 }
 
@@ -118,12 +132,12 @@
 
 impl Write for Metered {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.meter.note_sent(buffer.len())?;
-        Pin::new(&mut self.inner).poll_write(cx, buffer)
+        let Metered { inner, meter } = self.get_mut();
+        meter.hand_over(|| Pin::new(inner).poll_write(cx, buffer))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -139,12 +153,11 @@
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffers: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let bytes = buffers.iter().map(|buffer| buffer.len()).sum();
-        self.meter.note_sent(bytes)?;
-        Pin::new(&mut self.inner).poll_write_vectored(cx, buffers)
+        let Metered { inner, meter } = self.get_mut();
+        meter.hand_over(|| Pin::new(inner).poll_write_vectored(cx, buffers))
     }
 }
--- a/components/kernel/src/client/pool.rs
+++ b/components/kernel/src/client/pool.rs
@@ -81,7 +81,8 @@
         bound: Option<Connection>,
     ) -> Result<Kept, Fault> {
         while let Some(mut kept) = self.take(receiver, bound) {
-            if !kept.sender.is_closed() && kept.sender.ready().await.is_ok() {
+            // It is ready once its task has seen the end of the last answer.
+            if let Ok(Ok(())) = timeout(time, kept.sender.ready()).await {
                 kept.meter.begin();
                 return Ok(kept);
             }
--- a/components/node/src/config/mod.rs
+++ b/components/node/src/config/mod.rs
@@ -43,7 +43,7 @@
         };
         if let Err(failure) = result {
             follower.sight.failed(&failure, time::now() - begun);
-            node.shared.await_store(&*node.outside.store);
+            node.shared.probe_until_answer(&*node.outside.store);
         }
         follower.sight.measure();
     }
@@ -83,7 +83,13 @@
     /// Reads the value, unless it is still that of a known revision.
     fn read(&mut self, known: u64, begun: u64) -> Result<(), Failure> {
         let mark = Mark::now();
-        let read = self.node.outside.configs.read(known);
+        let told = self.node.shared.monitor.fresh(begun);
+        let read = match told {
+            Some((newest, _)) if newest > known => {
+                self.node.outside.configs.read_told(known, newest)
+            }
+            _ => self.node.outside.configs.read(known),
+        };
         self.plan.read(begun, time::now());
         match read? {
             Read::Found(found) => self.take(found, begun, mark),
--- a/components/node/src/core.rs
+++ b/components/node/src/core.rs
@@ -11,7 +11,7 @@
         message::Owner,
         outside::Outside,
         peer, relay,
-        settings::{CUT_OFF, PROBE_LONG, STORE_PAUSE, Settings},
+        settings::{CUT_OFF, PROBE_LONG, STORE_PAUSE, STORE_REST, Settings},
         store::{Applied, Change, Item, Page, Store, Watched},
         tenure::Tenure,
         time,
@@ -128,13 +128,26 @@
         time::now().saturating_sub(stored) >= time.as_millis() as u64
     }
 
-    /// Waits until the store, which has failed, answers again. Meanwhile it is only probed.
-    pub(crate) fn await_store(&self, store: &dyn Store) {
+    /// Waits until the store, which has failed, answers again, and probes it meanwhile: for the one task of the box that does
+    /// so.
+    pub(crate) fn probe_until_answer(&self, store: &dyn Store) {
+        let mut pause = STORE_PAUSE;
         loop {
-            thread::sleep(STORE_PAUSE);
+            thread::sleep(pause);
             if !self.is_failing() || self.is_stopping() || self.probe(store).is_ok() {
                 return;
             }
+            pause = (pause * 2).min(STORE_REST);
+        }
+    }
+
+    /// Waits until the store, which has failed, answers another task again.
+    pub(crate) fn await_answer(&self) {
+        loop {
+            thread::sleep(STORE_PAUSE);
+            if !self.is_failing() || self.is_stopping() {
+                return;
+            }
         }
     }
 
@@ -179,8 +192,8 @@
         self.note("get", self.inner.get_large(key))
     }
 
-    fn get_immutable(&self, key: &str) -> Result<Option<Item>, Failure> {
-        self.note("get_immutable", self.inner.get_immutable(key))
+    fn get_stale(&self, key: &str) -> Result<Option<Item>, Failure> {
+        self.note("get_stale", self.inner.get_stale(key))
     }
 
     fn range(&self, prefix: &str, after: Option<&str>) -> Result<Page, Failure> {
--- a/components/node/src/fetch.rs
+++ b/components/node/src/fetch.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::{
-        kept, keys,
+        keys,
         settings::Settings,
         store::{Put, Store},
         texts::Texts,
@@ -55,11 +55,11 @@
 /// Reads a specification, which stands by itself or with the rest of its job. Each relay reads it for itself, and it is written
 /// once: an old answer serves where it has the specification.
 fn read(store: &dyn Store, job: &Id) -> Result<Arc<str>, Failure> {
-    if let Some(item) = store.get_immutable(&keys::text(job))? {
+    if let Some(item) = store.get_stale(&keys::text(job))? {
         return wire::decode(&item.value);
     }
-    if let Some(item) = store.get_immutable(&keys::job(job))? {
-        let submission: Submission = kept::submission(&item)?;
+    if let Some(item) = store.get_stale(&keys::job(job))? {
+        let submission: Submission = wire::decode(&item.value)?;
         if !submission.spec.text.is_empty() {
             return Ok(submission.spec.text);
         }
@@ -70,7 +70,8 @@
     let Some(item) = store.get_large(&keys::job(job))? else {
         return Err(Failure::not_run(Cause::Refused, "the job is over"));
     };
-    Ok(kept::submission(&item)?.spec.text)
+    let submission: Submission = wire::decode(&item.value)?;
+    Ok(submission.spec.text)
 }
 
 /// A submission as the owner is to hear of it from a box with these settings: an empty specification is one that is
@@ -158,7 +159,7 @@
             Ok(self.item(key))
         }
 
-        fn get_immutable(&self, key: &str) -> Result<Option<Item>, Failure> {
+        fn get_stale(&self, key: &str) -> Result<Option<Item>, Failure> {
             self.price.fetch_add(1, Ordering::Relaxed);
             Ok(self.item(key).filter(|_| !self.lags))
         }
--- a/components/node/src/heartbeat.rs
+++ b/components/node/src/heartbeat.rs
@@ -5,7 +5,7 @@
 //! the keys itself.
 
 use {
-    crate::settings::{CONFIG_GAP, HEARTBEAT_SLACK, LEASE},
+    crate::settings::{CONFIG_GAP, HEARTBEAT_LEASE, HEARTBEAT_SLACK},
     kernel::{sync::lock, task::Signal},
     serde::{Deserialize, Serialize},
     std::{sync::Mutex, time::Duration},
@@ -26,7 +26,7 @@
     /// True when it stands for a read of both keys.
     fn is_fresh(&self) -> bool {
         let config_most = 2 * CONFIG_GAP.as_millis() as u64;
-        let lease_most = LEASE.as_millis() as u64;
+        let lease_most = HEARTBEAT_LEASE.as_millis() as u64;
         self.config_age < config_most && self.lease_age < lease_most
     }
 }
@@ -89,7 +89,7 @@
 
     const PAUSE: Duration = Duration::from_millis(400);
     const CONFIG_MOST: u64 = 2 * CONFIG_GAP.as_millis() as u64;
-    const LEASE_MOST: u64 = LEASE.as_millis() as u64;
+    const LEASE_MOST: u64 = HEARTBEAT_LEASE.as_millis() as u64;
 
     fn beat(config_age: u64, lease_age: u64) -> Heartbeat {
         Heartbeat {
--- a/components/node/src/outside.rs
+++ b/components/node/src/outside.rs
@@ -98,6 +98,14 @@
     /// It could not be read or is not valid.
     fn read(&self, known: u64) -> Result<Read, Failure>;
 
+    /// Reads it where the owner has just told which revision is the `newest`. An answer that may be old is as good where it has
+    /// that one.
+    ///
+    /// # Errors
+    ///
+    /// As for `read`.
+    fn read_told(&self, known: u64, newest: u64) -> Result<Read, Failure>;
+
     /// Waits for a change after a revision of the store.
     ///
     /// # Errors
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -130,6 +130,8 @@
 pub const OWNER_PAUSE: Duration = Duration::from_millis(300);
 /// The pause after a call of the store that failed.
 pub const STORE_PAUSE: Duration = Duration::from_millis(250);
+/// The most time between two probes of a store that does not answer.
+pub const STORE_REST: Duration = Duration::from_millis(500);
 /// How long an order to start may wait behind others, in milliseconds. Its task may end elsewhere meanwhile, and
 /// must not start more than a second after that is written down; its second try leaves 0.25 s later.
 pub const START_WAIT: u64 = 600;
@@ -163,6 +165,8 @@
 pub const RELAY_REST: u64 = 2_000;
 /// How much later than it was to come a heartbeat of the owner may come.
 pub const HEARTBEAT_SLACK: Duration = Duration::from_millis(600);
+/// An owner whose lease was last renewed longer ago is not sure enough for others: two renewals have failed.
+pub const HEARTBEAT_LEASE: Duration = Duration::from_millis(1_100);
 /// Between two probes of the store by a box that has no other reason to call it.
 pub const PROBE_GAP: Duration = Duration::from_millis(1_000);
 /// The least time between two reads of the owner's key by a relay whose owner does not answer, in milliseconds; at most
--- a/components/node/src/store.rs
+++ b/components/node/src/store.rs
@@ -100,13 +100,12 @@
     /// As for `get`.
     fn get_large(&self, key: &str) -> Result<Option<Item>, Failure>;
 
-    /// Reads one key whose value is written once, at a tenth of the price of another read. The answer may be seconds old: a
-    /// key that it lacks may be there.
+    /// Reads one key at a tenth of the price of another read. The answer may be seconds old.
     ///
     /// # Errors
     ///
     /// As for `get`.
-    fn get_immutable(&self, key: &str) -> Result<Option<Item>, Failure>;
+    fn get_stale(&self, key: &str) -> Result<Option<Item>, Failure>;
 
     /// Reads a page of the keys that start with the prefix, after a key if one is given.
     ///
