A box whose read of the owner's key failed asks for it again

Change: the task that follows the ownership probes a store that fails and goes on with its own read; the one of the configuration waits meanwhile for 2 s at most, and probes itself where a heartbeat lets the other rest.

--- a/components/node/src/config/mod.rs
+++ b/components/node/src/config/mod.rs
@@ -43,7 +43,7 @@
         };
         if let Err(failure) = result {
             follower.sight.failed(&failure, time::now() - begun);
-            node.shared.probe_until_answer(&*node.outside.store);
+            follower.pause();
         }
         follower.sight.measure();
     }
@@ -61,7 +61,7 @@
     /// so that a box which is cut off from it knows.
     fn rest(&mut self, now: u64) -> Option<Duration> {
         let shared = &self.node.shared;
-        if shared.has_cell() || shared.is_config_doubtful() || shared.is_failing() {
+        if shared.has_cell() || shared.is_config_doubtful() {
             return None;
         }
         let (newest, left) = shared.monitor.fresh(now)?;
@@ -71,15 +71,24 @@
         }
         self.sight.proven(0);
         self.sight.measure();
-        if shared.is_quiet(PROBE_GAP)
-            && let Err(failure) = shared.probe(&*self.node.outside.store)
-        {
+        let is_due = shared.is_failing() || shared.is_quiet(PROBE_GAP);
+        if is_due && let Err(failure) = shared.probe(&*self.node.outside.store) {
             log::debug!(target: "config", error:% = failure; "The store does not answer a probe.");
             return None;
         }
         Some(left.min(PROBE_GAP))
     }
 
+    /// Waits after a failure. The task that follows the ownership probes a store that fails, but while a heartbeat lets it
+    /// rest.
+    fn pause(&self) {
+        let shared = &self.node.shared;
+        match shared.monitor.fresh(time::now()) {
+            Some(_) => shared.probe_until_answer(&*self.node.outside.store),
+            None => shared.await_answer(),
+        }
+    }
+
     /// Reads the value, unless it is still that of a known revision.
     fn read(&mut self, known: u64, begun: u64) -> Result<(), Failure> {
         let mark = Mark::now();
--- a/components/node/src/core.rs
+++ b/components/node/src/core.rs
@@ -11,7 +11,7 @@
         message::Owner,
         outside::Outside,
         peer, relay,
-        settings::{CUT_OFF, PROBE_LONG, STORE_PAUSE, STORE_REST, Settings},
+        settings::{ANSWER_MOST, CUT_OFF, PROBE_LONG, STORE_PAUSE, STORE_REST, Settings},
         store::{Applied, Change, Item, Page, Store, Watched},
         tenure::Tenure,
         time,
@@ -128,8 +128,7 @@
         time::now().saturating_sub(stored) >= time.as_millis() as u64
     }
 
-    /// Waits until the store, which has failed, answers again, and probes it meanwhile: for the one task of the box that does
-    /// so.
+    /// Waits until the store, which has failed, answers again, and probes it meanwhile.
     pub(crate) fn probe_until_answer(&self, store: &dyn Store) {
         let mut pause = STORE_PAUSE;
         loop {
@@ -141,11 +140,13 @@
         }
     }
 
-    /// Waits until the store, which has failed, answers another task again.
+    /// Waits while the store fails, until it answers another task or some time has passed.
     pub(crate) fn await_answer(&self) {
+        let begun = time::now();
         loop {
             thread::sleep(STORE_PAUSE);
-            if !self.is_failing() || self.is_stopping() {
+            let is_over = time::now() > begun + ANSWER_MOST;
+            if is_over || !self.is_failing() || self.is_stopping() {
                 return;
             }
         }
--- a/components/node/src/follow.rs
+++ b/components/node/src/follow.rs
@@ -27,7 +27,7 @@
         let item = match store.get(&key) {
             Ok(item) => item,
             Err(_) => {
-                node.shared.await_answer();
+                node.shared.probe_until_answer(store.as_ref());
                 continue;
             }
         };
@@ -84,7 +84,7 @@
     note(node, item);
     let watched = node.outside.store.watch(&item.key, item.at, OWNER_WAIT);
     if watched.is_err() {
-        node.shared.await_answer();
+        node.shared.probe_until_answer(&*node.outside.store);
     }
 }
 
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -132,6 +132,8 @@
 pub const STORE_PAUSE: Duration = Duration::from_millis(250);
 /// The most time between two probes of a store that does not answer.
 pub const STORE_REST: Duration = Duration::from_millis(500);
+/// How long a task waits for another one to be answered by the store, in milliseconds.
+pub const ANSWER_MOST: u64 = 2_000;
 /// How long an order to start may wait behind others, in milliseconds. Its task may end elsewhere meanwhile, and
 /// must not start more than a second after that is written down; its second try leaves 0.25 s later.
 pub const START_WAIT: u64 = 600;
--- a/programs/box/tests/whole_path.rs
+++ b/programs/box/tests/whole_path.rs
@@ -388,6 +388,26 @@
     });
 }
 
+#[test]
+fn boxes_answer_again_after_the_store_has_failed() {
+    let world = World::new(WORK);
+    let boxes = world.boxes(2);
+    let path = "/q/00000000000000a1";
+    send(boxes[0].callers, "POST", path, Some(&job(4))).unwrap();
+    world.kv.fail(Faults {
+        busy: true,
+        ..Faults::default()
+    });
+    until("no box is ready", || !boxes.iter().any(Process::is_ready));
+    world.kv.fail(Faults::default());
+    for process in &boxes {
+        until("the box is ready again", || process.is_ready());
+        until("the job is completed", || {
+            state(process.callers, path) == "completed"
+        });
+    }
+}
+
 /// The threads that a box may have besides while it talks to workers, however many.
 const TALK_THREADS: usize = 16;
 const MANY: usize = 200;
