--- a/components/kernel/src/client.rs
+++ b/components/kernel/src/client.rs
@@ -224,6 +224,9 @@
             }
         };
         let result = exchange(&mut kept, request, span, begun).await;
+        if result.is_err() {
+            kept.meter.seal();
+        }
         let sent = kept.meter.sent();
         let heard = result
             .as_ref()
@@ -384,7 +387,6 @@
             () = tokio::time::sleep_until(deadline.into()) => {}
         }
         if span.deadline(begun, meter.heard()) <= Instant::now() {
-            meter.seal();
             return Err(Fault::Late);
         }
     }
