--- a/components/kernel/src/server.rs
+++ b/components/kernel/src/server.rs
@@ -537,6 +537,49 @@
         }
     }
 
+    fn bounded(connections: usize, idle: Duration) -> Server {
+        let service = Service {
+            quick: Arc::new(|request| {
+                request.respond(Reply::text(200, "quick"));
+                None
+            }),
+            handler: Arc::new(|_| {}),
+            tasks: 1,
+        };
+        let bounds = Bounds { connections, idle };
+        Server::open_within(([127, 0, 0, 1], 0).into(), bounds, None, service).unwrap()
+    }
+
+    /// Connects and has one request answered.
+    fn connected(server: &Server) -> TcpStream {
+        let mut stream = TcpStream::connect(server.address()).unwrap();
+        stream.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
+        assert!(stream.read(&mut [0; 1_024]).unwrap() > 0);
+        stream
+    }
+
+    #[test]
+    fn serve_unused_connection_ends() {
+        let server = bounded(8, Duration::from_millis(50));
+        let mut stream = connected(&server);
+        assert_eq!(stream.read(&mut [0; 1]).unwrap_or(0), 0);
+    }
+
+    /// One connection more than there may be is served once another has ended.
+    #[test]
+    fn serve_connections_at_once() {
+        let server = bounded(1, Duration::from_secs(60));
+        let first = connected(&server);
+        let mut second = TcpStream::connect(server.address()).unwrap();
+        second.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
+        let short = Some(Duration::from_millis(50));
+        second.set_read_timeout(short).unwrap();
+        assert!(second.read(&mut [0; 1]).is_err());
+        drop(first);
+        second.set_read_timeout(None).unwrap();
+        assert!(second.read(&mut [0; 1]).unwrap() > 0);
+    }
+
     #[test_case(9; "small")]
     #[test_case(9000; "large")]
     fn serve_cut_body(declared: usize) {
