--- a/components/kernel/src/net.rs
+++ b/components/kernel/src/net.rs
@@ -13,7 +13,7 @@
 
 pub use tokio::time::sleep;
 
-/// Threads for work that blocks, at most. Ports have bounds of their own below this.
+/// Threads for work that blocks, at most.
 const BLOCKING_MOST: usize = 1_024;
 /// How long such a thread waits for more work before it ends.
 const BLOCKING_IDLE: Duration = Duration::from_secs(5);
--- a/components/node/src/relays/mod.rs
+++ b/components/node/src/relays/mod.rs
@@ -158,7 +158,7 @@
     pub fn starts(&self, link: u64) -> usize {
         let unsent: usize = self.by_name.values().map(|relay| relay.unsent).sum();
         let room = ((link * AHEAD) as usize).saturating_sub(unsent);
-        // With a text for every fourth start, as measured for jobs of 9 to 39 tasks on ten relays.
+        // With a text for every fourth start.
         let by_owner = room / (START_BYTES + TEXT_BYTES / 4);
         if self.by_name.is_empty() {
             return by_owner;
@@ -282,8 +282,7 @@
     }
 
     /// How long relays wait between two exchanges with an owner of this link, in milliseconds: the heads of all
-    /// exchanges are to take no more than a part of it. On 2 Mbit/s and with 17 relays 25 ms apart they would
-    /// take two thirds.
+    /// exchanges are to take no more than a part of it.
     pub fn pause(&self, link: u64) -> u64 {
         let least = RELAY_BUSY.as_millis() as u64;
         let count = self.by_name.len() as u64;
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -58,15 +58,12 @@
     }
 }
 
-/// Workers that a box talks to for each core that it has. The owner of 66 workers, which decides as well,
-/// took 0.14 of a core.
+/// Workers that a box talks to for each core that it has.
 const MOST_A_CORE: u64 = 180;
-/// Links that carry less than this, in bytes a millisecond, are narrow: 10 Mbit/s. An owner of 235 workers wanted 440 KB a
-/// second of its link, a third of this; packing half of that takes 3 hundredths of a core.
+/// Links that carry less than this, in bytes a millisecond, are narrow: 10 Mbit/s.
 const NARROW: u64 = 1_250;
-/// What the talk with one worker takes of a link at its most, in bytes a millisecond: 7.4 were sent for each
-/// of 21 workers of 16 cores with three starts a second. Two
-/// thirds of a relay's link are for it, and half of an owner's.
+/// What the talk with one worker takes of a link at its most, in bytes a millisecond. Two thirds of a relay's link are
+/// for it, and half of an owner's.
 const WORKER_BYTES: u64 = 8;
 /// How long a lease of the store lives; the shortest that it grants is 1 s. A box that is stopped
 /// for a moment (a quota of processor time, a pause) must not lose its cell.
@@ -89,7 +86,7 @@
 /// later.
 pub const LIST_GAP: Duration = Duration::from_millis(700);
 /// The time between two listings in terms of how long the last one took: they take an eleventh of the time, and
-/// of the link. 144 workers are 62 KB, a quarter of a second on a link of 2 Mbit/s.
+/// of the link.
 pub const LIST_SHARE: u32 = 10;
 /// The most time between them, as the part in ten of how long a worker that leaves takes new tasks: with the time of
 /// the listing and of a start on its way, it must not be over.
@@ -98,24 +95,19 @@
 pub const LEARNED_GAP: Duration = Duration::from_millis(1_000);
 /// The time between two such writes in terms of how long the last one took: they take a twentieth of a narrow link.
 pub const LEARNED_SHARE: u32 = 20;
-/// Between two reads of which data halls are shut, and after one that failed half of it. The users want nothing to start
-/// 5 s after they have shut one. A start is refused by its worker 1.5 s after it was decided, so 3 s are left; two reads that
-/// are lost take 2.3 s of these. A read that finds nothing is 100 bytes; a watch would need reads besides, since it may
-/// hear nothing.
+/// Between two reads of which data halls are shut, and after one that failed half of it. A watch would need reads besides,
+/// since it may hear nothing.
 pub const HALLS_GAP: Duration = Duration::from_millis(500);
 /// How often the owner looks for a wave of upkeep while there is none; waves last tens of seconds.
 pub const WAVE_GAP: Duration = Duration::from_millis(2_000);
-/// How long a watch of the configuration waits. Boxes have to be up to date 3 s after their connections
-/// went silent, the time-out of the watch included.
+/// How long a watch of the configuration waits, after which one on a silent connection is found out.
 pub const CONFIG_WAIT: Duration = Duration::from_millis(1_400);
 /// The least time between two reads of the configuration besides watching it: a watch may hear nothing.
-/// Boxes have to be up to date 2 s after a change on sites where the value is small.
 pub const CONFIG_GAP: Duration = Duration::from_millis(1_400);
 /// The time between two of these reads in terms of how long the last one took: they take an eleventh of
 /// the time, and of the link.
 pub const CONFIG_SHARE: u64 = 10;
-/// The most time between two of these reads: a box that hears nothing has to be up to date some 7 s after a
-/// change while the store is not stable, the read included.
+/// The most time between two of these reads.
 pub const CONFIG_REST: Duration = Duration::from_millis(5_000);
 /// From this size on, in bytes, versions that follow each other are not watched one by one: on the slowest
 /// links, of 2 Mbit/s, such a value takes a third of a second.
@@ -123,8 +115,7 @@
 /// How long a watch of the owner waits; then its key is read. A watch whose connection has gone silent
 /// is found out after this time, and until then the death of the owner is not seen.
 pub const OWNER_WAIT: Duration = Duration::from_millis(2_500);
-/// How long a watch of the intake waits. Jobs come several times a second, so that a wait that brings
-/// nothing is rare, and a watch that has gone silent holds what callers sent back for no longer.
+/// How long a watch of the intake waits: one that has gone silent holds what callers sent back for no longer.
 pub const INTAKE_WAIT: Duration = Duration::from_millis(600);
 /// The pause while the owner's key is missing though its owner lives and is about to write it again.
 pub const OWNER_PAUSE: Duration = Duration::from_millis(300);
@@ -143,8 +134,7 @@
 pub const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 /// The time for one that may be made twice.
 pub const PEER_TWICE: Time = Time::twice(PEER_TIMEOUT, Duration::from_millis(200));
-/// Between two tries to tell the owner of a cancellation. The users want nothing of the job to run 3 s
-/// after the confirmation to the caller; with a time-out each, four tries fit in.
+/// Between two tries to tell the owner of a cancellation.
 pub const TELL_GAP: Duration = Duration::from_millis(250);
 /// How long the owner is told of a cancellation that it does not confirm, in milliseconds: a dead one is
 /// replaced within 4 s, and its successor reads the cancellation from the store.
@@ -152,12 +142,12 @@
 /// An owner that has had no answer of the store for this long is cut off from it.
 pub const CUT_OFF: Duration = Duration::from_millis(1_500);
 /// While a probe of a failing store has taken this long, in milliseconds, callers are refused without
-/// waiting for it; on a connection that works it takes 8 ms.
+/// waiting for it.
 pub const PROBE_LONG: u64 = 100;
 /// The least time between two exchanges of a relay with the owner: a task is started and its end known that
-/// much later, and each exchange costs the owner some 0.3 ms.
+/// much later.
 pub const RELAY_BUSY: Duration = Duration::from_millis(25);
-/// The most time between two exchanges, in milliseconds: quick checks are due after 250 to 300 ms.
+/// The most time between two exchanges, in milliseconds.
 pub const RELAY_SLOW: u64 = 100;
 /// Between two offers of a box that is not needed as a relay, at the least.
 pub const RELAY_IDLE: Duration = Duration::from_millis(400);
