--- a/components/kernel/src/client.rs
+++ b/components/kernel/src/client.rs
@@ -169,15 +169,6 @@
         self.attempt(call, span, Some(connection)).await
     }
 
-    /// Like [`Client::call_over`], from a thread that may wait.
-    ///
-    /// # Errors
-    ///
-    /// As there.
-    pub fn send_over(&self, call: &Call, connection: Connection) -> Result<Answer, Failure> {
-        wait(self.call_over(call, connection))
-    }
-
     /// Makes the call and takes in the whole answer.
     ///
     /// # Errors
--- a/components/kernel/tests/connections.rs
+++ b/components/kernel/tests/connections.rs
@@ -6,6 +6,7 @@
     magpie_kernel::{
         Answer, Client, Failure, Verdict,
         client::{Call, Connection},
+        net,
     },
     std::{
         io::{BufRead, BufReader, Read, Write},
@@ -61,7 +62,7 @@
     }
 
     fn send_over(&self, client: &Client, connection: Connection) -> Result<Answer, Failure> {
-        client.send_over(&self.call(), connection)
+        net::wait(client.call_over(&self.call(), connection)).unwrap()
     }
 }
 
--- a/programs/box/tests/whole_path.rs
+++ b/programs/box/tests/whole_path.rs
@@ -275,6 +275,15 @@
         }
     }
 
+    /// A box that does not own the cell.
+    fn idle<'a>(&self, boxes: &'a [Process]) -> &'a Process {
+        let owner = self.owner();
+        let mut others = boxes.iter();
+        others
+            .find(|own| Some(&own.name) != owner.as_ref())
+            .unwrap()
+    }
+
     /// The number of tasks that run on all workers.
     fn running(&self) -> usize {
         self.runners.iter().map(Runner::running).sum()
@@ -357,15 +366,14 @@
     let world = World::new(WORK);
     let boxes = world.boxes(2);
     until("the cell has an owner", || world.owner().is_some());
-    let owner = world.owner();
-    let idle = boxes.iter().find(|own| Some(&own.name) != owner.as_ref());
+    let idle = world.idle(&boxes);
     let mut clients = Vec::new();
     for _ in 0..40 {
-        let address = ("127.0.0.1", idle.unwrap().callers);
+        let address = ("127.0.0.1", idle.callers);
         clients.push(std::net::TcpStream::connect(address).unwrap());
     }
     until("threads that have served have ended", || {
-        idle.unwrap().threads() <= IDLE_THREADS
+        idle.threads() <= IDLE_THREADS
     });
 }
 
@@ -376,11 +384,10 @@
     let world = World::new(WORK);
     let boxes = world.boxes(2);
     until("the cell has an owner", || world.owner().is_some());
-    let owner = world.owner();
-    let idle = boxes.iter().find(|own| Some(&own.name) != owner.as_ref());
-    let mut since = idle.unwrap().store_calls();
+    let idle = world.idle(&boxes);
+    let mut since = idle.store_calls();
     until("three probes come with no call between", || {
-        let now = idle.unwrap().store_calls();
+        let now = idle.store_calls();
         if now.1 != since.1 {
             since = now;
         }
