Interfaces of the parts for hard load: takeover, admission, shares

Cause: parts that are built side by side need their types first. A takeover places nothing until the last worker has been heard; nothing decides who gets scarce capacity.

Change: components/policy holds the decisions as plain functions; a job's entry has room for the fence that the accepting box knew and for its data hall; the store has a key for sealed workers; three settings (MAGPIE_TAKEOVER, MAGPIE_ADMISSION, MAGPIE_SHARES) are read and checked.

--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -56,7 +56,7 @@
 pub use interference::Interference;
 pub use maintenance::{Machine, MaintenanceOrder, Wave, WaveStatus};
 pub use order::{EndCause, Order, Outcome, Refusal, Report, Run, RunEnd, Start};
-pub use persistence::WriteBatch;
+pub use persistence::{Seal, WriteBatch};
 pub use summary::Summary;
 pub use timing::Timing;
 pub use worker::{Entry, Listing, TaskKey};
--- a/components/cell/src/persistence.rs
+++ b/components/cell/src/persistence.rs
@@ -4,12 +4,23 @@
     crate::{
         cell::{Cell, Job},
         interference::Interference,
-        worker::Entry,
+        worker::{Entry, TaskKey},
     },
     job::{Id, Record},
+    serde::{Deserialize, Serialize},
     std::{collections::HashSet, sync::Arc},
 };
 
+/// The record that only these tasks may run on a worker, and that nothing is started there until
+/// the record is withdrawn, see [`policy::takeover`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seal {
+    /// The id of the worker's incarnation.
+    pub worker: Arc<str>,
+    /// The tasks, in order.
+    pub tasks: Vec<TaskKey>,
+}
+
 /// A batch of records to write.
 #[derive(Debug, Clone, Default)]
 pub struct WriteBatch {
@@ -20,6 +31,8 @@
     pub separate_specs: HashSet<Id>,
     /// The workers that may hold tasks, if that set has changed.
     pub fleet: Option<Vec<Entry>>,
+    /// All sealed workers, if that set has changed.
+    pub seals: Option<Vec<Seal>>,
     /// The highest number of a run end that the batch persists, by worker.
     pub ends: Vec<(Arc<str>, u64)>,
 }
--- a/components/cell/tests/decisions/common.rs
+++ b/components/cell/tests/decisions/common.rs
@@ -68,6 +68,8 @@
             advised: false,
         },
         accepted: 1,
+        fence: 0,
+        hall: "".into(),
     }
 }
 
--- a/components/job/src/record.rs
+++ b/components/job/src/record.rs
@@ -6,6 +6,7 @@
         spec::{Id, Spec},
     },
     serde::{Deserialize, Serialize},
+    std::sync::Arc,
 };
 
 /// A job as accepted.
@@ -19,6 +20,18 @@
     pub queue: Queue,
     /// When it was accepted, in milliseconds since 1970.
     pub accepted: u64,
+    /// The highest fence that the accepting box knew; 0 if it knew none or does not tell. A former
+    /// owner starts nothing of a job that names the fence of a later one.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub fence: u64,
+    /// The data hall of the box that accepted it; empty if it is not known.
+    #[serde(default, skip_serializing_if = "str::is_empty")]
+    pub hall: Arc<str>,
+}
+
+/// True for a number that is left out of stored values.
+const fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 /// The state of a job.
--- a/components/job/tests/progress.rs
+++ b/components/job/tests/progress.rs
@@ -50,6 +50,8 @@
             advised: false,
         },
         accepted: 1,
+        fence: 0,
+        hall: "".into(),
     })
 }
 
--- a/components/node/src/callers.rs
+++ b/components/node/src/callers.rs
@@ -69,6 +69,8 @@
                     spec: *spec,
                     queue: (*queue).clone(),
                     accepted: wall_clock::millis(),
+                    fence: 0,
+                    hall: self.settings.hall.clone(),
                 };
                 accept::submit(self, submission, true)
             }
--- a/components/node/src/group.rs
+++ b/components/node/src/group.rs
@@ -142,7 +142,7 @@
 mod tests {
     use {
         super::*,
-        crate::store::MAX_ENTRIES,
+        crate::{settings::Takeover, store::MAX_ENTRIES},
         cell::{Cell, Timing},
         job::{Queue, Spec, Step, Submission, spec::Size},
         kernel::actor::Responder,
@@ -160,6 +160,9 @@
             timing: TIMING,
             drain: Duration::from_secs(2),
             retention: Duration::from_secs(150),
+            takeover: Takeover::Gradual,
+            admission: true,
+            shares: true,
         }
     }
 
@@ -197,6 +200,8 @@
                 advised: false,
             },
             accepted: 1,
+            fence: 0,
+            hall: "".into(),
         }
     }
 
--- a/components/node/src/keys.rs
+++ b/components/node/src/keys.rs
@@ -48,6 +48,11 @@
     format!("magpie/fleet/{cell}")
 }
 
+/// Key of the sealed workers of a cell.
+pub fn seals(cell: u32) -> String {
+    format!("magpie/seals/{cell}")
+}
+
 /// Key of the interference model that the owners of a cell have learned.
 pub fn interference(cell: u32) -> String {
     format!("magpie/learned/{cell}")
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -42,5 +42,5 @@
     Advisor, BoxFuture, ConfigRead, ConfigSnapshot, ConfigSource, ConfigWait, External,
     HallClosure, HallClosures, Machines, PollError, Workers,
 };
-pub use settings::Settings;
+pub use settings::{Settings, Takeover};
 pub use store::Store;
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -5,7 +5,7 @@
     crate::external::PollError,
     crate::heartbeat::Heartbeat,
     crate::report_delta::ReportDelta,
-    cell::{Entry, Order, Outcome, Poll, Start, TaskKey},
+    cell::{Entry, Order, Outcome, Poll, Seal, Start, TaskKey},
     job::{Address, Id, State, Submission, spec::Size},
     serde::{Deserialize, Serialize},
     std::sync::Arc,
@@ -29,6 +29,16 @@
     pub claim: u64,
 }
 
+/// The sealed workers of a cell, as stored. A new owner relies on them only if their writer is the
+/// owner that wrote the cell's head last.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SealRecord {
+    /// The fence of the owner that wrote them.
+    pub fence: u64,
+    /// The sealed workers.
+    pub seals: Vec<Seal>,
+}
+
 /// A worker that may hold tasks, as stored in the fleet record.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerRecord {
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -4,7 +4,7 @@
 use {
     cell::Timing,
     kernel::client::Timeout,
-    std::{sync::Arc, time::Duration},
+    std::{str::FromStr, sync::Arc, time::Duration},
 };
 
 /// Settings of a box.
@@ -29,6 +29,33 @@
     pub drain: Duration,
     /// How long the record of an ended job is kept.
     pub retention: Duration,
+    /// What a new owner may start before all workers have answered it.
+    pub takeover: Takeover,
+    /// Jobs that would end too late are refused.
+    pub admission: bool,
+    /// Callers that compete for capacity get equal parts of it, by data hall.
+    pub shares: bool,
+}
+
+/// What a new owner may start before all workers have answered it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Takeover {
+    /// All tasks that surely run nowhere else.
+    Gradual,
+    /// Nothing. Boxes write no fences into accepted jobs.
+    Complete,
+}
+
+impl FromStr for Takeover {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "gradual" => Ok(Takeover::Gradual),
+            "complete" => Ok(Takeover::Complete),
+            _ => Err(()),
+        }
+    }
 }
 
 impl Settings {
--- a/components/node/tests/load.rs
+++ b/components/node/tests/load.rs
@@ -129,6 +129,8 @@
             advised: false,
         },
         accepted: now,
+        fence: 0,
+        hall: "".into(),
     }
 }
 
--- /dev/null
+++ b/components/policy/src/admission/mod.rs
@@ -0,0 +1,60 @@
+//! Whether a job is accepted while work is waiting, and when a refused one can succeed.
+//!
+//! The owner knows what waits and how fast it is done. It tells all boxes, with the messages that
+//! pass anyway, how long one more job of each queue would wait ([`Pressure`]). A box refuses at once
+//! what could only end after its result has lost all worth ([`judge`]), before anything is stored.
+//! Without recent figures a box accepts everything.
+
+mod estimate;
+mod never;
+mod verdict;
+
+pub use estimate::{Backlog, Room, estimate};
+pub use never::{PoolCapacity, impossible};
+pub use verdict::{Demand, Verdict, judge};
+
+use {
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// How the tasks of a job obtain CPU.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Kind {
+    /// They reserve CPU until they are done.
+    Batch,
+    /// They use CPU that is left idle.
+    BestEffort,
+    /// They reserve CPU until the job is cancelled.
+    LongRunning,
+}
+
+/// The pressure on one queue by jobs of one kind.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QueuePressure {
+    /// The queue.
+    pub queue: Arc<str>,
+    /// The kind of job.
+    pub kind: Kind,
+    /// How long the work ahead of one more job takes if that job is still in time.
+    pub wait: u64,
+    /// How long all waiting work of the same capacity takes, including jobs that are late.
+    pub drain: u64,
+    /// The run time of tasks as a percentage of the callers' estimates, as learned.
+    pub run_percent: u32,
+}
+
+/// What the owner tells other boxes of the waiting work. Queues without waiting work are left out.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pressure {
+    /// The figures by queue and kind.
+    pub queues: Vec<QueuePressure>,
+}
+
+impl Pressure {
+    /// Returns the figures of a queue and kind.
+    pub fn of(&self, queue: &str, kind: Kind) -> Option<&QueuePressure> {
+        let mut queues = self.queues.iter();
+        queues.find(|own| &*own.queue == queue && own.kind == kind)
+    }
+}
--- a/programs/box/src/cli.rs
+++ b/programs/box/src/cli.rs
@@ -82,6 +82,17 @@
     /// how long the state of an ended job is kept, in seconds (MAGPIE_RETENTION, default 150)
     #[argh(option)]
     retention: Option<String>,
+    /// gradual: a new owner starts what surely runs nowhere else before all workers have answered;
+    /// complete: it waits for all workers (MAGPIE_TAKEOVER, default gradual)
+    #[argh(option)]
+    takeover: Option<String>,
+    /// true or false: refuse jobs that would end too late (MAGPIE_ADMISSION, default true)
+    #[argh(option)]
+    admission: Option<String>,
+    /// true or false: data halls that compete for capacity get equal parts of it (MAGPIE_SHARES,
+    /// default true)
+    #[argh(option)]
+    shares: Option<String>,
     /// time limit of a graceful shutdown, in milliseconds (MAGPIE_GRACE_MS, default 6000)
     #[argh(option)]
     grace_ms: Option<String>,
@@ -182,6 +193,14 @@
     let drain = reader.number("drain-ms", arguments.drain_ms, "2000", (100, 600_000));
     let retention = reader.number("retention", arguments.retention, "150", (1, 86_400));
     let grace = reader.number("grace-ms", arguments.grace_ms, "6000", (100, 600_000));
+    let takeover = reader.value(
+        "takeover",
+        arguments.takeover,
+        Some("gradual"),
+        "gradual or complete",
+    );
+    let admission = switch(&mut reader, "admission", arguments.admission);
+    let shares = switch(&mut reader, "shares", arguments.shares);
     reader.build(|| {
         let inside = inside?;
         let node = Settings {
@@ -198,6 +217,9 @@
             },
             drain: Duration::from_millis(drain?),
             retention: Duration::from_secs(retention?),
+            takeover: takeover?,
+            admission: admission?,
+            shares: shares?,
         };
         Some(Setup {
             node,
@@ -229,6 +251,11 @@
     value
 }
 
+/// Reads a setting that switches a part on or off; on by default.
+fn switch(reader: &mut Reader<'_>, name: &str, flag: Option<String>) -> Option<bool> {
+    reader.value(name, flag, Some("true"), "true or false")
+}
+
 /// Combines the address and the first port of the settings into the address of the port for other
 /// boxes.
 fn inside(
--- a/programs/load/src/slope/owner/work.rs
+++ b/programs/load/src/slope/owner/work.rs
@@ -43,6 +43,8 @@
             advised: false,
         },
         accepted: now,
+        fence: 0,
+        hall: "".into(),
     })
 }
 
