Node: fences in accepted jobs, and jobs held back by an owner

Cause: a former owner that wakes after a takeover watches the intake too, and would start jobs that were accepted after the new owner had claimed the cell. A new owner can therefore not start those jobs before all workers know its fence.

Ruled out: to prove the ownership by a majority of workers while a job is held. A later owner may have started the job on the others already.

Change: a box keeps the highest fence that it has heard of, by its own claim and by the answers to its exchanges, also when it is no relay. A changed owner ends the pause before the next exchange. With MAGPIE_TAKEOVER=gradual it writes that fence into the jobs that it accepts; a job whose write had no answer is passed on with the fence of the entry that is found. All ways by which an owner hears of a job go through one verdict: a job that names a later fence is held back, the ownership is unconfirmed, and a write at a later revision admits the job. A value at or above the revision of its entry is no fence. A claim that meets a later fence is given up. Groups leave room for the seals.

Conclusion: the node's half of the fences is whole; seals wait for the cell's signatures.

--- a/components/node/src/accept.rs
+++ b/components/node/src/accept.rs
@@ -6,9 +6,11 @@
     crate::{
         callers::Reply,
         core::Node,
-        keys,
+        decode, fence, keys,
         message::PeerRequest,
-        peer, spec_text,
+        peer,
+        settings::{Settings, Takeover},
+        spec_text,
         store::{ApplyResult, Change, MAX_ENTRIES},
         time,
     },
@@ -125,10 +127,15 @@
         if group.is_empty() {
             return;
         }
-        match node.external.store.apply(&change_for(node, &group)) {
+        let named = entry_fence(node);
+        for pending in &mut group {
+            pending.submission.fence = named;
+        }
+        let change = change_for(&node.settings, &group);
+        match node.external.store.apply(&change) {
             Ok(ApplyResult::Done(revision)) => {
                 for pending in &group {
-                    confirm(node, pending, revision);
+                    confirm(node, pending, named, revision);
                 }
                 return;
             }
@@ -162,8 +169,16 @@
     );
 }
 
+/// The fence that accepted jobs name.
+fn entry_fence(node: &Node) -> u64 {
+    match node.settings.takeover {
+        Takeover::Gradual => node.shared.highest_fence.get(),
+        Takeover::Complete => 0,
+    }
+}
+
 /// The change that writes a group, on the condition that none of its jobs is stored.
-fn change_for(node: &Node, group: &[Pending]) -> Change {
+fn change_for(settings: &Settings, group: &[Pending]) -> Change {
     let mut change = Change::default();
     for pending in group {
         let id = &pending.submission.id;
@@ -171,18 +186,20 @@
         change.expect.push((keys::state(id), 0));
         change
             .put
-            .extend(spec_text::writes(&node.settings, &pending.submission));
+            .extend(spec_text::writes(settings, &pending.submission));
     }
     change
 }
 
-/// Confirms a stored job to its caller and passes it to the cell.
-fn confirm(node: &Node, pending: &Pending, revision: u64) {
+/// Confirms a stored job to its caller and passes it to the cell. The stored entry names the fence
+/// `named`.
+fn confirm(node: &Node, pending: &Pending, named: u64, revision: u64) {
     let id = &pending.submission.id;
     log::info!(target: "accept", job = id.as_str(), queue = &*pending.submission.queue.name, revision; "A job was accepted.");
     metrics::counter!("magpie_accepted_total").increment(1);
     send_reply(pending, Reply::Accepted);
-    let submission = spec_text::for_owner(&node.settings, &pending.submission);
+    let mut submission = spec_text::for_owner(&node.settings, &pending.submission);
+    submission.fence = fence::valid_fence(named, revision);
     node.actor
         .tell(move |core, cx| core.handle_accepted(cx, submission));
 }
@@ -195,6 +212,7 @@
 }
 
 /// Reads each job back once after a write without an answer, to learn whether it took effect.
+/// Another box may have written the entry that is found, with another fence.
 fn resolve_unknown(node: &Node, group: &[Pending]) {
     for pending in group {
         let id = &pending.submission.id;
@@ -204,7 +222,13 @@
         };
         log::warn!(target: "accept", job = id.as_str(), stands = stored.is_some(); "The store did not answer the write of a job.");
         match stored {
-            Some(item) => confirm(node, pending, item.revision),
+            Some(item) => match decode::submission(&item) {
+                Ok(stored) => confirm(node, pending, stored.fence, item.revision),
+                Err(error) => {
+                    log::error!(target: "accept", job = id.as_str(), error:% = error; "The stored entry of a job cannot be decoded.");
+                    send_reply(pending, Reply::Unsure);
+                }
+            },
             None => send_reply(pending, Reply::Unsure),
         }
     }
--- a/components/node/src/claim.rs
+++ b/components/node/src/claim.rs
@@ -6,6 +6,7 @@
         core::Node,
         decode,
         external::HallClosure,
+        fence::{self, Verdict},
         group::{CELL, owner_record, put},
         keys,
         message::{Head, PeerRequest, PeerResponse, WorkerRecord},
@@ -81,6 +82,7 @@
         ApplyResult::Conflict(_) => return Ok(()),
         ApplyResult::NoLease => return Err(lease_expired()),
     };
+    node.shared.highest_fence.raise(fence);
     log::info!(target: "owner", fence; "Cell ownership claimed.");
     metrics::counter!("magpie_claims_total").increment(1);
     let renewed = AtomicU64::new(started);
@@ -89,10 +91,11 @@
         interference,
         closures,
         closures_read,
-    } = load_with_lease(node, lease, &renewed)?;
+    } = load_with_lease(node, fence, lease, &renewed)?;
     let summary = cell.summary(time::now());
     log::info!(target: "owner", fence, jobs = summary.jobs, workers = summary.workers, took = time::now() - started; "Cell state loaded from the store.");
     let mut ownership = Ownership::new(fence, lease, cell, renewed.into_inner());
+    ownership.claimed = started;
     ownership.apply_closures(closures, closures_read);
     if node.settings.has_narrow_link() {
         // The cell is loaded: a shorter lease lets other boxes detect a failure of this box sooner.
@@ -175,7 +178,12 @@
 /// Loads the cell and renews the lease meanwhile. The load time depends on the size of the cell and
 /// on the link of this box, and an expired lease lets other boxes claim the cell. Sets `renewed` to
 /// the time when the lease was last known to be valid.
-fn load_with_lease(node: &Node, lease: u64, renewed: &AtomicU64) -> Result<Loaded, Failure> {
+fn load_with_lease(
+    node: &Node,
+    fence: u64,
+    lease: u64,
+    renewed: &AtomicU64,
+) -> Result<Loaded, Failure> {
     let loaded = Signal::new();
     thread::scope(|scope| {
         let builder = Builder::new().name("keep".to_owned());
@@ -184,7 +192,7 @@
         {
             log::error!(target: "owner", lease, error:% = error; "The thread that renews the lease while the cell is loaded could not be started.");
         }
-        let cell = load(node);
+        let cell = load(node, fence);
         loaded.stop();
         cell
     })
@@ -235,9 +243,9 @@
     closures_read: u64,
 }
 
-/// Loads jobs, records and workers into a cell. Reads the closed data halls last, since the other
-/// reads may take seconds and a hall may be closed meanwhile.
-fn load(node: &Node) -> Result<Loaded, Failure> {
+/// Loads jobs, records and workers into a cell, for an owner with this fence. Reads the closed data
+/// halls last, since the other reads may take seconds and a hall may be closed meanwhile.
+fn load(node: &Node, fence: u64) -> Result<Loaded, Failure> {
     let store = &*node.external.store;
     let (intake, _) = range_all(store, keys::INTAKE)?;
     let (states, _) = range_all(store, keys::STATE)?;
@@ -276,6 +284,13 @@
         let Some(submission) = readable(item, decode::submission(item)) else {
             continue;
         };
+        if fence::verdict(submission.fence, fence, fence) == Verdict::Hold {
+            log::warn!(target: "owner", job = submission.id.as_str(), named = submission.fence, fence; "A job names the fence of a later owner; the claim is given up.");
+            return Err(Failure::not_run(
+                Cause::Refused,
+                "another box has claimed the cell since",
+            ));
+        }
         // It is unknown which steps of the job have run, and none may run twice.
         if unreadable.contains(&submission.id) {
             continue;
--- a/components/node/src/core.rs
+++ b/components/node/src/core.rs
@@ -5,6 +5,7 @@
     crate::{
         accept, cancel, config,
         external::External,
+        fence::HighestFence,
         heartbeat::Monitor,
         message::Owner,
         owner_watch,
@@ -21,7 +22,12 @@
     },
     arc_swap::ArcSwapOption,
     job::Config,
-    kernel::{ActorRef, ActorThread, Client, Failure, clock::ClockPair, sync::lock, task},
+    kernel::{
+        ActorRef, ActorThread, Client, Failure,
+        clock::ClockPair,
+        sync::lock,
+        task::{self, Signal},
+    },
     std::{
         io,
         sync::{
@@ -44,6 +50,10 @@
     last_answer: AtomicU64,
     /// The last call to the store failed.
     failing: AtomicBool,
+    /// Wakes the relay task when another box has become the owner.
+    pub(crate) owner_changed: Signal,
+    /// The highest fence that this box has heard of, which it writes into accepted jobs.
+    pub highest_fence: HighestFence,
     /// Fence under which this box owns the cell; 0 while it does not own it.
     owning: AtomicU64,
     /// The box is shutting down.
--- a/components/node/src/decode.rs
+++ b/components/node/src/decode.rs
@@ -2,23 +2,28 @@
 //! have written invalid values.
 
 use {
-    crate::{keys, store::Item},
+    crate::{fence, keys, store::Item},
     job::{Id, Record, Submission},
     kernel::{Failure, verdict::Cause, wire},
 };
 
-/// Decodes a submission.
+/// Decodes a submission. A value that cannot be a fence is replaced by 0.
 ///
 /// # Errors
 ///
 /// The value is not a valid submission, or belongs to another key.
 pub fn submission(item: &Item) -> Result<Submission, Failure> {
-    let submission: Submission = wire::decode(&item.value)?;
+    let mut submission: Submission = wire::decode(&item.value)?;
     if keys::job(&submission.id) != item.key {
         return Err(invalid(
             "the submission is stored under the key of another job",
         ));
     }
+    let named = submission.fence;
+    submission.fence = fence::valid_fence(named, item.revision);
+    if submission.fence != named {
+        log::warn!(target: "owner", job = submission.id.as_str(), named, revision = item.revision; "A job names a fence that no owner can have; it is ignored.");
+    }
     validate(submission)
 }
 
--- a/components/node/src/group.rs
+++ b/components/node/src/group.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         keys,
-        message::{Head, Owner, WorkerRecord},
+        message::{Head, Owner, SealRecord, WorkerRecord},
         ownership::Ownership,
         settings::{GROUP_ENTRIES, GROUP_RECORDS, Settings},
         store::{Change, Item, Put},
@@ -43,7 +43,7 @@
         // reports.
         let is_release = ownership.handover.is_some();
         let mut change = conditional_change(ownership);
-        put_records(&mut change, &cell_change);
+        put_records(&mut change, &cell_change, ownership.fence);
         if is_release {
             change.remove.push(keys::owner(CELL));
         }
@@ -95,8 +95,9 @@
     }
 }
 
-/// Adds the changed job records and the list of workers to a transaction.
-fn put_records(change: &mut Change, cell_change: &cell::WriteBatch) {
+/// Adds the changed job records, the list of workers and the seals of the owner with this fence to
+/// a transaction.
+fn put_records(change: &mut Change, cell_change: &cell::WriteBatch, fence: u64) {
     for (id, record) in &cell_change.records {
         change.put.push(put_compact(keys::state(id), record));
         if record.state.is_final() {
@@ -110,6 +111,11 @@
         let workers: Vec<WorkerRecord> = fleet.iter().cloned().map(WorkerRecord::from).collect();
         change.put.push(put_compact(keys::fleet(CELL), &workers));
     }
+    if let Some(seals) = &cell_change.seals {
+        let seals = seals.clone();
+        let record = SealRecord { fence, seals };
+        change.put.push(put_compact(keys::seals(CELL), &record));
+    }
 }
 
 /// The value of the owner's key for this box.
@@ -249,6 +255,40 @@
         );
     }
 
+    /// A batch that fills the group, with the fleet and the seals; the group also publishes the
+    /// owner again.
+    fn full_batch() -> cell::WriteBatch {
+        let record = |number| {
+            let id = Id::new(&format!("{number:016x}")).unwrap();
+            (id, job::Record::default())
+        };
+        cell::WriteBatch {
+            records: (0..GROUP_ENTRIES).map(record).collect(),
+            fleet: Some(Vec::new()),
+            seals: Some(Vec::new()),
+            ..cell::WriteBatch::default()
+        }
+    }
+
+    #[test]
+    fn put_records_with_seals_within_entry_limit() {
+        let mut ownership = Ownership::new(1, 2, Cell::new(TIMING), 0);
+        ownership.republish = true;
+        let mut change = Group::build(&settings(), &mut ownership, 0).change;
+        put_records(&mut change, &full_batch(), 1);
+        let entries = change.expect.len() + change.put.len() + change.remove.len();
+        assert_eq!(entries, MAX_ENTRIES);
+    }
+
+    #[test]
+    fn put_records_writes_seals_with_fence() {
+        let mut change = Change::default();
+        put_records(&mut change, &full_batch(), 7);
+        let written = change.put.iter().find(|put| put.key == keys::seals(CELL));
+        let record: SealRecord = kernel::wire::decode(&written.unwrap().value).unwrap();
+        assert_eq!(record.fence, 7);
+    }
+
     /// The cell may remove an expired job only once the group that removes its record is written.
     /// Otherwise the record stays in the store forever when the group is full or is not written.
     #[test]
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod core;
 pub mod decode;
 pub mod external;
+pub mod fence;
 pub mod group;
 pub mod heartbeat;
 pub mod job_cache;
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -39,6 +39,14 @@
     pub seals: Vec<Seal>,
 }
 
+impl SealRecord {
+    /// True if the owner that wrote this head has written the seals too. Another owner may have
+    /// started tasks without regard to them.
+    pub const fn is_current(&self, head: &Head) -> bool {
+        head.fence != 0 && head.fence == self.fence
+    }
+}
+
 /// A worker that may hold tasks, as stored in the fleet record.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerRecord {
@@ -183,7 +191,8 @@
 pub struct RelayResponse {
     /// The session; 0 when the box is not needed as a relay.
     pub session: u64,
-    /// The fence of the owner.
+    /// The fence of the owner; from a box that does not own the cell, the highest fence that it has
+    /// heard of.
     pub fence: u64,
     /// The number of the response within its session.
     pub batch: u64,
--- a/components/node/src/owner_tasks.rs
+++ b/components/node/src/owner_tasks.rs
@@ -5,7 +5,6 @@
 use {
     crate::{
         core::Node,
-        decode,
         group::{CELL, put_compact},
         keys,
         settings::{
@@ -16,9 +15,9 @@
         store::{ApplyResult, Change, Event, WatchResult, range_all},
         time,
     },
-    cell::{AdviceQuery, Cell, WaveStatus},
+    cell::{AdviceQuery, WaveStatus},
     job::Id,
-    kernel::{Failure, task, wall_clock},
+    kernel::{Failure, task},
     std::{
         collections::HashMap,
         sync::mpsc::{self, Receiver, Sender},
@@ -310,34 +309,6 @@
     Ok(events)
 }
 
-/// Applies submissions and cancellations to the cell. Submissions come first, since a listing of
-/// the intake returns cancellations before the submissions they refer to.
-pub fn apply_intake(cell: &mut Cell, events: Vec<Event>) {
-    let mut cancelled = Vec::new();
-    for event in events {
-        let Event::Put(item) = event else {
-            continue;
-        };
-        if let Some(id) = keys::id(&item.key, keys::CANCEL) {
-            cancelled.push(id);
-            continue;
-        }
-        match decode::submission(&item) {
-            Ok(submission) => {
-                cell.admit(submission, wall_clock::millis());
-            }
-            Err(error) => {
-                log::error!(target: "owner", key = item.key.as_str(), error:% = error; "A stored submission cannot be decoded and is skipped.");
-            }
-        }
-    }
-    for id in cancelled {
-        if !cell.cancel(&id, time::now(), wall_clock::millis()) {
-            log::info!(target: "owner", job = id.as_str(); "A cancellation refers to an unknown job.");
-        }
-    }
-}
-
 /// Writes groups of records, one at a time.
 fn write_groups(node: &Node, fence: u64) {
     loop {
--- a/components/node/src/owner_watch.rs
+++ b/components/node/src/owner_watch.rs
@@ -103,6 +103,7 @@
             if known.as_deref() != Some(&owner) {
                 log::info!(target: "owner", owner = &*owner.name, revision = item.revision; "The cell has a new owner.");
                 node.shared.owner.store(Some(Arc::new(owner)));
+                node.shared.owner_changed.notify();
             }
         }
         Err(error) => {
--- a/components/node/src/ownership/commit.rs
+++ b/components/node/src/ownership/commit.rs
@@ -42,8 +42,10 @@
         let Some(ownership) = &mut self.ownership else {
             return;
         };
-        let has_work =
-            ownership.cell.is_dirty() || ownership.republish || ownership.handover.is_some();
+        let has_work = ownership.cell.is_dirty()
+            || ownership.republish
+            || ownership.handover.is_some()
+            || !ownership.held.is_empty();
         if ownership.writer.is_none() || !has_work {
             return;
         }
@@ -98,10 +100,14 @@
                     return;
                 }
                 ownership.cell.remove_ended(&group.expired);
+                let has_admitted = ownership.release_held(revision);
                 let released = ownership.cell.batch_written(&group.cell_change);
                 for id in released {
                     self.resume_poll(fence, &id);
                 }
+                if has_admitted {
+                    self.schedule_pass(cx);
+                }
             }
             Ok(ApplyResult::Conflict(items)) => {
                 let Some(head) = group.own_head(&items, fence) else {
--- a/components/node/src/ownership/confirmation.rs
+++ b/components/node/src/ownership/confirmation.rs
@@ -4,8 +4,9 @@
 //!
 //! An unconfirmed owner places nothing, extends no leases of workers, and answers no requests for
 //! the cell. A write under its own head confirms the ownership. If the store does not answer, the
-//! workers confirm it: a new owner fences all workers before it places anything, so if more than
-//! half of them answer a later poll without a higher fence, no other box owns the cell.
+//! workers confirm it: a new owner polls all workers at once, so if more than half of them answer a
+//! later poll without a higher fence, no other box owns the cell. Jobs that name a later fence are
+//! not admitted by that: only a write proves that there is no later owner.
 //!
 //! A data hall may have been closed meanwhile. An owner that is confirmed by a write reads the
 //! closed halls again before it places anything. If the store is down for all boxes, no hall can
--- a/components/node/src/ownership/inputs.rs
+++ b/components/node/src/ownership/inputs.rs
@@ -2,15 +2,96 @@
 //! and maintenance waves.
 
 use {
-    crate::core::Core,
-    crate::store::Event,
-    crate::{owner_tasks, time},
+    super::Ownership,
+    crate::{
+        core::Core,
+        decode,
+        fence::{self, Verdict},
+        keys,
+        store::Event,
+        time,
+    },
     cell::{Advice, AdviceQuery, Entry, Listing, Machine, MaintenanceOrder, Wave, WaveStatus},
     job::{Id, State, Submission},
     kernel::{stakker::Cx, wall_clock},
     std::{collections::HashSet, sync::Arc},
 };
 
+impl Ownership {
+    /// Applies submissions and cancellations to the cell. Submissions come first, since a listing
+    /// of the intake returns cancellations before the submissions they refer to.
+    fn apply_intake(&mut self, events: Vec<Event>) {
+        let mut cancelled = Vec::new();
+        for event in events {
+            let Event::Put(item) = event else {
+                continue;
+            };
+            if let Some(id) = keys::id(&item.key, keys::CANCEL) {
+                cancelled.push(id);
+                continue;
+            }
+            match decode::submission(&item) {
+                Ok(submission) => {
+                    self.admit(submission);
+                }
+                Err(error) => {
+                    log::error!(target: "owner", key = item.key.as_str(), error:% = error; "A stored submission cannot be decoded and is skipped.");
+                }
+            }
+        }
+        for id in cancelled {
+            if !self.cancel(&id) {
+                log::info!(target: "owner", job = id.as_str(); "A cancellation refers to an unknown job.");
+            }
+        }
+    }
+
+    /// Adds an accepted job to the cell, or holds it back if it names the fence of a later owner.
+    /// All jobs that this box hears of as the owner pass here. Returns true if the cell has a new
+    /// job.
+    pub(super) fn admit(&mut self, mut submission: Submission) -> bool {
+        match fence::verdict(submission.fence, self.fence, self.head) {
+            Verdict::Admit => {}
+            Verdict::AdmitUnnamed => submission.fence = 0,
+            Verdict::Hold => {
+                self.hold(submission);
+                return false;
+            }
+        }
+        self.cell.admit(submission, wall_clock::millis())
+    }
+
+    /// Holds a job back until a write has proven that there is no later owner. The workers cannot
+    /// prove it: some may have accepted the fence of a later owner that starts tasks already.
+    fn hold(&mut self, submission: Submission) {
+        log::warn!(target: "owner", job = submission.id.as_str(), named = submission.fence, fence = self.fence; "A job names the fence of a later owner and is held back.");
+        if self.held.hold(submission) {
+            self.mark_unconfirmed();
+        }
+    }
+
+    /// Applies a cancellation that is in the store. Returns false if the cell does not know the
+    /// job; one that is held back is cancelled once it is admitted.
+    fn cancel(&mut self, id: &Id) -> bool {
+        self.held.cancel(id) || self.cell.cancel(id, time::now(), wall_clock::millis())
+    }
+
+    /// Admits the jobs that were held back and name a fence below this revision, with which a group
+    /// was written under the head of this owner. Returns true if there were some.
+    pub(super) fn release_held(&mut self, revision: u64) -> bool {
+        let released = self.held.release(revision);
+        for (submission, is_cancelled) in &released {
+            let id = &submission.id;
+            log::info!(target: "owner", job = id.as_str(), revision; "A job that was held back is admitted, since there is no later owner.");
+            self.cell.admit(submission.clone(), wall_clock::millis());
+            if *is_cancelled {
+                self.cell.cancel(id, time::now(), wall_clock::millis());
+            }
+        }
+        !released.is_empty()
+    }
+}
+
 impl Core {
     /// Applies a listing of the workers, and connects to new ones. Ignores unknown workers of a
     /// pool that the configuration does not name.
@@ -44,7 +125,7 @@
         let Some(ownership) = self.ownership_of(fence) else {
             return;
         };
-        owner_tasks::apply_intake(&mut ownership.cell, events);
+        ownership.apply_intake(events);
         self.schedule_pass(cx);
     }
 
@@ -59,7 +140,7 @@
         let Some(ownership) = self.ownership_of(fence) else {
             return;
         };
-        owner_tasks::apply_intake(&mut ownership.cell, events);
+        ownership.apply_intake(events);
         for id in ownership.cell.jobs_reread() {
             self.resume_poll(fence, &id);
         }
@@ -71,7 +152,7 @@
         let Some(ownership) = &mut self.ownership else {
             return;
         };
-        if ownership.cell.admit(submission, wall_clock::millis()) {
+        if ownership.admit(submission) || !ownership.held.is_empty() {
             self.schedule_pass(cx);
         }
     }
@@ -83,7 +164,7 @@
             return false;
         };
         let is_confirmed = !ownership.is_unconfirmed();
-        let is_known = ownership.cell.cancel(id, time::now(), wall_clock::millis()) && is_confirmed;
+        let is_known = ownership.cancel(id) && is_confirmed;
         self.schedule_pass(cx);
         is_known
     }
--- a/components/node/src/ownership/mod.rs
+++ b/components/node/src/ownership/mod.rs
@@ -13,6 +13,7 @@
     self::{confirmation::Unconfirmed, halls::Halls},
     crate::{
         core::Core,
+        fence::HeldJobs,
         group::Group,
         order_queue::OrderSender,
         owner_tasks,
@@ -50,6 +51,8 @@
     pub fence: u64,
     /// The cell.
     pub cell: Cell,
+    /// When the cell was claimed, on the clock of this box.
+    pub claimed: u64,
     /// Revision of the last write of the head.
     pub head: u64,
     /// The lease of the owner's key; 0 when it has expired.
@@ -76,6 +79,8 @@
     last_confirmed: u64,
     /// Set while another box may own the cell.
     unconfirmed: Option<Unconfirmed>,
+    /// Jobs that name the fence of a later owner.
+    held: HeldJobs,
     /// The closed data halls.
     halls: Halls,
     /// When the last group was sent to the writer.
@@ -97,6 +102,7 @@
         Ownership {
             fence,
             cell,
+            claimed,
             head: fence,
             lease,
             republish: false,
@@ -110,6 +116,7 @@
             last_tick: claimed,
             last_confirmed: claimed,
             unconfirmed: None,
+            held: HeldJobs::default(),
             halls: Halls::default(),
             group_sent: 0,
             pass_ended: 0,
@@ -248,7 +255,7 @@
         self.node.shared.set_owning(0);
         ownership.cell.log_done(time::now());
         ownership.reset_hall_metrics();
-        log::warn!(target: "owner", fence = ownership.fence, cause; "Cell ownership ended.");
+        log::warn!(target: "owner", fence = ownership.fence, held = ownership.held.len(), cause; "Cell ownership ended.");
         metrics::counter!("magpie_tenures_lost_total").increment(1);
         if let Some(responder) = ownership.handover {
             responder.send(true);
--- a/components/node/src/ownership/worker_links.rs
+++ b/components/node/src/ownership/worker_links.rs
@@ -90,8 +90,13 @@
     fn exchange(&mut self, cx: &mut Cx<'_, Self>, request: RelayRequest) -> RelayResponse {
         let now = time::now();
         let (direct, link) = (self.node.settings.direct_workers(), self.node.settings.link);
+        let highest = self.node.shared.highest_fence.get();
         let Some(ownership) = self.current_ownership() else {
-            return RelayResponse::default();
+            // A box that has claimed the cell and loads it makes its fence known already.
+            return RelayResponse {
+                fence: highest,
+                ..RelayResponse::default()
+            };
         };
         let fence = ownership.fence;
         let relay_need = ownership.relay_need(direct);
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -26,7 +26,6 @@
     std::{
         collections::HashMap,
         sync::{Arc, Mutex},
-        thread,
         time::Duration,
     },
     tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
@@ -95,7 +94,7 @@
             session = None;
             unanswered = None;
             node.shared.monitor.clear();
-            thread::sleep(IDLE_MIN_INTERVAL);
+            pause(node, IDLE_MIN_INTERVAL);
             continue;
         };
         let request = unanswered
@@ -109,14 +108,16 @@
                 node.shared.monitor.clear();
                 unanswered = Some(request);
                 refresh.try_refresh(node, session.is_some());
-                thread::sleep(if session.is_some() {
+                let time = if session.is_some() {
                     RELAY_MIN_INTERVAL
                 } else {
                     IDLE_MIN_INTERVAL
-                });
+                };
+                pause(node, time);
                 continue;
             }
         };
+        node.shared.highest_fence.raise(response.fence);
         let idle_pause = Duration::from_millis(response.pause).max(IDLE_MIN_INTERVAL);
         node.shared
             .monitor
@@ -126,10 +127,16 @@
         if had_session && session.is_none() {
             refresh.try_refresh(node, true);
         }
-        thread::sleep(session.as_ref().map_or(idle_pause, |own| own.pause));
+        pause(node, session.as_ref().map_or(idle_pause, |own| own.pause));
     }
 }
 
+/// Waits until the next exchange is due, or until another box has become the owner, whose fence
+/// this box needs for the jobs that it accepts.
+fn pause(node: &Node, time: Duration) {
+    node.shared.owner_changed.wait(time);
+}
+
 /// Limits how often the owner's key is read because the owner does not answer.
 #[derive(Default)]
 struct OwnerRefresh {
--- a/components/node/src/relays/mod.rs
+++ b/components/node/src/relays/mod.rs
@@ -304,12 +304,13 @@
         interval.clamp(least, RELAY_MAX_INTERVAL_MS)
     }
 
-    /// The next message to a box, from an owner with this link. A relay receives unacknowledged
+    /// The next message to a box, from an owner with this fence and link. A relay receives unacknowledged
     /// commands again.
     pub fn respond(&mut self, name: &str, fence: u64, link: u64, now: u64) -> RelayResponse {
         let interval = self.exchange_interval(link);
         let Some(relay) = self.by_name.get_mut(name) else {
             return RelayResponse {
+                fence,
                 pause: self
                     .idle_requests
                     .pause(name, self.unassigned.is_empty(), now),
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -104,8 +104,8 @@
 /// and each group costs a call to the store.
 pub const GROUP_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum number of transaction entries for the records of a group. The store accepts 32 entries,
-/// of which the condition, the head, the owner and the fleet take four.
-pub const GROUP_ENTRIES: usize = 28;
+/// of which the condition, the head, the owner, the fleet and the seals take five.
+pub const GROUP_ENTRIES: usize = 27;
 /// Number of records that fills a group if all are of ended jobs, which take two entries each.
 pub const GROUP_RECORDS: usize = GROUP_ENTRIES / 2;
 /// Minimum time between two placement passes, so that many reports share one pass.
--- a/components/node/tests/relays.rs
+++ b/components/node/tests/relays.rs
@@ -522,3 +522,10 @@
     relays.assign(entry("w1"), 1).unwrap();
     assert!(relays.start_budget(WIDE_LINK) > 0);
 }
+
+/// A box that is no relay writes the fence into the jobs that it accepts.
+#[test]
+fn response_to_idle_box_names_fence() {
+    let response = Relays::default().respond("b1", FENCE, WIDE_LINK, 1);
+    assert_eq!((response.session, response.fence), (0, FENCE));
+}
--- a/programs/box/src/cli.rs
+++ b/programs/box/src/cli.rs
@@ -280,7 +280,7 @@
 
 #[cfg(test)]
 mod tests {
-    use {super::*, test_case::test_case};
+    use {super::*, node::Takeover, test_case::test_case};
 
     fn build_from_text(text: &'static str) -> Result<Setup, Vec<Fault>> {
         let file = parse_lines(text);
@@ -298,6 +298,28 @@
         assert_eq!(setup.node.timing.lease, 6_000);
     }
 
+    #[test_case("", Takeover::Gradual; "default")]
+    #[test_case("MAGPIE_TAKEOVER=gradual", Takeover::Gradual; "gradual")]
+    #[test_case("MAGPIE_TAKEOVER=complete", Takeover::Complete; "complete")]
+    fn build_reads_takeover(text: &'static str, expected: Takeover) {
+        let file = parse_lines(text);
+        let required = |name: &str| ["MAGPIE_NAME", "MAGPIE_HALL"].contains(&name);
+        let reader = Reader::with_lookup(move |name| {
+            let value = file.get(name).cloned();
+            value.or_else(|| required(name).then(|| "x1".to_owned()))
+        });
+        let setup = build(reader, Arguments::from_args(&["box"], &[]).unwrap()).unwrap();
+        assert_eq!(setup.node.takeover, expected);
+    }
+
+    #[test_case("MAGPIE_NAME=b1\nMAGPIE_HALL=h1\nMAGPIE_TAKEOVER=partial"; "unknown value")]
+    #[test_case("MAGPIE_NAME=b1\nMAGPIE_HALL=h1\nMAGPIE_TAKEOVER=Gradual"; "wrong case")]
+    fn build_reports_invalid_takeover(text: &'static str) {
+        let faults = build_from_text(text).unwrap_err();
+        assert_eq!(faults.len(), 1);
+        assert!(faults[0].to_string().contains("gradual or complete"));
+    }
+
     #[test_case("MAGPIE_NAME=b1", 1; "missing hall")]
     #[test_case("MAGPIE_NAME=b1\nMAGPIE_HALL=h1\nMAGPIE_PORTS=x\nMAGPIE_STORE=here", 2; "two faults")]
     fn build_reports_all_faults(text: &'static str, faults: usize) {
