Cell: a takeover in which tasks start before all workers have answered

Cause: a new owner placed nothing until its last worker had reported, up to 5 s where a few are gone or cut off (docs/design/takeover.md).

Change: Cell::recover_gradually holds back each task only for the workers on which it may run. Workers that get no work are sealed, with the tasks that they hold, by batches of the owner; a seal is in force from the build of the batch with it to the written batch without it. policy::takeover decides, with indexes by pool, label and task. A change of the pool or labels of a worker makes the record of workers due, since a new owner compares them. Cell::recover keeps its behaviour.

Ruled out: a flag for each job (one recorded task would hold back all of its job); sealing together with unwritten ends (a new owner would not know that a task that is no longer held is done); `recorded` for seals too (a written record of workers would open a sealed one).

The random sequences do not take over gradually yet.

--- a/components/cell/src/capacity.rs
+++ b/components/cell/src/capacity.rs
@@ -65,6 +65,11 @@
         }
         let (before, size) = (worker.entry.size, entry.size);
         worker.changed |= worker.entry != entry;
+        if !worker.entry.has_same_traits(&entry) {
+            // A new owner relies on the pool and the labels in the record of workers.
+            worker.recorded = false;
+            self.fleet_dirty = true;
+        }
         if worker.entry.rack() != entry.rack() {
             self.crashes.losses.invalidate();
         }
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -11,7 +11,7 @@
         place::Unplaceable,
         run_log::FinishedRun,
         slot::Slot,
-        takeover::{Pending, Recovery},
+        takeover::{HeldBack, Pending, Recovery},
         timing::{self, Timing},
         worker::{Clock, Entry, TaskKey, Worker},
         write_queue::WriteQueue,
@@ -139,6 +139,16 @@
     pub(crate) waves: BTreeMap<u64, maintenance::WaveState>,
     /// What a takeover still waits for.
     pub(crate) recovery: Option<Recovery>,
+    /// The tasks that the current or last pass has held back for unheard workers.
+    pub(crate) held_back: HeldBack,
+    /// When the first task was placed since the takeover.
+    pub(crate) first_placement: Option<u64>,
+    /// Workers that get no work are sealed.
+    pub(crate) sealing: bool,
+    /// The record of sealed workers is due to be written.
+    pub(crate) seals_due: bool,
+    /// When it was last due because of changed tasks.
+    pub(crate) seals_rewritten: u64,
     /// Runs of jobs that are not known yet, from a takeover until the jobs have been read again.
     pub(crate) pending: Option<Pending>,
     /// Which best-effort images slow down which serving images.
@@ -198,6 +208,11 @@
             full_scans: 0,
             waves: BTreeMap::new(),
             recovery: None,
+            held_back: HeldBack::default(),
+            first_placement: None,
+            sealing: false,
+            seals_due: false,
+            seals_rewritten: 0,
             pending: None,
             interference: Interference::default(),
             forecasts: Forecasts::default(),
--- a/components/cell/src/drain.rs
+++ b/components/cell/src/drain.rs
@@ -35,7 +35,7 @@
     /// True for a worker that is leaving, is drained for maintenance, or has disappeared from the
     /// listing without notice, since such a worker may keep running for a while and then end.
     /// Entries that were lost with the store reappear soon after its return.
-    fn must_drain(&self, worker: &Worker, now: u64) -> bool {
+    pub(crate) fn must_drain(&self, worker: &Worker, now: u64) -> bool {
         let is_unlisted = worker
             .unlisted_since
             .is_some_and(|since| now >= since.max(self.listings_since + RELIST_TIME));
--- a/components/cell/src/incarnations.rs
+++ b/components/cell/src/incarnations.rs
@@ -19,7 +19,7 @@
 use {
     crate::{
         cell::Cell,
-        worker::{Entry, Listing, Worker},
+        worker::{Entry, Listing, SealState, Worker},
     },
     std::{
         collections::{HashMap, HashSet},
@@ -97,7 +97,9 @@
     pub fn restore_workers(&mut self, entries: Vec<Entry>) -> Vec<Entry> {
         let mut added = Vec::new();
         for entry in entries {
-            if self.workers.contains_key(&entry.id) {
+            if let Some(known) = self.workers.get_mut(&entry.id) {
+                // An entry of another writer may be listed.
+                known.traits_unclear = !known.entry.has_same_traits(&entry);
                 self.mark_recorded(&entry.id);
                 continue;
             }
@@ -169,6 +171,7 @@
         self.crashes.losses.remove_worker(&worker);
         log::warn!(target: "cell", worker = &**id, address = &*worker.entry.address, cause, tasks = worker.slots.len(), listed = worker.listed; "Worker removed.");
         self.fleet_dirty = true;
+        self.seals_due |= worker.seal != SealState::Open;
         self.removed.push(id.clone());
         self.mark_fenced(id);
         self.mark_reported(id);
--- a/components/cell/src/lease_expiry.rs
+++ b/components/cell/src/lease_expiry.rs
@@ -35,7 +35,7 @@
                     let is_reachable = worker.listed && !worker.is_unreachable();
                     (now >= expiry, is_reachable && now < expiry + REPORT_GRACE)
                 }
-                None => (!worker.listed && self.recovery.is_none(), false),
+                None => (!worker.listed && self.is_surely_empty(worker), false),
             };
             if is_expired && (!worker.slots.is_empty() || !worker.listed) {
                 expired.push((id.clone(), may_report));
@@ -54,6 +54,7 @@
         }
         self.expire_crash_state(now);
         self.update_recovery(now);
+        self.update_seals(now);
     }
 
     /// Requeues the tasks of a worker whose leases have expired, or only its long-running ones. The
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -41,6 +41,7 @@
 mod report;
 mod run_end;
 mod run_log;
+mod seals;
 mod serving_load;
 mod slot;
 mod successor;
@@ -48,6 +49,7 @@
 mod takeover;
 mod throttle;
 mod timing;
+mod unheard;
 mod worker;
 mod write_queue;
 
--- a/components/cell/src/persistence.rs
+++ b/components/cell/src/persistence.rs
@@ -40,7 +40,7 @@
 impl WriteBatch {
     /// True if there is nothing to write.
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty() && self.fleet.is_none()
+        self.records.is_empty() && self.fleet.is_none() && self.seals.is_none()
     }
 }
 
@@ -69,7 +69,8 @@
     }
 
     /// Returns the next batch, whose records take at most `most` store entries. The record of an
-    /// ended job takes two or three entries, since its submission is deleted.
+    /// ended job takes two or three entries, since its submission is deleted. The result of a batch
+    /// must be passed in before the next one is taken.
     pub fn take_write_batch(&mut self, most: usize) -> WriteBatch {
         let mut batch = WriteBatch::default();
         let mut entries = 0;
@@ -96,6 +97,7 @@
             let entries = self.workers.values().map(|worker| worker.entry.clone());
             batch.fleet = Some(entries.collect());
         }
+        batch.seals = self.take_seals();
         for (id, worker) in &self.workers {
             let is_persisted = |(_, job): &&(u64, Id)| !self.dirty.contains(job);
             let last = worker.unwritten_ends.iter().take_while(is_persisted).last();
@@ -112,7 +114,13 @@
             self.apply_written(id, record);
         }
         for entry in batch.fleet.iter().flatten() {
-            self.mark_recorded(&entry.id);
+            let worker = self.workers.get(&entry.id);
+            if worker.is_some_and(|worker| worker.entry.has_same_traits(entry)) {
+                self.mark_recorded(&entry.id);
+            }
+        }
+        if let Some(seals) = &batch.seals {
+            self.seals_written(seals);
         }
         let mut acknowledged = Vec::new();
         for (id, number) in &batch.ends {
@@ -165,11 +173,12 @@
             }
         }
         self.fleet_dirty |= batch.fleet.is_some();
+        self.seals_due |= batch.seals.is_some();
     }
 
     /// True if there is something to write.
     pub fn is_dirty(&self) -> bool {
-        !self.dirty.is_empty() || self.fleet_dirty
+        !self.dirty.is_empty() || self.fleet_dirty || self.seals_due
     }
 
     /// Returns the number of records to be written.
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -9,6 +9,7 @@
         run_log::RUNS_PER_LINE,
         serving_load::Urgency,
         slot::{Slot, Stage},
+        takeover::HeldBack,
         timing,
         worker::TaskKey,
     },
@@ -45,6 +46,7 @@
             return;
         }
         self.end_stale_trials();
+        self.held_back = HeldBack::default();
         let changed = self.take_changed(now);
         self.unplaceable
             .retain(|known| now < known.since + RESCAN_AFTER);
@@ -109,7 +111,7 @@
             self.ready_jobs.remove(rank);
             return;
         };
-        if job.unconfirmed && self.recovery.is_some() {
+        if job.unconfirmed && self.recovery_holds_all() {
             return;
         }
         let mut next = 0;
@@ -154,6 +156,9 @@
         now: u64,
         changed: &[Arc<str>],
     ) {
+        if self.is_step_held(&rank.id, address, &places) {
+            return;
+        }
         let Some(job) = self.jobs.get(&rank.id) else {
             return;
         };
@@ -164,9 +169,10 @@
         if is_unplaceable && changed.is_empty() {
             return;
         }
-        let ready: Vec<usize> = job.ready.range(places).copied().collect();
+        let mut ready: Vec<usize> = job.ready.range(places).copied().collect();
+        let has_held = self.retain_startable(&rank.id, address, &mut ready);
         if step.gang {
-            if !is_unplaceable {
+            if !is_unplaceable && !has_held {
                 self.place_gang(rank, address, &ready, step, now);
             }
             return;
@@ -306,6 +312,8 @@
         let address = job.progress.submission.spec.address(place);
         let image = self.interference.intern(step.image.as_ref());
         let slot = Slot::new(step, address, image, run, Stage::Sent { deadline });
+        // A stopped run of the task may still hold the slot that is replaced.
+        worker.reported &= !worker.slots.contains_key(&key);
         worker.add_slot(key.clone(), slot);
         if worker.is_faulty() {
             worker.probe = Some(key.clone());
@@ -313,6 +321,7 @@
         let start = job.assign(key.clone(), run, id, deadline, now);
         self.begin_trial(id, key, run, now);
         self.placements_left = self.placements_left.saturating_sub(1);
+        self.first_placement.get_or_insert(now);
         self.placed.push((place, run, id.clone()));
         self.orders.push((id.clone(), Order::Start(start)));
         self.update_serving_load(id, now);
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -61,8 +61,10 @@
         self.mark_fenced(id);
         let is_complete = self.handle_ends(id, &report.ended, times);
         let mut listed = HashSet::new();
+        let mut runs_pending = false;
         for run in &report.running {
             if self.is_pending(&run.job) {
+                runs_pending |= self.pending_closes();
                 self.record_pending(id, run, times);
                 continue;
             }
@@ -73,11 +75,16 @@
         }
         if let Some(worker) = self.workers.get_mut(id) {
             worker.ends_deferred = !is_complete;
+            worker.runs_pending = runs_pending;
         }
         if is_complete && report.ended.len() < MAX_ENDS {
             self.release_missing(id, &listed, report.clock, times);
             self.mark_reported(id);
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.reported = true;
+            }
         }
+        self.refresh_seal(id, now);
         self.throttle(id, now);
         if !had_unwritten && self.dirty.len() == dirty_before && self.dirty.is_empty() {
             self.acknowledge(id);
--- a/components/cell/src/takeover.rs
+++ b/components/cell/src/takeover.rs
@@ -14,6 +14,7 @@
         timing,
     },
     job::{Address, Id},
+    policy::takeover::Unheard,
     std::{
         collections::{HashMap, HashSet},
         sync::Arc,
@@ -24,10 +25,33 @@
 #[derive(Debug)]
 pub(crate) struct Recovery {
     /// Workers that have not reported all their runs.
-    missing: HashSet<Arc<str>>,
-    /// Workers that have not answered at all and do not know the new fence.
-    unfenced: HashSet<Arc<str>>,
-    deadline: u64,
+    pub missing: HashSet<Arc<str>>,
+    /// Workers that have not answered at all and do not know the new fence, without those on which
+    /// the previous owner can start nothing.
+    pub unfenced: HashSet<Arc<str>>,
+    /// When all leases granted by the previous owner have expired.
+    pub deadline: u64,
+    /// Set if tasks may start before the takeover is complete.
+    pub gradual: Option<Gradual>,
+}
+
+/// What decides which tasks may start before the takeover is complete.
+#[derive(Debug)]
+pub(crate) struct Gradual {
+    /// The fence of this ownership.
+    pub fence: u64,
+    /// The missing workers.
+    pub unheard: Unheard,
+    /// When waiting tasks were last logged.
+    pub logged: u64,
+}
+
+/// Tasks that wait for workers that have not reported.
+#[derive(Debug, Default)]
+pub(crate) struct HeldBack {
+    pub tasks: usize,
+    /// One of the workers.
+    pub worker: Option<Arc<str>>,
 }
 
 /// Worker, job and task address of a run.
@@ -39,6 +63,18 @@
     runs: HashMap<RunName, (Run, Times)>,
     /// The jobs are being read again.
     requested: bool,
+    /// Workers with such runs get no work.
+    closes_workers: bool,
+}
+
+impl Pending {
+    /// Returns the state in which workers with such runs get no work.
+    pub fn closing_workers() -> Self {
+        Pending {
+            closes_workers: true,
+            ..Pending::default()
+        }
+    }
 }
 
 impl Cell {
@@ -50,8 +86,10 @@
             unfenced: missing.clone(),
             missing,
             deadline: now + timing::max_lease_duration(self.timing.lease),
+            gradual: None,
         });
         self.pending = Some(Pending::default());
+        self.enable_sealing(false);
         self.update_recovery(now);
     }
 
@@ -66,6 +104,9 @@
     pub(crate) fn mark_reported(&mut self, id: &Arc<str>) {
         if let Some(recovery) = &mut self.recovery {
             recovery.missing.remove(id);
+            if let Some(gradual) = &mut recovery.gradual {
+                gradual.unheard.remove(id);
+            }
         }
     }
 
@@ -75,6 +116,7 @@
             return;
         };
         if !recovery.missing.is_empty() && now < recovery.deadline {
+            self.log_held_back(now);
             return;
         }
         log::info!(target: "cell", unheard = recovery.missing.len(); "Takeover complete.");
@@ -116,7 +158,7 @@
         deferred
     }
 
-    fn is_known(&self, id: &Id) -> bool {
+    pub(crate) fn is_known(&self, id: &Id) -> bool {
         self.jobs.contains_key(id) || self.ended_jobs.contains_key(id)
     }
 
@@ -149,6 +191,24 @@
         }
     }
 
+    /// Updates whether a worker runs tasks of jobs that are not known yet, after some of these have
+    /// become known.
+    fn update_runs_pending(&mut self, id: &Arc<str>) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let runs = self.pending.iter().flat_map(|pending| pending.runs.keys());
+        let has_runs = runs.into_iter().any(|(other, ..)| other == id);
+        worker.changed |= worker.runs_pending && !has_runs;
+        worker.runs_pending &= has_runs;
+    }
+
+    /// True if workers with runs of jobs that are not known yet get no work.
+    pub(crate) fn pending_closes(&self) -> bool {
+        let pending = self.pending.as_ref();
+        pending.is_some_and(|pending| pending.closes_workers)
+    }
+
     /// Adopts the runs of a job that were listed before the job was known.
     pub(crate) fn adopt_pending(&mut self, job: &Id) {
         let Some(pending) = &mut self.pending else {
@@ -171,6 +231,7 @@
                 self.adopt(&id, key, &run, times);
                 self.refresh_loss(&id);
             }
+            self.update_runs_pending(&id);
         }
     }
 }
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -9,7 +9,7 @@
     job::{Address, Id, spec::Size},
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, HashMap, VecDeque},
+        collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
         sync::Arc,
     },
 };
@@ -78,6 +78,11 @@
         (self.generation, self.started)
     }
 
+    /// True if the entries agree on the tasks that the worker may run, apart from its capacity.
+    pub(crate) fn has_same_traits(&self, other: &Entry) -> bool {
+        self.pool == other.pool && self.labels == other.labels
+    }
+
     /// True if the worker has the label.
     pub fn has_label(&self, label: &str) -> bool {
         self.labels.iter().any(|other| &**other == label)
@@ -117,6 +122,19 @@
     pub place: usize,
 }
 
+/// Whether the tasks of a worker are recorded as all that may run there. Nothing may be started
+/// there while they may be; see [`policy::takeover`].
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum SealState {
+    /// They are surely not recorded.
+    #[default]
+    Open,
+    /// These tasks are recorded, or are to be recorded by a batch that was built.
+    Sealed(BTreeSet<TaskKey>),
+    /// A batch that withdraws the record was built, but is not known to be written.
+    Withdrawn,
+}
+
 /// A reading of a worker's clock.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
@@ -155,6 +173,16 @@
     pub superseded: bool,
     /// The persisted record of workers contains it, so that a new owner would poll it.
     pub recorded: bool,
+    /// Whether it is sealed.
+    pub seal: SealState,
+    /// It is to be sealed, or to stay so.
+    pub seal_wanted: bool,
+    /// Its pool or labels differ between the listing and the record of workers.
+    pub traits_unclear: bool,
+    /// It has reported all its runs to this owner, and no slot was released without proof since.
+    pub reported: bool,
+    /// Its last report had runs of jobs that are not known yet, whose room is not counted.
+    pub runs_pending: bool,
     /// Since when the listing has had no entry for it, on the owner's clock.
     pub unlisted_since: Option<u64>,
     /// The connection to it is saturated. The worker gets no work for now.
@@ -224,6 +252,11 @@
             confirmed: false,
             superseded: false,
             recorded: false,
+            seal: SealState::Open,
+            seal_wanted: false,
+            traits_unclear: false,
+            reported: false,
+            runs_pending: false,
             unlisted_since: None,
             backpressured: false,
             draining: false,
@@ -300,11 +333,13 @@
     /// listing may lack it for a while, and a new owner would not know of it. It may not while it
     /// is unreachable either, since each start postpones the time at which all its leases have
     /// expired: with five short tasks a second, a long-running task on a partitioned worker was
-    /// restarted after 17.8 s instead of within 6 s.
+    /// restarted after 17.8 s instead of within 6 s. Nor may it while it may be sealed, or while it
+    /// runs tasks of jobs that are not known yet.
     pub fn is_schedulable(&self, now: u64) -> bool {
         let is_known = self.fenced && self.listed && self.recorded && !self.entry_invalid;
         let is_usable = is_known && !self.is_unreachable() && !self.entry.leaving && !self.draining;
-        is_usable && now >= self.backoff_until && now >= self.quarantined_until
+        let is_open = self.seal == SealState::Open && !self.runs_pending;
+        is_usable && is_open && now >= self.backoff_until && now >= self.quarantined_until
     }
 
     /// True if failed runs are all that keeps it from being given work.
@@ -359,6 +394,14 @@
         self.slots.iter().find(is_match).map(|(key, _)| key.clone())
     }
 
+    /// Returns the recorded tasks, if the worker is sealed.
+    pub fn sealed_tasks(&self) -> Option<&BTreeSet<TaskKey>> {
+        match &self.seal {
+            SealState::Sealed(tasks) => Some(tasks),
+            SealState::Open | SealState::Withdrawn => None,
+        }
+    }
+
     /// The capacity that is free for reservations.
     pub fn free(&self) -> Size {
         self.entry.size.minus(self.reserved)
--- a/components/cell/tests/decisions/main.rs
+++ b/components/cell/tests/decisions/main.rs
@@ -20,6 +20,7 @@
 mod restart_times;
 mod reused_names;
 mod run_log;
+mod seals;
 mod sim;
 mod starts;
 mod stuck_state;
--- a/components/policy/src/takeover/mod.rs
+++ b/components/policy/src/takeover/mod.rs
@@ -7,5 +7,7 @@
 mod sealing;
 mod unheard;
 
-pub use sealing::{Condition, may_seal};
+pub use sealing::{
+    Condition, MAX_RECORDED, REWRITE_INTERVAL, may_replace_tasks, may_seal, must_withdraw,
+};
 pub use unheard::{Origin, Task, Unheard, Verdict};
--- a/components/policy/src/takeover/sealing.rs
+++ b/components/policy/src/takeover/sealing.rs
@@ -13,6 +13,8 @@
     pub ends_pending: bool,
     /// It leaves, or its entry has disappeared from the listing.
     pub leaving: bool,
+    /// It knows the fence of this owner, and the listing has a valid entry for it.
+    pub available: bool,
     /// Since when it has been unreachable, in milliseconds of the owner's clock.
     pub unreachable_since: Option<u64>,
 }
@@ -21,6 +23,14 @@
 /// is replaced sooner.
 const MIN_UNREACHABLE: u64 = 1_000;
 
+/// The maximum number of tasks that are recorded, over all workers. At some 60 bytes each they stay
+/// well below the size limit of a stored value.
+pub const MAX_RECORDED: usize = 2_000;
+
+/// A record is written again at most this often, in milliseconds, if nothing but the tasks of
+/// sealed workers has changed. A record with tasks that have ended only delays their next start.
+pub const REWRITE_INTERVAL: u64 = 500;
+
 /// True if a worker is to be sealed. Ends that are not persisted must come first: the tasks are no
 /// longer held, but a new owner would not know that they are done.
 pub fn may_seal(worker: Condition, now: u64) -> bool {
@@ -29,3 +39,14 @@
         .is_some_and(|since| now >= since + MIN_UNREACHABLE);
     worker.reported && !worker.ends_pending && (worker.leaving || is_lost)
 }
+
+/// True if the seal of a worker is to be withdrawn, since the worker can be given work again.
+pub fn must_withdraw(worker: Condition) -> bool {
+    worker.available && !worker.leaving && worker.unreachable_since.is_none()
+}
+
+/// True if the recorded tasks of a sealed worker may be replaced by the tasks that it holds now.
+/// Before that, recorded tasks that are no longer held may have ended without a record of it.
+pub fn may_replace_tasks(worker: Condition) -> bool {
+    worker.reported && !worker.ends_pending
+}
