Node: gradual takeover, and seals in groups

Cause: a new owner places nothing until its last worker has answered, or until the leases of the former owner have expired.

Ruled out: to overwrite seals that are not relied on with the first group. Their record names their writer, which is never again the writer of the head that a claim replaces, so they do no harm.

Change: MAGPIE_TAKEOVER decides between Cell::recover_gradually and Cell::recover. A claim reads them and relies on them only if the head that it has replaced names the same fence. The first placement after a takeover is logged and measured; gauges tell the sealed workers and the tasks that wait for unheard ones.

--- a/components/node/src/claim.rs
+++ b/components/node/src/claim.rs
@@ -9,15 +9,17 @@
         fence::{self, Verdict},
         group::{CELL, owner_record, put},
         keys,
-        message::{Head, PeerRequest, PeerResponse, WorkerRecord},
+        message::{Head, PeerRequest, PeerResponse, SealRecord, WorkerRecord},
         owner_tasks,
         ownership::Ownership,
         peer,
-        settings::{LOW_SHARE, LOW_SHARE_DELAY, OWNER_LEASE, OWNER_RETRY_PAUSE, RENEW_INTERVAL},
+        settings::{
+            LOW_SHARE, LOW_SHARE_DELAY, OWNER_LEASE, OWNER_RETRY_PAUSE, RENEW_INTERVAL, Takeover,
+        },
         store::{ApplyResult, Change, Item, range_all},
         time,
     },
-    cell::{Cell, Entry},
+    cell::{Cell, Entry, Seal},
     job::{Id, Record},
     kernel::{Failure, task::Signal, verdict::Cause, wall_clock, wire},
     std::{
@@ -75,6 +77,9 @@
     let store = &node.external.store;
     let lease = store.grant(load_lease(node))?;
     let head = store.get(&keys::head(CELL))?;
+    let replaced: Option<Head> = head
+        .as_ref()
+        .and_then(|item| readable(item, wire::decode(&item.value)));
     let change = claim_change(node, revision, head.map_or(0, |item| item.revision), lease);
     let started = time::now();
     let fence = match store.apply(&change)? {
@@ -91,7 +96,7 @@
         interference,
         closures,
         closures_read,
-    } = load_with_lease(node, fence, lease, &renewed)?;
+    } = load_with_lease(node, fence, replaced.as_ref(), lease, &renewed)?;
     let summary = cell.summary(time::now());
     log::info!(target: "owner", fence, jobs = summary.jobs, workers = summary.workers, took = time::now() - started; "Cell state loaded from the store.");
     let mut ownership = Ownership::new(fence, lease, cell, renewed.into_inner());
@@ -181,6 +186,7 @@
 fn load_with_lease(
     node: &Node,
     fence: u64,
+    replaced: Option<&Head>,
     lease: u64,
     renewed: &AtomicU64,
 ) -> Result<Loaded, Failure> {
@@ -192,7 +198,7 @@
         {
             log::error!(target: "owner", lease, error:% = error; "The thread that renews the lease while the cell is loaded could not be started.");
         }
-        let cell = load(node, fence);
+        let cell = load(node, fence, replaced);
         loaded.stop();
         cell
     })
@@ -219,6 +225,24 @@
     }
 }
 
+/// Reads the sealed workers. Those that the owner of the replaced head has not written stay in the
+/// store, where no later owner relies on them either.
+fn load_seals(node: &Node, replaced: Option<&Head>) -> Result<Vec<Seal>, Failure> {
+    let Some(item) = node.external.store.get_large(&keys::seals(CELL))? else {
+        return Ok(Vec::new());
+    };
+    let Some(record) = readable(&item, wire::decode::<SealRecord>(&item.value)) else {
+        return Ok(Vec::new());
+    };
+    if replaced.is_some_and(|head| record.is_current(head)) {
+        return Ok(record.seals);
+    }
+    if !record.seals.is_empty() {
+        log::info!(target: "owner", seals = record.seals.len(), writer = record.fence; "The stored seals are ignored, since the last owner has not written them.");
+    }
+    Ok(Vec::new())
+}
+
 /// Returns a decoded value, or logs and counts it as unreadable. A takeover skips unreadable
 /// values, so that one of them does not block the rest of the cell.
 fn readable<T>(item: &Item, decoded: Result<T, Failure>) -> Option<T> {
@@ -243,9 +267,10 @@
     closures_read: u64,
 }
 
-/// Loads jobs, records and workers into a cell, for an owner with this fence. Reads the closed data
-/// halls last, since the other reads may take seconds and a hall may be closed meanwhile.
-fn load(node: &Node, fence: u64) -> Result<Loaded, Failure> {
+/// Loads jobs, records and workers into a cell, for an owner with this fence whose claim has
+/// replaced the given head. Reads the closed data halls last, since the other reads may take
+/// seconds and a hall may be closed meanwhile.
+fn load(node: &Node, fence: u64, replaced: Option<&Head>) -> Result<Loaded, Failure> {
     let store = &*node.external.store;
     let (intake, _) = range_all(store, keys::INTAKE)?;
     let (states, _) = range_all(store, keys::STATE)?;
@@ -317,6 +342,9 @@
         let workers = readable(&item, workers).unwrap_or_default();
         cell.restore_workers(workers.into_iter().map(Entry::from).collect());
     }
+    if node.settings.takeover == Takeover::Gradual {
+        cell.restore_seals(load_seals(node, replaced)?);
+    }
     let closures_read = time::now();
     let closures = node.external.closures.read()?;
     Ok(Loaded {
--- a/components/node/src/ownership/mod.rs
+++ b/components/node/src/ownership/mod.rs
@@ -18,7 +18,7 @@
         order_queue::OrderSender,
         owner_tasks,
         relays::{Need, Relays},
-        settings::TICK_INTERVAL,
+        settings::{TICK_INTERVAL, Takeover},
         time,
     },
     cell::{AdviceQuery, Cell, Entry, Poll},
@@ -85,6 +85,8 @@
     halls: Halls,
     /// When the last group was sent to the writer.
     group_sent: u64,
+    /// A task has been placed in this ownership.
+    has_placed: bool,
     /// When the last placement pass ended.
     pass_ended: u64,
     /// Duration of the last placement pass, in milliseconds.
@@ -119,6 +121,7 @@
             held: HeldJobs::default(),
             halls: Halls::default(),
             group_sent: 0,
+            has_placed: false,
             pass_ended: 0,
             pass_duration: 0,
             pass_timer: false,
@@ -209,7 +212,13 @@
     pub(crate) fn begin_ownership(&mut self, cx: &mut Cx<'_, Self>, mut ownership: Ownership) {
         let fence = ownership.fence;
         let entries: Vec<Entry> = ownership.cell.entries().cloned().collect();
-        ownership.cell.recover(time::now());
+        match self.node.settings.takeover {
+            Takeover::Gradual => {
+                ownership.cell.enable_sealing(true);
+                ownership.cell.recover_gradually(time::now(), fence);
+            }
+            Takeover::Complete => ownership.cell.recover(time::now()),
+        }
         // The lease may have expired while the cell was loaded.
         ownership.check_stall();
         ownership.last_tick = time::now();
@@ -242,6 +251,9 @@
             .cell
             .log_overdue(wall_clock::millis(), time::now());
         metrics::gauge!("magpie_cell_lasting_overdue").set(long_waits as f64);
+        metrics::gauge!("magpie_cell_workers_sealed").set(ownership.cell.sealed_workers() as f64);
+        let unheard = ownership.cell.tasks_waiting_unheard(time::now());
+        metrics::gauge!("magpie_cell_tasks_waiting_unheard").set(unheard as f64);
         metrics::gauge!("magpie_cell_places_lost").set(ownership.cell.misplaced_tasks() as f64);
         after!(SUMMARY_INTERVAL, [cx], |this, cx| this
             .log_summary(cx, fence));
--- a/components/node/src/ownership/placement.rs
+++ b/components/node/src/ownership/placement.rs
@@ -1,7 +1,7 @@
 //! Placement passes: when they run, and how their orders and queries are sent.
 
 use {
-    super::Link,
+    super::{Link, Ownership},
     crate::core::Core,
     crate::order_queue::QueuedOrder,
     crate::settings::PASS_INTERVAL,
@@ -13,6 +13,24 @@
 /// Minimum time between two passes as a multiple of the duration of the last one.
 const PASS_PAUSE_FACTOR: u64 = 4;
 
+impl Ownership {
+    /// Logs and measures, once in an ownership, how long after the claim the first task was placed.
+    fn log_first_placement(&mut self) {
+        if self.has_placed {
+            return;
+        }
+        let Some(at) = self.cell.first_placement() else {
+            return;
+        };
+        self.has_placed = true;
+        let took = Duration::from_millis(at.saturating_sub(self.claimed));
+        let heard = self.cell.reachability(at).reachable;
+        let waiting = self.cell.tasks_waiting_unheard(at);
+        log::info!(target: "owner", fence = self.fence, took = took.as_millis() as u64, heard, workers = self.cell.worker_count(), waiting; "First task placed after the takeover.");
+        metrics::histogram!("magpie_takeover_first_placement_seconds").record(took);
+    }
+}
+
 impl Core {
     /// Runs a placement pass, at once or when the minimum interval has passed.
     pub(crate) fn schedule_pass(&mut self, cx: &mut Cx<'_, Self>) {
@@ -65,6 +83,7 @@
                 .cell
                 .set_backpressured(ownership.relays.busy_workers());
             ownership.cell.place_up_to(started, max_starts);
+            ownership.log_first_placement();
         }
         ownership.pass_ended = time::now();
         ownership.pass_duration = ownership.pass_ended - started;
