--- a/components/node/src/ownership/inputs.rs
+++ b/components/node/src/ownership/inputs.rs
@@ -220,3 +220,102 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use {
+        super::*,
+        cell::{Cell, Timing},
+        job::{Queue, Spec, Step},
+        test_case::test_case,
+    };
+
+    const TIMING: Timing = Timing {
+        lease: 6_000,
+        stop: 900,
+        pace: 100,
+    };
+    const FENCE: u64 = 20;
+    const HEAD: u64 = 30;
+    const JOB: &str = "00000000000000a1";
+
+    fn ownership() -> Ownership {
+        let mut ownership = Ownership::new(FENCE, 2, Cell::new(TIMING), 0);
+        ownership.head = HEAD;
+        ownership
+    }
+
+    /// A job of one task that names a fence.
+    fn submission(fence: u64) -> Submission {
+        let step = Step {
+            count: 1,
+            ..Step::default()
+        };
+        Submission {
+            id: Id::new(JOB).unwrap(),
+            spec: Spec {
+                text: "text".into(),
+                steps: vec![step],
+                timetable: None,
+            },
+            queue: Queue {
+                name: "queue".into(),
+                host: "host".into(),
+                prefix: "/".into(),
+                pool: "pool".into(),
+                priority: 0,
+                attempts: 1,
+                stretch: 1.0,
+                target: 1,
+                advised: false,
+            },
+            accepted: 1,
+            fence,
+            hall: "".into(),
+        }
+    }
+
+    /// While a job is held back, no other job is placed either: the later owner may have started
+    /// it.
+    #[test_case(FENCE, true, false; "own fence")]
+    #[test_case(HEAD, true, false; "disproven fence")]
+    #[test_case(HEAD + 1, false, true; "later fence")]
+    fn admit_by_fence(named: u64, is_admitted: bool, is_unconfirmed: bool) {
+        let mut ownership = ownership();
+        assert_eq!(ownership.admit(submission(named)), is_admitted);
+        assert_eq!(ownership.is_unconfirmed(), is_unconfirmed);
+    }
+
+    /// A majority of the workers confirms an ownership while the store does not answer.
+    #[test]
+    fn confirmation_by_workers_keeps_job_held() {
+        let mut ownership = ownership();
+        ownership.admit(submission(HEAD + 1));
+        ownership.group_sent = u64::MAX;
+        ownership.write_unanswered();
+        ownership.poll_answered(&"w1".into(), u64::MAX);
+        assert!(!ownership.is_unconfirmed());
+        assert_eq!(ownership.held.len(), 1);
+    }
+
+    #[test]
+    fn release_held_admits_job() {
+        let mut ownership = ownership();
+        ownership.admit(submission(HEAD + 1));
+        assert!(ownership.release_held(HEAD + 2));
+        assert_eq!(
+            ownership.cell.state(&Id::new(JOB).unwrap()),
+            Some(State::Queued)
+        );
+    }
+
+    #[test]
+    fn release_held_cancels_job() {
+        let mut ownership = ownership();
+        ownership.admit(submission(HEAD + 1));
+        ownership.cancel(&Id::new(JOB).unwrap());
+        ownership.release_held(HEAD + 2);
+        let state = ownership.cell.state(&Id::new(JOB).unwrap());
+        assert_eq!(state, Some(State::Cancelled));
+    }
+}
