Cell: random sequences with gradual takeovers, seals and owners that resume

Single tests show each rule, not their mix.

Change: the simulator takes over gradually, keeps seals with the fence of their writer and relies on them only if that owner was the last to write to the head. New events: an owner is suspended, resumes beside its successor and accepts jobs (it stops before its leases count as expired, and writes nothing); writes are carried out or not, without an answer. Jobs name the fence that their box knows, some need a rack, and a new owner may read a job up to 1 s late. Batches may be small and slow. A success that is recorded later also counts against starts after it, in all random tests.

Ruled out: a former owner that requeues tasks by expired leases. A suspended owner that resumes is unconfirmed and does not place them.

--- a/components/cell/tests/decisions/net_sim.rs
+++ b/components/cell/tests/decisions/net_sim.rs
@@ -12,17 +12,20 @@
 //! clock, only by its fence, so they are delivered only after the owner has shown its fence there. A
 //! crash closes the connections that could carry such a start.
 
+mod former;
 mod machine;
 mod network;
 
 use {
     self::{
+        former::{Former, MAX_AWAKE, Owner},
         machine::{DOWNTIME, Machine},
-        network::{DelayedPoll, OrderInTransit, PendingPoll},
+        network::{Answer, DelayedPoll, OrderInTransit, PendingPoll},
     },
     crate::common::{TIMING, submission},
+    fastrand::Rng,
     job::{Id, Record, State, Step, Submission},
-    magpie_cell::{Cell, Entry, Order, Outcome, Refusal},
+    magpie_cell::{Cell, Entry, Refusal, Seal, WriteBatch},
     std::{
         collections::{BTreeMap, HashMap, HashSet},
         hash::Hash,
@@ -42,6 +45,11 @@
 /// Start of the simulation, in milliseconds since 1970.
 const START_TIME: u64 = 1_700_000_000_000;
 
+/// Time that a new owner takes to load the cell after its claim, in milliseconds.
+const LOAD_TIME: u64 = 300;
+/// Maximum time until an owner has read a job that another one has accepted, in milliseconds.
+const MAX_UNREAD: u64 = 1_000;
+
 /// A task: its job and its place.
 pub type TaskId = (Id, usize);
 
@@ -81,6 +89,11 @@
     Restart(Range<usize>, u64, u64, u64),
     /// Polls of machines get no answer for a time and are executed with a delay.
     DelayPolls(Range<usize>, u64, u64),
+    /// Writes get no answer for a time; some of them are carried out.
+    LoseWrites(u64),
+    /// The owner is suspended, and the next one takes over after the first time. The former one
+    /// resumes after the second, and acts for the third.
+    Suspend(u64, u64, u64),
 }
 
 /// A violated invariant.
@@ -138,9 +151,31 @@
     recorded: HashSet<TaskId>,
     /// Workers restart under the same names.
     reuses_names: bool,
+    /// Owners take over gradually and seal workers.
+    is_gradual: bool,
+    /// The maximum number of entries in a batch.
+    batch_size: usize,
+    /// The time between two batches, in milliseconds.
+    write_interval: u64,
+    /// Chance in what is gradual.
+    rng: Rng,
+    /// The sealed workers, and the fence of the owner that has written them.
+    seals: (u64, Vec<Seal>),
+    /// The owner that has last written to the head, by claim or batch.
+    head_writer: u64,
+    writes_lost_until: u64,
+    /// When the owner is suspended, how the next one takes over, see [`Event::Suspend`].
+    suspension: Option<(u64, u64)>,
+    formers: Vec<Former>,
+    /// A former owner acts.
+    is_former: bool,
+    /// Jobs that the owner has not read yet, and when it reads them.
+    unread: Vec<(u64, Submission)>,
+    /// When each task was last started.
+    started: HashMap<TaskId, u64>,
     next_polls: HashMap<Arc<str>, u64>,
     sent: Vec<OrderInTransit>,
-    answers: Vec<(u64, Arc<str>, Order, Outcome)>,
+    answers: Vec<Answer>,
     crashing: HashMap<TaskId, u64>,
     incarnations: u32,
     task_ms: u64,
@@ -169,6 +204,18 @@
             delayed: Vec::new(),
             recorded: HashSet::new(),
             reuses_names: false,
+            is_gradual: false,
+            batch_size: 100,
+            write_interval: STEP,
+            rng: Rng::with_seed(0),
+            seals: (0, Vec::new()),
+            head_writer: 1,
+            writes_lost_until: 0,
+            suspension: None,
+            formers: Vec::new(),
+            is_former: false,
+            unread: Vec::new(),
+            started: HashMap::new(),
             next_polls: HashMap::new(),
             sent: Vec::new(),
             answers: Vec::new(),
@@ -194,19 +241,62 @@
         sim
     }
 
+    /// Lets owners take over gradually and seal workers that get no work.
+    pub fn take_over_gradually(&mut self, seed: u64) {
+        self.is_gradual = true;
+        self.rng = Rng::with_seed(seed);
+        (self.batch_size, self.write_interval) = match self.rng.u8(0..4) {
+            0 => (1, STEP),
+            1 => (2, 5 * STEP),
+            _ => (100, STEP),
+        };
+        self.cell.enable_sealing(true);
+    }
+
     /// Submits a job of one step. Priority 0 goes first.
     pub fn submit(&mut self, number: u64, step: Step, priority: u32) -> Id {
         let id = id(number);
         let mut submission = submission(id.as_str(), vec![step]);
         submission.accepted = self.now;
         submission.queue.priority = priority;
+        submission.fence = self.accepted_fence();
         self.jobs.push(submission.clone());
-        if self.takeover_at.is_none() {
+        if self.takeover_at.is_some() {
+            return id;
+        }
+        if !self.formers.is_empty() && self.rng.bool() {
+            let at = self.now + self.rng.u64(0..MAX_UNREAD);
+            self.unread.push((at, submission));
+        } else {
             assert!(self.cell.admit(submission, self.now));
         }
         id
     }
 
+    /// The fence that the box knows that accepts a job.
+    fn accepted_fence(&mut self) -> u64 {
+        if !self.is_gradual {
+            return 0;
+        }
+        let is_claimed = self
+            .takeover_at
+            .is_some_and(|at| self.now + LOAD_TIME >= at);
+        let newest = self.fence + u64::from(is_claimed);
+        match self.rng.u8(0..6) {
+            0 => 0,
+            1 | 2 => newest - 1,
+            _ => newest,
+        }
+    }
+
+    /// Admits jobs that the owner reads now.
+    fn read_jobs(&mut self, until: u64) {
+        let due: Vec<_> = self.unread.extract_if(.., |(at, _)| *at <= until).collect();
+        for (_, submission) in due {
+            self.cell.admit(submission, self.now);
+        }
+    }
+
     /// Makes a task crash every worker that starts it, `after` milliseconds after the start.
     pub fn crash_on_start(&mut self, id: &Id, place: usize, after: u64) {
         self.crashing.insert((id.clone(), place), after);
@@ -246,6 +336,15 @@
                 self.writes_resume = self.writes_resume.max(now + suspended);
                 self.owner_dies = Some((now + suspended, *gap));
             }
+            Event::LoseWrites(time) => {
+                self.writes_lost_until = self.writes_lost_until.max(now + time);
+            }
+            Event::Suspend(gap, wake, awake) => {
+                if self.takeover_at.is_none() {
+                    self.suspension = Some((*wake, *awake));
+                    self.takeover_at = Some(now + gap);
+                }
+            }
             Event::DropAnswers(range, time, late) => self.for_each_up(range, |machine| {
                 machine.answers_dropped = (now + time, *late)
             }),
@@ -289,6 +388,7 @@
             self.end_due_runs();
             self.restart_machines();
             self.deliver();
+            self.run_formers();
             self.run_owner();
             self.check();
         }
@@ -304,6 +404,7 @@
         }
         if let Some(takeover_at) = self.takeover_at {
             if now < takeover_at {
+                self.answer_polls();
                 return;
             }
             self.take_over();
@@ -321,7 +422,9 @@
             self.cell.rerank(now, now);
             self.cell.expire_leases(now);
         }
+        self.read_jobs(now);
         if self.cell.is_reread_due() {
+            self.read_jobs(u64::MAX);
             self.cell.jobs_reread();
         }
         self.cell.place(now);
@@ -333,15 +436,28 @@
 
     fn take_over(&mut self) {
         self.takeover_at = None;
-        self.fence += 1;
-        self.polls.clear();
-        self.connected.clear();
-        self.next_polls.clear();
-        self.answers.clear();
-        self.sent.retain(|sent| !sent.is_answered);
-        self.cell = Cell::new(TIMING);
+        let mut former = Owner::new(self.fence + 1);
+        self.swap_owner(&mut former);
+        match self.suspension.take() {
+            Some((wake, awake)) => {
+                let until = (wake + awake).min(MAX_AWAKE);
+                self.formers.push(Former {
+                    owner: former,
+                    awake: (self.now + wake, self.now + until),
+                    jobs_read: 0,
+                });
+            }
+            None => self.sent.retain(|sent| !sent.is_answered),
+        }
+        self.unread.clear();
         self.list();
         self.cell.restore_workers(self.fleet.clone());
+        // A seal counts if its writer was the last to write to the head.
+        let are_seals_valid = self.seals.0 == self.head_writer;
+        if self.is_gradual && are_seals_valid {
+            self.cell.restore_seals(self.seals.1.clone());
+        }
+        self.head_writer = self.fence;
         for job in &self.jobs {
             let record = self.persisted.get(&job.id).cloned().unwrap_or_default();
             if record.state.is_final() {
@@ -350,7 +466,10 @@
                 self.cell.resume(job.clone(), &record, self.now);
             }
         }
-        self.cell.recover(self.now);
+        match self.is_gradual {
+            true => self.cell.recover_gradually(self.now, self.fence),
+            false => self.cell.recover(self.now),
+        }
     }
 
     fn list(&mut self) {
@@ -378,14 +497,33 @@
     }
 
     fn persist(&mut self) {
-        if self.now < self.writes_resume {
+        if self.now < self.writes_resume || !self.now.is_multiple_of(self.write_interval) {
             return;
         }
-        let change = self.cell.take_write_batch(100);
-        self.cell.batch_written(&change);
-        self.persisted.extend(change.records);
-        if let Some(fleet) = change.fleet {
-            self.fleet = fleet;
+        let change = self.cell.take_write_batch(self.batch_size);
+        let is_answered = self.now >= self.writes_lost_until;
+        if is_answered || self.rng.bool() {
+            self.store(&change);
+        }
+        if is_answered {
+            self.cell.batch_written(&change);
+        } else {
+            self.cell.batch_failed(change);
+        }
+    }
+
+    /// Carries out a write.
+    fn store(&mut self, change: &WriteBatch) {
+        if change.is_empty() {
+            return;
+        }
+        self.head_writer = self.fence;
+        self.persisted.extend(change.records.iter().cloned());
+        if let Some(fleet) = &change.fleet {
+            self.fleet = fleet.clone();
+        }
+        if let Some(seals) = &change.seals {
+            self.seals = (self.fence, seals.clone());
         }
     }
 
--- a/components/cell/tests/decisions/net_sim/machine.rs
+++ b/components/cell/tests/decisions/net_sim/machine.rs
@@ -116,20 +116,24 @@
             started: self.start_time,
             address: self.address.clone(),
             leaving: self.is_leaving,
-            labels: vec!["a".into(), format!("r{}", self.rack).into()],
+            labels: self.labels(),
             ..entry(&self.name, CAPACITY / 1_000)
         }
     }
 
+    fn labels(&self) -> Vec<Arc<str>> {
+        vec!["a".into(), format!("r{}", self.rack).into()]
+    }
+
     /// Processes a poll: drops acknowledged ends and extends the lease. Returns the tasks whose
-    /// success is recorded thereby.
-    pub fn accept_poll(&mut self, poll: Poll, now: u64) -> Vec<TaskId> {
+    /// success is recorded thereby, and when they ended.
+    pub fn accept_poll(&mut self, poll: Poll, now: u64) -> Vec<(TaskId, u64)> {
         let acknowledged = self.ended.extract_if(.., |end| end.number <= poll.seen);
         let mut recorded = Vec::new();
         for end in acknowledged {
             let at = self.ended_at.remove(&end.number).unwrap_or_default();
             if end.how == EndCause::Done && at > self.lease_expired_at {
-                recorded.push((end.job, end.address.index as usize));
+                recorded.push(((end.job, end.address.index as usize), at));
             }
         }
         if self.clock(now) > self.lease {
@@ -155,7 +159,12 @@
         let of_job = self.runs.keys().filter(|(id, _)| id == job).count();
         let is_apart = step.spread == 0 || of_job < step.spread as usize;
         let is_up = self.returns_at.is_none() && !self.is_leaving;
-        is_up && is_apart && self.used_cpu() + step.size.cpu <= CAPACITY
+        let labels = self.labels();
+        let has_label = step
+            .label
+            .as_ref()
+            .is_none_or(|label| labels.contains(label));
+        is_up && has_label && is_apart && self.used_cpu() + step.size.cpu <= CAPACITY
     }
 
     pub fn start(&mut self, start: &Start, step: &Step, task_ms: u64, now: u64) -> Outcome {
--- a/components/cell/tests/decisions/net_sim/network.rs
+++ b/components/cell/tests/decisions/net_sim/network.rs
@@ -1,7 +1,7 @@
 //! Simulated network between the owner and the workers: polls, orders and answers in transit.
 
 use {
-    super::{NetSim, Violation},
+    super::{NetSim, TaskId, Violation, machine::Machine},
     magpie_cell::{Entry, Order, Outcome, Poll, Refusal, Report},
     std::{collections::HashSet, sync::Arc},
 };
@@ -15,6 +15,9 @@
 /// Latency of an order and of its answer, in milliseconds each.
 const LATENCY: u64 = 10;
 
+/// An answer to an order, and when it arrives.
+pub type Answer = (u64, Arc<str>, Order, Outcome);
+
 /// A poll that its worker executes with a delay.
 pub struct DelayedPoll {
     pub at: u64,
@@ -33,6 +36,18 @@
     pub answer: Option<(u64, Report)>,
 }
 
+impl PendingPoll {
+    /// Lets the worker answer if it has an end to report or the wait of the poll is over.
+    fn answer_by(&mut self, machine: &Machine, now: u64) {
+        let is_due = now >= self.until || machine.ended.iter().any(|end| end.number > self.seen);
+        if now < machine.partitioned_until || (is_due && now < machine.reports_dropped_until) {
+            self.is_lost = true;
+        } else if is_due {
+            self.answer = Some((now + LATENCY, machine.report(now)));
+        }
+    }
+}
+
 /// An order in transit.
 pub struct OrderInTransit {
     pub at: u64,
@@ -126,7 +141,7 @@
         } else if !is_partitioned {
             machine.fence = fence;
             let recorded = machine.accept_poll(poll, now);
-            self.recorded.extend(recorded);
+            self.note_successes(recorded);
         }
         let pending = PendingPoll {
             sent: now,
@@ -140,7 +155,7 @@
 
     /// A worker has seen a higher fence: that of a later incarnation or of another owner.
     fn refuse_poll(&mut self, entry: &Entry) {
-        if !self.cell.is_superseded(&entry.id) {
+        if !self.is_former && !self.cell.is_superseded(&entry.id) {
             self.violation = Some(Violation::FalseOwnerChange(self.now));
         }
         self.fail_poll(&entry.id);
@@ -180,12 +195,22 @@
             }
             return;
         };
-        let is_due =
-            now >= pending.until || machine.ended.iter().any(|end| end.number > pending.seen);
-        if now < machine.partitioned_until || (is_due && now < machine.reports_dropped_until) {
-            pending.is_lost = true;
-        } else if is_due {
-            pending.answer = Some((now + LATENCY, machine.report(now)));
+        pending.answer_by(machine, now);
+    }
+
+    /// Lets workers answer the polls of an owner that is suspended.
+    pub(super) fn answer_polls(&mut self) {
+        for (id, pending) in &mut self.polls {
+            let mut machines = self.machines.iter();
+            let machine = machines.find(|machine| machine.id == *id);
+            let machine = machine.filter(|machine| machine.returns_at.is_none());
+            if pending.is_lost || pending.answer.is_some() {
+                continue;
+            }
+            match machine {
+                Some(machine) => pending.answer_by(machine, self.now),
+                None => pending.is_lost = true,
+            }
         }
     }
 
@@ -254,20 +279,44 @@
             if let Some(machine) = machine.filter(|machine| machine.fence <= fence) {
                 machine.fence = fence;
                 let recorded = machine.accept_poll(poll, now);
-                self.recorded.extend(recorded);
+                self.note_successes(recorded);
             }
         }
         let due: Vec<OrderInTransit> = self.sent.extract_if(.., |sent| sent.at <= now).collect();
         for sent in due {
             let outcome = self.execute(&sent);
-            if !sent.is_answered || sent.owner != self.fence {
+            let Some(answers) = self.answers_to(sent.owner) else {
+                continue;
+            };
+            if !sent.is_answered {
                 continue;
             }
             let at = match outcome {
                 Outcome::Unknown => now + ANSWER_TIMEOUT,
                 _ => now + LATENCY,
             };
-            self.answers.push((at, sent.id, sent.order, outcome));
+            answers.push((at, sent.id, sent.order, outcome));
+        }
+    }
+
+    /// The answers in transit to the owner with this fence.
+    fn answers_to(&mut self, fence: u64) -> Option<&mut Vec<Answer>> {
+        if fence == self.fence {
+            return Some(&mut self.answers);
+        }
+        let mut formers = self.formers.iter_mut();
+        let former = formers.find(|former| former.owner.fence == fence)?;
+        Some(&mut former.owner.answers)
+    }
+
+    /// Records successes that the owner has acknowledged. None of these tasks may have started
+    /// since its end.
+    fn note_successes(&mut self, recorded: Vec<(TaskId, u64)>) {
+        for (task, ended_at) in recorded {
+            if self.started.get(&task).is_some_and(|&at| at > ended_at) {
+                self.violation = Some(Violation::RestartAfterSuccess(self.now, task.clone()));
+            }
+            self.recorded.insert(task);
         }
     }
 
@@ -303,8 +352,11 @@
                 let runs_before = machine.runs.len();
                 let outcome = machine.start(start, step, self.task_ms, now);
                 let task = (start.key.job.clone(), start.key.place);
-                if machine.runs.len() > runs_before && self.recorded.contains(&task) {
-                    self.violation = Some(Violation::RestartAfterSuccess(now, task.clone()));
+                if machine.runs.len() > runs_before {
+                    if self.recorded.contains(&task) {
+                        self.violation = Some(Violation::RestartAfterSuccess(now, task.clone()));
+                    }
+                    self.started.insert(task.clone(), now);
                 }
                 if outcome == Outcome::Done
                     && let Some(after) = self.crashing.get(&task)
--- a/components/cell/tests/decisions/random_faults.rs
+++ b/components/cell/tests/decisions/random_faults.rs
@@ -18,6 +18,8 @@
 
 /// Default number of cases.
 const DEFAULT_CASES: u64 = 24;
+/// The same for gradual takeovers.
+const DEFAULT_GRADUAL_CASES: u64 = 8;
 /// Time span of the events, in milliseconds; the longer one is used in one case of four.
 const EVENT_SPAN: u64 = 14_000;
 const LONG_EVENT_SPAN: u64 = 40_000;
@@ -32,6 +34,8 @@
 const MAX_TRIAL: u64 = 6_500;
 /// Seed modifier of the events that are specific to reused names.
 const REUSED_NAMES_SEED: u64 = 0x6e61_6d65;
+/// Seed modifier of the events that are specific to gradual takeovers.
+const GRADUAL_SEED: u64 = 0x6772_6164;
 /// Interval of short jobs, in milliseconds.
 const SHORT_INTERVAL: u64 = 300;
 
@@ -58,6 +62,8 @@
     events: Vec<ScheduledEvent>,
     /// Workers restart under the same names.
     reuses_names: bool,
+    /// Owners take over gradually, and some jobs need a rack.
+    is_gradual: bool,
 }
 
 /// A scheduled event.
@@ -83,6 +89,75 @@
         }
     }
 
+    /// An event that matters to a takeover.
+    fn around_takeover(at: u64, rng: &mut Rng, workers: usize) -> Self {
+        let range = random_range(rng, workers);
+        let time = rng.u64(1..=45) * 100;
+        let event = match rng.u8(0..12) {
+            0..3 => {
+                let wake = rng.u64(0..=20) * 100;
+                Event::Suspend(rng.u64(0..=25) * 100, wake, rng.u64(1..=30) * 100)
+            }
+            3 => Event::Takeover(0, rng.u64(0..=10) * 100),
+            4 | 5 => Event::LoseWrites(time.min(1_500)),
+            6 => Event::SuspendWrites(time.min(1_500)),
+            7 => Event::Leave(range.start, time),
+            8 => Event::HideEntry(range, time),
+            _ => Event::Partition(range, time),
+        };
+        let on_tasks = rng.bool().then(|| (rng.u64(1..=3), 0..rng.usize(1..=6)));
+        let on_tasks = on_tasks.filter(|_| event.targets_machines());
+        ScheduledEvent {
+            at,
+            event,
+            on_tasks,
+        }
+    }
+
+    /// Events after which workers are sealed or unsealed by late writes, just before a takeover.
+    /// The workers are unreachable again during the takeover.
+    fn around_seals(at: u64, rng: &mut Rng, workers: usize) -> Vec<Self> {
+        let range = random_range(rng, workers);
+        let mut events = Vec::new();
+        let mut add = |at, event| {
+            events.push(ScheduledEvent {
+                at,
+                event,
+                on_tasks: None,
+            });
+        };
+        let cut = rng.u64(11..=25) * 100;
+        let writes = rng.u64(1..=18) * 100;
+        let late = match rng.bool() {
+            true => Event::SuspendWrites(writes),
+            false => Event::LoseWrites(writes),
+        };
+        let takeover = if rng.bool() {
+            // The writes are late when the workers are sealed.
+            add(at, late);
+            add(
+                at + rng.u64(0..=5) * 100,
+                Event::Partition(range, cut + 2_000),
+            );
+            at + writes.max(1_000) + rng.u64(0..8) * 100
+        } else {
+            // The writes are late when the workers return.
+            add(at, Event::Partition(range.clone(), cut));
+            add(at + cut - rng.u64(0..=4) * 100, late);
+            let takeover = at + cut + rng.u64(1..=6) * 100;
+            let again = Event::Partition(range, rng.u64(5..=30) * 100);
+            add(takeover, again);
+            takeover
+        };
+        let gap = rng.u64(0..=10) * 100;
+        let event = match rng.bool() {
+            true => Event::Takeover(0, gap),
+            false => Event::Suspend(gap, rng.u64(0..=10) * 100, rng.u64(1..=30) * 100),
+        };
+        add(takeover, event);
+        events
+    }
+
     fn apply(&self, sim: &mut NetSim) {
         let Some((job, places)) = &self.on_tasks else {
             sim.apply(&self.event);
@@ -163,6 +238,7 @@
             crash_delay: (rng.u8(0..8) == 0).then(|| rng.u64(1..=150) * 10),
             events,
             reuses_names: false,
+            is_gradual: false,
         }
     }
 
@@ -204,12 +280,41 @@
         case
     }
 
+    /// A case with gradual takeovers, and additional events around them from a random generator of
+    /// its own.
+    fn with_gradual_takeovers(seed: u64) -> Self {
+        let mut rng = Rng::with_seed(seed ^ GRADUAL_SEED);
+        let mut case = match rng.bool() {
+            true => Case::with_reused_names(seed),
+            false => Case::random(seed),
+        };
+        for _ in 0..rng.usize(1..=4) {
+            let mut at = rng.u64(FIRST_EVENT..EVENT_SPAN);
+            if rng.bool() {
+                let events = ScheduledEvent::around_seals(at, &mut rng, case.workers);
+                case.events.extend(events);
+                continue;
+            }
+            for _ in 0..rng.usize(1..=6) {
+                at += rng.u64(0..700);
+                let scheduled = ScheduledEvent::around_takeover(at, &mut rng, case.workers);
+                case.events.push(scheduled);
+            }
+        }
+        case.events.sort_by_key(|scheduled| scheduled.at);
+        case.is_gradual = true;
+        case
+    }
+
     /// Runs the case. Returns the first fault.
     fn run(&self) -> Option<Violation> {
         let mut sim = match self.reuses_names {
             true => NetSim::with_reused_names(self.workers, self.task_ms),
             false => NetSim::new(self.workers, self.task_ms),
         };
+        if self.is_gradual {
+            sim.take_over_gradually(self.seed);
+        }
         let mut rng = Rng::with_seed(!self.seed);
         let events = self.events.iter();
         let last = events
@@ -255,8 +360,13 @@
         let (cpu, priority) = (rng.u64(1..=4) * 500, rng.u32(0..=4) / 4);
         let short_load = self.workers as u64 * 4_000 * self.load * SHORT_INTERVAL;
         let tasks = short_load / (100 * cpu * self.task_ms);
+        let mut step = step(tasks as u32, cpu);
+        if self.is_gradual && rng.u8(0..3) == 0 {
+            let racks = self.workers.div_ceil(8);
+            step.label = Some(format!("r{}", rng.usize(0..racks)).into());
+        }
         if tasks > 0 {
-            let id = sim.submit(id, step(tasks as u32, cpu), priority);
+            let id = sim.submit(id, step, priority);
             if let Some(after) = self.crash_delay.filter(|_| sim.now == 1_000) {
                 sim.crash_on_start(&id, 0, after);
             }
@@ -340,12 +450,14 @@
             Event::Crash(_) | Event::Remove(_) => 0,
             Event::Leave(_, time)
             | Event::SuspendWrites(time)
+            | Event::LoseWrites(time)
             | Event::Partition(_, time)
             | Event::RefuseStarts(_, time, _)
             | Event::FailRuns(_, time)
             | Event::HideEntry(_, time)
             | Event::DropReports(_, time) => *time,
             Event::Takeover(suspended, gap) => suspended + gap,
+            Event::Suspend(gap, wake, awake) => gap + wake + awake,
             Event::Restart(_, down, behind, _) => down + behind,
             Event::DelayPolls(_, time, late) => time + late,
             Event::DropAnswers(_, time, late) => time + late.unwrap_or_default(),
@@ -367,13 +479,22 @@
             Event::DropReports(_, time) => Event::DropReports(single, time),
             Event::Restart(_, down, behind, back) => Event::Restart(single, down, behind, back),
             Event::DelayPolls(_, time, late) => Event::DelayPolls(single, time, late),
-            other @ (Event::SuspendWrites(_) | Event::Takeover(..)) => other,
+            other @ (Event::SuspendWrites(_)
+            | Event::LoseWrites(_)
+            | Event::Takeover(..)
+            | Event::Suspend(..)) => other,
         }
     }
 
     /// True if the event applies to machines.
     fn targets_machines(&self) -> bool {
-        !matches!(self, Event::SuspendWrites(_) | Event::Takeover(..))
+        !matches!(
+            self,
+            Event::SuspendWrites(_)
+                | Event::LoseWrites(_)
+                | Event::Takeover(..)
+                | Event::Suspend(..)
+        )
     }
 
     /// The same event for fewer machines.
@@ -411,7 +532,12 @@
                 let events = reduced_ranges(&range).map(|part| Event::DelayPolls(part, time, late));
                 events.collect()
             }
-            Event::Remove(_) | Event::Leave(..) | Event::SuspendWrites(_) | Event::Takeover(..) => {
+            Event::Remove(_)
+            | Event::Leave(..)
+            | Event::SuspendWrites(_)
+            | Event::LoseWrites(_)
+            | Event::Takeover(..)
+            | Event::Suspend(..) => {
                 vec![]
             }
         }
@@ -467,20 +593,28 @@
 /// long-running job fails, no task is misplaced, and no trial takes too long.
 #[test]
 fn long_running_tasks_recover() {
-    run_cases(Case::random);
+    run_cases(Case::random, DEFAULT_CASES);
 }
 
 /// As above, with workers that restart under their names. In addition no task restarts after a
 /// success that was recorded, and no job is stuck beside free capacity.
 #[test]
 fn long_running_tasks_recover_with_reused_names() {
-    run_cases(Case::with_reused_names);
+    run_cases(Case::with_reused_names, DEFAULT_CASES);
+}
+
+/// As above, with owners that take over gradually, and former ones that resume and act on workers
+/// that do not know a later fence. No task runs twice, and none restarts after a success that was
+/// recorded then or later.
+#[test]
+fn long_running_tasks_recover_with_gradual_takeovers() {
+    run_cases(Case::with_gradual_takeovers, DEFAULT_GRADUAL_CASES);
 }
 
-fn run_cases(case_of: impl Fn(u64) -> Case) {
+fn run_cases(case_of: impl Fn(u64) -> Case, default: u64) {
     let (from, cases) = (
         env_value("STEADY_FROM", 0),
-        env_value("STEADY_CASES", DEFAULT_CASES),
+        env_value("STEADY_CASES", default),
     );
     let minimized = env_value("STEADY_SHRINK", 1);
     let mut violations = Vec::new();
