--- a/components/node/src/ownership/mod.rs
+++ b/components/node/src/ownership/mod.rs
@@ -13,11 +13,12 @@
     self::{confirmation::Unconfirmed, halls::Halls},
     crate::{
         core::Core,
+        fence::HeldJobs,
         group::Group,
         order_queue::OrderSender,
         owner_tasks,
         relays::{Need, Relays},
-        settings::TICK_INTERVAL,
+        settings::{TICK_INTERVAL, Takeover},
         time,
     },
     cell::{AdviceQuery, Cell, Entry, Poll},
@@ -50,6 +51,8 @@
     pub fence: u64,
     /// The cell.
     pub cell: Cell,
+    /// When the cell was claimed, on the clock of this box.
+    pub claimed: u64,
     /// Revision of the last write of the head.
     pub head: u64,
     /// The lease of the owner's key; 0 when it has expired.
@@ -76,10 +79,14 @@
     last_confirmed: u64,
     /// Set while another box may own the cell.
     unconfirmed: Option<Unconfirmed>,
+    /// Jobs that name the fence of a later owner.
+    held: HeldJobs,
     /// The closed data halls.
     halls: Halls,
     /// When the last group was sent to the writer.
     group_sent: u64,
+    /// A task has been placed in this ownership.
+    has_placed: bool,
     /// When the last placement pass ended.
     pass_ended: u64,
     /// Duration of the last placement pass, in milliseconds.
@@ -97,6 +104,7 @@
         Ownership {
             fence,
             cell,
+            claimed,
             head: fence,
             lease,
             republish: false,
@@ -110,8 +118,10 @@
             last_tick: claimed,
             last_confirmed: claimed,
             unconfirmed: None,
+            held: HeldJobs::default(),
             halls: Halls::default(),
             group_sent: 0,
+            has_placed: false,
             pass_ended: 0,
             pass_duration: 0,
             pass_timer: false,
@@ -202,7 +212,13 @@
     pub(crate) fn begin_ownership(&mut self, cx: &mut Cx<'_, Self>, mut ownership: Ownership) {
         let fence = ownership.fence;
         let entries: Vec<Entry> = ownership.cell.entries().cloned().collect();
-        ownership.cell.recover(time::now());
+        match self.node.settings.takeover {
+            Takeover::Gradual => {
+                ownership.cell.enable_sealing(true);
+                ownership.cell.recover_gradually(time::now(), fence);
+            }
+            Takeover::Complete => ownership.cell.recover(time::now()),
+        }
         // The lease may have expired while the cell was loaded.
         ownership.check_stall();
         ownership.last_tick = time::now();
@@ -235,6 +251,9 @@
             .cell
             .log_overdue(wall_clock::millis(), time::now());
         metrics::gauge!("magpie_cell_lasting_overdue").set(long_waits as f64);
+        metrics::gauge!("magpie_cell_workers_sealed").set(ownership.cell.sealed_workers() as f64);
+        let unheard = ownership.cell.tasks_waiting_unheard(time::now());
+        metrics::gauge!("magpie_cell_tasks_waiting_unheard").set(unheard as f64);
         metrics::gauge!("magpie_cell_places_lost").set(ownership.cell.misplaced_tasks() as f64);
         after!(SUMMARY_INTERVAL, [cx], |this, cx| this
             .log_summary(cx, fence));
@@ -248,7 +267,7 @@
         self.node.shared.set_owning(0);
         ownership.cell.log_done(time::now());
         ownership.reset_hall_metrics();
-        log::warn!(target: "owner", fence = ownership.fence, cause; "Cell ownership ended.");
+        log::warn!(target: "owner", fence = ownership.fence, held = ownership.held.len(), cause; "Cell ownership ended.");
         metrics::counter!("magpie_tenures_lost_total").increment(1);
         if let Some(responder) = ownership.handover {
             responder.send(true);
