Cell: random sequences in which seals are late, and a file for gradual takeovers

Cause: the random sequences did not show an owner that seals a worker whose ends are not persisted: sealing follows a lost connection so late that the leases end first, and a single batch wrote the seal and the ends together.

Change: cases in which workers announce that they leave during an outage of the store, and are cut off during the takeover that follows it. Tests of gradual takeovers move to a file of their own.

--- a/components/cell/tests/decisions/main.rs
+++ b/components/cell/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod drain;
 mod ends;
 mod fault_regressions;
+mod gradual_takeover;
 mod halls;
 mod incarnations;
 mod long_running_capacity;
--- a/components/cell/tests/decisions/random_faults.rs
+++ b/components/cell/tests/decisions/random_faults.rs
@@ -306,6 +306,35 @@
         case
     }
 
+    /// A case in which workers announce that they leave while their ends cannot be persisted. They
+    /// are sealed when writes succeed again, just before a takeover, and are unreachable during it.
+    fn with_late_seals(seed: u64) -> Self {
+        let mut rng = Rng::with_seed(seed ^ GRADUAL_SEED);
+        let mut case = Case::random(seed);
+        let at = rng.u64(FIRST_EVENT..EVENT_SPAN) / 100 * 100;
+        let outage = rng.u64(8..=14) * 100;
+        let takeover = at + outage + rng.u64(0..=4) * 100;
+        let first = rng.usize(0..case.workers);
+        let leaving = first..case.workers.min(first + rng.usize(1..=12));
+        let mut events = vec![(at, Event::SuspendWrites(outage))];
+        for machine in leaving.clone() {
+            let after = rng.u64(40..=60) * 100;
+            events.push((at, Event::Leave(machine, after)));
+        }
+        let cut = rng.u64(3..=12) * 100;
+        events.push((takeover, Event::Partition(leaving, cut)));
+        events.push((takeover, Event::Takeover(0, rng.u64(0..=2) * 100)));
+        let scheduled = events.into_iter().map(|(at, event)| ScheduledEvent {
+            at,
+            event,
+            on_tasks: None,
+        });
+        case.events = scheduled.collect();
+        case.load = rng.u64(20..=70);
+        case.is_gradual = true;
+        case
+    }
+
     /// Runs the case. Returns the first fault.
     fn run(&self) -> Option<Violation> {
         let mut sim = match self.reuses_names {
@@ -611,6 +640,12 @@
     run_cases(Case::with_gradual_takeovers, DEFAULT_GRADUAL_CASES);
 }
 
+/// As above, with workers that are sealed as soon as an outage of the store is over.
+#[test]
+fn long_running_tasks_recover_with_late_seals() {
+    run_cases(Case::with_late_seals, DEFAULT_GRADUAL_CASES);
+}
+
 fn run_cases(case_of: impl Fn(u64) -> Case, default: u64) {
     let (from, cases) = (
         env_value("STEADY_FROM", 0),
