Cell: the head of takeover.rs names the gradual takeover

Cause: it said that no jobs are started until all workers have answered.

Tests: cargo test -p magpie-cell -p magpie-policy: 333 passed, 0 failed; clippy passes on the workspace.

--- a/components/cell/src/takeover.rs
+++ b/components/cell/src/takeover.rs
@@ -4,7 +4,8 @@
 //! The previous owner may be alive: it was suspended, the cell was claimed meanwhile, and it
 //! resumes. It may know jobs that were accepted after the new owner had read them. So no jobs are
 //! started until each worker has accepted the new fence, and runs and ends of unknown jobs are left
-//! alone until the jobs have been read again after that.
+//! alone until the jobs have been read again after that. A gradual takeover decides for each task,
+//! see [`crate::unheard`].
 
 use {
     crate::{
