Cell: a job of one step that waits for an unheard worker is decided at once

Cause: with 100,000 waiting jobs of one task and 6,000 unheard workers, a pass took 123 to 159 ms, and 51 to 54 ms where all jobs wait without a check.

Change: a job of one step is decided before its steps are walked.

What is left is the look at the pool of each job.

--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -114,6 +114,10 @@
         if job.unconfirmed && self.recovery_holds_all() {
             return;
         }
+        if let Some((tasks, worker)) = self.held_job(job) {
+            self.hold_back(tasks, worker);
+            return;
+        }
         let mut next = 0;
         while let Some(address) = self.next_ready(rank, next) {
             if self.is_pass_over() {
--- a/components/cell/src/unheard.rs
+++ b/components/cell/src/unheard.rs
@@ -94,6 +94,20 @@
         recovery.gradual.as_ref()
     }
 
+    /// Returns the number of ready tasks of a job of one step if all of them wait for a worker that
+    /// has not reported, and that worker. Most jobs have one step, and each pass checks all jobs.
+    pub(crate) fn held_job(&self, job: &Job) -> Option<(usize, Arc<str>)> {
+        let gradual = self.gradual(job)?;
+        if job.steps_ready.len() != 1 {
+            return None;
+        }
+        let place = *job.ready.first()?;
+        let address = job.progress.submission.spec.address(place);
+        let task = describe(job, address, place, gradual.fence);
+        let worker = gradual.unheard.blocker_of_step(&task)?;
+        Some((job.ready.len(), worker.clone()))
+    }
+
     /// True if all tasks of a step wait for a worker that has not reported. Counts them as held
     /// back.
     pub(crate) fn is_step_held(
@@ -113,12 +127,7 @@
             return false;
         };
         let worker = worker.clone();
-        let is_only_step = job.steps_ready.len() == 1;
-        let tasks = if is_only_step {
-            job.ready.len()
-        } else {
-            job.ready.range(places.clone()).count()
-        };
+        let tasks = job.ready.range(places.clone()).count();
         self.hold_back(tasks, worker);
         true
     }
@@ -152,7 +161,8 @@
         true
     }
 
-    fn hold_back(&mut self, tasks: usize, worker: Arc<str>) {
+    /// Counts tasks as held back for a worker.
+    pub(crate) fn hold_back(&mut self, tasks: usize, worker: Arc<str>) {
         self.held_back.tasks += tasks;
         self.held_back.worker.get_or_insert(worker);
     }
