--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -17,6 +17,7 @@
         write_queue::WriteQueue,
     },
     job::{Id, Phase, Progress, State},
+    policy::durations::Durations,
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, BTreeSet, HashMap, HashSet},
@@ -58,6 +59,8 @@
     /// The job is about to miss its objective: its best-effort tasks may also run where they slow
     /// down serving tasks.
     pub urgent: bool,
+    /// The longest completed run of each step of each repetition, in milliseconds.
+    pub longest_runs: Vec<u64>,
     /// Advice on which workers may run a step, by repetition and step.
     pub advice: HashMap<(u32, u16), StepAdvice>,
 }
@@ -141,6 +144,8 @@
     pub(crate) recovery: Option<Recovery>,
     /// Runs of jobs that are not known yet, from a takeover until the jobs have been read again.
     pub(crate) pending: Option<Pending>,
+    /// How long steps take, by queue.
+    pub(crate) durations: HashMap<Arc<str>, Durations>,
     /// Which best-effort images slow down which serving images.
     pub(crate) interference: Interference,
     /// The load of serving jobs.
@@ -199,6 +204,7 @@
             waves: BTreeMap::new(),
             recovery: None,
             pending: None,
+            durations: HashMap::new(),
             interference: Interference::default(),
             forecasts: Forecasts::default(),
             backlogged: false,
--- a/components/cell/src/jobs.rs
+++ b/components/cell/src/jobs.rs
@@ -50,7 +50,13 @@
 
     /// Inserts a job. Returns false if it is known already.
     fn insert_job(&mut self, progress: Progress, unconfirmed: bool, wall: u64) -> bool {
+        let mut progress = progress;
         let submission = progress.submission.clone();
+        if let Some(learned) = self.durations.get(&submission.queue.name) {
+            progress.critical_paths = submission
+                .spec
+                .critical_paths_with(|step| learned.predict(step.estimate));
+        }
         let id = submission.id.clone();
         if self.jobs.contains_key(&id) || self.ended_jobs.contains_key(&id) {
             return false;
@@ -70,6 +76,7 @@
                 .map(|(place, _)| place as usize)
                 .collect(),
             advice: HashMap::new(),
+            longest_runs: vec![0; steps],
             ready: BTreeSet::new(),
             steps_ready: vec![false; steps],
             written_state: progress.state,
--- a/components/cell/src/run_end.rs
+++ b/components/cell/src/run_end.rs
@@ -7,6 +7,7 @@
         order::{EndCause, RunEnd},
         report::Times,
         run_log::FinishedRun,
+        slot::Stage,
         worker::TaskKey,
     },
     job::{Phase, State},
@@ -34,6 +35,7 @@
             return;
         }
         self.log_end(id, &key, end, times);
+        self.learn_duration(id, &key, end, times);
         let was_held = self.release_slot(id, &key, end.run);
         self.record_worker_result(id, end.how, times.now);
         self.record_checkpoint(&key, end.saved.as_ref());
@@ -49,6 +51,38 @@
         }
     }
 
+    /// Records how long a completed run took; with the last one of its step, how long the step is.
+    fn learn_duration(&mut self, id: &Arc<str>, key: &TaskKey, end: &RunEnd, times: Times) {
+        let Some(slot) = self.slot(id, key) else {
+            return;
+        };
+        let (Stage::Running { at }, false) = (slot.stage, slot.adopted) else {
+            return;
+        };
+        if slot.run != end.run || end.how != EndCause::Done {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let address = job.progress.submission.spec.address(key.place);
+        let steps = job.progress.submission.spec.steps.len();
+        let number = address.time as usize * steps + address.step as usize;
+        let Some(longest) = job.longest_runs.get_mut(number) else {
+            return;
+        };
+        *longest = (*longest).max(times.now.saturating_sub(at));
+        if job.progress.remaining_tasks(address.time, address.step) > 1 {
+            return;
+        }
+        let estimate = job.progress.step(key.place).estimate;
+        let queue = job.progress.submission.queue.name.clone();
+        self.durations
+            .entry(queue)
+            .or_default()
+            .record(estimate, *longest);
+    }
+
     /// Logs a run end. Completed runs are logged in batches, all others at once.
     fn log_end(&mut self, id: &Arc<str>, key: &TaskKey, end: &RunEnd, times: Times) {
         if end.how == EndCause::Done {
--- a/components/job/src/spec.rs
+++ b/components/job/src/spec.rs
@@ -305,12 +305,18 @@
     /// Returns for each step the critical path from its start to the end of the job: the longest sum
     /// of estimates along its dependents, in milliseconds.
     pub fn critical_paths(&self) -> Vec<u64> {
-        let mut paths: Vec<u64> = self.steps.iter().map(|step| step.estimate).collect();
+        self.critical_paths_with(|step| step.estimate)
+    }
+
+    /// Returns the critical paths if each step takes as long as `length` returns, in milliseconds.
+    pub fn critical_paths_with(&self, length: impl Fn(&Step) -> u64) -> Vec<u64> {
+        let lengths: Vec<u64> = self.steps.iter().map(length).collect();
+        let mut paths = lengths.clone();
         for number in (0..self.steps.len()).rev() {
             let path = paths[number];
             for &earlier in &self.steps[number].after {
                 let earlier = earlier as usize;
-                paths[earlier] = paths[earlier].max(self.steps[earlier].estimate + path);
+                paths[earlier] = paths[earlier].max(lengths[earlier] + path);
             }
         }
         paths
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -5,5 +5,6 @@
 //! thousandths of a core.
 
 pub mod admission;
+pub mod durations;
 pub mod shares;
 pub mod takeover;
