Admission: pressure, learned step lengths, lateness classes, pools

Cause: every job was accepted, late jobs were one class, and forecasts rested on callers' estimates.

Change: policy decides from plain data: durations (prediction, its deviation and a low bound, at most 256 queues, absurd figures dropped), lateness (in time, late, worthless), admission (wait and drain with the arrivals of the last seconds, verdict, spread of the retry, impossible jobs also by the width of gangs). The cell gives the views with Cell::pressure and Cell::pool_capacities, and persists what it has learned with the interference model; a value of a former version is decoded too. A process of a former version cannot decode the new value and learns a model anew. Runs that were adopted, throttled for more than a tenth, or resumed from a checkpoint are not learned from.

Starts of one pass have one deadline, and revoke_starts took the one with the highest job id for the latest; with learned objectives the order of jobs is another than that of ids, and an earlier start that ran already was revoked in place of a later one. Starts are now numbered by worker.

--- a/components/cell/src/capacity.rs
+++ b/components/cell/src/capacity.rs
@@ -9,7 +9,7 @@
 use {
     crate::{
         cell::Cell,
-        slot::{Slot, Stage},
+        slot::Slot,
         worker::{Entry, TaskKey, Worker},
     },
     job::spec::Size,
@@ -84,7 +84,8 @@
         }
     }
 
-    /// Revokes unconfirmed starts that no longer fit, the latest first.
+    /// Revokes unconfirmed starts that no longer fit, the latest first. An earlier one may have been
+    /// carried out already, and would run on beside a later one until it is stopped.
     fn revoke_starts(&mut self, id: &Arc<str>, now: u64) {
         let Some(worker) = self.workers.get(id) else {
             return;
@@ -92,9 +93,10 @@
         let mut sent: Vec<(u64, TaskKey, Size)> = worker
             .slots
             .iter()
-            .filter_map(|(key, slot)| Some((revocable(slot)?, key.clone(), slot.reserved())))
+            .filter(|(_, slot)| is_revocable(slot))
+            .map(|(key, slot)| (slot.number, key.clone(), slot.reserved()))
             .collect();
-        sent.sort_by(|one, other| (one.0, &one.1).cmp(&(other.0, &other.1)));
+        sent.sort_by_key(|(number, ..)| *number);
         let (capacity, mut reserved) = (worker.entry.size, worker.reserved);
         while !reserved.fits(capacity)
             && let Some((_, key, size)) = sent.pop()
@@ -106,10 +108,7 @@
     }
 }
 
-/// Returns the deadline of a start that is not confirmed and not being stopped.
-fn revocable(slot: &Slot) -> Option<u64> {
-    match slot.stage {
-        Stage::Sent { deadline } if slot.stopping.is_none() => Some(deadline),
-        _ => None,
-    }
+/// True for a start that is neither confirmed nor being stopped.
+fn is_revocable(slot: &Slot) -> bool {
+    slot.is_sent() && slot.stopping.is_none()
 }
--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -6,6 +6,7 @@
         crashes,
         interference::Interference,
         interference::forecast::Forecasts,
+        learned::Learned,
         maintenance,
         order::Order,
         place::Unplaceable,
@@ -17,7 +18,11 @@
         write_queue::WriteQueue,
     },
     job::{Id, Phase, Progress, State},
-    policy::durations::Durations,
+    policy::{
+        admission::{Inflow, PoolHistory, Source},
+        durations::Queues,
+        lateness::Lateness,
+    },
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, BTreeSet, HashMap, HashSet},
@@ -59,12 +64,26 @@
     /// The job is about to miss its objective: its best-effort tasks may also run where they slow
     /// down serving tasks.
     pub urgent: bool,
-    /// The longest completed run of each step of each repetition, in milliseconds.
-    pub longest_runs: Vec<u64>,
+    /// The completed runs of each step of each repetition.
+    pub measured: Vec<StepRuns>,
+    /// The critical path from each step to the end of the job if all steps are short, in
+    /// milliseconds; `None` if too little is known of the queue.
+    pub low_paths: Option<Vec<u64>>,
     /// Advice on which workers may run a step, by repetition and step.
     pub advice: HashMap<(u32, u16), StepAdvice>,
 }
 
+/// The completed runs of a step from which its length is learned.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct StepRuns {
+    /// Their number.
+    pub count: u32,
+    /// The longest, in milliseconds.
+    pub longest: u64,
+    /// The sum of all, in milliseconds.
+    pub total: u64,
+}
+
 /// Position of a job in the order of placement; the lowest rank goes first.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
@@ -74,7 +93,7 @@
     /// only briefly and yields more for it.
     pub lasting: bool,
     /// Jobs that will miss their objective go after those that can still meet it.
-    pub late: bool,
+    pub late: Lateness,
     /// The time by which the job should complete, in Unix milliseconds.
     pub objective: u64,
     /// The time between acceptance and objective, in milliseconds.
@@ -145,7 +164,13 @@
     /// Runs of jobs that are not known yet, from a takeover until the jobs have been read again.
     pub(crate) pending: Option<Pending>,
     /// How long steps take, by queue.
-    pub(crate) durations: HashMap<Arc<str>, Durations>,
+    pub(crate) durations: Queues,
+    /// Learned lengths of steps are used.
+    pub(crate) learning: bool,
+    /// The work of the jobs that arrive.
+    pub(crate) inflows: HashMap<Source, Inflow>,
+    /// The workers that the pools have had lately.
+    pub(crate) pools: PoolHistory,
     /// Which best-effort images slow down which serving images.
     pub(crate) interference: Interference,
     /// The load of serving jobs.
@@ -204,7 +229,10 @@
             waves: BTreeMap::new(),
             recovery: None,
             pending: None,
-            durations: HashMap::new(),
+            durations: Queues::default(),
+            learning: true,
+            inflows: HashMap::new(),
+            pools: PoolHistory::default(),
             interference: Interference::default(),
             forecasts: Forecasts::default(),
             backlogged: false,
@@ -228,9 +256,17 @@
         std::mem::take(&mut self.orders)
     }
 
-    /// Restores the interference model that a previous owner has persisted.
-    pub fn restore_interference(&mut self, model: Interference) {
-        self.interference = model;
+    /// Restores what a previous owner has learned and persisted.
+    pub fn restore_interference(&mut self, learned: impl Into<Learned>) {
+        let learned = learned.into();
+        self.interference = learned.interference;
+        self.durations = learned.durations;
+    }
+
+    /// Sets whether the learned lengths of steps are used for new jobs. Without them, the callers'
+    /// estimates are.
+    pub fn enable_learning(&mut self, enabled: bool) {
+        self.learning = enabled;
     }
 
     /// Returns the state of a job to show to callers, or `None` if the job is unknown.
--- a/components/cell/src/incarnations.rs
+++ b/components/cell/src/incarnations.rs
@@ -56,6 +56,7 @@
             self.fleet_dirty = true;
         }
         self.find_ambiguous();
+        self.record_pools(now);
         self.drain(now);
         added
     }
--- a/components/cell/src/jobs.rs
+++ b/components/cell/src/jobs.rs
@@ -2,10 +2,11 @@
 
 use {
     crate::{
-        cell::{Cell, Job, Rank},
+        cell::{Cell, Job, Rank, StepRuns},
         worker::TaskKey,
     },
     job::{Id, Phase, Progress, Record, State, Submission},
+    policy::lateness::{Lateness, Objective, classify},
     std::{
         collections::{BTreeSet, HashMap},
         sync::Arc,
@@ -15,8 +16,8 @@
 /// A job is urgent in the last part of the time to its objective; this is the divisor.
 const URGENT_PART: u64 = 4;
 
-/// The percentage of a job's estimate that it takes at least: estimates are off by up to nine
-/// tenths.
+/// The percentage of a job's estimate that it takes at least, as long as too little is known of its
+/// queue: estimates are off by up to nine tenths.
 const MIN_ESTIMATE: u64 = 50;
 
 /// Long-running tasks go before short ones of their priority once they have waited this long, in
@@ -33,6 +34,9 @@
         let id = submission.id.clone();
         let progress = Progress::new(Arc::new(submission));
         let is_new = self.insert_job(progress, self.recovery.is_some(), wall);
+        if is_new {
+            self.record_inflow(&id, wall);
+        }
         self.adopt_pending(&id);
         is_new
     }
@@ -52,10 +56,12 @@
     fn insert_job(&mut self, progress: Progress, unconfirmed: bool, wall: u64) -> bool {
         let mut progress = progress;
         let submission = progress.submission.clone();
-        if let Some(learned) = self.durations.get(&submission.queue.name) {
-            progress.critical_paths = submission
-                .spec
-                .critical_paths_with(|step| learned.predict(step.estimate));
+        let mut low_paths = None;
+        if let Some(learned) = self.learned_durations(&submission.queue.name) {
+            let spec = &submission.spec;
+            progress.critical_paths =
+                spec.critical_paths_with(|step| learned.predict(step.estimate));
+            low_paths = Some(spec.critical_paths_with(|step| learned.low(step.estimate)));
         }
         let id = submission.id.clone();
         if self.jobs.contains_key(&id) || self.ended_jobs.contains_key(&id) {
@@ -76,7 +82,8 @@
                 .map(|(place, _)| place as usize)
                 .collect(),
             advice: HashMap::new(),
-            longest_runs: vec![0; steps],
+            measured: vec![StepRuns::default(); steps],
+            low_paths,
             ready: BTreeSet::new(),
             steps_ready: vec![false; steps],
             written_state: progress.state,
@@ -134,7 +141,8 @@
     }
 
     /// Updates the ranks of jobs. Jobs that are about to miss their objective become urgent. Jobs
-    /// that have missed it, or surely will, go last, since they would make others miss theirs too.
+    /// that have missed it, or surely will, go last, since they would make others miss theirs too;
+    /// those whose result will have lost all worth go after the others.
     /// Long-running tasks that have waited go first if there is capacity for more than one of them.
     /// `wall` is Unix time, `now` is on the owner's clock.
     pub fn rerank(&mut self, wall: u64, now: u64) {
@@ -156,9 +164,13 @@
                 }
                 continue;
             }
-            let min_rest = job.progress.remaining_path() * MIN_ESTIMATE / 100;
-            if !rank.late && wall + min_rest > rank.objective {
-                late.push(rank.clone());
+            let objective = Objective {
+                at: rank.objective,
+                span: rank.span,
+            };
+            let lateness = classify(objective, wall, job.min_rest(), rank.late);
+            if lateness != rank.late {
+                late.push((rank.clone(), lateness));
             }
         }
         for (rank, is_long_overdue) in waiting {
@@ -169,10 +181,10 @@
                 self.ready_jobs.insert(job.rank.clone());
             }
         }
-        for rank in late {
+        for (rank, lateness) in late {
             self.ready_jobs.remove(&rank);
             if let Some(job) = self.jobs.get_mut(&rank.id) {
-                job.rank.late = true;
+                job.rank.late = lateness;
                 self.ready_jobs.insert(job.rank.clone());
             }
         }
@@ -236,6 +248,16 @@
     }
 }
 
+impl Job {
+    /// Returns how long the rest of the job surely takes, in milliseconds.
+    fn min_rest(&self) -> u64 {
+        match &self.low_paths {
+            Some(paths) => self.progress.remaining_of(paths),
+            None => self.progress.remaining_path() * MIN_ESTIMATE / 100,
+        }
+    }
+}
+
 /// Returns the initial rank of a job.
 fn rank(progress: &Progress) -> Rank {
     let submission = &progress.submission;
@@ -250,7 +272,7 @@
     Rank {
         priority: queue.priority,
         lasting: submission.spec.is_long_running(),
-        late: false,
+        late: Lateness::InTime,
         objective: submission.accepted.max(submission.spec.due(0)) + span,
         span,
         id: submission.id.clone(),
--- /dev/null
+++ b/components/cell/src/learned.rs
@@ -0,0 +1,54 @@
+//! What an owner has learned and persists for the next one.
+
+use {
+    crate::interference::Interference,
+    policy::durations::Queues,
+    serde::{Deserialize, Serialize},
+};
+
+/// What an owner has learned. Former versions have stored the interference model alone, which is
+/// decoded too.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(from = "Stored")]
+pub struct Learned {
+    /// Which best-effort images slow down which serving images.
+    pub(crate) interference: Interference,
+    /// How long steps take, by queue.
+    pub(crate) durations: Queues,
+}
+
+/// The stored forms. They differ in the number of their fields, also without field names.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Stored {
+    Both(Both),
+    Model(Interference),
+}
+
+/// The fields of [`Learned`].
+#[derive(Deserialize)]
+struct Both {
+    interference: Interference,
+    durations: Queues,
+}
+
+impl From<Stored> for Learned {
+    fn from(stored: Stored) -> Self {
+        match stored {
+            Stored::Both(both) => Learned {
+                interference: both.interference,
+                durations: both.durations,
+            },
+            Stored::Model(interference) => interference.into(),
+        }
+    }
+}
+
+impl From<Interference> for Learned {
+    fn from(interference: Interference) -> Self {
+        Learned {
+            interference,
+            ..Learned::default()
+        }
+    }
+}
--- a/components/cell/src/persistence.rs
+++ b/components/cell/src/persistence.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         cell::{Cell, Job},
-        interference::Interference,
+        learned::Learned,
         worker::{Entry, TaskKey},
     },
     job::{Id, Record},
@@ -61,11 +61,14 @@
 }
 
 impl Cell {
-    /// Returns the interference model if it is due to be written. It is written separately, since
-    /// no other write depends on it, and with 16 serving and 30 best-effort images it is larger
-    /// than many batches.
-    pub fn take_interference(&mut self) -> Option<Interference> {
-        std::mem::take(&mut self.interference_due).then(|| self.interference.clone())
+    /// Returns what was learned if it is due to be written. It is written separately, since no
+    /// other write depends on it, and with 16 serving and 30 best-effort images it is larger than
+    /// many batches.
+    pub fn take_interference(&mut self) -> Option<Learned> {
+        std::mem::take(&mut self.interference_due).then(|| Learned {
+            interference: self.interference.clone(),
+            durations: self.durations.clone(),
+        })
     }
 
     /// Returns the next batch, whose records take at most `most` store entries. The record of an
--- /dev/null
+++ b/components/cell/src/pressure.rs
@@ -0,0 +1,265 @@
+//! The cell as the decisions on admission see it: waiting work, capacity and arrivals.
+
+use {
+    crate::{
+        cell::{Cell, Job},
+        worker::Worker,
+    },
+    job::{Id, Step, spec::Size},
+    policy::{
+        admission::{Backlog, Kind, Offer, PoolCapacity, Pressure, Room, Source, estimate},
+        durations::Durations,
+        lateness::Lateness,
+    },
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+    },
+};
+
+/// The maximum number of queues and kinds whose arrivals are counted, an order of magnitude above
+/// what operators configure.
+const MAX_SOURCES: usize = 512;
+
+/// The waiting tasks of one queue and kind.
+#[derive(Debug, Default)]
+struct Waiting {
+    /// See [`Backlog::in_time`].
+    in_time: u64,
+    /// See [`Backlog::late`].
+    late: u64,
+    /// The number of tasks.
+    tasks: u64,
+    /// The sum of their sizes.
+    size: Size,
+    /// The sum of their estimates, in milliseconds.
+    estimated: u64,
+    /// The sum of the predicted lengths of their steps, in milliseconds.
+    predicted: u64,
+}
+
+impl Waiting {
+    /// Adds tasks of a step.
+    fn add(&mut self, step: &Step, tasks: u64, late: Lateness, learned: Option<&Durations>) {
+        let (cpu, estimate) = (step.size.cpu, step.estimate);
+        let work = work(step, tasks, learned);
+        let sum = if late == Lateness::InTime {
+            &mut self.in_time
+        } else {
+            &mut self.late
+        };
+        *sum = sum.saturating_add(work);
+        self.tasks += tasks;
+        self.size = self.size.plus(Size {
+            cpu: cpu * tasks,
+            memory: step.size.memory * tasks,
+            gpus: step.size.gpus * tasks,
+        });
+        let predicted = learned.map_or(estimate, |learned| learned.predict(estimate));
+        self.estimated = self.estimated.saturating_add(estimate * tasks);
+        self.predicted = self.predicted.saturating_add(predicted * tasks);
+    }
+
+    /// The predicted run time as a percentage of the estimate.
+    fn run_percent(&self) -> u32 {
+        let percent = u128::from(self.predicted) * 100;
+        let percent = percent.checked_div(u128::from(self.estimated));
+        percent.map_or(100, |percent| u32::try_from(percent).unwrap_or(u32::MAX))
+    }
+
+    /// The mean size of the tasks.
+    fn mean_size(&self) -> Size {
+        let tasks = self.tasks.max(1);
+        Size {
+            cpu: self.size.cpu / tasks,
+            memory: self.size.memory / tasks,
+            gpus: self.size.gpus / tasks,
+        }
+    }
+}
+
+impl Cell {
+    /// Returns how long one more job of each queue would wait. It is empty without waiting work, and
+    /// until this owner knows what the workers run.
+    pub fn pressure(&self, now: u64, wall: u64) -> Pressure {
+        let is_waiting = self.ready_jobs.iter().any(|rank| !rank.lasting);
+        if !is_waiting || self.recovery.is_some() {
+            return Pressure::default();
+        }
+        let mut waiting: BTreeMap<Source, Waiting> = BTreeMap::new();
+        for source in self.inflows.keys() {
+            waiting.insert(source.clone(), Waiting::default());
+        }
+        for job in self.jobs.values() {
+            self.add_waiting(job, wall, &mut waiting);
+        }
+        let rooms = self.rooms(&waiting, now);
+        let mut backlogs = Vec::with_capacity(waiting.len());
+        for (source, waiting) in waiting {
+            let inflow = self.inflows.get(&source);
+            backlogs.push(Backlog {
+                in_time: waiting.in_time,
+                late: waiting.late,
+                inflow: inflow.map_or(0, |inflow| inflow.rate(wall)),
+                run_percent: waiting.run_percent(),
+                queue: source.queue,
+                kind: source.kind,
+                pool: source.pool,
+                priority: source.priority,
+            });
+        }
+        estimate(&backlogs, &rooms)
+    }
+
+    /// Returns what the pools offer, with the workers that may come back; empty until this owner has
+    /// known the workers for long enough.
+    pub fn pool_capacities(&self, now: u64) -> Vec<PoolCapacity> {
+        self.pools.capacities(now)
+    }
+
+    /// Records the workers that are known now.
+    pub(crate) fn record_pools(&mut self, now: u64) {
+        let offers = self.workers.values().map(|worker| Offer {
+            name: &worker.entry.name,
+            pool: &worker.entry.pool,
+            size: worker.entry.size,
+            labels: &worker.entry.labels,
+        });
+        self.pools.record(offers, now);
+    }
+
+    /// Counts the work of a job that was just accepted. Repetitions of a timetable arrive later and
+    /// evenly.
+    pub(crate) fn record_inflow(&mut self, id: &Id, wall: u64) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let submission = &job.progress.submission;
+        let source = source(job);
+        if source.kind == Kind::LongRunning || submission.spec.timetable.is_some() {
+            return;
+        }
+        let learned = self.learned_durations(&submission.queue.name);
+        let steps = submission.spec.steps.iter();
+        let work = steps
+            .map(|step| work(step, u64::from(step.count), learned))
+            .fold(0, u64::saturating_add);
+        if self.inflows.len() >= MAX_SOURCES && !self.inflows.contains_key(&source) {
+            self.inflows.retain(|_, inflow| inflow.rate(wall) > 0);
+        }
+        self.inflows.entry(source).or_default().add(work, wall);
+    }
+
+    /// Returns what was learned of a queue, if that is enough and to be used.
+    pub(crate) fn learned_durations(&self, queue: &str) -> Option<&Durations> {
+        self.durations.get(queue).filter(|_| self.learning)
+    }
+
+    /// Adds the tasks of a job that are due and not placed, also those whose step must wait for
+    /// others. Jobs whose result will have lost all worth are in nobody's way.
+    fn add_waiting(&self, job: &Job, wall: u64, all: &mut BTreeMap<Source, Waiting>) {
+        if job.progress.state.is_final() || job.rank.late == Lateness::Worthless {
+            return;
+        }
+        let submission = &job.progress.submission;
+        let source = source(job);
+        if source.kind == Kind::LongRunning {
+            return;
+        }
+        let learned = self.learned_durations(&submission.queue.name);
+        let spec = &submission.spec;
+        let own = all.entry(source).or_default();
+        for (number, is_ready) in job.steps_ready.iter().enumerate() {
+            let (time, index) = (number / spec.steps.len(), number % spec.steps.len());
+            if wall < spec.due(time as u32) {
+                break;
+            }
+            let (time, index) = (time as u32, index as u16);
+            let rest = job.progress.remaining_tasks(time, index);
+            if rest == 0 {
+                continue;
+            }
+            let tasks = if *is_ready {
+                job.ready.range(job.progress.places(time, index)).count() as u64
+            } else {
+                u64::from(rest)
+            };
+            own.add(&spec.steps[index as usize], tasks, job.rank.late, learned);
+        }
+    }
+
+    /// Returns the capacity of each pool for each kind of waiting work. Pools without a worker that
+    /// may get work are left out: when they will have one is unknown.
+    fn rooms(&self, waiting: &BTreeMap<Source, Waiting>, now: u64) -> Vec<Room> {
+        let mut sums: BTreeMap<(Arc<str>, Kind), Waiting> = BTreeMap::new();
+        for (source, own) in waiting {
+            let sum = sums.entry((source.pool.clone(), source.kind)).or_default();
+            sum.tasks += own.tasks;
+            sum.size = sum.size.plus(own.size);
+        }
+        let mut rooms: HashMap<(&Arc<str>, Kind), u64> = HashMap::new();
+        for worker in self.workers.values() {
+            if !worker.is_schedulable(now) || self.is_in_closed_hall(worker) {
+                continue;
+            }
+            for kind in [Kind::Batch, Kind::BestEffort] {
+                let Some(sum) = sums.get(&(worker.entry.pool.clone(), kind)) else {
+                    continue;
+                };
+                let cpu = rooms.entry((&worker.entry.pool, kind)).or_default();
+                *cpu += worker.capacity_for(kind, sum.mean_size());
+            }
+        }
+        let rooms = rooms.into_iter();
+        rooms
+            .map(|((pool, kind), cpu)| Room {
+                pool: pool.clone(),
+                kind,
+                cpu,
+            })
+            .collect()
+    }
+}
+
+impl Worker {
+    /// Returns the CPU that runs tasks of this kind, or that is free for tasks of this mean size.
+    fn capacity_for(&self, kind: Kind, size: Size) -> u64 {
+        let mut free = self.free();
+        let mut running = self.batch_cpu;
+        if kind == Kind::BestEffort {
+            running = self.best_effort_cpu;
+            free.cpu = self.idle_cpu();
+            if self.over_target_since.is_some() {
+                free.cpu = 0;
+            }
+        }
+        let pairs = [
+            (free.cpu, size.cpu),
+            (free.memory, size.memory),
+            (free.gpus, size.gpus),
+        ];
+        let fitting = pairs
+            .into_iter()
+            .filter_map(|(all, own)| all.checked_div(own));
+        running + fitting.min().unwrap_or_default() * size.cpu
+    }
+}
+
+/// Returns the queue and kind of a job.
+fn source(job: &Job) -> Source {
+    let submission = &job.progress.submission;
+    let queue = &submission.queue;
+    Source {
+        queue: queue.name.clone(),
+        kind: Kind::of(&submission.spec),
+        pool: queue.pool.clone(),
+        priority: queue.priority,
+    }
+}
+
+/// Returns the predicted work of tasks of a step, in CPU times milliseconds.
+fn work(step: &Step, tasks: u64, learned: Option<&Durations>) -> u64 {
+    let length = learned.map_or(step.estimate, |learned| learned.predict_task(step.estimate));
+    let work = u128::from(step.size.cpu) * u128::from(length) * u128::from(tasks);
+    u64::try_from(work).unwrap_or(u64::MAX)
+}
--- a/components/cell/src/run_end.rs
+++ b/components/cell/src/run_end.rs
@@ -3,14 +3,14 @@
 
 use {
     crate::{
-        cell::Cell,
+        cell::{Cell, StepRuns},
         order::{EndCause, RunEnd},
         report::Times,
         run_log::FinishedRun,
-        slot::Stage,
         worker::TaskKey,
     },
     job::{Phase, State},
+    policy::durations::Ended,
     std::sync::Arc,
 };
 
@@ -53,34 +53,44 @@
 
     /// Records how long a completed run took; with the last one of its step, how long the step is.
     fn learn_duration(&mut self, id: &Arc<str>, key: &TaskKey, end: &RunEnd, times: Times) {
-        let Some(slot) = self.slot(id, key) else {
-            return;
-        };
-        let (Stage::Running { at }, false) = (slot.stage, slot.adopted) else {
-            return;
-        };
-        if slot.run != end.run || end.how != EndCause::Done {
+        if end.how != EndCause::Done {
             return;
         }
+        let slot = self.slot(id, key).filter(|slot| slot.run == end.run);
+        let length = slot.and_then(|slot| slot.measured_length(times.now));
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
+        let step = job.progress.step(key.place);
+        if step.lasting || job.progress.tasks[key.place].phase == Phase::Done {
+            return;
+        }
+        let (count, estimate) = (step.count, step.estimate);
+        // A task that resumes from a checkpoint has less to do.
+        let is_resumed = step.checkpoints && end.run > 1;
         let address = job.progress.submission.spec.address(key.place);
         let steps = job.progress.submission.spec.steps.len();
         let number = address.time as usize * steps + address.step as usize;
-        let Some(longest) = job.longest_runs.get_mut(number) else {
+        let Some(measured) = job.measured.get_mut(number) else {
             return;
         };
-        *longest = (*longest).max(times.now.saturating_sub(at));
-        if job.progress.remaining_tasks(address.time, address.step) > 1 {
+        if let Some(length) = length.filter(|_| !is_resumed) {
+            measured.add(length);
+        }
+        let measured = *measured;
+        let is_last = job.progress.remaining_tasks(address.time, address.step) <= 1;
+        let is_gang = job.progress.step(key.place).gang;
+        if !(is_last || is_gang) || !measured.is_representative(if is_gang { 1 } else { count }) {
             return;
         }
-        let estimate = job.progress.step(key.place).estimate;
         let queue = job.progress.submission.queue.name.clone();
-        self.durations
-            .entry(queue)
-            .or_default()
-            .record(estimate, *longest);
+        let step = Ended {
+            estimate,
+            longest: measured.longest,
+            mean: measured.total / u64::from(measured.count),
+        };
+        self.durations.record(&queue, step);
+        self.interference_due |= self.durations.is_write_due(times.now);
     }
 
     /// Logs a run end. Completed runs are logged in batches, all others at once.
@@ -247,3 +257,18 @@
         }
     }
 }
+
+impl StepRuns {
+    /// Adds a run of this length, in milliseconds.
+    fn add(&mut self, length: u64) {
+        self.count += 1;
+        self.longest = self.longest.max(length);
+        self.total += length;
+    }
+
+    /// True if the runs tell how long a step with this number of tasks takes: at least half of them
+    /// were measured.
+    const fn is_representative(self, tasks: u32) -> bool {
+        self.count > 0 && self.count >= tasks.div_ceil(2)
+    }
+}
--- a/components/cell/src/slot.rs
+++ b/components/cell/src/slot.rs
@@ -24,6 +24,10 @@
 /// The pace of an adopted run, for which this owner has not ordered one.
 pub const UNKNOWN_PACE: u8 = u8::MAX;
 
+/// The length of a run is not learned if throttling has taken more than this part of it; this is
+/// the divisor.
+const MAX_LOST_PART: u64 = 10;
+
 /// A worker's slot for a task.
 #[derive(Debug, Clone)]
 pub struct Slot {
@@ -31,12 +35,16 @@
     pub address: Address,
     /// The number of the run.
     pub run: u64,
+    /// Counts up with each slot that the worker gets.
+    pub number: u64,
     /// The run was adopted from a worker's report: it started before this owner recorded it.
     pub adopted: bool,
     /// The resources of the task.
     pub size: Size,
     /// The task is best-effort: it reserves no CPU.
     pub best_effort: bool,
+    /// The task is long-running.
+    pub lasting: bool,
     /// See [`job::Step::target`].
     pub target: u64,
     /// The image of the task.
@@ -59,6 +67,8 @@
     pub tripped: bool,
     /// Since when the task has been throttled to less than half of full speed.
     pub slow_since: Option<u64>,
+    /// The time lost to throttling until the pace was last ordered, in milliseconds.
+    pub lost: u64,
     /// See [`crate::order::Run::figure`].
     pub figure: u64,
 }
@@ -69,9 +79,11 @@
         Slot {
             address,
             run,
+            number: 0,
             adopted: false,
             size: step.size,
             best_effort: step.fills,
+            lasting: step.lasting,
             target: step.target,
             image,
             stage,
@@ -82,10 +94,35 @@
             pace_set_at: 0,
             tripped: false,
             slow_since: None,
+            lost: 0,
             figure: 0,
         }
     }
 
+    /// CPU that it reserves until a batch task is done.
+    pub fn batch_cpu(&self) -> u64 {
+        if self.lasting { 0 } else { self.reserved().cpu }
+    }
+
+    /// Returns the time that the run has lost to throttling, in milliseconds; 0 if its pace is
+    /// unknown.
+    pub fn lost_at(&self, now: u64) -> u64 {
+        let slower = u64::from(100u8.saturating_sub(self.percent));
+        self.lost + now.saturating_sub(self.pace_set_at) * slower / 100
+    }
+
+    /// Returns how long the run took if it ends now, in milliseconds; `None` if that tells nothing
+    /// about the task, since it started at an unknown time or was throttled for more than a tenth
+    /// of it.
+    pub fn measured_length(&self, now: u64) -> Option<u64> {
+        let Stage::Running { at } = self.stage else {
+            return None;
+        };
+        let length = now.saturating_sub(at);
+        let is_throttled = self.lost_at(now) > length / MAX_LOST_PART;
+        (!self.adopted && !is_throttled).then_some(length)
+    }
+
     /// The part of the worker's capacity that it reserves.
     pub fn reserved(&self) -> Size {
         let cpu = if self.best_effort { 0 } else { self.size.cpu };
--- a/components/cell/src/throttle.rs
+++ b/components/cell/src/throttle.rs
@@ -205,6 +205,7 @@
             continue;
         };
         log::debug!(target: "cell", worker = &*worker.entry.id, job = key.job.as_str(), place = key.place, worst, limit, from = slot.percent, to = percent; "Pace of a best-effort task changed.");
+        slot.lost = slot.lost_at(now);
         slot.percent = percent;
         slot.pace_set_at = now;
         changes.push((key.clone(), slot.run, percent));
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -183,12 +183,16 @@
     pub ends_deferred: bool,
     /// The slots of its tasks.
     pub slots: HashMap<TaskKey, Slot>,
+    /// The number of slots that it was given so far.
+    pub slots_given: u64,
     /// The sum of all reservations, without the CPU of best-effort tasks.
     pub reserved: Size,
     /// CPU of best-effort tasks.
     pub best_effort_cpu: u64,
     /// CPU of serving tasks, which is part of `reserved`.
     pub serving_cpu: u64,
+    /// CPU of batch tasks, which is part of `reserved`.
+    pub batch_cpu: u64,
     /// CPU of best-effort tasks, by image.
     pub best_effort_images: BTreeMap<Image, u64>,
     /// The number of serving tasks, by image.
@@ -238,9 +242,11 @@
             unwritten_ends: VecDeque::new(),
             ends_deferred: false,
             slots: HashMap::new(),
+            slots_given: 0,
             reserved: Size::default(),
             best_effort_cpu: 0,
             serving_cpu: 0,
+            batch_cpu: 0,
             best_effort_images: BTreeMap::new(),
             serving_images: BTreeMap::new(),
             serving_jobs: BTreeMap::new(),
@@ -385,8 +391,11 @@
             let job = (key.job.clone(), slot.image);
             *self.serving_jobs.entry(job).or_default() += 1;
         }
+        self.batch_cpu += slot.batch_cpu();
         self.reserved = self.reserved.plus(firm);
-        self.slots.insert(key, slot);
+        self.slots_given += 1;
+        let number = self.slots_given;
+        self.slots.insert(key, Slot { number, ..slot });
     }
 
     /// Removes the slot of a task.
@@ -403,6 +412,7 @@
             subtract(&mut self.serving_images, slot.image, 1);
             subtract(&mut self.serving_jobs, (key.job.clone(), slot.image), 1);
         }
+        self.batch_cpu -= slot.batch_cpu();
         self.reserved = self.reserved.minus(firm);
         Some(slot)
     }
--- a/components/cell/tests/decisions/capacity.rs
+++ b/components/cell/tests/decisions/capacity.rs
@@ -71,6 +71,29 @@
     assert!(stopped(&mut world).is_empty());
 }
 
+/// The latest of several starts of one pass is taken back, whatever the ids of their jobs: an
+/// earlier one may already run.
+#[test]
+fn shrinking_capacity_withdraws_latest_start_of_pass() {
+    let mut world = World::new(&["w1"]);
+    allow_overcommit(&mut world);
+    let (first, second) = ("00000000000000f2", "00000000000000b1");
+    world.submit(second, vec![step(1, 2_000)]);
+    let mut urgent = step(1, 2_000);
+    urgent.estimate = 100;
+    world.submit(first, vec![urgent]);
+    let starts = world.starts();
+    let jobs = starts.iter().map(|(_, start)| start.key.job.as_str());
+    assert_eq!(jobs.collect::<Vec<_>>(), [first, second]);
+    resize(&mut world, 2);
+    let orders = world.cell.take_orders().into_iter();
+    let stops = orders.filter_map(|(_, order)| match order {
+        Order::Stop { key, .. } => Some(key.job),
+        _ => None,
+    });
+    assert_eq!(stops.collect::<Vec<_>>(), [Id::new(second).unwrap()]);
+}
+
 /// Workers that enforce their capacity refuse what does not fit, so that pending starts are left to
 /// them.
 #[test]
--- a/components/cell/tests/decisions/main.rs
+++ b/components/cell/tests/decisions/main.rs
@@ -16,6 +16,7 @@
 mod maintenance;
 mod net_sim;
 mod placement;
+mod pressure;
 mod random_faults;
 mod restart_times;
 mod reused_names;
--- a/components/job/src/progress.rs
+++ b/components/job/src/progress.rs
@@ -218,14 +218,20 @@
 
     /// Returns the longest critical path of the unfinished steps of any time, in milliseconds.
     pub fn remaining_path(&self) -> u64 {
-        let steps = self.critical_paths.len().max(1);
+        self.remaining_of(&self.critical_paths)
+    }
+
+    /// Returns the longest of these paths, given by step, from an unfinished step of any time, in
+    /// milliseconds.
+    pub fn remaining_of(&self, paths: &[u64]) -> u64 {
+        let steps = paths.len().max(1);
         let unfinished = self
             .unfinished
             .iter()
             .enumerate()
             .filter(|(_, tasks)| **tasks > 0);
-        let paths = unfinished.map(|(number, _)| self.critical_paths[number % steps]);
-        paths.max().unwrap_or_default()
+        let rest = unfinished.filter_map(|(number, _)| paths.get(number % steps));
+        rest.copied().max().unwrap_or_default()
     }
 
     /// Returns the number of unfinished tasks of a step at this time.
--- a/components/node/src/claim.rs
+++ b/components/node/src/claim.rs
@@ -16,7 +16,7 @@
         store::{ApplyResult, Change, Item, range_all},
         time,
     },
-    cell::{Cell, Entry},
+    cell::{Cell, Entry, Learned},
     job::{Id, Record},
     kernel::{Failure, task::Signal, verdict::Cause, wall_clock, wire},
     std::{
@@ -289,8 +289,8 @@
     let mut interference = 0;
     if let Some(item) = store.get_large(&keys::interference(CELL))? {
         interference = item.revision;
-        match wire::decode(&item.value) {
-            Ok(interference) => cell.restore_interference(interference),
+        match wire::decode::<Learned>(&item.value) {
+            Ok(learned) => cell.restore_interference(learned),
             Err(error) => {
                 log::warn!(target: "owner", error:% = error; "The stored interference model cannot be decoded; a new one is learned.");
             }
--- a/components/policy/src/admission/mod.rs
+++ b/components/policy/src/admission/mod.rs
@@ -6,14 +6,19 @@
 //! Without recent figures a box accepts everything.
 
 mod estimate;
+mod history;
+mod inflow;
 mod never;
 mod verdict;
 
 pub use estimate::{Backlog, Room, estimate};
+pub use history::{Offer, PoolHistory};
+pub use inflow::{Inflow, Source};
 pub use never::{PoolCapacity, impossible};
-pub use verdict::{Demand, Verdict, judge};
+pub use verdict::{Demand, Verdict, judge, spread};
 
 use {
+    job::Spec,
     serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
@@ -29,6 +34,19 @@
     LongRunning,
 }
 
+impl Kind {
+    /// Returns the kind of a job. A job with best-effort steps ends when these have found idle CPU.
+    pub fn of(spec: &Spec) -> Self {
+        if spec.is_long_running() {
+            Kind::LongRunning
+        } else if spec.steps.iter().any(|step| step.fills) {
+            Kind::BestEffort
+        } else {
+            Kind::Batch
+        }
+    }
+}
+
 /// The pressure on one queue by jobs of one kind.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QueuePressure {
@@ -36,9 +54,11 @@
     pub queue: Arc<str>,
     /// The kind of job.
     pub kind: Kind,
-    /// How long the work ahead of one more job takes if that job is still in time.
+    /// How long the work ahead of one more job takes if that job is still in time; `u64::MAX` if it
+    /// never ends.
     pub wait: u64,
-    /// How long all waiting work of the same capacity takes, including jobs that are late.
+    /// How long all work ahead of one more job takes if that job is late, with what arrives
+    /// meanwhile; `u64::MAX` if it never ends.
     pub drain: u64,
     /// The run time of tasks as a percentage of the callers' estimates, as learned.
     pub run_percent: u32,
@@ -58,3 +78,6 @@
         queues.find(|own| &*own.queue == queue && own.kind == kind)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/policy/src/admission/never.rs
+++ b/components/policy/src/admission/never.rs
@@ -1,7 +1,7 @@
 //! Jobs that no worker of their pool can ever run.
 
 use {
-    job::{Spec, spec::Size},
+    job::{Spec, Step, spec::Size},
     serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
@@ -31,10 +31,26 @@
             return Some(format!("no worker has the label {label} of step {number}"));
         }
         // Tasks that need not run together may use the same worker one after the other.
-        let is_apart = step.gang && step.spread > 0;
-        if is_apart && u64::from(step.count) > u64::from(step.spread) * u64::from(pool.workers) {
+        if step.gang && u64::from(step.count) > widest_gang(step, pool) {
             return Some(format!("step {number} needs more workers than there are"));
         }
     }
     None
 }
+
+/// Returns how many tasks of a step can run at the same time if all workers are as large as the
+/// largest and have nothing else to run.
+fn widest_gang(step: &Step, pool: &PoolCapacity) -> u64 {
+    let (size, largest) = (step.size, pool.largest);
+    let pairs = [
+        (largest.cpu, size.cpu),
+        (largest.memory, size.memory),
+        (largest.gpus, size.gpus),
+    ];
+    let fitting = pairs
+        .into_iter()
+        .filter_map(|(all, own)| all.checked_div(own));
+    let limit = (step.spread > 0).then_some(u64::from(step.spread));
+    let each = fitting.chain(limit).min().unwrap_or(u64::MAX);
+    each.saturating_mul(u64::from(pool.workers))
+}
--- a/components/policy/src/admission/verdict.rs
+++ b/components/policy/src/admission/verdict.rs
@@ -1,10 +1,16 @@
 //! The verdict on one job.
 
 use {
-    super::{Kind, Pressure},
+    super::{Kind, Pressure, QueuePressure},
+    crate::lateness::WORTHLESS_AT,
     std::sync::Arc,
 };
 
+/// The shortest time until a refused caller is to come back, in milliseconds.
+const MIN_RETRY: u64 = 1_000;
+/// The longest time, in milliseconds: forecasts of the load reach no further.
+const MAX_RETRY: u64 = 30_000;
+
 /// A job that a caller submits.
 #[derive(Debug, Clone)]
 pub struct Demand {
@@ -25,27 +31,49 @@
     Accept,
     /// It would end too late; a job submitted after this time can succeed.
     Busy {
-        /// The time until then, in milliseconds.
+        /// The time until then, in milliseconds; see [`spread`].
         retry_after: u64,
-        /// When the job would have ended, in milliseconds from now.
+        /// When the job would have ended, in milliseconds from now; `u64::MAX` if never.
         end: u64,
     },
 }
 
-/// A late result loses all worth at this multiple of its objective.
-pub const WORTHLESS_AT: u64 = 3;
-
-/// Decides on a job. `pressure` is `None` if no recent figures are known.
+/// Decides on a job. `pressure` is `None` if no recent figures are known. A job is refused only for
+/// the wait: one that is too long even without any wait is accepted, as it would be at rest.
 pub fn judge(demand: &Demand, pressure: Option<&Pressure>) -> Verdict {
+    if demand.kind == Kind::LongRunning {
+        return Verdict::Accept;
+    }
     let Some(own) = pressure.and_then(|pressure| pressure.of(&demand.queue, demand.kind)) else {
         return Verdict::Accept;
     };
-    let run = demand.chain * u64::from(own.run_percent) / 100;
-    let is_in_time = own.wait + run <= demand.objective;
-    let end = own.drain + run;
-    if is_in_time || end <= WORTHLESS_AT * demand.objective {
+    let run = run_time(demand, own);
+    let limit = demand.objective.saturating_mul(WORTHLESS_AT);
+    let end = own.drain.saturating_add(run);
+    let is_in_time = own.wait.saturating_add(run) <= demand.objective;
+    if is_in_time || end <= limit || run > limit {
         return Verdict::Accept;
     }
-    let retry_after = (own.wait + run).saturating_sub(demand.objective);
-    Verdict::Busy { retry_after, end }
+    // A job whose run alone misses the objective can still end while its result has some worth.
+    let excess = if run <= demand.objective {
+        own.wait.saturating_add(run) - demand.objective
+    } else {
+        end - limit
+    };
+    Verdict::Busy {
+        retry_after: excess.clamp(MIN_RETRY, MAX_RETRY),
+        end,
+    }
+}
+
+/// Returns when a refused caller is to come back, spread by a random number from 0 to 1 over half
+/// of the time after it, so that refused callers do not return together.
+pub fn spread(retry_after: u64, random: f64) -> u64 {
+    let extra = retry_after as f64 / 2.0 * random.clamp(0.0, 1.0);
+    retry_after.saturating_add(extra as u64)
+}
+
+/// Returns the predicted run time of a job.
+fn run_time(demand: &Demand, own: &QueuePressure) -> u64 {
+    demand.chain.saturating_mul(u64::from(own.run_percent)) / 100
 }
--- a/components/policy/src/durations/mod.rs
+++ b/components/policy/src/durations/mod.rs
@@ -3,65 +3,123 @@
 //! Callers' estimates may be far off, and leave out that a step lasts as long as its longest task.
 //! The prediction for a step combines its estimate, corrected by the usual error of the queue's
 //! estimates, with the usual length of the queue's steps. Each counts by how little it has varied.
+//! All of this is done in logarithms, since errors are factors.
 
-use serde::{Deserialize, Serialize};
+mod moments;
+mod queues;
 
-/// The number of ended steps from which predictions are used.
-const MIN_SAMPLES: f64 = 8.0;
-/// The weight of the past is limited to this many samples, so that changes are learned.
-const MAX_SAMPLES: f64 = 200.0;
-/// The smallest variance that is assumed: predictions are never surer than a tenth.
-const MIN_VARIANCE: f64 = 0.01;
+pub use queues::Queues;
 
-/// Mean and variance of a logarithm.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-struct Moments {
-    count: f64,
-    mean: f64,
-    variance: f64,
-}
+use {
+    moments::Moments,
+    serde::{Deserialize, Serialize},
+};
 
-impl Moments {
-    fn add(&mut self, value: f64) {
-        self.count = (self.count + 1.0).min(MAX_SAMPLES);
-        let delta = value - self.mean;
-        self.mean += delta / self.count;
-        self.variance += (delta * (value - self.mean) - self.variance) / self.count;
-    }
+/// The number of ended steps from which predictions are used.
+const MIN_SAMPLES: f64 = 8.0;
+/// The longest time that is learned or predicted, in milliseconds: one year, which is the maximum
+/// of an estimate.
+const MAX_LENGTH: u64 = 366 * 86_400_000;
 
-    fn precision(&self) -> f64 {
-        1.0 / self.variance.max(MIN_VARIANCE)
-    }
+/// The times of a step that has ended, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ended {
+    /// The caller's estimate for its tasks; 0 if there was none.
+    pub estimate: u64,
+    /// The run time of its longest task.
+    pub longest: u64,
+    /// The mean run time of its tasks.
+    pub mean: u64,
 }
 
 /// What was learned of the steps of one queue.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Durations {
     /// Logarithms of lengths in milliseconds.
     length: Moments,
     /// Logarithms of lengths divided by estimates.
     error: Moments,
+    /// Logarithms of the mean run time of tasks divided by the length of their step.
+    share: Moments,
 }
 
 impl Durations {
-    /// Records a step that was estimated to take this long and took `actual`, in milliseconds.
-    pub fn record(&mut self, estimate: u64, actual: u64) {
-        if estimate == 0 || actual == 0 {
+    /// Records a step that has ended.
+    pub fn record(&mut self, step: Ended) {
+        if step.longest == 0 {
             return;
         }
-        let actual = (actual as f64).ln();
-        self.length.add(actual);
-        self.error.add(actual - (estimate as f64).ln());
+        let length = log(step.longest);
+        self.length.add(length);
+        self.share.add((log(step.mean) - length).min(0.0));
+        if step.estimate > 0 {
+            self.error.add(length - log(step.estimate));
+        }
+    }
+
+    /// True if enough steps have ended for predictions.
+    pub fn is_learned(&self) -> bool {
+        self.length.count() >= MIN_SAMPLES
     }
 
     /// Predicts how long a step takes whose tasks are estimated to take this long, in milliseconds.
+    /// Before enough steps have ended it is the estimate.
     pub fn predict(&self, estimate: u64) -> u64 {
-        if self.length.count < MIN_SAMPLES || estimate == 0 {
+        if !self.is_learned() {
+            return estimate;
+        }
+        milliseconds(self.posterior(estimate).0)
+    }
+
+    /// Returns the prediction less one standard deviation, in milliseconds: a step is rarely
+    /// shorter. Before enough steps have ended it is the estimate.
+    pub fn low(&self, estimate: u64) -> u64 {
+        if !self.is_learned() {
             return estimate;
         }
-        let corrected = (estimate as f64).ln() + self.error.mean;
-        let (by_error, by_length) = (self.error.precision(), self.length.precision());
-        let log = (corrected * by_error + self.length.mean * by_length) / (by_error + by_length);
-        log.exp() as u64
+        let (mean, variance) = self.posterior(estimate);
+        milliseconds(mean - variance.sqrt())
     }
+
+    /// Returns the standard deviation of the logarithm of a predicted length; `None` before enough
+    /// steps have ended.
+    pub fn deviation(&self, estimate: u64) -> Option<f64> {
+        self.is_learned().then(|| self.posterior(estimate).1.sqrt())
+    }
+
+    /// Predicts the mean run time of the tasks of a step, in milliseconds, which is what they take
+    /// of the capacity. Before enough steps have ended it is the estimate.
+    pub fn predict_task(&self, estimate: u64) -> u64 {
+        if !self.is_learned() {
+            return estimate;
+        }
+        milliseconds(self.posterior(estimate).0 + self.share.mean())
+    }
+
+    /// Returns mean and variance of the logarithm of a step's length: the usual length is the prior,
+    /// and the corrected estimate is an observation.
+    fn posterior(&self, estimate: u64) -> (f64, f64) {
+        if estimate == 0 || self.error.count() < MIN_SAMPLES {
+            return (self.length.mean(), self.length.variance());
+        }
+        let corrected = log(estimate) + self.error.mean();
+        let (by_error, by_length) = (1.0 / self.error.variance(), 1.0 / self.length.variance());
+        let sum = by_error + by_length;
+        let mean = (corrected * by_error + self.length.mean() * by_length) / sum;
+        (mean, 1.0 / sum)
+    }
+}
+
+/// Returns the logarithm of a time in milliseconds.
+fn log(time: u64) -> f64 {
+    (time.clamp(1, MAX_LENGTH) as f64).ln()
 }
+
+/// Returns the time in milliseconds, at least 1, of which this is the logarithm.
+fn milliseconds(log: f64) -> u64 {
+    (log.exp().round() as u64).clamp(1, MAX_LENGTH)
+}
+
+#[cfg(test)]
+mod tests;
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod admission;
 pub mod durations;
+pub mod lateness;
 pub mod shares;
 pub mod takeover;
