Admission: the wait counts earlier objectives; run times are learned

Change: a backlog lists its jobs with the time to their objective, and a queue has a usual time to the objective, so that only earlier ones are ahead of a job in time; arriving jobs with a shorter time overtake for a while. The owner learns the run time of whole jobs as well, and sends the three figures by which it is predicted (QueuePressure::run in place of run_percent); Pressure::run_time gives it to the caller of judge for the objective.

Ruled out: a horizon for arrivals in the drain; the design has a late job refused while arrivals take all capacity.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -165,6 +165,8 @@
     pub(crate) pending: Option<Pending>,
     /// How long steps take, by queue.
     pub(crate) durations: Queues,
+    /// How long jobs take from the start of their first task, without waits, by queue.
+    pub(crate) run_times: Queues,
     /// Learned lengths of steps are used.
     pub(crate) learning: bool,
     /// The work of the jobs that arrive.
@@ -230,6 +232,7 @@
             recovery: None,
             pending: None,
             durations: Queues::default(),
+            run_times: Queues::default(),
             learning: true,
             inflows: HashMap::new(),
             pools: PoolHistory::default(),
@@ -261,6 +264,7 @@
         let learned = learned.into();
         self.interference = learned.interference;
         self.durations = learned.durations;
+        self.run_times = learned.run_times;
     }
 
     /// Sets whether the learned lengths of steps are used for new jobs. Without them, the callers'
--- a/components/cell/src/learned.rs
+++ b/components/cell/src/learned.rs
@@ -15,29 +15,33 @@
     pub(crate) interference: Interference,
     /// How long steps take, by queue.
     pub(crate) durations: Queues,
+    /// How long jobs take, by queue.
+    pub(crate) run_times: Queues,
 }
 
 /// The stored forms. They differ in the number of their fields, also without field names.
 #[derive(Deserialize)]
 #[serde(untagged)]
 enum Stored {
-    Both(Both),
+    All(All),
     Model(Interference),
 }
 
 /// The fields of [`Learned`].
 #[derive(Deserialize)]
-struct Both {
+struct All {
     interference: Interference,
     durations: Queues,
+    run_times: Queues,
 }
 
 impl From<Stored> for Learned {
     fn from(stored: Stored) -> Self {
         match stored {
-            Stored::Both(both) => Learned {
-                interference: both.interference,
-                durations: both.durations,
+            Stored::All(all) => Learned {
+                interference: all.interference,
+                durations: all.durations,
+                run_times: all.run_times,
             },
             Stored::Model(interference) => interference.into(),
         }
--- a/components/cell/src/persistence.rs
+++ b/components/cell/src/persistence.rs
@@ -68,6 +68,7 @@
         std::mem::take(&mut self.interference_due).then(|| Learned {
             interference: self.interference.clone(),
             durations: self.durations.clone(),
+            run_times: self.run_times.clone(),
         })
     }
 
--- a/components/cell/src/pressure.rs
+++ b/components/cell/src/pressure.rs
@@ -7,8 +7,10 @@
     },
     job::{Id, Step, spec::Size},
     policy::{
-        admission::{Backlog, Kind, Offer, PoolCapacity, Pressure, Room, Source, estimate},
-        durations::Durations,
+        admission::{
+            Backlog, Due, Inflow, Kind, Offer, PoolCapacity, Pressure, Room, Source, estimate,
+        },
+        durations::{Durations, Profile},
         lateness::Lateness,
     },
     std::{
@@ -25,46 +27,25 @@
 #[derive(Debug, Default)]
 struct Waiting {
     /// See [`Backlog::in_time`].
-    in_time: u64,
+    in_time: Vec<Due>,
     /// See [`Backlog::late`].
     late: u64,
     /// The number of tasks.
     tasks: u64,
     /// The sum of their sizes.
     size: Size,
-    /// The sum of their estimates, in milliseconds.
-    estimated: u64,
-    /// The sum of the predicted lengths of their steps, in milliseconds.
-    predicted: u64,
 }
 
 impl Waiting {
-    /// Adds tasks of a step.
-    fn add(&mut self, step: &Step, tasks: u64, late: Lateness, learned: Option<&Durations>) {
-        let (cpu, estimate) = (step.size.cpu, step.estimate);
-        let work = work(step, tasks, learned);
-        let sum = if late == Lateness::InTime {
-            &mut self.in_time
-        } else {
-            &mut self.late
-        };
-        *sum = sum.saturating_add(work);
+    /// Adds tasks of a step. Returns their work.
+    fn add(&mut self, step: &Step, tasks: u64, learned: Option<&Durations>) -> u64 {
         self.tasks += tasks;
         self.size = self.size.plus(Size {
-            cpu: cpu * tasks,
+            cpu: step.size.cpu * tasks,
             memory: step.size.memory * tasks,
             gpus: step.size.gpus * tasks,
         });
-        let predicted = learned.map_or(estimate, |learned| learned.predict(estimate));
-        self.estimated = self.estimated.saturating_add(estimate * tasks);
-        self.predicted = self.predicted.saturating_add(predicted * tasks);
-    }
-
-    /// The predicted run time as a percentage of the estimate.
-    fn run_percent(&self) -> u32 {
-        let percent = u128::from(self.predicted) * 100;
-        let percent = percent.checked_div(u128::from(self.estimated));
-        percent.map_or(100, |percent| u32::try_from(percent).unwrap_or(u32::MAX))
+        work(step, tasks, learned)
     }
 
     /// The mean size of the tasks.
@@ -98,10 +79,11 @@
         for (source, waiting) in waiting {
             let inflow = self.inflows.get(&source);
             backlogs.push(Backlog {
+                run: self.run_profile(&source.queue),
                 in_time: waiting.in_time,
                 late: waiting.late,
                 inflow: inflow.map_or(0, |inflow| inflow.rate(wall)),
-                run_percent: waiting.run_percent(),
+                span: inflow.map_or(u64::MAX, Inflow::span),
                 queue: source.queue,
                 kind: source.kind,
                 pool: source.pool,
@@ -134,7 +116,7 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
-        let submission = &job.progress.submission;
+        let (submission, span) = (&job.progress.submission, job.rank.span);
         let source = source(job);
         if source.kind == Kind::LongRunning || submission.spec.timetable.is_some() {
             return;
@@ -147,7 +129,10 @@
         if self.inflows.len() >= MAX_SOURCES && !self.inflows.contains_key(&source) {
             self.inflows.retain(|_, inflow| inflow.rate(wall) > 0);
         }
-        self.inflows.entry(source).or_default().add(work, wall);
+        self.inflows
+            .entry(source)
+            .or_default()
+            .add(work, span, wall);
     }
 
     /// Returns what was learned of a queue, if that is enough and to be used.
@@ -155,6 +140,13 @@
         self.durations.get(queue).filter(|_| self.learning)
     }
 
+    /// Returns how run times of jobs are predicted.
+    fn run_profile(&self, queue: &str) -> Profile {
+        let learned = self.run_times.get(queue).filter(|_| self.learning);
+        let profile = learned.and_then(Durations::profile);
+        profile.unwrap_or(Profile::ESTIMATE)
+    }
+
     /// Adds the tasks of a job that are due and not placed, also those whose step must wait for
     /// others. Jobs whose result will have lost all worth are in nobody's way.
     fn add_waiting(&self, job: &Job, wall: u64, all: &mut BTreeMap<Source, Waiting>) {
@@ -169,6 +161,7 @@
         let learned = self.learned_durations(&submission.queue.name);
         let spec = &submission.spec;
         let own = all.entry(source).or_default();
+        let mut work = 0u64;
         for (number, is_ready) in job.steps_ready.iter().enumerate() {
             let (time, index) = (number / spec.steps.len(), number % spec.steps.len());
             if wall < spec.due(time as u32) {
@@ -184,7 +177,13 @@
             } else {
                 u64::from(rest)
             };
-            own.add(&spec.steps[index as usize], tasks, job.rank.late, learned);
+            work = work.saturating_add(own.add(&spec.steps[index as usize], tasks, learned));
+        }
+        if job.rank.late == Lateness::Late {
+            own.late = own.late.saturating_add(work);
+        } else if work > 0 {
+            let until = job.rank.objective.saturating_sub(wall);
+            own.in_time.push(Due { until, work });
         }
     }
 
--- a/components/cell/src/run_end.rs
+++ b/components/cell/src/run_end.rs
@@ -9,7 +9,7 @@
         run_log::FinishedRun,
         worker::TaskKey,
     },
-    job::{Phase, State},
+    job::{Id, Phase, State, Step},
     policy::durations::Ended,
     std::sync::Arc,
 };
@@ -93,6 +93,31 @@
         self.interference_due |= self.durations.is_write_due(times.now);
     }
 
+    /// Records how long the critical path of a completed job took, if all its steps were measured.
+    fn learn_run_time(&mut self, id: &Id) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let submission = &job.progress.submission;
+        let spec = &submission.spec;
+        let is_measured = |(step, runs): (&Step, &StepRuns)| {
+            runs.is_representative(if step.gang { 1 } else { step.count })
+        };
+        let mut steps = spec.steps.iter().zip(&job.measured);
+        if spec.timetable.is_some() || !steps.all(is_measured) {
+            return;
+        }
+        let longest = |number: usize, _: &Step| job.measured[number].longest;
+        let taken = spec.critical_paths_by(longest).into_iter().max();
+        let estimate = spec.critical_paths().into_iter().max();
+        let run_time = Ended {
+            estimate: estimate.unwrap_or_default(),
+            longest: taken.unwrap_or_default(),
+            mean: taken.unwrap_or_default(),
+        };
+        self.run_times.record(&submission.queue.name, run_time);
+    }
+
     /// Logs a run end. Completed runs are logged in batches, all others at once.
     fn log_end(&mut self, id: &Arc<str>, key: &TaskKey, end: &RunEnd, times: Times) {
         if end.how == EndCause::Done {
@@ -186,6 +211,7 @@
             .get(&key.job)
             .is_some_and(|job| job.progress.is_done());
         if is_done {
+            self.learn_run_time(&key.job);
             self.finish(&key.job, State::Completed, times.now, times.wall);
         } else {
             self.activate_steps(&key.job, times.wall);
--- a/components/cell/tests/decisions/pressure.rs
+++ b/components/cell/tests/decisions/pressure.rs
@@ -65,12 +65,12 @@
     }
 }
 
-/// The run time that the cell predicts, as a percentage of the estimate, seen by a backlog of many
-/// tasks that are estimated to take 1 s.
-fn run_percent(world: &mut World) -> u32 {
+/// The run time that the cell predicts for a job that is estimated to take 1 s, as seen by a
+/// backlog.
+fn run_time(world: &mut World) -> u64 {
     submit(world, 1, vec![step(40, 1_000)]);
     start_all(world);
-    batch(world).unwrap().run_percent
+    pressure(world).run_time("queue", Kind::Batch, 1_000)
 }
 
 #[test]
@@ -246,10 +246,10 @@
 fn learned_lengths_are_used() {
     let mut world = World::new(&["w1"]);
     run_jobs(&mut world, 7, 3_000);
-    assert_eq!(run_percent(&mut world), 100);
+    assert_eq!(run_time(&mut world), 1_000);
     let mut world = World::new(&["w1"]);
     run_jobs(&mut world, 8, 3_000);
-    assert_eq!(run_percent(&mut world), 300);
+    assert_eq!(run_time(&mut world), 3_000);
 }
 
 #[test]
@@ -257,7 +257,7 @@
     let mut world = World::new(&["w1"]);
     run_jobs(&mut world, 8, 3_000);
     world.cell.enable_learning(false);
-    assert_eq!(run_percent(&mut world), 100);
+    assert_eq!(run_time(&mut world), 1_000);
 }
 
 /// A job counts as late once it would be so even if it were a standard deviation faster than
@@ -269,10 +269,12 @@
     submit(&mut world, 1, vec![step(40, 1_000)]);
     start_all(&mut world);
     // The objective is twice the predicted 3 s plus 0.1 s, and at least 2.79 s are needed.
-    world.cell.rerank(WALL + 3_000, world.now);
-    assert!(batch(&world).unwrap().wait > 0);
-    world.cell.rerank(WALL + 3_500, world.now);
-    assert_eq!(batch(&world).unwrap().wait, 0);
+    for (age, is_late) in [(3_000, false), (3_500, true)] {
+        world.cell.rerank(WALL + age, world.now);
+        let pressure = world.cell.pressure(world.now, WALL + age);
+        let wait = pressure.of("queue", Kind::Batch).unwrap().wait;
+        assert_eq!(wait == 0, is_late);
+    }
 }
 
 /// Runs that a former owner has started, and those that were throttled, tell nothing of the task.
@@ -287,7 +289,7 @@
         world.report("w1", vec![], vec![end(number, &id, 0, 1, EndCause::Done)]);
         world.persist();
     }
-    assert_eq!(run_percent(&mut world), 100);
+    assert_eq!(run_time(&mut world), 1_000);
 }
 
 /// Reports a serving task with this tail latency, and other runs beside it, after half a second.
@@ -299,9 +301,9 @@
     world.report("w1", running, vec![]);
 }
 
-/// Runs best-effort jobs of 4 s beside a serving task with this tail latency, and returns the
-/// percentage that was learned.
-fn learned_beside_serving(tail: u64) -> u32 {
+/// Runs best-effort jobs of 4 s beside a serving task with this tail latency, and returns the run
+/// time that is predicted for an estimate of 1 s.
+fn learned_beside_serving(tail: u64) -> u64 {
     let mut world = World::new(&["w1"]);
     let serving = Step {
         lasting: true,
@@ -333,14 +335,13 @@
     }
     submit(&mut world, 1, vec![filling(40)]);
     start_all(&mut world);
-    let own = pressure(&world);
-    own.of("queue", Kind::BestEffort).unwrap().run_percent
+    pressure(&world).run_time("queue", Kind::BestEffort, 1_000)
 }
 
 #[test]
 fn learned_lengths_without_throttled_runs() {
-    assert_eq!(learned_beside_serving(5), 400);
-    assert_eq!(learned_beside_serving(75), 100);
+    assert_eq!(learned_beside_serving(5), 4_000);
+    assert_eq!(learned_beside_serving(75), 1_000);
 }
 
 fn encode(learned: &Learned) -> Vec<u8> {
@@ -356,7 +357,7 @@
     let learned: Learned = rmp_serde::from_slice(&encode(&learned)).unwrap();
     let mut successor = World::new(&["w1"]);
     successor.cell.restore_interference(learned);
-    assert_eq!(run_percent(&mut successor), 300);
+    assert_eq!(run_time(&mut successor), 3_000);
 }
 
 /// A model as former versions have stored it, with samples for a pair of images.
--- a/components/job/src/spec.rs
+++ b/components/job/src/spec.rs
@@ -310,7 +310,13 @@
 
     /// Returns the critical paths if each step takes as long as `length` returns, in milliseconds.
     pub fn critical_paths_with(&self, length: impl Fn(&Step) -> u64) -> Vec<u64> {
-        let lengths: Vec<u64> = self.steps.iter().map(length).collect();
+        self.critical_paths_by(|_, step| length(step))
+    }
+
+    /// Like [`Spec::critical_paths_with`], with the number of each step.
+    pub fn critical_paths_by(&self, length: impl Fn(usize, &Step) -> u64) -> Vec<u64> {
+        let steps = self.steps.iter().enumerate();
+        let lengths: Vec<u64> = steps.map(|(number, step)| length(number, step)).collect();
         let mut paths = lengths.clone();
         for number in (0..self.steps.len()).rev() {
             let path = paths[number];
--- a/components/policy/src/admission/estimate.rs
+++ b/components/policy/src/admission/estimate.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{Kind, Pressure, QueuePressure},
+    crate::durations::Profile,
     std::sync::Arc,
 };
 
@@ -9,6 +10,15 @@
 /// for it, and the figures of a cell with free capacity would change all the time.
 const MIN_DRAIN: u64 = 100;
 
+/// The waiting work of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Due {
+    /// The time until its objective; 0 if that has passed.
+    pub until: u64,
+    /// Its work, in CPU times milliseconds.
+    pub work: u64,
+}
+
 /// The waiting work of a queue and kind.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Backlog {
@@ -20,15 +30,17 @@
     pub pool: Arc<str>,
     /// The priority; 0 goes first.
     pub priority: u32,
-    /// The work of all jobs that are not late, in CPU times milliseconds.
-    pub in_time: u64,
-    /// The work of jobs that are late and whose result still has some worth. Jobs without come
-    /// after all others and are in nobody's way.
+    /// The jobs that are not late.
+    pub in_time: Vec<Due>,
+    /// The work of jobs that are late and whose result still has some worth, in CPU times
+    /// milliseconds. Jobs without come after all others and are in nobody's way.
     pub late: u64,
     /// The CPU that arriving work takes.
     pub inflow: u64,
-    /// The run time of tasks as a percentage of the callers' estimates, as learned.
-    pub run_percent: u32,
+    /// The usual time from the acceptance of a job to its objective.
+    pub span: u64,
+    /// How the run time of a job is predicted from its estimated critical path.
+    pub run: Profile,
 }
 
 /// The capacity of a pool for batch or best-effort work: the CPU that runs it now, and the CPU that
@@ -46,12 +58,11 @@
 /// What goes before one more job of a queue.
 #[derive(Debug, Default)]
 struct Ahead {
-    /// The waiting work of jobs in time.
-    in_time: u64,
-    /// That of jobs that are late.
-    late: u64,
-    /// The CPU that arriving work of a higher priority takes. It overtakes a job in time; arriving
-    /// work of the same priority has a later objective as a rule.
+    /// The work that goes before a job in time: of a higher priority, or with an earlier objective.
+    earlier: u64,
+    /// All work that goes before a late job.
+    all: u64,
+    /// The CPU that arriving work of a higher priority takes.
     above: u64,
     /// The CPU that arriving work of the same or a higher priority takes. It overtakes a late job.
     inflow: u64,
@@ -60,19 +71,44 @@
 impl Ahead {
     fn of(own: &Backlog, backlogs: &[Backlog]) -> Self {
         let mut ahead = Ahead::default();
-        for other in backlogs {
-            if other.pool != own.pool || other.kind != own.kind || other.priority > own.priority {
-                continue;
+        for other in before(own, backlogs) {
+            let is_above = other.priority < own.priority;
+            for due in &other.in_time {
+                ahead.all = ahead.all.saturating_add(due.work);
+                if is_above || due.until <= own.span {
+                    ahead.earlier = ahead.earlier.saturating_add(due.work);
+                }
             }
-            ahead.in_time = ahead.in_time.saturating_add(other.in_time);
-            ahead.late = ahead.late.saturating_add(other.late);
+            ahead.all = ahead.all.saturating_add(other.late);
             ahead.inflow = ahead.inflow.saturating_add(other.inflow);
-            if other.priority < own.priority {
+            if is_above {
                 ahead.above = ahead.above.saturating_add(other.inflow);
             }
         }
         ahead
     }
+
+    /// Returns how long a job in time waits if this much CPU works off what is ahead. Jobs of the
+    /// same priority that arrive meanwhile overtake it as long as their objective is earlier.
+    fn wait(&self, own: &Backlog, backlogs: &[Backlog], cpu: u64) -> u64 {
+        let cpu = cpu.saturating_sub(self.above);
+        let wait = time(self.earlier, cpu);
+        let mut work = self.earlier;
+        for other in before(own, backlogs) {
+            let overtaking = own.span.saturating_sub(other.span).min(wait);
+            if other.priority == own.priority {
+                work = work.saturating_add(other.inflow.saturating_mul(overtaking));
+            }
+        }
+        time(work, cpu)
+    }
+}
+
+/// Returns the queues whose work uses the same capacity and may go before that of this one.
+fn before<'a>(own: &Backlog, backlogs: &'a [Backlog]) -> impl Iterator<Item = &'a Backlog> {
+    backlogs.iter().filter(|other| {
+        other.pool == own.pool && other.kind == own.kind && other.priority <= own.priority
+    })
 }
 
 /// Estimates the pressure on each queue. Queues of pools whose capacity is not known are left out,
@@ -88,17 +124,16 @@
             continue;
         }
         let ahead = Ahead::of(own, backlogs);
-        let all = ahead.in_time.saturating_add(ahead.late);
-        let drain = time(all, room.cpu.saturating_sub(ahead.inflow));
+        let drain = time(ahead.all, room.cpu.saturating_sub(ahead.inflow));
         if drain < MIN_DRAIN {
             continue;
         }
         queues.push(QueuePressure {
             queue: own.queue.clone(),
             kind: own.kind,
-            wait: time(ahead.in_time, room.cpu.saturating_sub(ahead.above)),
+            wait: ahead.wait(own, backlogs, room.cpu),
             drain,
-            run_percent: own.run_percent,
+            run: own.run,
         });
     }
     Pressure { queues }
--- a/components/policy/src/admission/inflow.rs
+++ b/components/policy/src/admission/inflow.rs
@@ -19,18 +19,31 @@
     pub priority: u32,
 }
 
-/// A decaying average of the work that arrives.
+/// The weight of a job in the usual time to the objective; this is the divisor.
+const SPAN_JOBS: i128 = 16;
+
+/// Decaying averages of the jobs that arrive.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Inflow {
     work: f64,
     at: u64,
+    /// The usual time from acceptance to objective; `None` before the first job.
+    span: Option<u64>,
 }
 
 impl Inflow {
-    /// Adds work that arrives, in CPU times milliseconds.
-    pub fn add(&mut self, work: u64, now: u64) {
+    /// Adds a job with this work, in CPU times milliseconds, and this time to its objective.
+    pub fn add(&mut self, work: u64, span: u64, now: u64) {
         self.work = self.rest(now) + work as f64;
         self.at = self.at.max(now);
+        let usual = i128::from(self.span.unwrap_or(span));
+        let usual = usual + (i128::from(span) - usual) / SPAN_JOBS;
+        self.span = u64::try_from(usual).ok();
+    }
+
+    /// Returns the usual time from acceptance to objective; 0 before the first job.
+    pub fn span(&self) -> u64 {
+        self.span.unwrap_or_default()
     }
 
     /// Returns the CPU that the arriving work takes.
@@ -52,7 +65,7 @@
     fn rate_of_steady_arrivals() {
         let mut inflow = Inflow::default();
         for number in 1..=400 {
-            inflow.add(1_000 * 50, number * 50);
+            inflow.add(1_000 * 50, 1, number * 50);
         }
         let rate = inflow.rate(400 * 50);
         assert!((950..=1_050).contains(&rate), "{rate}");
@@ -61,7 +74,7 @@
     #[test]
     fn rate_decays() {
         let mut inflow = Inflow::default();
-        inflow.add(4_000_000, 1_000);
+        inflow.add(4_000_000, 1, 1_000);
         assert_eq!(inflow.rate(1_000), 1_000);
         assert_eq!(inflow.rate(5_000), 367);
         assert_eq!(inflow.rate(u64::MAX), 0);
@@ -71,16 +84,32 @@
     #[test]
     fn rate_with_clock_set_back() {
         let mut inflow = Inflow::default();
-        inflow.add(4_000_000, 10_000);
-        inflow.add(4_000_000, 9_000);
+        inflow.add(4_000_000, 1, 10_000);
+        inflow.add(4_000_000, 1, 9_000);
         assert_eq!(inflow.rate(0), 2_000);
     }
 
+    #[test]
+    fn span_follows_jobs() {
+        let mut inflow = Inflow::default();
+        assert_eq!(inflow.span(), 0);
+        inflow.add(1, 1_000, 1);
+        assert_eq!(inflow.span(), 1_000);
+        inflow.add(1, 2_600, 1);
+        assert_eq!(inflow.span(), 1_100);
+        for _ in 0..2_000 {
+            inflow.add(1, u64::MAX, 1);
+        }
+        assert!(inflow.span() > u64::MAX - 20);
+        inflow.add(1, 0, 1);
+        assert!(inflow.span() < u64::MAX / 16 * 15 + 20);
+    }
+
     #[test]
     fn rate_huge() {
         let mut inflow = Inflow::default();
         for _ in 0..10 {
-            inflow.add(u64::MAX, 1);
+            inflow.add(u64::MAX, 1, 1);
         }
         assert!(inflow.rate(1) > u64::MAX / 4_000);
     }
--- a/components/policy/src/admission/mod.rs
+++ b/components/policy/src/admission/mod.rs
@@ -11,13 +11,14 @@
 mod never;
 mod verdict;
 
-pub use estimate::{Backlog, Room, estimate};
+pub use estimate::{Backlog, Due, Room, estimate};
 pub use history::{Offer, PoolHistory};
 pub use inflow::{Inflow, Source};
 pub use never::{PoolCapacity, impossible};
 pub use verdict::{Demand, Verdict, judge, spread};
 
 use {
+    crate::durations::Profile,
     job::Spec,
     serde::{Deserialize, Serialize},
     std::sync::Arc,
@@ -60,8 +61,8 @@
     /// How long all work ahead of one more job takes if that job is late, with what arrives
     /// meanwhile; `u64::MAX` if it never ends.
     pub drain: u64,
-    /// The run time of tasks as a percentage of the callers' estimates, as learned.
-    pub run_percent: u32,
+    /// How the run time of a job is predicted from its estimated critical path.
+    pub run: Profile,
 }
 
 /// What the owner tells other boxes of the waiting work. Queues without waiting work are left out.
@@ -77,6 +78,12 @@
         let mut queues = self.queues.iter();
         queues.find(|own| &*own.queue == queue && own.kind == kind)
     }
+
+    /// Predicts the run time of a job from its estimated critical path, in milliseconds.
+    pub fn run_time(&self, queue: &str, kind: Kind, chain: u64) -> u64 {
+        self.of(queue, kind)
+            .map_or(chain, |own| own.run.predict(chain))
+    }
 }
 
 #[cfg(test)]
--- a/components/policy/src/admission/tests.rs
+++ b/components/policy/src/admission/tests.rs
@@ -12,10 +12,14 @@
         kind: Kind::Batch,
         pool: "pool".into(),
         priority,
-        in_time,
+        in_time: vec![Due {
+            until: 1_000,
+            work: in_time,
+        }],
         late,
         inflow,
-        run_percent: 100,
+        span: 1_000,
+        run: Profile::ESTIMATE,
     }
 }
 
@@ -61,6 +65,29 @@
     assert_eq!(times(&[own], "a"), Some((1_000, u64::MAX)));
 }
 
+/// Jobs with a later objective are in the way of late jobs only.
+#[test]
+fn estimate_by_objective() {
+    let mut own = backlog("a", 0, 400_000, 0, 0);
+    own.in_time.push(Due {
+        until: 1_001,
+        work: 200_000,
+    });
+    assert_eq!(times(&[own], "a"), Some((400, 600)));
+}
+
+/// Jobs with a shorter time to their objective overtake as long as theirs is earlier, and not after
+/// the end of the wait.
+#[test_case(900, 450; "for a while")]
+#[test_case(100, 600; "all the time")]
+#[test_case(2_000, 400; "never")]
+fn estimate_overtaking_jobs(span: u64, wait: u64) {
+    let own = backlog("a", 0, 400_000, 0, 0);
+    let mut other = backlog("b", 0, 0, 0, 500);
+    other.span = span;
+    assert_eq!(times(&[own, other], "a").unwrap().0, wait);
+}
+
 /// Work of a lower priority is in nobody's way; arriving work of a higher one overtakes.
 #[test]
 fn estimate_by_priority() {
@@ -117,7 +144,10 @@
         kind,
         wait,
         drain,
-        run_percent,
+        run: Profile {
+            percent: run_percent,
+            ..Profile::ESTIMATE
+        },
     };
     Pressure {
         queues: vec![own(Kind::Batch), own(Kind::LongRunning)],
--- a/components/policy/src/admission/verdict.rs
+++ b/components/policy/src/admission/verdict.rs
@@ -1,7 +1,7 @@
 //! The verdict on one job.
 
 use {
-    super::{Kind, Pressure, QueuePressure},
+    super::{Kind, Pressure},
     crate::lateness::WORTHLESS_AT,
     std::sync::Arc,
 };
@@ -20,7 +20,8 @@
     pub kind: Kind,
     /// The estimated run time of its critical path.
     pub chain: u64,
-    /// The time from submission to its objective.
+    /// The time from submission to its objective, from the predicted run time; see
+    /// [`Pressure::run_time`].
     pub objective: u64,
 }
 
@@ -47,7 +48,7 @@
     let Some(own) = pressure.and_then(|pressure| pressure.of(&demand.queue, demand.kind)) else {
         return Verdict::Accept;
     };
-    let run = run_time(demand, own);
+    let run = own.run.predict(demand.chain);
     let limit = demand.objective.saturating_mul(WORTHLESS_AT);
     let end = own.drain.saturating_add(run);
     let is_in_time = own.wait.saturating_add(run) <= demand.objective;
@@ -72,8 +73,3 @@
     let extra = retry_after as f64 / 2.0 * random.clamp(0.0, 1.0);
     retry_after.saturating_add(extra as u64)
 }
-
-/// Returns the predicted run time of a job.
-fn run_time(demand: &Demand, own: &QueuePressure) -> u64 {
-    demand.chain.saturating_mul(u64::from(own.run_percent)) / 100
-}
--- a/components/policy/src/durations/mod.rs
+++ b/components/policy/src/durations/mod.rs
@@ -21,6 +21,9 @@
 /// of an estimate.
 const MAX_LENGTH: u64 = 366 * 86_400_000;
 
+/// Estimates count alone, in thousandths.
+const FULL_TRUST: u16 = 1_000;
+
 /// The times of a step that has ended, in milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Ended {
@@ -32,6 +35,40 @@
     pub mean: u64,
 }
 
+/// How a time is predicted from its estimate, in the few figures that are sent to other boxes: the
+/// estimate times `percent` counts by `trust`, and the usual time by the rest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Profile {
+    /// The time as a percentage of the estimate, as learned.
+    pub percent: u32,
+    /// How much the corrected estimate counts, in thousandths.
+    pub trust: u16,
+    /// The usual time, in milliseconds.
+    pub usual: u64,
+}
+
+impl Profile {
+    /// Takes estimates as they are.
+    pub const ESTIMATE: Self = Profile {
+        percent: 100,
+        trust: FULL_TRUST,
+        usual: 1,
+    };
+
+    /// Predicts a time from its estimate, in milliseconds.
+    pub fn predict(&self, estimate: u64) -> u64 {
+        if self.trust >= FULL_TRUST {
+            return estimate.saturating_mul(u64::from(self.percent)) / 100;
+        }
+        if estimate == 0 {
+            return self.usual;
+        }
+        let trust = f64::from(self.trust) / f64::from(FULL_TRUST);
+        let corrected = log(estimate) + (f64::from(self.percent.max(1)) / 100.0).ln();
+        milliseconds(corrected * trust + log(self.usual) * (1.0 - trust))
+    }
+}
+
 /// What was learned of the steps of one queue.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -97,6 +134,26 @@
         milliseconds(self.posterior(estimate).0 + self.share.mean())
     }
 
+    /// Returns the figures by which times are predicted; `None` before enough steps have ended.
+    pub fn profile(&self) -> Option<Profile> {
+        if !self.is_learned() {
+            return None;
+        }
+        let has_error = self.error.count() >= MIN_SAMPLES;
+        let trust = if has_error { self.trust() } else { 0.0 };
+        Some(Profile {
+            percent: (self.error.mean().exp() * 100.0).round() as u32,
+            trust: (trust * f64::from(FULL_TRUST)) as u16,
+            usual: milliseconds(self.length.mean()),
+        })
+    }
+
+    /// Returns how much the corrected estimate counts beside the usual length, from 0 to 1.
+    fn trust(&self) -> f64 {
+        let (by_error, by_length) = (1.0 / self.error.variance(), 1.0 / self.length.variance());
+        by_error / (by_error + by_length)
+    }
+
     /// Returns mean and variance of the logarithm of a step's length: the usual length is the prior,
     /// and the corrected estimate is an observation.
     fn posterior(&self, estimate: u64) -> (f64, f64) {
@@ -104,10 +161,9 @@
             return (self.length.mean(), self.length.variance());
         }
         let corrected = log(estimate) + self.error.mean();
-        let (by_error, by_length) = (1.0 / self.error.variance(), 1.0 / self.length.variance());
-        let sum = by_error + by_length;
-        let mean = (corrected * by_error + self.length.mean() * by_length) / sum;
-        (mean, 1.0 / sum)
+        let trust = self.trust();
+        let mean = corrected * trust + self.length.mean() * (1.0 - trust);
+        (mean, trust * self.error.variance())
     }
 }
 
--- a/components/policy/src/durations/tests.rs
+++ b/components/policy/src/durations/tests.rs
@@ -87,6 +87,39 @@
     assert_near(durations.predict_task(1_000), 1_200);
 }
 
+/// Other boxes predict as the owner does, but for rounding.
+#[test_case(&[(100, 1_000), (1_900, 1_100), (1_000, 900)]; "alike")]
+#[test_case(&[(100, 200), (1_000, 2_100), (10_000, 19_000)]; "proportional")]
+#[test_case(&[(0, 900), (0, 1_100)]; "without estimates")]
+fn profile_predicts_alike(steps: &[(u64, u64)]) {
+    let durations = learned(steps);
+    let profile = durations.profile().unwrap();
+    for estimate in [0, 1, 100, 1_000, 20_000] {
+        assert_near(profile.predict(estimate), durations.predict(estimate));
+    }
+}
+
+#[test]
+fn profile_few_samples_is_none() {
+    assert_eq!(Durations::default().profile(), None);
+    for estimate in [0, 5, 1_000] {
+        assert_eq!(Profile::ESTIMATE.predict(estimate), estimate);
+    }
+}
+
+#[test_case(0, 0, 0, 0; "all zero")]
+#[test_case(u32::MAX, u16::MAX, u64::MAX, u64::MAX; "all huge")]
+#[test_case(u32::MAX, 50, u64::MAX, u64::MAX; "huge blend")]
+#[test_case(0, 50, 0, 0; "zero blend")]
+fn profile_absurd_figures(percent: u32, trust: u16, usual: u64, estimate: u64) {
+    let profile = Profile {
+        percent,
+        trust,
+        usual,
+    };
+    profile.predict(estimate);
+}
+
 #[test]
 fn low_is_one_deviation_below() {
     let durations = learned(&[(1_000, 500), (1_000, 2_000)]);
