Admission: one write interval for all that is learned; cheaper pressure

Change: lengths alone are due 4 s after the last write of either.

Tests: a write at most every 4 s; runs that resume from a checkpoint are not learned from.

Conclusion: as designed, at most one write in 4 s.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -150,8 +150,10 @@
     pub(crate) listings_since: u64,
     /// The record of known workers is due to be written.
     pub(crate) fleet_dirty: bool,
-    /// The interference model is due to be written.
+    /// What was learned is due to be written.
     pub(crate) interference_due: bool,
+    /// When that was due last.
+    pub(crate) learned_due_at: u64,
     /// Orders to send, by worker.
     pub(crate) orders: Vec<(Arc<str>, Order)>,
     /// Queries to the advice service.
@@ -225,6 +227,7 @@
             listings_since: 0,
             fleet_dirty: false,
             interference_due: false,
+            learned_due_at: 0,
             orders: Vec::new(),
             advice_queries: Vec::new(),
             full_scans: 0,
--- a/components/cell/src/pressure.rs
+++ b/components/cell/src/pressure.rs
@@ -15,6 +15,7 @@
     },
     std::{
         collections::{BTreeMap, HashMap},
+        ops::Range,
         sync::Arc,
     },
 };
@@ -173,7 +174,7 @@
                 continue;
             }
             let tasks = if *is_ready {
-                job.ready.range(job.progress.places(time, index)).count() as u64
+                job.count_ready(job.progress.places(time, index))
             } else {
                 u64::from(rest)
             };
@@ -220,6 +221,20 @@
     }
 }
 
+impl Job {
+    /// Returns how many of the tasks at these places may start.
+    fn count_ready(&self, places: Range<usize>) -> u64 {
+        let is_own = |place: Option<&usize>| place.is_none_or(|place| places.contains(place));
+        // Mostly, the tasks of one step are ready, and need not be counted.
+        let count = if is_own(self.ready.first()) && is_own(self.ready.last()) {
+            self.ready.len()
+        } else {
+            self.ready.range(places).count()
+        };
+        count as u64
+    }
+}
+
 impl Worker {
     /// Returns the CPU that runs tasks of this kind, or that is free for tasks of this mean size.
     fn capacity_for(&self, kind: Kind, size: Size) -> u64 {
--- a/components/cell/src/run_end.rs
+++ b/components/cell/src/run_end.rs
@@ -14,6 +14,10 @@
     std::sync::Arc,
 };
 
+/// The least time after a write of what was learned until the next one for learned lengths alone,
+/// in milliseconds: a few seconds of them may be lost.
+const WRITE_INTERVAL: u64 = 4_000;
+
 impl Cell {
     /// Processes a listed run end, unless it was processed before.
     pub(crate) fn handle_end(&mut self, id: &Arc<str>, end: &RunEnd, times: Times) {
@@ -90,7 +94,10 @@
             mean: measured.total / u64::from(measured.count),
         };
         self.durations.record(&queue, step);
-        self.interference_due |= self.durations.is_write_due(times.now);
+        if times.now >= self.learned_due_at + WRITE_INTERVAL {
+            self.interference_due = true;
+            self.learned_due_at = times.now;
+        }
     }
 
     /// Records how long the critical path of a completed job took, if all its steps were measured.
--- a/components/cell/src/throttle.rs
+++ b/components/cell/src/throttle.rs
@@ -55,7 +55,10 @@
         if self.interference.solve(now) {
             self.forecasts.expire(now);
         }
-        self.interference_due |= self.interference.is_write_due(now);
+        if self.interference.is_write_due(now) {
+            self.interference_due = true;
+            self.learned_due_at = now;
+        }
         for (key, run, percent) in set_paces(&self.interference, &self.forecasts, worker, now) {
             let Some(job) = self.jobs.get(&key.job) else {
                 continue;
--- a/components/cell/tests/decisions/pressure.rs
+++ b/components/cell/tests/decisions/pressure.rs
@@ -301,6 +301,28 @@
     world.report("w1", running, vec![]);
 }
 
+/// A task that resumes from its checkpoint has less to do.
+#[test]
+fn learned_lengths_without_resumed_runs() {
+    let mut world = World::new(&["w1"]);
+    let resumable = Step {
+        checkpoints: true,
+        ..step(1, 1_000)
+    };
+    for number in 1..=20 {
+        submit(&mut world, 1_000 + number, vec![resumable.clone()]);
+        let id = id(1_000 + number);
+        for (run, how) in [(1, EndCause::Stopped), (2, EndCause::Done)] {
+            assert_eq!(start_all(&mut world).len(), 1);
+            world.now += 3_000;
+            let ended = end(number * 2 + run, &id, 0, run, how);
+            world.report("w1", vec![], vec![ended]);
+            world.persist();
+        }
+    }
+    assert_eq!(run_time(&mut world), 1_000);
+}
+
 /// Runs best-effort jobs of 4 s beside a serving task with this tail latency, and returns the run
 /// time that is predicted for an estimate of 1 s.
 fn learned_beside_serving(tail: u64) -> u64 {
@@ -360,6 +382,21 @@
     assert_eq!(run_time(&mut successor), 3_000);
 }
 
+/// What was learned is written at most every 4 s.
+#[test]
+fn take_interference_at_intervals() {
+    let mut world = World::new(&["w1"]);
+    let mut written = 0;
+    for number in 1..=41 {
+        submit(&mut world, number, vec![step(1, 1_000)]);
+        let starts = start_all(&mut world);
+        world.now += 1_000;
+        finish(&mut world, number, &starts[0]);
+        written += u32::from(world.cell.take_interference().is_some());
+    }
+    assert_eq!(written, 10);
+}
+
 /// A model as former versions have stored it, with samples for a pair of images.
 #[test_case(false; "compact")]
 #[test_case(true; "with names")]
--- a/components/policy/src/durations/queues.rs
+++ b/components/policy/src/durations/queues.rs
@@ -9,9 +9,6 @@
 /// The maximum number of queues, an order of magnitude above what operators configure. It bounds
 /// the stored value. The queue whose steps have not ended for the longest time is dropped first.
 const MAX_QUEUES: usize = 256;
-/// The time between two writes to the store, in milliseconds: what was learned in a few seconds may
-/// be lost.
-const WRITE_INTERVAL: u64 = 4_000;
 
 /// The stored form: the queues in the order of their last ended step.
 type Rows = Vec<(Arc<str>, Durations)>;
@@ -24,10 +21,6 @@
     known: HashMap<Arc<str>, (u64, Durations)>,
     /// The number of ended steps.
     ended: u64,
-    /// Steps have ended since the last write was due.
-    changed: bool,
-    /// When the last write was due, on the owner's clock.
-    written_at: u64,
 }
 
 impl Queues {
@@ -43,22 +36,11 @@
             self.drop_oldest();
         }
         self.ended += 1;
-        self.changed = true;
         let (last, durations) = self.known.entry(queue.clone()).or_default();
         *last = self.ended;
         durations.record(step);
     }
 
-    /// True when changes are due to be persisted, at most once in a few seconds.
-    pub fn is_write_due(&mut self, now: u64) -> bool {
-        if !self.changed || now < self.written_at + WRITE_INTERVAL {
-            return false;
-        }
-        self.changed = false;
-        self.written_at = now;
-        true
-    }
-
     fn drop_oldest(&mut self) {
         let oldest = self.known.iter().min_by_key(|(_, (last, _))| *last);
         if let Some(queue) = oldest.map(|(queue, _)| queue.clone()) {
--- a/components/policy/src/durations/tests.rs
+++ b/components/policy/src/durations/tests.rs
@@ -196,17 +196,3 @@
     assert!(queues.get("0").is_some() && queues.get("999").is_some());
     assert!(queues.get("1").is_none());
 }
-
-#[test]
-fn is_write_due_after_change() {
-    let mut queues = Queues::default();
-    assert!(!queues.is_write_due(10_000));
-    queues.record(&"queue".into(), ended(100, 1_000));
-    assert!(queues.is_write_due(10_000));
-    assert!(!queues.is_write_due(20_000));
-    queues.record(&"queue".into(), ended(100, 1_000));
-    assert!(queues.is_write_due(20_000));
-    queues.record(&"queue".into(), ended(100, 1_000));
-    assert!(!queues.is_write_due(23_999));
-    assert!(queues.is_write_due(24_000));
-}
