--- a/components/cell/src/run_end.rs
+++ b/components/cell/src/run_end.rs
@@ -3,17 +3,21 @@
 
 use {
     crate::{
-        cell::Cell,
+        cell::{Cell, StepRuns},
         order::{EndCause, RunEnd},
         report::Times,
         run_log::FinishedRun,
-        slot::Stage,
         worker::TaskKey,
     },
-    job::{Phase, State},
+    job::{Id, Phase, State, Step},
+    policy::durations::Ended,
     std::sync::Arc,
 };
 
+/// The least time after a write of what was learned until the next one for learned lengths alone,
+/// in milliseconds: a few seconds of them may be lost.
+const WRITE_INTERVAL: u64 = 4_000;
+
 impl Cell {
     /// Processes a listed run end, unless it was processed before.
     pub(crate) fn handle_end(&mut self, id: &Arc<str>, end: &RunEnd, times: Times) {
@@ -53,34 +57,72 @@
 
     /// Records how long a completed run took; with the last one of its step, how long the step is.
     fn learn_duration(&mut self, id: &Arc<str>, key: &TaskKey, end: &RunEnd, times: Times) {
-        let Some(slot) = self.slot(id, key) else {
-            return;
-        };
-        let (Stage::Running { at }, false) = (slot.stage, slot.adopted) else {
-            return;
-        };
-        if slot.run != end.run || end.how != EndCause::Done {
+        if end.how != EndCause::Done {
             return;
         }
+        let slot = self.slot(id, key).filter(|slot| slot.run == end.run);
+        let length = slot.and_then(|slot| slot.measured_length(times.now));
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
+        let step = job.progress.step(key.place);
+        if step.lasting || job.progress.tasks[key.place].phase == Phase::Done {
+            return;
+        }
+        let (count, estimate) = (step.count, step.estimate);
+        // A task that resumes from a checkpoint has less to do.
+        let is_resumed = step.checkpoints && end.run > 1;
         let address = job.progress.submission.spec.address(key.place);
         let steps = job.progress.submission.spec.steps.len();
         let number = address.time as usize * steps + address.step as usize;
-        let Some(longest) = job.longest_runs.get_mut(number) else {
+        let Some(measured) = job.measured.get_mut(number) else {
             return;
         };
-        *longest = (*longest).max(times.now.saturating_sub(at));
-        if job.progress.remaining_tasks(address.time, address.step) > 1 {
+        if let Some(length) = length.filter(|_| !is_resumed) {
+            measured.add(length);
+        }
+        let measured = *measured;
+        let is_last = job.progress.remaining_tasks(address.time, address.step) <= 1;
+        let is_gang = job.progress.step(key.place).gang;
+        if !(is_last || is_gang) || !measured.is_representative(if is_gang { 1 } else { count }) {
             return;
         }
-        let estimate = job.progress.step(key.place).estimate;
         let queue = job.progress.submission.queue.name.clone();
-        self.durations
-            .entry(queue)
-            .or_default()
-            .record(estimate, *longest);
+        let step = Ended {
+            estimate,
+            longest: measured.longest,
+            mean: measured.total / u64::from(measured.count),
+        };
+        self.durations.record(&queue, step);
+        if times.now >= self.learned_due_at + WRITE_INTERVAL {
+            self.interference_due = true;
+            self.learned_due_at = times.now;
+        }
+    }
+
+    /// Records how long the critical path of a completed job took, if all its steps were measured.
+    fn learn_run_time(&mut self, id: &Id) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let submission = &job.progress.submission;
+        let spec = &submission.spec;
+        let is_measured = |(step, runs): (&Step, &StepRuns)| {
+            runs.is_representative(if step.gang { 1 } else { step.count })
+        };
+        let mut steps = spec.steps.iter().zip(&job.measured);
+        if spec.timetable.is_some() || !steps.all(is_measured) {
+            return;
+        }
+        let longest = |number: usize, _: &Step| job.measured[number].longest;
+        let taken = spec.critical_paths_by(longest).into_iter().max();
+        let estimate = spec.critical_paths().into_iter().max();
+        let run_time = Ended {
+            estimate: estimate.unwrap_or_default(),
+            longest: taken.unwrap_or_default(),
+            mean: taken.unwrap_or_default(),
+        };
+        self.run_times.record(&submission.queue.name, run_time);
     }
 
     /// Logs a run end. Completed runs are logged in batches, all others at once.
@@ -176,6 +218,7 @@
             .get(&key.job)
             .is_some_and(|job| job.progress.is_done());
         if is_done {
+            self.learn_run_time(&key.job);
             self.finish(&key.job, State::Completed, times.now, times.wall);
         } else {
             self.activate_steps(&key.job, times.wall);
@@ -247,3 +290,18 @@
         }
     }
 }
+
+impl StepRuns {
+    /// Adds a run of this length, in milliseconds.
+    fn add(&mut self, length: u64) {
+        self.count += 1;
+        self.longest = self.longest.max(length);
+        self.total += length;
+    }
+
+    /// True if the runs tell how long a step with this number of tasks takes: at least half of them
+    /// were measured.
+    const fn is_representative(self, tasks: u32) -> bool {
+        self.count > 0 && self.count >= tasks.div_ceil(2)
+    }
+}
--- a/components/cell/src/throttle.rs
+++ b/components/cell/src/throttle.rs
@@ -55,7 +55,10 @@
         if self.interference.solve(now) {
             self.forecasts.expire(now);
         }
-        self.interference_due |= self.interference.is_write_due(now);
+        if self.interference.is_write_due(now) {
+            self.interference_due = true;
+            self.learned_due_at = now;
+        }
         for (key, run, percent) in set_paces(&self.interference, &self.forecasts, worker, now) {
             let Some(job) = self.jobs.get(&key.job) else {
                 continue;
@@ -205,6 +208,7 @@
             continue;
         };
         log::debug!(target: "cell", worker = &*worker.entry.id, job = key.job.as_str(), place = key.place, worst, limit, from = slot.percent, to = percent; "Pace of a best-effort task changed.");
+        slot.lost = slot.lost_at(now);
         slot.percent = percent;
         slot.pace_set_at = now;
         changes.push((key.clone(), slot.run, percent));
--- a/components/policy/src/admission/mod.rs
+++ b/components/policy/src/admission/mod.rs
@@ -6,14 +6,20 @@
 //! Without recent figures a box accepts everything.
 
 mod estimate;
+mod history;
+mod inflow;
 mod never;
 mod verdict;
 
-pub use estimate::{Backlog, Room, estimate};
+pub use estimate::{Backlog, Due, Room, estimate};
+pub use history::{Offer, PoolHistory};
+pub use inflow::{Inflow, Source};
 pub use never::{PoolCapacity, impossible};
-pub use verdict::{Demand, Verdict, judge};
+pub use verdict::{Demand, Verdict, judge, spread};
 
 use {
+    crate::durations::Profile,
+    job::Spec,
     serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
@@ -29,6 +35,19 @@
     LongRunning,
 }
 
+impl Kind {
+    /// Returns the kind of a job. A job with best-effort steps ends when these have found idle CPU.
+    pub fn of(spec: &Spec) -> Self {
+        if spec.is_long_running() {
+            Kind::LongRunning
+        } else if spec.steps.iter().any(|step| step.fills) {
+            Kind::BestEffort
+        } else {
+            Kind::Batch
+        }
+    }
+}
+
 /// The pressure on one queue by jobs of one kind.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QueuePressure {
@@ -36,12 +55,14 @@
     pub queue: Arc<str>,
     /// The kind of job.
     pub kind: Kind,
-    /// How long the work ahead of one more job takes if that job is still in time.
+    /// How long the work ahead of one more job takes if that job is still in time; `u64::MAX` if it
+    /// never ends.
     pub wait: u64,
-    /// How long all waiting work of the same capacity takes, including jobs that are late.
+    /// How long all work ahead of one more job takes if that job is late, with what arrives
+    /// meanwhile; `u64::MAX` if it never ends.
     pub drain: u64,
-    /// The run time of tasks as a percentage of the callers' estimates, as learned.
-    pub run_percent: u32,
+    /// How the run time of a job is predicted from its estimated critical path.
+    pub run: Profile,
 }
 
 /// What the owner tells other boxes of the waiting work. Queues without waiting work are left out.
@@ -57,4 +78,13 @@
         let mut queues = self.queues.iter();
         queues.find(|own| &*own.queue == queue && own.kind == kind)
     }
+
+    /// Predicts the run time of a job from its estimated critical path, in milliseconds.
+    pub fn run_time(&self, queue: &str, kind: Kind, chain: u64) -> u64 {
+        self.of(queue, kind)
+            .map_or(chain, |own| own.run.predict(chain))
+    }
 }
+
+#[cfg(test)]
+mod tests;
