Node: jobs that would end too late or can never run are refused at once

Cause: a box accepts every job, and callers learn after tens of seconds that a job could not end in time, or never that it cannot run at all.

Ruled out: two trailing optional fields of the response. Messages are encoded by position, so that pools without pressure would be decoded as pressure; both are in one optional field. Capacities that are sent only when they change: after a lost answer a box would keep old ones, so a box drops them with a failed exchange, and the owner repeats them every 30 s.

Change: the owner computes the figures four times a second after its first placement pass, and sends each box what it lacks with the answers to its exchanges. A box keeps them for 3 s from when they were made, and refuses by them (503 with Retry-After, or 400) unless another attempt for the job is underway, the store has its submission or record, or the store does not tell.

--- a/components/node/src/accept.rs
+++ b/components/node/src/accept.rs
@@ -4,6 +4,7 @@
 
 use {
     crate::{
+        admission::{self, Refusal, retry_seconds},
         callers::Reply,
         core::Node,
         keys,
@@ -41,8 +42,15 @@
 }
 
 /// Submits a job and waits for the reply. With `may_forward`, a box that cannot reach the store
-/// forwards the job to the owner of the cell.
+/// forwards the job to the owner of the cell. A job that would end too late or can never run is
+/// refused.
 pub fn submit(node: &Node, submission: Submission, may_forward: bool) -> Reply {
+    let attempt = node.shared.admission.underway.begin(&submission.id);
+    if attempt.is_only
+        && let Some(reply) = decline(node, &submission)
+    {
+        return reply;
+    }
     let reply = submit_locally(node, &submission);
     let Reply::Busy(_) = reply else {
         return reply;
@@ -53,6 +61,61 @@
     peer::forward(node, &PeerRequest::Submit(Box::new(submission)), reply)
 }
 
+/// Refuses a job that would end too late or can never run. A job that is stored already is confirmed
+/// instead. `None` if the job is to be accepted, also if the store does not tell whether it is
+/// stored.
+fn decline(node: &Node, submission: &Submission) -> Option<Reply> {
+    if !node.settings.admission {
+        return None;
+    }
+    let known = &node.shared.admission.known;
+    let refusal = admission::check(known, submission, time::now())?;
+    if node.shared.is_store_unreachable() || node.shared.is_probe_slow() {
+        return None;
+    }
+    let id = &submission.id;
+    match admission::is_stored(&*node.external.store, id) {
+        Ok(true) => {
+            log::info!(target: "accept", job = id.as_str(); "A job that was submitted again is already stored.");
+            return Some(Reply::Accepted);
+        }
+        Ok(false) => {}
+        Err(failure) => {
+            log::warn!(target: "accept", job = id.as_str(), error:% = failure; "Failed to read whether a job is stored; it is not refused.");
+            return None;
+        }
+    }
+    known.count_refusal(&submission.queue.name);
+    Some(refuse_admission(submission, refusal))
+}
+
+/// The reply to a job that is refused by the figures of the owner, with a line in the log.
+fn refuse_admission(submission: &Submission, refusal: Refusal) -> Reply {
+    let (job, queue) = (submission.id.as_str(), &*submission.queue.name);
+    match refusal {
+        Refusal::NoRoom {
+            retry_after,
+            end,
+            objective,
+            age,
+        } => {
+            let retry_after = retry_seconds(retry_after, fastrand::u64(..));
+            log::warn!(target: "accept", job, cause = "it would end too late", queue, end, objective, age, retry_after; "A job was refused and will not run.");
+            metrics::counter!("magpie_refused_total", "reason" => "room").increment(1);
+            let (end, objective) = (end as f64 / 1e3, objective as f64 / 1e3);
+            let text = format!(
+                "queue {queue} is full: the job would take {end:.1} s, its objective is {objective:.1} s; it was not accepted"
+            );
+            Reply::NoRoom(retry_after, text.into())
+        }
+        Refusal::Impossible(cause) => {
+            log::warn!(target: "accept", job, cause = &*cause, queue; "A job was refused and will not run.");
+            metrics::counter!("magpie_refused_total", "reason" => "impossible").increment(1);
+            Reply::Impossible(cause)
+        }
+    }
+}
+
 /// Submits a job through this box. A box that cannot reach the store refuses at once, so that
 /// callers do not wait for an unreachable store.
 fn submit_locally(node: &Node, submission: &Submission) -> Reply {
@@ -60,6 +123,7 @@
         return refusal(
             node,
             submission,
+            "store",
             "the store does not answer this box; nothing was written",
         );
     }
@@ -70,14 +134,15 @@
     };
     match node.acceptor.send(pending) {
         Ok(()) => reply.recv().unwrap_or(Reply::Unsure),
-        Err(_) => refusal(node, submission, "the box is stopping"),
+        Err(_) => refusal(node, submission, "stopping", "the box is stopping"),
     }
 }
 
-/// The refusal of a job that was certainly not stored, with the time after which to retry.
-fn refusal(node: &Node, submission: &Submission, cause: &str) -> Reply {
+/// The refusal of a job that was certainly not stored, with the time after which to retry. The
+/// metric counts it under `reason`.
+fn refusal(node: &Node, submission: &Submission, reason: &'static str, cause: &str) -> Reply {
     log::warn!(target: "accept", job = submission.id.as_str(), cause; "A job was refused and will not run.");
-    metrics::counter!("magpie_refused_total").increment(1);
+    metrics::counter!("magpie_refused_total", "reason" => reason).increment(1);
     let wait = node
         .shared
         .retry_after
@@ -190,7 +255,7 @@
 /// Refuses all jobs of a group.
 fn refuse(node: &Node, group: &[Pending], cause: &str) {
     for pending in group {
-        send_reply(pending, refusal(node, &pending.submission, cause));
+        send_reply(pending, refusal(node, &pending.submission, "store", cause));
     }
 }
 
--- a/components/node/src/callers.rs
+++ b/components/node/src/callers.rs
@@ -41,7 +41,7 @@
 }
 
 /// The reply to a caller.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
     /// The job is accepted and stored.
     Accepted,
@@ -57,6 +57,11 @@
     Busy(u64),
     /// The outcome is unknown; the same request may safely be sent again.
     Unsure,
+    /// The job would end too late and is not accepted, for this reason; such a job can succeed after
+    /// this many seconds.
+    NoRoom(u64, Arc<str>),
+    /// The job can never run and is not accepted, for this reason.
+    Impossible(Arc<str>),
 }
 
 impl Node {
--- a/components/node/src/core.rs
+++ b/components/node/src/core.rs
@@ -3,7 +3,9 @@
 
 use {
     crate::{
-        accept, cancel, config,
+        accept,
+        admission::Admission,
+        cancel, config,
         external::External,
         heartbeat::Monitor,
         message::Owner,
@@ -59,6 +61,8 @@
     pub retry_after: RetryAfter,
     /// The last heartbeat of the owner.
     pub(crate) monitor: Monitor,
+    /// The last figures of the owner about waiting work, and the jobs that callers submit.
+    pub admission: Admission,
 }
 
 impl Shared {
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -9,6 +9,7 @@
 //! each worker run on the network thread.
 
 pub mod accept;
+pub mod admission;
 pub mod callers;
 pub mod cancel;
 pub mod claim;
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -1,12 +1,14 @@
 //! Serialized values in the store, and messages between boxes: peer calls and relay exchanges.
 
 use {
+    crate::admission::Figures,
     crate::callers::Reply,
     crate::external::PollError,
     crate::heartbeat::Heartbeat,
     crate::report_delta::ReportDelta,
     cell::{Entry, Order, Outcome, Poll, Seal, Start, TaskKey},
     job::{Address, Id, State, Submission, spec::Size},
+    policy::admission::Kind,
     serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
@@ -111,6 +113,11 @@
         /// The call was forwarded by another box and is not forwarded again.
         passed: bool,
     },
+    /// Show what waits in each queue.
+    Pressure {
+        /// The call was forwarded by another box and is not forwarded again.
+        passed: bool,
+    },
 }
 
 /// A closed data hall, in which no tasks are started.
@@ -124,6 +131,29 @@
     pub since: u64,
 }
 
+/// The work of one queue that waits, of one kind of job. Times are in milliseconds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QueueStatus {
+    /// The queue.
+    pub queue: Arc<str>,
+    /// The kind of job; `None` if the queue is not under pressure.
+    pub kind: Option<Kind>,
+    /// The number of jobs of the queue, of all kinds, that wait to be scheduled.
+    pub waiting: usize,
+    /// How long one more job would wait.
+    pub wait: u64,
+    /// How long all waiting work takes, including jobs that are late.
+    pub drain: u64,
+    /// The pool whose workers run it.
+    pub pool: Arc<str>,
+    /// The number of workers of the pool.
+    pub workers: u32,
+    /// The largest amount of each resource on any of them.
+    pub largest: Size,
+    /// Jobs of the queue that the box which was asked has refused since its start.
+    pub refused: u64,
+}
+
 /// The answer to a [`PeerRequest`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum PeerResponse {
@@ -142,6 +172,8 @@
     },
     /// See [`PeerRequest::Halls`]; `None` when no owner answers.
     Halls(Option<Vec<ClosedHall>>),
+    /// See [`PeerRequest::Pressure`]; `None` when no owner answers.
+    Pressure(Option<Vec<QueueStatus>>),
 }
 
 /// A relay's half of an exchange with the owner: worker reports and acknowledgements. It is sent
@@ -195,6 +227,10 @@
     pub commands: Vec<Command>,
     /// The owner's heartbeat; `None` from a box that does not own the cell.
     pub heartbeat: Option<Heartbeat>,
+    /// The figures for admission; `None` if nothing is new. It is left out then, so that boxes
+    /// without admission can decode the response.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub figures: Option<Figures>,
 }
 
 /// A command to a relay.
@@ -268,3 +304,93 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use {
+        super::*,
+        crate::admission::PressureReport,
+        kernel::wire,
+        policy::admission::{PoolCapacity, Pressure, QueuePressure},
+        test_case::test_case,
+    };
+
+    /// A response without figures, as boxes without admission know it.
+    #[derive(Debug, Default, Serialize, Deserialize)]
+    struct PlainResponse {
+        session: u64,
+        fence: u64,
+        batch: u64,
+        now: u64,
+        pause: u64,
+        commands: Vec<Command>,
+        heartbeat: Option<Heartbeat>,
+    }
+
+    fn heartbeat() -> Option<Heartbeat> {
+        Some(Heartbeat {
+            config: 4,
+            config_age: 5,
+            lease_age: 6,
+        })
+    }
+
+    #[test]
+    fn response_without_figures_has_plain_bytes() {
+        let response = RelayResponse {
+            session: 1,
+            fence: 2,
+            commands: vec![Command::Leave("w1".into())],
+            heartbeat: heartbeat(),
+            ..RelayResponse::default()
+        };
+        let plain = PlainResponse {
+            session: 1,
+            fence: 2,
+            commands: vec![Command::Leave("w1".into())],
+            heartbeat: heartbeat(),
+            ..PlainResponse::default()
+        };
+        let bytes = wire::encode_compact(&response).unwrap();
+        assert_eq!(bytes, wire::encode_compact(&plain).unwrap());
+        let decoded: PlainResponse = wire::decode(&bytes).unwrap();
+        assert_eq!(decoded.heartbeat, heartbeat());
+        let decoded: RelayResponse = wire::decode(&bytes).unwrap();
+        assert_eq!((decoded.session, decoded.figures), (1, None));
+    }
+
+    #[test_case(true, true; "both")]
+    #[test_case(true, false; "pressure alone")]
+    #[test_case(false, true; "pools alone")]
+    fn response_with_figures_round_trip(has_pressure: bool, has_pools: bool) {
+        let pressure = Pressure {
+            queues: vec![QueuePressure {
+                queue: "q".into(),
+                kind: Kind::BestEffort,
+                wait: 7_000,
+                drain: 9_000,
+                run_percent: 140,
+            }],
+        };
+        let pool = PoolCapacity {
+            pool: "pool".into(),
+            largest: Size::default(),
+            workers: 3,
+            labels: vec!["a".into()],
+        };
+        let figures = Figures {
+            pressure: has_pressure.then_some(PressureReport { pressure, age: 90 }),
+            pools: has_pools.then(|| vec![pool]),
+        };
+        let response = RelayResponse {
+            heartbeat: heartbeat(),
+            figures: Some(figures.clone()),
+            ..RelayResponse::default()
+        };
+        for bytes in [wire::encode_compact(&response), wire::encode(&response)] {
+            let decoded: RelayResponse = wire::decode(&bytes.unwrap()).unwrap();
+            assert_eq!(decoded.figures.as_ref(), Some(&figures));
+            assert_eq!(decoded.heartbeat, heartbeat());
+        }
+    }
+}
--- a/components/node/src/ownership/mod.rs
+++ b/components/node/src/ownership/mod.rs
@@ -12,8 +12,10 @@
 use {
     self::{confirmation::Unconfirmed, halls::Halls},
     crate::{
+        admission::{Feed, Figures, PressureReport},
         core::Core,
         group::Group,
+        message::QueueStatus,
         order_queue::OrderSender,
         owner_tasks,
         relays::{Need, Relays},
@@ -21,6 +23,7 @@
         time,
     },
     cell::{AdviceQuery, Cell, Entry, Poll},
+    job::Config,
     kernel::{
         actor::Responder,
         stakker::{Cx, after},
@@ -78,6 +81,8 @@
     unconfirmed: Option<Unconfirmed>,
     /// The closed data halls.
     halls: Halls,
+    /// The figures for admission.
+    feed: Feed,
     /// When the last group was sent to the writer.
     group_sent: u64,
     /// When the last placement pass ended.
@@ -111,6 +116,7 @@
             last_confirmed: claimed,
             unconfirmed: None,
             halls: Halls::default(),
+            feed: Feed::default(),
             group_sent: 0,
             pass_ended: 0,
             pass_duration: 0,
@@ -176,6 +182,40 @@
             self.relays.poll(name, id, now, poll);
         }
     }
+
+    /// What waits in each queue of the configuration; a row for each kind of job under pressure.
+    fn queue_statuses(&self, config: &Config) -> Vec<QueueStatus> {
+        let mut statuses = Vec::new();
+        for queue in &config.queues {
+            let pool = self.feed.pool(&queue.pool);
+            let idle = QueueStatus {
+                queue: queue.name.clone(),
+                kind: None,
+                waiting: self.cell.queued_jobs(&queue.name),
+                wait: 0,
+                drain: 0,
+                pool: queue.pool.clone(),
+                workers: pool.map_or(0, |pool| pool.workers),
+                largest: pool.map(|pool| pool.largest).unwrap_or_default(),
+                refused: 0,
+            };
+            let before = statuses.len();
+            for own in &self.feed.pressure().queues {
+                if own.queue == queue.name {
+                    statuses.push(QueueStatus {
+                        kind: Some(own.kind),
+                        wait: own.wait,
+                        drain: own.drain,
+                        ..idle.clone()
+                    });
+                }
+            }
+            if statuses.len() == before {
+                statuses.push(idle);
+            }
+        }
+        statuses
+    }
 }
 
 impl Core {
@@ -240,6 +280,38 @@
             .log_summary(cx, fence));
     }
 
+    /// Computes the figures for admission if they are due, for this box and the others.
+    fn refresh_figures(&mut self) {
+        let node = self.node.clone();
+        let now = time::now();
+        if !node.settings.admission {
+            return;
+        }
+        let Some(ownership) = self.confirmed_ownership() else {
+            return;
+        };
+        if !ownership.feed.is_due(now) {
+            return;
+        }
+        let pressure = pressure(&ownership.cell, now, wall_clock::millis());
+        let pools = pool_capacities(&ownership.cell, now);
+        ownership.feed.update(pressure.clone(), pools.clone(), now);
+        let figures = Figures {
+            pressure: Some(PressureReport { pressure, age: 0 }),
+            pools: Some(pools),
+        };
+        let known = &node.shared.admission.known;
+        known.record(&node.settings.name, Some(figures), now, true);
+        known.export_age(now);
+    }
+
+    /// What waits in each queue; `None` when this box does not own the cell, its ownership is
+    /// unconfirmed or it has no configuration.
+    pub(crate) fn queue_statuses(&mut self) -> Option<Vec<QueueStatus>> {
+        let config = self.node.shared.config.load_full()?;
+        Some(self.confirmed_ownership()?.queue_statuses(&config))
+    }
+
     /// Ends the ownership, because another box has claimed the cell or this box releases it.
     pub(crate) fn end_ownership(&mut self, cause: &str) {
         let Some(mut ownership) = self.ownership.take() else {
@@ -248,6 +320,7 @@
         self.node.shared.set_owning(0);
         ownership.cell.log_done(time::now());
         ownership.reset_hall_metrics();
+        ownership.feed.reset_metrics();
         log::warn!(target: "owner", fence = ownership.fence, cause; "Cell ownership ended.");
         metrics::counter!("magpie_tenures_lost_total").increment(1);
         if let Some(responder) = ownership.handover {
@@ -285,6 +358,7 @@
         if is_reread_due {
             owner_tasks::reread_intake(&self.node, fence);
         }
+        self.refresh_figures();
         self.reassign(fence, orphans);
         for entry in overdue {
             log::warn!(target: "owner", worker = &*entry.id; "No relay has capacity for a worker; the owner connects to it directly.");
@@ -294,3 +368,13 @@
         after!(TICK_INTERVAL, [cx], |this, cx| this.tick(cx, fence));
     }
 }
+
+/// The pressure on the queues.
+fn pressure(_: &Cell, _: u64, _: u64) -> policy::admission::Pressure {
+    policy::admission::Pressure::default()
+}
+
+/// What the workers of each pool offer.
+fn pool_capacities(_: &Cell, _: u64) -> Vec<policy::admission::PoolCapacity> {
+    Vec::new()
+}
--- a/components/node/src/ownership/placement.rs
+++ b/components/node/src/ownership/placement.rs
@@ -65,6 +65,7 @@
                 .cell
                 .set_backpressured(ownership.relays.busy_workers());
             ownership.cell.place_up_to(started, max_starts);
+            ownership.feed.start();
         }
         ownership.pass_ended = time::now();
         ownership.pass_duration = ownership.pass_ended - started;
--- a/components/node/src/ownership/worker_links.rs
+++ b/components/node/src/ownership/worker_links.rs
@@ -4,6 +4,7 @@
 use {
     super::{Link, Next},
     crate::{
+        admission::Figures,
         core::Core,
         external::PollError,
         heartbeat::Heartbeat,
@@ -68,13 +69,24 @@
         cx: &mut Cx<'_, Self>,
         request: RelayRequest,
     ) -> RelayResponse {
+        let name = request.name.clone();
         let response = self.exchange(cx, request);
         RelayResponse {
             heartbeat: self.heartbeat(),
+            figures: self.figures_for(&name),
             ..response
         }
     }
 
+    /// The figures to send to a box; `None` if it needs none now, or if the ownership is unconfirmed.
+    fn figures_for(&mut self, name: &Arc<str>) -> Option<Figures> {
+        if !self.node.settings.admission {
+            return None;
+        }
+        let ownership = self.confirmed_ownership()?;
+        ownership.feed.figures_for(name, time::now())
+    }
+
     /// The heartbeat of this owner; `None` if this box does not own the cell, or before it
     /// has verified its configuration.
     fn heartbeat(&mut self) -> Option<Heartbeat> {
--- a/components/node/src/peer.rs
+++ b/components/node/src/peer.rs
@@ -7,7 +7,7 @@
         cancel,
         core::Node,
         decode,
-        message::{ClosedHall, PeerRequest, PeerResponse, RelayRequest},
+        message::{ClosedHall, PeerRequest, PeerResponse, QueueStatus, RelayRequest},
         settings::{PEER_RETRY, PEER_TIMEOUT},
     },
     kernel::{Failure, Request, client::Timeout, server},
@@ -107,6 +107,9 @@
         PeerRequest::Cancelled(id) => Ok(PeerResponse::Reply(cancel::receive(node, &id))),
         PeerRequest::Probe { release } => probe(node, release),
         PeerRequest::Halls { passed } => Ok(PeerResponse::Halls(closed_halls(node, passed)?)),
+        PeerRequest::Pressure { passed } => {
+            Ok(PeerResponse::Pressure(queue_statuses(node, passed)?))
+        }
     }
 }
 
@@ -136,6 +139,26 @@
     }
 }
 
+/// What waits in each queue, as known by the owner of the cell, with the refusals of this box; `None`
+/// when no owner answers. A request that another box has forwarded (`passed`) is not forwarded again.
+///
+/// # Errors
+///
+/// The box is shutting down.
+pub fn queue_statuses(node: &Node, passed: bool) -> Result<Option<Vec<QueueStatus>>, Failure> {
+    let mut statuses = node.actor.ask(|core, _| core.queue_statuses())?;
+    if statuses.is_none() && !passed {
+        statuses = match call_owner(node, &PeerRequest::Pressure { passed: true }) {
+            Some(PeerResponse::Pressure(statuses)) => statuses,
+            _ => None,
+        };
+    }
+    for status in statuses.iter_mut().flatten() {
+        status.refused = node.shared.admission.known.refused(&status.queue);
+    }
+    Ok(statuses)
+}
+
 fn probe(node: &Node, release: bool) -> Result<PeerResponse, Failure> {
     let cut_off = node.shared.is_store_unreachable();
     let owning = node.actor.ask(move |core, _| {
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -102,11 +102,12 @@
             .take()
             .unwrap_or_else(|| next_request(node, session.as_mut()));
         let requested_at = time::now();
-        let response = match exchange(node, &owner, &request) {
+        let mut response = match exchange(node, &owner, &request) {
             Ok(response) => response,
             Err(failure) => {
                 log::debug!(target: "relay", owner = &*owner.name, error:% = failure; "An exchange with the owner failed.");
                 node.shared.monitor.clear();
+                node.shared.admission.known.forget_pools();
                 unanswered = Some(request);
                 refresh.try_refresh(node, session.is_some());
                 thread::sleep(if session.is_some() {
@@ -121,6 +122,10 @@
         node.shared
             .monitor
             .record(response.heartbeat, requested_at, idle_pause);
+        let is_fresh = node.shared.monitor.valid(time::now()).is_some();
+        let known = &node.shared.admission.known;
+        known.record(&owner.name, response.figures.take(), requested_at, is_fresh);
+        known.export_age(time::now());
         let had_session = session.is_some();
         session = apply_response(node, &owner, session, response, requested_at);
         if had_session && session.is_none() {
--- a/components/node/src/relays/mod.rs
+++ b/components/node/src/relays/mod.rs
@@ -328,6 +328,7 @@
             pause: interval,
             commands: relay.sent.clone(),
             heartbeat: None,
+            figures: None,
         }
     }
 
