Box, magpiectl: what waits in each queue

Cause: operators cannot see why jobs are refused for want of room.

Change: `magpiectl queue pressure` and `GET /queues` show for each queue the waiting jobs, predicted wait, workers of the pool, and what the asked box has refused since its start. They ask the owner as `hall list` does.

Ruled out: refusals of all boxes, which would need a call to each of them; the sum of `magpie_refused_total{reason="room"}` tells that.

Conclusion: shown; the text list of `GET /queues` has no test of its own.

--- a/programs/box/src/ports.rs
+++ b/programs/box/src/ports.rs
@@ -6,7 +6,12 @@
         Request, Server, ops,
         server::{Bounds, INTERNAL, Reply, Service},
     },
-    node::{Node, message::ClosedHall, peer},
+    node::{
+        Node,
+        admission::kind_label,
+        message::{ClosedHall, QueueStatus},
+        peer,
+    },
     platform::callers,
     std::{
         io,
@@ -33,6 +38,8 @@
 const READY: &str = "/readiness";
 /// Path of the list of closed data halls, as text for operators.
 const HALLS: &str = "/halls";
+/// Path of the list of what waits in each queue, as text for operators.
+const QUEUES: &str = "/queues";
 
 /// The servers of a box. Dropping them closes their ports.
 pub struct Ports {
@@ -130,6 +137,10 @@
         request.respond(closed_halls(node));
         return;
     }
+    if request.path == QUEUES {
+        request.respond(queue_statuses(node));
+        return;
+    }
     let is_ready = || node.is_ready();
     if let Some(request) = ops::route(request, is_ready) {
         request.respond(Reply::text(404, "no such path\n"));
@@ -151,3 +162,25 @@
     }
     Reply::text(200, text)
 }
+
+/// Lists what waits in each queue, one line per queue and kind of job: queue, kind or `-` without
+/// pressure, waiting jobs, predicted wait and time for all waiting work in milliseconds, pool, its
+/// number of workers, and jobs that this box has refused.
+fn queue_statuses(node: &Node) -> Reply {
+    let statuses = match peer::queue_statuses(node, false) {
+        Ok(Some(statuses)) => statuses,
+        Ok(None) => return Reply::text(503, "no owner answers\n"),
+        Err(failure) => return Reply::failure(&failure),
+    };
+    let mut text = String::new();
+    for status in statuses {
+        let QueueStatus { queue, pool, .. } = &status;
+        let kind = status.kind.map_or("-", kind_label);
+        let (waiting, wait, drain) = (status.waiting, status.wait, status.drain);
+        let (workers, refused) = (status.workers, status.refused);
+        text.push_str(&format!(
+            "{queue} {kind} {waiting} {wait} {drain} {pool} {workers} {refused}\n"
+        ));
+    }
+    Reply::text(200, text)
+}
--- a/programs/ctl/src/cli.rs
+++ b/programs/ctl/src/cli.rs
@@ -35,6 +35,7 @@
     Worker(Worker),
     Cell(Cell),
     Hall(Hall),
+    Queue(Queue),
 }
 
 /// The operators' table.
@@ -303,3 +304,28 @@
     #[argh(switch)]
     pub json: bool,
 }
+
+/// Queues of jobs.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "queue")]
+pub struct Queue {
+    #[argh(subcommand)]
+    pub command: QueueCommand,
+}
+
+/// Commands for queues.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum QueueCommand {
+    Pressure(QueuePressure),
+}
+
+/// Show for each queue what waits, how long one more job would wait, the workers of its pool, and
+/// the jobs that the box has refused since its start.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "pressure")]
+pub struct QueuePressure {
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
--- a/programs/ctl/src/main.rs
+++ b/programs/ctl/src/main.rs
@@ -1,4 +1,5 @@
-//! magpiectl, the operators' command line: manages the table, jobs, workers, cells and halls.
+//! magpiectl, the operators' command line: manages the table, jobs, workers, cells and halls, and
+//! shows queues.
 
 mod cell;
 mod cli;
@@ -6,6 +7,7 @@
 mod exit;
 mod hall;
 mod job;
+mod queue;
 mod show;
 mod table;
 mod worker;
@@ -26,6 +28,7 @@
         Command::Worker(command) => worker::run(&context, command.command),
         Command::Cell(command) => cell::run(&context, command.command),
         Command::Hall(command) => hall::run(&context, command.command),
+        Command::Queue(command) => queue::run(&context, command.command),
     };
     if let Err(error) = result {
         eprintln!("{error}");
