Node: figures of the cell for admission

Cause: the cell's part brings pressure and capacities; the owner sent empty figures until now.

Change: the owner takes both from the cell. Kind of job and spread of Retry-After come from `policy`; a job that would never end is told so. An empty list of pools is sent only where another one was sent before, so that nothing at all is sent at rest by an owner that does not know the workers for long enough.

Ruled out: leaving an empty list out for a box that the owner has forgotten. A suspended box may hold an old list without a failed exchange.

--- a/components/node/src/accept.rs
+++ b/components/node/src/accept.rs
@@ -99,12 +99,15 @@
             objective,
             age,
         } => {
-            let retry_after = retry_seconds(retry_after, fastrand::u64(..));
+            let retry_after = retry_seconds(retry_after, fastrand::f64());
             log::warn!(target: "accept", job, cause = "it would end too late", queue, end, objective, age, retry_after; "A job was refused and will not run.");
             metrics::counter!("magpie_refused_total", "reason" => "room").increment(1);
-            let (end, objective) = (end as f64 / 1e3, objective as f64 / 1e3);
+            let end = end.map_or("forever".to_owned(), |end| {
+                format!("{:.1} s", end as f64 / 1e3)
+            });
+            let objective = objective as f64 / 1e3;
             let text = format!(
-                "queue {queue} is full: the job would take {end:.1} s, its objective is {objective:.1} s; it was not accepted"
+                "queue {queue} is full: the job would take {end}, its objective is {objective:.1} s; it was not accepted"
             );
             Reply::NoRoom(retry_after, text.into())
         }
--- a/components/node/src/admission/feed.rs
+++ b/components/node/src/admission/feed.rs
@@ -70,7 +70,7 @@
             self.version += 1;
             self.pressure = pressure;
         }
-        if self.pools != pools || self.made == 0 {
+        if self.pools != pools {
             self.pools_version += 1;
             self.pools = pools;
         }
@@ -96,12 +96,14 @@
                 age: now.saturating_sub(self.made),
             }
         });
+        let is_known = sent.pools_version == self.pools_version;
         let interval = match sent.pools_version {
             0 => 0,
-            version if version == self.pools_version => POOLS_REPEAT_MS,
+            _ if is_known => POOLS_REPEAT_MS,
             _ => POOLS_INTERVAL_MS,
         };
-        let pools = (now >= sent.pools_at + interval).then(|| {
+        let is_needed = !is_known || !self.pools.is_empty();
+        let pools = (is_needed && now >= sent.pools_at + interval).then(|| {
             sent.pools_at = now;
             sent.pools_version = self.pools_version;
             self.pools.clone()
@@ -140,8 +142,12 @@
 }
 
 fn set_wait(queue: &Arc<str>, kind: Kind, wait: u64) {
+    let seconds = match wait {
+        u64::MAX => f64::INFINITY,
+        wait => wait as f64 / 1e3,
+    };
     metrics::gauge!("magpie_queue_wait_seconds", "queue" => queue.to_string(), "kind" => kind_label(kind))
-        .set(wait as f64 / 1e3);
+        .set(seconds);
 }
 
 /// The name of a kind of job in metrics and lists.
@@ -223,6 +229,25 @@
         }
     }
 
+    /// The owner does not know the workers for long enough yet, and again after the last of them has
+    /// gone.
+    #[test]
+    fn figures_for_unknown_pools() {
+        let mut feed = Feed::default();
+        feed.update(Pressure::default(), Vec::new(), 1_000);
+        assert_eq!(feed.figures_for(&"b1".into(), 1_000), None);
+        feed.update(Pressure::default(), pools(2), 1_250);
+        assert_eq!(sent(&mut feed, "b1", 1_250), (None, Some(2)));
+        feed.update(Pressure::default(), Vec::new(), 1_500);
+        assert_eq!(feed.figures_for(&"b1".into(), 3_249), None);
+        let figures = feed.figures_for(&"b1".into(), 3_250).unwrap();
+        assert_eq!(figures.pools, Some(Vec::new()));
+        for now in (3_600..40_000).step_by(400) {
+            feed.update(Pressure::default(), Vec::new(), now);
+            assert_eq!(feed.figures_for(&"b1".into(), now), None);
+        }
+    }
+
     /// A change is sent to each box at once, unchanged pressure twice a second, and the end of the
     /// pressure once.
     #[test]
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -140,9 +140,9 @@
     pub kind: Option<Kind>,
     /// The number of jobs of the queue, of all kinds, that wait to be scheduled.
     pub waiting: usize,
-    /// How long one more job would wait.
+    /// How long one more job would wait; `u64::MAX` if forever.
     pub wait: u64,
-    /// How long all waiting work takes, including jobs that are late.
+    /// How long one more job that is late would wait; `u64::MAX` if forever.
     pub drain: u64,
     /// The pool whose workers run it.
     pub pool: Arc<str>,
--- a/components/node/src/ownership/mod.rs
+++ b/components/node/src/ownership/mod.rs
@@ -293,8 +293,8 @@
         if !ownership.feed.is_due(now) {
             return;
         }
-        let pressure = pressure(&ownership.cell, now, wall_clock::millis());
-        let pools = pool_capacities(&ownership.cell, now);
+        let pressure = ownership.cell.pressure(now, wall_clock::millis());
+        let pools = ownership.cell.pool_capacities(now);
         ownership.feed.update(pressure.clone(), pools.clone(), now);
         let figures = Figures {
             pressure: Some(PressureReport { pressure, age: 0 }),
@@ -368,13 +368,3 @@
         after!(TICK_INTERVAL, [cx], |this, cx| this.tick(cx, fence));
     }
 }
-
-/// The pressure on the queues.
-fn pressure(_: &Cell, _: u64, _: u64) -> policy::admission::Pressure {
-    policy::admission::Pressure::default()
-}
-
-/// What the workers of each pool offer.
-fn pool_capacities(_: &Cell, _: u64) -> Vec<policy::admission::PoolCapacity> {
-    Vec::new()
-}
--- a/programs/box/src/ports.rs
+++ b/programs/box/src/ports.rs
@@ -164,8 +164,8 @@
 }
 
 /// Lists what waits in each queue, one line per queue and kind of job: queue, kind or `-` without
-/// pressure, waiting jobs, predicted wait and time for all waiting work in milliseconds, pool, its
-/// number of workers, and jobs that this box has refused.
+/// pressure, waiting jobs, predicted wait and that of late jobs in milliseconds, pool, its number of
+/// workers, and jobs that this box has refused.
 fn queue_statuses(node: &Node) -> Reply {
     let statuses = match peer::queue_statuses(node, false) {
         Ok(Some(statuses)) => statuses,
--- a/programs/ctl/src/queue.rs
+++ b/programs/ctl/src/queue.rs
@@ -26,22 +26,30 @@
             status.queue.to_string(),
             status.kind.map_or("-", kind_label).to_owned(),
             status.waiting.to_string(),
-            seconds(status.wait),
-            seconds(status.drain),
+            wait(status.wait),
+            wait(status.drain),
             status.pool.to_string(),
             status.workers.to_string(),
-            seconds(status.largest.cpu),
+            thousandths(status.largest.cpu),
             status.refused.to_string(),
         ]
     };
     let header = [
-        "QUEUE", "KIND", "JOBS", "WAIT S", "ALL S", "POOL", "WORKERS", "LARGEST", "REFUSED",
+        "QUEUE", "KIND", "JOBS", "WAIT S", "LATE S", "POOL", "WORKERS", "LARGEST", "REFUSED",
     ];
     show::columns(header, &statuses.iter().map(row).collect::<Vec<_>>());
     Ok(())
 }
 
+/// Formats a wait in seconds.
+fn wait(millis: u64) -> String {
+    match millis {
+        u64::MAX => "forever".to_owned(),
+        millis => thousandths(millis),
+    }
+}
+
 /// Formats thousandths with one decimal.
-fn seconds(amount: u64) -> String {
+fn thousandths(amount: u64) -> String {
     format!("{:.1}", amount as f64 / 1e3)
 }
