--- a/programs/box/tests/end_to_end.rs
+++ b/programs/box/tests/end_to_end.rs
@@ -892,3 +892,55 @@
     assert!(seen.ran_twice.is_empty());
     assert_eq!(seen.starts.len(), 22);
 }
+
+/// Under pressure any box refuses a job that would end too late. Operators see what waits and what
+/// was refused.
+#[test]
+fn late_job_is_refused_under_pressure() {
+    let cluster = Cluster::new(Duration::from_secs(600));
+    let boxes = cluster.boxes(2);
+    let step = |count: u32, estimate: u64| {
+        let steps = [json!({ "count": count, "cpu": 1_000, "estimatedMs": estimate })];
+        json!({ "specification": "text", "steps": steps })
+    };
+    until("a job is accepted that makes others wait", || {
+        let response = send(
+            boxes[0].callers,
+            "POST",
+            "/q/00000000000000b1",
+            Some(&step(60, 60_000)),
+        );
+        response.is_some_and(|response| response.status == 200)
+    });
+    let idle = cluster.idle(&boxes);
+    let mut refused = None;
+    let mut number = 0;
+    until("a job is refused", || {
+        number += 1;
+        let path = format!("/q/{number:016x}");
+        let response = send(idle.callers, "POST", &path, Some(&step(1, 1_000)));
+        refused = response.filter(|response| response.status == 503);
+        refused.is_some()
+    });
+    let refused = refused.unwrap();
+    let seconds: u64 = refused.header("retry-after").parse().unwrap();
+    assert!((1..=45).contains(&seconds), "{seconds}");
+    let text = String::from_utf8(refused.body).unwrap();
+    assert!(text.contains("queue r is full"), "{text}");
+    let lines = || {
+        let response = send(idle.inside, "GET", "/queues", None)?;
+        (response.status == 200).then(|| String::from_utf8(response.body).unwrap())
+    };
+    let mut found = String::new();
+    until("the owner tells what waits", || {
+        found = lines().unwrap_or_default();
+        !found.is_empty()
+    });
+    let parts: Vec<&str> = found.split_whitespace().collect();
+    assert_eq!((parts[0], parts[1], parts[5]), ("r", "batch", "pool"));
+    assert_eq!((parts.len(), parts[7]), (8, "1"), "{found}");
+    let response = send(idle.inside, "GET", "/metrics", None).unwrap();
+    let metrics = String::from_utf8(response.body).unwrap();
+    assert!(metrics.contains("magpie_refused_total{reason=\"room\"} 1"));
+    assert!(metrics.contains("magpie_admission_age_seconds"));
+}
