--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -150,8 +150,10 @@
     pub(crate) listings_since: u64,
     /// The record of known workers is due to be written.
     pub(crate) fleet_dirty: bool,
-    /// The interference model is due to be written.
+    /// What was learned is due to be written.
     pub(crate) interference_due: bool,
+    /// When that was due last.
+    pub(crate) learned_due_at: u64,
     /// Orders to send, by worker.
     pub(crate) orders: Vec<(Arc<str>, Order)>,
     /// Queries to the advice service.
@@ -165,6 +167,8 @@
     pub(crate) pending: Option<Pending>,
     /// How long steps take, by queue.
     pub(crate) durations: Queues,
+    /// How long jobs take from the start of their first task, without waits, by queue.
+    pub(crate) run_times: Queues,
     /// Learned lengths of steps are used.
     pub(crate) learning: bool,
     /// The work of the jobs that arrive.
@@ -223,6 +227,7 @@
             listings_since: 0,
             fleet_dirty: false,
             interference_due: false,
+            learned_due_at: 0,
             orders: Vec::new(),
             advice_queries: Vec::new(),
             full_scans: 0,
@@ -230,6 +235,7 @@
             recovery: None,
             pending: None,
             durations: Queues::default(),
+            run_times: Queues::default(),
             learning: true,
             inflows: HashMap::new(),
             pools: PoolHistory::default(),
@@ -261,6 +267,7 @@
         let learned = learned.into();
         self.interference = learned.interference;
         self.durations = learned.durations;
+        self.run_times = learned.run_times;
     }
 
     /// Sets whether the learned lengths of steps are used for new jobs. Without them, the callers'
