Node: run times predicted by the learned profile of a queue

Change: the objective of a submitted job rests on `Pressure::run_time`. Tests use `Profile::ESTIMATE` for 100 per cent.

Ruled out: a prediction of the node's own, which could differ from that of the owner.

Conclusion: box and owner predict alike.

--- a/components/node/src/admission/check.rs
+++ b/components/node/src/admission/check.rs
@@ -42,14 +42,13 @@
     }
     let (pressure, age) = known.pressure(now)?;
     let kind = Kind::of(spec);
-    let percent = pressure.of(&queue.name, kind)?.run_percent;
     let chain = spec.critical_paths().into_iter().max().unwrap_or_default();
-    let predicted = chain as f64 * f64::from(percent) / 100.0;
+    let predicted = pressure.run_time(&queue.name, kind, chain);
     let demand = Demand {
         queue: queue.name.clone(),
         kind,
         chain,
-        objective: (queue.stretch * predicted) as u64 + queue.target,
+        objective: ((queue.stretch * predicted as f64) as u64).saturating_add(queue.target),
     };
     match judge(&demand, Some(&pressure)) {
         Verdict::Accept => None,
@@ -92,7 +91,10 @@
             Queue, Spec, Step,
             spec::{Size, Timetable},
         },
-        policy::admission::{PoolCapacity, Pressure, QueuePressure},
+        policy::{
+            admission::{PoolCapacity, Pressure, QueuePressure},
+            durations::Profile,
+        },
         test_case::test_case,
     };
 
@@ -139,7 +141,10 @@
                 kind: Kind::Batch,
                 wait: 60_000,
                 drain: 60_000,
-                run_percent: 200,
+                run: Profile {
+                    percent: 200,
+                    ..Profile::ESTIMATE
+                },
             }],
         };
         let size = Size {
--- a/components/node/src/admission/feed.rs
+++ b/components/node/src/admission/feed.rs
@@ -161,7 +161,12 @@
 
 #[cfg(test)]
 mod tests {
-    use {super::*, job::spec::Size, policy::admission::QueuePressure, test_case::test_case};
+    use {
+        super::*,
+        job::spec::Size,
+        policy::{admission::QueuePressure, durations::Profile},
+        test_case::test_case,
+    };
 
     fn pressure(wait: u64) -> Pressure {
         Pressure {
@@ -170,7 +175,7 @@
                 kind: Kind::BestEffort,
                 wait,
                 drain: wait,
-                run_percent: 100,
+                run: Profile::ESTIMATE,
             }],
         }
     }
--- a/components/node/src/admission/known.rs
+++ b/components/node/src/admission/known.rs
@@ -106,7 +106,10 @@
     use {
         super::{super::PressureReport, *},
         job::spec::Size,
-        policy::admission::{Kind, QueuePressure},
+        policy::{
+            admission::{Kind, QueuePressure},
+            durations::Profile,
+        },
         test_case::test_case,
     };
 
@@ -117,7 +120,7 @@
                 kind: Kind::Batch,
                 wait,
                 drain: wait,
-                run_percent: 100,
+                run: Profile::ESTIMATE,
             }],
         }
     }
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -311,7 +311,10 @@
         super::*,
         crate::admission::PressureReport,
         kernel::wire,
-        policy::admission::{PoolCapacity, Pressure, QueuePressure},
+        policy::{
+            admission::{PoolCapacity, Pressure, QueuePressure},
+            durations::Profile,
+        },
         test_case::test_case,
     };
 
@@ -369,7 +372,7 @@
                 kind: Kind::BestEffort,
                 wait: 7_000,
                 drain: 9_000,
-                run_percent: 140,
+                run: Profile::ESTIMATE,
             }],
         };
         let pool = PoolCapacity {
