--- a/components/node/src/ownership/mod.rs
+++ b/components/node/src/ownership/mod.rs
@@ -12,9 +12,11 @@
 use {
     self::{confirmation::Unconfirmed, halls::Halls},
     crate::{
+        admission::{Feed, Figures, PressureReport},
         core::Core,
         fence::HeldJobs,
         group::Group,
+        message::QueueStatus,
         order_queue::OrderSender,
         owner_tasks,
         relays::{Need, Relays},
@@ -22,6 +24,7 @@
         time,
     },
     cell::{AdviceQuery, Cell, Entry, Poll},
+    job::Config,
     kernel::{
         actor::Responder,
         stakker::{Cx, after},
@@ -83,6 +86,8 @@
     held: HeldJobs,
     /// The closed data halls.
     halls: Halls,
+    /// The figures for admission.
+    feed: Feed,
     /// When the last group was sent to the writer.
     group_sent: u64,
     /// A task has been placed in this ownership.
@@ -120,6 +125,7 @@
             unconfirmed: None,
             held: HeldJobs::default(),
             halls: Halls::default(),
+            feed: Feed::default(),
             group_sent: 0,
             has_placed: false,
             pass_ended: 0,
@@ -186,6 +192,40 @@
             self.relays.poll(name, id, now, poll);
         }
     }
+
+    /// What waits in each queue of the configuration; a row for each kind of job under pressure.
+    fn queue_statuses(&self, config: &Config) -> Vec<QueueStatus> {
+        let mut statuses = Vec::new();
+        for queue in &config.queues {
+            let pool = self.feed.pool(&queue.pool);
+            let idle = QueueStatus {
+                queue: queue.name.clone(),
+                kind: None,
+                waiting: self.cell.queued_jobs(&queue.name),
+                wait: 0,
+                drain: 0,
+                pool: queue.pool.clone(),
+                workers: pool.map_or(0, |pool| pool.workers),
+                largest: pool.map(|pool| pool.largest).unwrap_or_default(),
+                refused: 0,
+            };
+            let before = statuses.len();
+            for own in &self.feed.pressure().queues {
+                if own.queue == queue.name {
+                    statuses.push(QueueStatus {
+                        kind: Some(own.kind),
+                        wait: own.wait,
+                        drain: own.drain,
+                        ..idle.clone()
+                    });
+                }
+            }
+            if statuses.len() == before {
+                statuses.push(idle);
+            }
+        }
+        statuses
+    }
 }
 
 impl Core {
@@ -259,6 +299,38 @@
             .log_summary(cx, fence));
     }
 
+    /// Computes the figures for admission if they are due, for this box and the others.
+    fn refresh_figures(&mut self) {
+        let node = self.node.clone();
+        let now = time::now();
+        if !node.settings.admission {
+            return;
+        }
+        let Some(ownership) = self.confirmed_ownership() else {
+            return;
+        };
+        if !ownership.feed.is_due(now) {
+            return;
+        }
+        let pressure = ownership.cell.pressure(now, wall_clock::millis());
+        let pools = ownership.cell.pool_capacities(now);
+        ownership.feed.update(pressure.clone(), pools.clone(), now);
+        let figures = Figures {
+            pressure: Some(PressureReport { pressure, age: 0 }),
+            pools: Some(pools),
+        };
+        let known = &node.shared.admission.known;
+        known.record(&node.settings.name, Some(figures), now, true);
+        known.export_age(now);
+    }
+
+    /// What waits in each queue; `None` when this box does not own the cell, its ownership is
+    /// unconfirmed or it has no configuration.
+    pub(crate) fn queue_statuses(&mut self) -> Option<Vec<QueueStatus>> {
+        let config = self.node.shared.config.load_full()?;
+        Some(self.confirmed_ownership()?.queue_statuses(&config))
+    }
+
     /// Ends the ownership, because another box has claimed the cell or this box releases it.
     pub(crate) fn end_ownership(&mut self, cause: &str) {
         let Some(mut ownership) = self.ownership.take() else {
@@ -267,6 +339,7 @@
         self.node.shared.set_owning(0);
         ownership.cell.log_done(time::now());
         ownership.reset_hall_metrics();
+        ownership.feed.reset_metrics();
         log::warn!(target: "owner", fence = ownership.fence, held = ownership.held.len(), cause; "Cell ownership ended.");
         metrics::counter!("magpie_tenures_lost_total").increment(1);
         if let Some(responder) = ownership.handover {
@@ -304,6 +377,7 @@
         if is_reread_due {
             owner_tasks::reread_intake(&self.node, fence);
         }
+        self.refresh_figures();
         self.reassign(fence, orphans);
         for entry in overdue {
             log::warn!(target: "owner", worker = &*entry.id; "No relay has capacity for a worker; the owner connects to it directly.");
--- a/components/node/src/ownership/placement.rs
+++ b/components/node/src/ownership/placement.rs
@@ -84,6 +84,7 @@
                 .set_backpressured(ownership.relays.busy_workers());
             ownership.cell.place_up_to(started, max_starts);
             ownership.log_first_placement();
+            ownership.feed.start();
         }
         ownership.pass_ended = time::now();
         ownership.pass_duration = ownership.pass_ended - started;
--- a/components/node/src/relays/mod.rs
+++ b/components/node/src/relays/mod.rs
@@ -329,6 +329,7 @@
             pause: interval,
             commands: relay.sent.clone(),
             heartbeat: None,
+            figures: None,
         }
     }
 
