--- a/components/cell/tests/decisions/common.rs
+++ b/components/cell/tests/decisions/common.rs
@@ -69,7 +69,6 @@
         },
         accepted: 1,
         fence: 0,
-        hall: "".into(),
     }
 }
 
--- a/components/job/src/record.rs
+++ b/components/job/src/record.rs
@@ -6,7 +6,6 @@
         spec::{Id, Spec},
     },
     serde::{Deserialize, Serialize},
-    std::sync::Arc,
 };
 
 /// A job as accepted.
@@ -24,9 +23,6 @@
     /// owner starts nothing of a job that names the fence of a later one.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub fence: u64,
-    /// The data hall of the box that accepted it; empty if it is not known.
-    #[serde(default, skip_serializing_if = "str::is_empty")]
-    pub hall: Arc<str>,
 }
 
 /// True for a number that is left out of stored values.
--- a/components/job/tests/progress.rs
+++ b/components/job/tests/progress.rs
@@ -51,7 +51,6 @@
         },
         accepted: 1,
         fence: 0,
-        hall: "".into(),
     })
 }
 
--- a/components/node/src/admission/check.rs
+++ b/components/node/src/admission/check.rs
@@ -127,7 +127,6 @@
             },
             accepted: 1,
             fence: 0,
-            hall: "".into(),
         }
     }
 
--- a/components/node/src/callers.rs
+++ b/components/node/src/callers.rs
@@ -75,7 +75,6 @@
                     queue: (*queue).clone(),
                     accepted: wall_clock::millis(),
                     fence: 0,
-                    hall: self.settings.hall.clone(),
                 };
                 accept::submit(self, submission, true)
             }
--- a/components/node/src/group.rs
+++ b/components/node/src/group.rs
@@ -168,7 +168,6 @@
             retention: Duration::from_secs(150),
             takeover: Takeover::Gradual,
             admission: true,
-            shares: true,
         }
     }
 
@@ -207,7 +206,6 @@
             },
             accepted: 1,
             fence: 0,
-            hall: "".into(),
         }
     }
 
--- a/components/node/src/ownership/inputs.rs
+++ b/components/node/src/ownership/inputs.rs
@@ -271,7 +271,6 @@
             },
             accepted: 1,
             fence,
-            hall: "".into(),
         }
     }
 
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -33,8 +33,6 @@
     pub takeover: Takeover,
     /// Jobs that would end too late are refused.
     pub admission: bool,
-    /// Callers that compete for capacity get equal parts of it, by data hall.
-    pub shares: bool,
 }
 
 /// What a new owner may start before all workers have answered it.
--- a/components/node/tests/load.rs
+++ b/components/node/tests/load.rs
@@ -130,7 +130,6 @@
         },
         accepted: now,
         fence: 0,
-        hall: "".into(),
     }
 }
 
--- a/components/node/tests/takeover.rs
+++ b/components/node/tests/takeover.rs
@@ -47,7 +47,6 @@
         },
         accepted: 1,
         fence,
-        hall: "h1".into(),
     }
 }
 
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -7,5 +7,4 @@
 pub mod admission;
 pub mod durations;
 pub mod lateness;
-pub mod shares;
 pub mod takeover;
--- a/programs/box/src/cli.rs
+++ b/programs/box/src/cli.rs
@@ -89,10 +89,6 @@
     /// true or false: refuse jobs that would end too late (MAGPIE_ADMISSION, default true)
     #[argh(option)]
     admission: Option<String>,
-    /// true or false: data halls that compete for capacity get equal parts of it (MAGPIE_SHARES,
-    /// default true)
-    #[argh(option)]
-    shares: Option<String>,
     /// time limit of a graceful shutdown, in milliseconds (MAGPIE_GRACE_MS, default 6000)
     #[argh(option)]
     grace_ms: Option<String>,
@@ -200,7 +196,6 @@
         "gradual or complete",
     );
     let admission = switch(&mut reader, "admission", arguments.admission);
-    let shares = switch(&mut reader, "shares", arguments.shares);
     reader.build(|| {
         let inside = inside?;
         let node = Settings {
@@ -219,7 +214,6 @@
             retention: Duration::from_secs(retention?),
             takeover: takeover?,
             admission: admission?,
-            shares: shares?,
         };
         Some(Setup {
             node,
--- a/programs/load/src/slope/owner/work.rs
+++ b/programs/load/src/slope/owner/work.rs
@@ -44,7 +44,6 @@
         },
         accepted: now,
         fence: 0,
-        hall: "".into(),
     })
 }
 
