A relay that is stopped hands its workers over in order

Cause: a box that is stopped ended its exchanges with the owner at once. The owner noticed after 1.2 s of silence; until then nothing started on the 35 to 90 workers of the relay, starts on their way were lost and ends were late.

Change: a stopped relay sends no start any more, announces itself in its requests (`leaving`, a last field that is left out while false) and goes on with polls, stops and paces until the owner dismisses it, for 2 s at most. The owner assigns the workers again at once, accepts results and outcomes of the former relay until the first result over the new connection, and orders reports by the worker's clock. Workers without another relay keep the leaving one and get no starts. Orders in flight are kept by relay, so that those of a worker that changes its relay are not dropped. A new connection also discards a poll that waited for ends to be stored; otherwise two polls of one worker would follow each other.

Ruled out: the times of polls as the order of reports, since a poll that was sent earlier may be held and answered later; a call of its own at the stop, a release by the relay itself, a shorter silence (docs/design/relays.md).

--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -172,6 +172,19 @@
     pub ack: u64,
     /// Events of workers since the last request.
     pub heard: Vec<WorkerEvent>,
+    /// The box is stopping and needs no more workers. Left out while it is not, so that boxes of
+    /// earlier builds can decode the request.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub leaving: bool,
+}
+
+/// True for a flag that is left out of messages.
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_false(flag: &bool) -> bool {
+    !*flag
 }
 
 /// An event of a worker, as seen by its relay.
--- a/components/node/src/ownership/mod.rs
+++ b/components/node/src/ownership/mod.rs
@@ -144,8 +144,9 @@
 impl Ownership {
     /// Closes the connection to a worker.
     fn disconnect(&mut self, id: &Arc<str>) {
-        if let Some(Link::Relay(name)) = self.links.remove(id) {
-            self.relays.unassign(&name, id);
+        match self.links.remove(id) {
+            Some(Link::Relay(name)) => self.relays.unassign(&name, id),
+            Some(Link::Local(_)) | None => self.relays.remove_worker(id),
         }
     }
 
--- a/components/node/src/ownership/worker_links.rs
+++ b/components/node/src/ownership/worker_links.rs
@@ -17,6 +17,7 @@
         wall_clock,
     },
     std::{
+        collections::HashSet,
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
@@ -44,6 +45,8 @@
         let id = entry.id.clone();
         if let Some(name) = ownership.relays.assign(entry, since) {
             ownership.links.insert(id.clone(), Link::Relay(name));
+            // This is the only poll in progress over the new connection.
+            ownership.unwritten.remove(&id);
             ownership.send_poll(&id);
         }
     }
@@ -56,6 +59,7 @@
         };
         let id = entry.id.clone();
         if let Some(sender) = crate::worker::start_tasks(&node, fence, entry) {
+            ownership.relays.hand_over(&id);
             ownership.links.insert(id, Link::Local(sender));
         }
     }
@@ -100,9 +104,12 @@
         };
         let fence = ownership.fence;
         let relay_need = ownership.relay_need(direct);
-        if let Some(orphaned) = ownership.relays.join(&request, relay_need, now) {
+        let joined = ownership.relays.join(&request, relay_need, now);
+        let leaving = ownership.relays.leave(&request, now);
+        if let Some(orphaned) = joined {
             self.reassign(fence, orphaned);
         }
+        self.hand_over_workers(fence, leaving);
         if self
             .ownership
             .as_mut()
@@ -116,6 +123,7 @@
         self.ownership
             .as_mut()
             .map_or(RelayResponse::default(), |ownership| {
+                ownership.relays.dismiss_left(&request.name, time::now());
                 ownership
                     .relays
                     .respond(&request.name, fence, link, time::now())
@@ -135,7 +143,11 @@
                     return;
                 };
                 let result = ownership.relays.decode_report(relay, &id, delta);
-                if self.handle_report(cx, fence, &id, sent, result) == Next::Poll
+                if ownership.relays.is_former(relay, &id) {
+                    self.handle_former_report(cx, fence, relay, &id, sent, result);
+                    return;
+                }
+                if self.handle_current_report(cx, fence, &id, sent, result) == Next::Poll
                     && let Some(ownership) = self.ownership_of(fence)
                 {
                     ownership.send_poll(&id);
@@ -152,6 +164,65 @@
         }
     }
 
+    /// Gives workers of a leaving relay other connections. Workers for which no relay has capacity
+    /// keep the present one meanwhile.
+    fn hand_over_workers(&mut self, fence: u64, workers: Vec<Arc<str>>) {
+        for id in workers {
+            let ownership = self.ownership_of(fence);
+            let entry = ownership.and_then(|ownership| ownership.cell.entry(&id).cloned());
+            if let Some(entry) = entry {
+                self.connect(fence, entry);
+            }
+        }
+    }
+
+    /// Applies a report that a worker's former relay has delivered, unless it may be outdated. The
+    /// worker is polled over its new connection only.
+    fn handle_former_report(
+        &mut self,
+        cx: &mut Cx<'_, Self>,
+        fence: u64,
+        relay: &str,
+        id: &Arc<str>,
+        sent: u64,
+        result: Result<Report, PollError>,
+    ) {
+        // The poll over the new connection fails in the same way.
+        let Ok(report) = result else {
+            return;
+        };
+        let Some(ownership) = self.ownership_of(fence) else {
+            return;
+        };
+        if !ownership.relays.accept_former(relay, id, report.clock) {
+            return;
+        }
+        self.handle_report(cx, fence, id, sent, Ok(report));
+        if let Some(ownership) = self.ownership_of(fence) {
+            ownership.unwritten.remove(id);
+        }
+    }
+
+    /// Applies the result of a poll over the present connection of a worker. A report is dropped if
+    /// the worker's former relay has delivered a newer one; the next report repeats its ends.
+    fn handle_current_report(
+        &mut self,
+        cx: &mut Cx<'_, Self>,
+        fence: u64,
+        id: &Arc<str>,
+        sent: u64,
+        result: Result<Report, PollError>,
+    ) -> Next {
+        let Some(ownership) = self.ownership_of(fence) else {
+            return Next::Never;
+        };
+        let clock = result.as_ref().ok().map(|report| report.clock);
+        if !ownership.relays.accept_current(id, clock) {
+            return Next::Poll;
+        }
+        self.handle_report(cx, fence, id, sent, result)
+    }
+
     /// Connects again to workers whose relay is gone, and to those that no relay had capacity for.
     pub(super) fn reassign(&mut self, fence: u64, workers: Vec<Arc<str>>) {
         let Some(ownership) = self.ownership_of(fence) else {
@@ -159,8 +230,14 @@
         };
         let now = time::now();
         let mut entries = ownership.relays.take_unassigned();
+        // Workers of a leaving relay may wait for another one already.
+        let waiting: HashSet<Arc<str>> =
+            entries.iter().map(|(entry, _)| entry.id.clone()).collect();
         for id in workers {
             ownership.links.remove(&id);
+            if waiting.contains(&id) {
+                continue;
+            }
             if let Some(entry) = ownership.cell.entry(&id) {
                 entries.push((entry.clone(), now));
             }
@@ -205,7 +282,7 @@
         result: Result<Report, PollError>,
         responder: Responder<Option<Poll>>,
     ) {
-        let next = self.handle_report(cx, fence, id, sent, result);
+        let next = self.handle_current_report(cx, fence, id, sent, result);
         if next == Next::Poll && self.move_to_relay(fence, id) {
             responder.send(None);
             return;
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -15,8 +15,8 @@
         owner_watch,
         report_delta::ReportDelta,
         settings::{
-            IDLE_MIN_INTERVAL, IDLE_OWNER_READ_MS, POLL_RETRY_PAUSE, RELAY_MIN_INTERVAL,
-            RELAY_OWNER_READ_MS, RELAY_TIMEOUT,
+            IDLE_MIN_INTERVAL, IDLE_OWNER_READ_MS, POLL_RETRY_PAUSE, RELAY_LEAVE_TIMEOUT,
+            RELAY_MIN_INTERVAL, RELAY_OWNER_READ_MS, RELAY_TIMEOUT,
         },
         time, worker,
     },
@@ -83,12 +83,14 @@
     }
 }
 
-/// Sends requests to the owner and executes the commands in its responses until the box stops.
+/// Sends requests to the owner and executes the commands in its responses until the box stops and
+/// the owner has taken its workers.
 pub fn run(node: &Node) {
     let mut session: Option<Session> = None;
     let mut unanswered: Option<RelayRequest> = None;
     let mut refresh = OwnerRefresh::default();
-    while !node.shared.is_stopping() {
+    let mut departure = Departure::default();
+    while !departure.is_over(node, session.as_ref()) {
         let owner = node.shared.owner.load_full();
         let Some(owner) = owner.filter(|owner| owner.name != node.settings.name) else {
             session = None;
@@ -122,6 +124,7 @@
         node.shared
             .monitor
             .record(response.heartbeat, requested_at, idle_pause);
+        departure.log_dismissal(session.as_ref(), &response);
         let had_session = session.is_some();
         session = apply_response(node, &owner, session, response, requested_at);
         if had_session && session.is_none() {
@@ -131,6 +134,46 @@
     }
 }
 
+/// The hand-over of this relay's workers when the box stops.
+#[derive(Default)]
+struct Departure {
+    /// When the relay noticed that the box is stopping, in milliseconds.
+    since: Option<u64>,
+}
+
+impl Departure {
+    /// True once the box is stopping and the relay may end: it has no session, or the owner has not
+    /// taken its workers in time.
+    fn is_over(&mut self, node: &Node, session: Option<&Session>) -> bool {
+        if !node.shared.is_stopping() {
+            return false;
+        }
+        let Some(session) = session else {
+            return true;
+        };
+        let now = time::now();
+        let since = *self.since.get_or_insert(now);
+        let is_late = now.saturating_sub(since) > RELAY_LEAVE_TIMEOUT.as_millis() as u64;
+        if is_late {
+            log::warn!(target: "relay", session = session.number; "The owner has not taken all workers of this relay in time.");
+        }
+        is_late
+    }
+
+    /// Logs the end of the hand-over, if this response of the owner of the session is the end.
+    fn log_dismissal(&self, session: Option<&Session>, response: &RelayResponse) {
+        let (Some(since), Some(session)) = (self.since, session) else {
+            return;
+        };
+        // Boxes that do not own the cell send no heartbeat.
+        let is_owner = response.fence == session.fence && response.heartbeat.is_some();
+        if is_owner && response.session == 0 {
+            let took = time::now().saturating_sub(since);
+            log::info!(target: "relay", session = session.number, took; "All workers of this relay are handed over.");
+        }
+    }
+}
+
 /// Waits until the next exchange is due, or until another box has become the owner, whose fence
 /// this box needs for the jobs that it accepts.
 fn pause(node: &Node, time: Duration) {
@@ -205,6 +248,7 @@
         batch: 0,
         ack: 0,
         heard: Vec::new(),
+        leaving: node.shared.is_stopping(),
     };
     if let Some(session) = session {
         session.last_request += 1;
@@ -367,13 +411,23 @@
 ) {
     while let Some(queued) = orders.next().await {
         let number = queued.number;
-        let outcome = worker::send_order(&node, fence, &entry, queued, &orders).await;
+        let outcome = if is_withheld(&node, &queued.order) {
+            Outcome::Refused(Refusal::NotSent)
+        } else {
+            worker::send_order(&node, fence, &entry, queued, &orders).await
+        };
         lock(&results)
             .queue
             .push(WorkerEvent::Answer(number, outcome));
     }
 }
 
+/// True for a start on a box that is stopping: the owner can place its task again at once, while
+/// the answer to a start that is sent now might not reach the owner.
+fn is_withheld(node: &Node, order: &Order) -> bool {
+    matches!(order, Order::Start(_)) && node.shared.is_stopping()
+}
+
 #[cfg(test)]
 mod tests {
     use {super::*, cell::TaskKey, job::Address};
--- a/components/node/src/relays/mod.rs
+++ b/components/node/src/relays/mod.rs
@@ -1,12 +1,14 @@
 //! The owner's registry of relays: which box polls which worker, and the commands and orders
 //! in flight.
 
+mod handover;
 mod idle_requests;
 mod relay;
 mod text_budget;
 
 use {
     self::{
+        handover::Handovers,
         idle_requests::IdleRequests,
         relay::{Relay, START_BYTES, TEXT_BYTES, command_bytes, request_bytes},
         text_budget::TextBudget,
@@ -22,6 +24,7 @@
     std::{
         collections::{HashMap, HashSet},
         sync::Arc,
+        time::Duration,
     },
 };
 
@@ -66,8 +69,8 @@
     sessions: u64,
     /// The time of the last check for expired relays, in milliseconds.
     last_check: u64,
-    /// Orders without an answer yet, by number, with the worker of each.
-    orders: HashMap<u64, (Arc<str>, Order)>,
+    /// Orders without an answer yet, by number.
+    orders: HashMap<u64, InFlight>,
     /// The number of the last order.
     last_order: u64,
     /// Workers without a relay, and since when.
@@ -76,6 +79,15 @@
     text_budget: TextBudget,
     /// Limits the requests of boxes that are not needed.
     idle_requests: IdleRequests,
+    /// Workers of leaving relays that were given another connection.
+    handovers: Handovers,
+}
+
+/// An order that a relay has not answered yet.
+struct InFlight {
+    relay: Arc<str>,
+    worker: Arc<str>,
+    order: Order,
 }
 
 /// The highest link capacity that is accepted from a request, in bytes per millisecond: 100 Gbit/s.
@@ -98,9 +110,11 @@
             self.unassigned.push((entry, since));
             return None;
         };
-        relay.workers.insert(entry.id.clone());
+        let (name, id) = (name.clone(), entry.id.clone());
+        relay.workers.insert(id.clone());
         relay.push(Command::Tend(entry.into()));
-        Some(name.clone())
+        self.hand_over(&id);
+        Some(name)
     }
 
     /// True if a further worker can be assigned to a relay.
@@ -139,8 +153,12 @@
             return;
         };
         self.last_order += 1;
-        self.orders
-            .insert(self.last_order, (id.clone(), order.clone()));
+        let in_flight = InFlight {
+            relay: name.into(),
+            worker: id.clone(),
+            order: order.clone(),
+        };
+        self.orders.insert(self.last_order, in_flight);
         relay.starting_bytes += request_bytes(&order);
         match order {
             Order::Start(start) => {
@@ -154,11 +172,11 @@
     /// Removes and returns the order that a relay has answered, with its worker; `None` if it was
     /// answered before.
     pub fn complete_order(&mut self, name: &str, number: u64) -> Option<(Arc<str>, Order)> {
-        let (id, order) = self.orders.remove(&number)?;
+        let InFlight { worker, order, .. } = self.orders.remove(&number)?;
         if let Some(relay) = self.by_name.get_mut(name) {
             relay.starting_bytes = relay.starting_bytes.saturating_sub(request_bytes(&order));
         }
-        Some((id, order))
+        Some((worker, order))
     }
 
     /// The number of further starts that the owner, with this link, may decide. Work beyond the
@@ -169,10 +187,11 @@
         let room = ((link * MAX_IN_FLIGHT_MS) as usize).saturating_sub(unacked);
         // On average every fourth start needs a text.
         let by_owner = room / (START_BYTES + TEXT_BYTES / 4);
-        if self.by_name.is_empty() {
+        let staying = self.by_name.values().filter(|relay| !relay.is_leaving());
+        if staying.clone().next().is_none() {
             return by_owner;
         }
-        let by_relays: usize = self.by_name.values().map(Relay::start_budget).sum();
+        let by_relays: usize = staying.map(Relay::start_budget).sum();
         by_owner.min(by_relays)
     }
 
@@ -183,7 +202,8 @@
         self.text_budget.is_unlimited = is_store_failing;
     }
 
-    /// The workers of relays whose links cannot carry further starts at present.
+    /// The workers of relays that send no further starts at present: they are leaving, or their
+    /// links are saturated.
     pub fn busy_workers(&self) -> HashSet<Arc<str>> {
         let busy = self.by_name.values().filter(|relay| relay.is_busy());
         busy.flat_map(|relay| relay.workers.iter().cloned())
@@ -214,17 +234,88 @@
         }
     }
 
+    /// Starts to hand over the workers of a relay whose box announces that it is stopping. Returns
+    /// the workers, which need another connection; none if this has been done before, or the
+    /// request belongs to another session.
+    pub fn leave(&mut self, request: &RelayRequest, now: u64) -> Vec<Arc<str>> {
+        let relay = self.by_name.get_mut(&request.name);
+        let is_new = |relay: &&mut Relay| relay.session == request.session && !relay.is_leaving();
+        let Some(relay) = relay.filter(is_new).filter(|_| request.leaving) else {
+            return Vec::new();
+        };
+        relay.leaving_since = Some(now);
+        log::info!(target: "relay", relay = &*request.name, workers = relay.workers.len(); "A relay is leaving.");
+        metrics::counter!("magpie_relays_left_total").increment(1);
+        relay.workers.iter().cloned().collect()
+    }
+
+    /// Records that a worker has a new connection. If its former relay is leaving, results of that
+    /// relay count until the worker has been polled over the new connection.
+    pub fn hand_over(&mut self, id: &Arc<str>) {
+        for (name, relay) in &mut self.by_name {
+            if relay.is_leaving() && relay.workers.remove(id) {
+                self.handovers.begin(id.clone(), name.clone());
+            }
+        }
+    }
+
+    /// True if the relay is leaving and the worker is connected elsewhere or was removed.
+    pub fn is_former(&self, name: &str, id: &str) -> bool {
+        let relay = self.by_name.get(name);
+        relay.is_some_and(|relay| relay.is_leaving() && !relay.workers.contains(id))
+    }
+
+    /// Records a report of a worker's former relay, with the worker's clock. False if it may be
+    /// outdated.
+    pub fn accept_former(&mut self, name: &str, id: &str, clock: u64) -> bool {
+        self.handovers.accept_former(id, name, clock)
+    }
+
+    /// Records that a worker has been polled over its present connection, with the worker's clock
+    /// if it has answered. False if its report is outdated, because its former relay has delivered
+    /// a newer one.
+    pub fn accept_current(&mut self, id: &str, clock: Option<u64>) -> bool {
+        self.handovers.complete(id, clock)
+    }
+
+    /// Removes a leaving relay that has nothing left to do: its workers have been polled over other
+    /// connections, and its orders are answered.
+    pub fn dismiss_left(&mut self, name: &str, now: u64) {
+        let Some(relay) = self.by_name.get(name) else {
+            return;
+        };
+        let Some(since) = relay.leaving_since else {
+            return;
+        };
+        let has_orders = self.orders.values().any(|order| &*order.relay == name);
+        if !relay.workers.is_empty() || has_orders || self.handovers.involve(name) {
+            return;
+        }
+        let took = Duration::from_millis(now.saturating_sub(since));
+        log::info!(target: "relay", relay = name, took = took.as_millis() as u64; "A relay has left.");
+        metrics::histogram!("magpie_relay_handover_seconds").record(took);
+        self.by_name.remove(name);
+    }
+
     /// Removes a worker from its relay, with its orders in flight.
     pub fn unassign(&mut self, name: &str, id: &Arc<str>) {
         if let Some(relay) = self.by_name.get_mut(name)
             && relay.workers.remove(id)
         {
             relay.push(Command::Leave(id.clone()));
-            let lost = self.orders.values().filter(|(worker, _)| worker == id);
-            let bytes: usize = lost.map(|(_, order)| request_bytes(order)).sum();
+            let lost = self.orders.values();
+            let lost = lost.filter(|order| order.worker == *id && &*order.relay == name);
+            let bytes: usize = lost.map(|order| request_bytes(&order.order)).sum();
             relay.starting_bytes = relay.starting_bytes.saturating_sub(bytes);
         }
-        self.orders.retain(|_, (worker, _)| worker != id);
+        self.remove_worker(id);
+    }
+
+    /// Discards the orders in flight of a removed worker, and the report of a former relay that it
+    /// may have.
+    pub fn remove_worker(&mut self, id: &Arc<str>) {
+        self.orders.retain(|_, order| order.worker != *id);
+        self.handovers.remove_worker(id);
     }
 
     /// Records the request of a relay. True if it belongs to the current session and was not
@@ -276,6 +367,7 @@
             sent: Vec::new(),
             next: Vec::new(),
             workers: HashSet::new(),
+            leaving_since: None,
         };
         log::info!(target: "relay", relay = &*request.name, share = request.share; "A relay has joined.");
         self.by_name.insert(request.name.clone(), relay);
@@ -284,7 +376,7 @@
 
     /// True if the box is needed as a relay.
     fn is_needed(&self, request: &RelayRequest, need: Need, now: u64) -> bool {
-        if need == Need::None {
+        if need == Need::None || request.leaving {
             return false;
         }
         let is_short = need == Need::Short && !self.has_capacity();
@@ -360,9 +452,8 @@
             return Vec::new();
         };
         log::warn!(target: "relay", relay = name, workers = relay.workers.len(); "A relay was removed.");
-        let workers = relay.workers;
-        self.orders
-            .retain(|_, (worker, _)| !workers.contains(worker));
-        workers.into_iter().collect()
+        self.orders.retain(|_, order| &*order.relay != name);
+        self.handovers.remove_relay(name);
+        relay.workers.into_iter().collect()
     }
 }
--- a/components/node/src/relays/relay.rs
+++ b/components/node/src/relays/relay.rs
@@ -53,6 +53,8 @@
     /// Commands of the next response.
     pub next: Vec<Command>,
     pub workers: HashSet<Arc<str>>,
+    /// When its box announced that it is stopping, in milliseconds.
+    pub leaving_since: Option<u64>,
 }
 
 impl Relay {
@@ -61,15 +63,20 @@
         Settings::max_workers(self.share, self.link).max(1)
     }
 
+    /// True if its box is stopping.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving_since.is_some()
+    }
+
     /// True if another worker can be assigned to it.
     pub fn has_capacity(&self) -> bool {
-        self.workers.len() < self.max_workers()
+        !self.is_leaving() && self.workers.len() < self.max_workers()
     }
 
-    /// True if it has as many starts to send as its link carries within [`MAX_IN_FLIGHT_MS`]
-    /// milliseconds.
+    /// True if it sends no further starts at present: it is leaving, or has as many starts to send
+    /// as its link carries within [`MAX_IN_FLIGHT_MS`] milliseconds.
     pub fn is_busy(&self) -> bool {
-        self.starting_bytes as u64 >= self.link * MAX_IN_FLIGHT_MS
+        self.is_leaving() || self.starting_bytes as u64 >= self.link * MAX_IN_FLIGHT_MS
     }
 
     /// The number of further starts that its link can carry within [`MAX_IN_FLIGHT_MS`]
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -216,6 +216,9 @@
 /// burst.
 pub const RELAY_TIMEOUT: Timeout =
     Timeout::with_retry(Duration::from_millis(800), Duration::from_millis(400)).streaming();
+/// How long a relay whose box is stopping waits until the owner has given its workers to other
+/// relays. A stopped box serves callers for 2.6 s.
+pub const RELAY_LEAVE_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Boxes below this processor share, in thousandths of a core, leave the cell to stronger boxes.
 pub const LOW_SHARE: u32 = 200;
 /// How long such a box delays its claim, so that a stronger box can claim the cell first.
--- a/components/node/tests/load.rs
+++ b/components/node/tests/load.rs
@@ -195,6 +195,7 @@
             batch: session.last_request,
             ack: session.last_response,
             heard: Vec::new(),
+            leaving: false,
         }
     }
 
--- a/components/node/tests/relays.rs
+++ b/components/node/tests/relays.rs
@@ -47,6 +47,7 @@
         batch: 0,
         ack: 0,
         heard: Vec::new(),
+        leaving: false,
     }
 }
 
