--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -6,17 +6,23 @@
         crashes,
         interference::Interference,
         interference::forecast::Forecasts,
+        learned::Learned,
         maintenance,
         order::Order,
         place::Unplaceable,
         run_log::FinishedRun,
         slot::Slot,
-        takeover::{Pending, Recovery},
+        takeover::{HeldBack, Pending, Recovery},
         timing::{self, Timing},
         worker::{Clock, Entry, TaskKey, Worker},
         write_queue::WriteQueue,
     },
     job::{Id, Phase, Progress, State},
+    policy::{
+        admission::{Inflow, PoolHistory, Source},
+        durations::Queues,
+        lateness::Lateness,
+    },
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, BTreeSet, HashMap, HashSet},
@@ -58,10 +64,26 @@
     /// The job is about to miss its objective: its best-effort tasks may also run where they slow
     /// down serving tasks.
     pub urgent: bool,
+    /// The completed runs of each step of each repetition.
+    pub measured: Vec<StepRuns>,
+    /// The critical path from each step to the end of the job if all steps are short, in
+    /// milliseconds; `None` if too little is known of the queue.
+    pub low_paths: Option<Vec<u64>>,
     /// Advice on which workers may run a step, by repetition and step.
     pub advice: HashMap<(u32, u16), StepAdvice>,
 }
 
+/// The completed runs of a step from which its length is learned.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct StepRuns {
+    /// Their number.
+    pub count: u32,
+    /// The longest, in milliseconds.
+    pub longest: u64,
+    /// The sum of all, in milliseconds.
+    pub total: u64,
+}
+
 /// Position of a job in the order of placement; the lowest rank goes first.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
@@ -71,7 +93,7 @@
     /// only briefly and yields more for it.
     pub lasting: bool,
     /// Jobs that will miss their objective go after those that can still meet it.
-    pub late: bool,
+    pub late: Lateness,
     /// The time by which the job should complete, in Unix milliseconds.
     pub objective: u64,
     /// The time between acceptance and objective, in milliseconds.
@@ -128,8 +150,10 @@
     pub(crate) listings_since: u64,
     /// The record of known workers is due to be written.
     pub(crate) fleet_dirty: bool,
-    /// The interference model is due to be written.
+    /// What was learned is due to be written.
     pub(crate) interference_due: bool,
+    /// When that was due last.
+    pub(crate) learned_due_at: u64,
     /// Orders to send, by worker.
     pub(crate) orders: Vec<(Arc<str>, Order)>,
     /// Queries to the advice service.
@@ -139,8 +163,28 @@
     pub(crate) waves: BTreeMap<u64, maintenance::WaveState>,
     /// What a takeover still waits for.
     pub(crate) recovery: Option<Recovery>,
+    /// The tasks that the current or last pass has held back for unheard workers.
+    pub(crate) held_back: HeldBack,
+    /// When the first task was placed since the takeover.
+    pub(crate) first_placement: Option<u64>,
+    /// Workers that get no work are sealed.
+    pub(crate) sealing: bool,
+    /// The record of sealed workers is due to be written.
+    pub(crate) seals_due: bool,
+    /// When it was last due because of changed tasks.
+    pub(crate) seals_rewritten: u64,
     /// Runs of jobs that are not known yet, from a takeover until the jobs have been read again.
     pub(crate) pending: Option<Pending>,
+    /// How long steps take, by queue.
+    pub(crate) durations: Queues,
+    /// How long jobs take from the start of their first task, without waits, by queue.
+    pub(crate) run_times: Queues,
+    /// Learned lengths of steps are used.
+    pub(crate) learning: bool,
+    /// The work of the jobs that arrive.
+    pub(crate) inflows: HashMap<Source, Inflow>,
+    /// The workers that the pools have had lately.
+    pub(crate) pools: PoolHistory,
     /// Which best-effort images slow down which serving images.
     pub(crate) interference: Interference,
     /// The load of serving jobs.
@@ -193,12 +237,23 @@
             listings_since: 0,
             fleet_dirty: false,
             interference_due: false,
+            learned_due_at: 0,
             orders: Vec::new(),
             advice_queries: Vec::new(),
             full_scans: 0,
             waves: BTreeMap::new(),
             recovery: None,
+            held_back: HeldBack::default(),
+            first_placement: None,
+            sealing: false,
+            seals_due: false,
+            seals_rewritten: 0,
             pending: None,
+            durations: Queues::default(),
+            run_times: Queues::default(),
+            learning: true,
+            inflows: HashMap::new(),
+            pools: PoolHistory::default(),
             interference: Interference::default(),
             forecasts: Forecasts::default(),
             backlogged: false,
@@ -222,9 +277,18 @@
         std::mem::take(&mut self.orders)
     }
 
-    /// Restores the interference model that a previous owner has persisted.
-    pub fn restore_interference(&mut self, model: Interference) {
-        self.interference = model;
+    /// Restores what a previous owner has learned and persisted.
+    pub fn restore_interference(&mut self, learned: impl Into<Learned>) {
+        let learned = learned.into();
+        self.interference = learned.interference;
+        self.durations = learned.durations;
+        self.run_times = learned.run_times;
+    }
+
+    /// Sets whether the learned lengths of steps are used for new jobs. Without them, the callers'
+    /// estimates are.
+    pub fn enable_learning(&mut self, enabled: bool) {
+        self.learning = enabled;
     }
 
     /// Returns the state of a job to show to callers, or `None` if the job is unknown.
--- a/components/cell/src/persistence.rs
+++ b/components/cell/src/persistence.rs
@@ -3,13 +3,24 @@
 use {
     crate::{
         cell::{Cell, Job},
-        interference::Interference,
-        worker::Entry,
+        learned::Learned,
+        worker::{Entry, TaskKey},
     },
     job::{Id, Record},
+    serde::{Deserialize, Serialize},
     std::{collections::HashSet, sync::Arc},
 };
 
+/// The record that only these tasks may run on a worker, and that nothing is started there until
+/// the record is withdrawn, see [`policy::takeover`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seal {
+    /// The id of the worker's incarnation.
+    pub worker: Arc<str>,
+    /// The tasks, in order.
+    pub tasks: Vec<TaskKey>,
+}
+
 /// A batch of records to write.
 #[derive(Debug, Clone, Default)]
 pub struct WriteBatch {
@@ -20,6 +31,8 @@
     pub separate_specs: HashSet<Id>,
     /// The workers that may hold tasks, if that set has changed.
     pub fleet: Option<Vec<Entry>>,
+    /// All sealed workers, if that set has changed.
+    pub seals: Option<Vec<Seal>>,
     /// The highest number of a run end that the batch persists, by worker.
     pub ends: Vec<(Arc<str>, u64)>,
 }
@@ -27,7 +40,7 @@
 impl WriteBatch {
     /// True if there is nothing to write.
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty() && self.fleet.is_none()
+        self.records.is_empty() && self.fleet.is_none() && self.seals.is_none()
     }
 }
 
@@ -48,15 +61,20 @@
 }
 
 impl Cell {
-    /// Returns the interference model if it is due to be written. It is written separately, since
-    /// no other write depends on it, and with 16 serving and 30 best-effort images it is larger
-    /// than many batches.
-    pub fn take_interference(&mut self) -> Option<Interference> {
-        std::mem::take(&mut self.interference_due).then(|| self.interference.clone())
+    /// Returns what was learned if it is due to be written. It is written separately, since no
+    /// other write depends on it, and with 16 serving and 30 best-effort images it is larger than
+    /// many batches.
+    pub fn take_interference(&mut self) -> Option<Learned> {
+        std::mem::take(&mut self.interference_due).then(|| Learned {
+            interference: self.interference.clone(),
+            durations: self.durations.clone(),
+            run_times: self.run_times.clone(),
+        })
     }
 
     /// Returns the next batch, whose records take at most `most` store entries. The record of an
-    /// ended job takes two or three entries, since its submission is deleted.
+    /// ended job takes two or three entries, since its submission is deleted. The result of a batch
+    /// must be passed in before the next one is taken.
     pub fn take_write_batch(&mut self, most: usize) -> WriteBatch {
         let mut batch = WriteBatch::default();
         let mut entries = 0;
@@ -83,6 +101,7 @@
             let entries = self.workers.values().map(|worker| worker.entry.clone());
             batch.fleet = Some(entries.collect());
         }
+        batch.seals = self.take_seals();
         for (id, worker) in &self.workers {
             let is_persisted = |(_, job): &&(u64, Id)| !self.dirty.contains(job);
             let last = worker.unwritten_ends.iter().take_while(is_persisted).last();
@@ -99,7 +118,13 @@
             self.apply_written(id, record);
         }
         for entry in batch.fleet.iter().flatten() {
-            self.mark_recorded(&entry.id);
+            let worker = self.workers.get(&entry.id);
+            if worker.is_some_and(|worker| worker.entry.has_same_traits(entry)) {
+                self.mark_recorded(&entry.id);
+            }
+        }
+        if let Some(seals) = &batch.seals {
+            self.seals_written(seals);
         }
         let mut acknowledged = Vec::new();
         for (id, number) in &batch.ends {
@@ -152,11 +177,12 @@
             }
         }
         self.fleet_dirty |= batch.fleet.is_some();
+        self.seals_due |= batch.seals.is_some();
     }
 
     /// True if there is something to write.
     pub fn is_dirty(&self) -> bool {
-        !self.dirty.is_empty() || self.fleet_dirty
+        !self.dirty.is_empty() || self.fleet_dirty || self.seals_due
     }
 
     /// Returns the number of records to be written.
--- a/components/cell/tests/decisions/common.rs
+++ b/components/cell/tests/decisions/common.rs
@@ -68,6 +68,7 @@
             advised: false,
         },
         accepted: 1,
+        fence: 0,
     }
 }
 
--- a/components/job/src/record.rs
+++ b/components/job/src/record.rs
@@ -19,6 +19,15 @@
     pub queue: Queue,
     /// When it was accepted, in milliseconds since 1970.
     pub accepted: u64,
+    /// The highest fence that the accepting box knew; 0 if it knew none or does not tell. A former
+    /// owner starts nothing of a job that names the fence of a later one.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub fence: u64,
+}
+
+/// True for a number that is left out of stored values.
+const fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 /// The state of a job.
--- a/components/job/tests/progress.rs
+++ b/components/job/tests/progress.rs
@@ -50,6 +50,7 @@
             advised: false,
         },
         accepted: 1,
+        fence: 0,
     })
 }
 
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -9,6 +9,7 @@
 //! each worker run on the network thread.
 
 pub mod accept;
+pub mod admission;
 pub mod callers;
 pub mod cancel;
 pub mod claim;
@@ -16,6 +17,7 @@
 pub mod core;
 pub mod decode;
 pub mod external;
+pub mod fence;
 pub mod group;
 pub mod heartbeat;
 pub mod job_cache;
@@ -42,5 +44,5 @@
     Advisor, BoxFuture, ConfigRead, ConfigSnapshot, ConfigSource, ConfigWait, External,
     HallClosure, HallClosures, Machines, PollError, Workers,
 };
-pub use settings::Settings;
+pub use settings::{Settings, Takeover};
 pub use store::Store;
--- a/components/node/src/ownership/mod.rs
+++ b/components/node/src/ownership/mod.rs
@@ -12,15 +12,19 @@
 use {
     self::{confirmation::Unconfirmed, halls::Halls},
     crate::{
+        admission::{Feed, Figures, PressureReport},
         core::Core,
+        fence::HeldJobs,
         group::Group,
+        message::QueueStatus,
         order_queue::OrderSender,
         owner_tasks,
         relays::{Need, Relays},
-        settings::TICK_INTERVAL,
+        settings::{TICK_INTERVAL, Takeover},
         time,
     },
     cell::{AdviceQuery, Cell, Entry, Poll},
+    job::Config,
     kernel::{
         actor::Responder,
         stakker::{Cx, after},
@@ -50,6 +54,8 @@
     pub fence: u64,
     /// The cell.
     pub cell: Cell,
+    /// When the cell was claimed, on the clock of this box.
+    pub claimed: u64,
     /// Revision of the last write of the head.
     pub head: u64,
     /// The lease of the owner's key; 0 when it has expired.
@@ -76,10 +82,16 @@
     last_confirmed: u64,
     /// Set while another box may own the cell.
     unconfirmed: Option<Unconfirmed>,
+    /// Jobs that name the fence of a later owner.
+    held: HeldJobs,
     /// The closed data halls.
     halls: Halls,
+    /// The figures for admission.
+    feed: Feed,
     /// When the last group was sent to the writer.
     group_sent: u64,
+    /// A task has been placed in this ownership.
+    has_placed: bool,
     /// When the last placement pass ended.
     pass_ended: u64,
     /// Duration of the last placement pass, in milliseconds.
@@ -97,6 +109,7 @@
         Ownership {
             fence,
             cell,
+            claimed,
             head: fence,
             lease,
             republish: false,
@@ -110,8 +123,11 @@
             last_tick: claimed,
             last_confirmed: claimed,
             unconfirmed: None,
+            held: HeldJobs::default(),
             halls: Halls::default(),
+            feed: Feed::default(),
             group_sent: 0,
+            has_placed: false,
             pass_ended: 0,
             pass_duration: 0,
             pass_timer: false,
@@ -134,8 +150,9 @@
 impl Ownership {
     /// Closes the connection to a worker.
     fn disconnect(&mut self, id: &Arc<str>) {
-        if let Some(Link::Relay(name)) = self.links.remove(id) {
-            self.relays.unassign(&name, id);
+        match self.links.remove(id) {
+            Some(Link::Relay(name)) => self.relays.unassign(&name, id),
+            Some(Link::Local(_)) | None => self.relays.remove_worker(id),
         }
     }
 
@@ -176,6 +193,40 @@
             self.relays.poll(name, id, now, poll);
         }
     }
+
+    /// What waits in each queue of the configuration; a row for each kind of job under pressure.
+    fn queue_statuses(&self, config: &Config) -> Vec<QueueStatus> {
+        let mut statuses = Vec::new();
+        for queue in &config.queues {
+            let pool = self.feed.pool(&queue.pool);
+            let idle = QueueStatus {
+                queue: queue.name.clone(),
+                kind: None,
+                waiting: self.cell.queued_jobs(&queue.name),
+                wait: 0,
+                drain: 0,
+                pool: queue.pool.clone(),
+                workers: pool.map_or(0, |pool| pool.workers),
+                largest: pool.map(|pool| pool.largest).unwrap_or_default(),
+                refused: 0,
+            };
+            let before = statuses.len();
+            for own in &self.feed.pressure().queues {
+                if own.queue == queue.name {
+                    statuses.push(QueueStatus {
+                        kind: Some(own.kind),
+                        wait: own.wait,
+                        drain: own.drain,
+                        ..idle.clone()
+                    });
+                }
+            }
+            if statuses.len() == before {
+                statuses.push(idle);
+            }
+        }
+        statuses
+    }
 }
 
 impl Core {
@@ -202,7 +253,13 @@
     pub(crate) fn begin_ownership(&mut self, cx: &mut Cx<'_, Self>, mut ownership: Ownership) {
         let fence = ownership.fence;
         let entries: Vec<Entry> = ownership.cell.entries().cloned().collect();
-        ownership.cell.recover(time::now());
+        match self.node.settings.takeover {
+            Takeover::Gradual => {
+                ownership.cell.enable_sealing(true);
+                ownership.cell.recover_gradually(time::now(), fence);
+            }
+            Takeover::Complete => ownership.cell.recover(time::now()),
+        }
         // The lease may have expired while the cell was loaded.
         ownership.check_stall();
         ownership.last_tick = time::now();
@@ -235,11 +292,46 @@
             .cell
             .log_overdue(wall_clock::millis(), time::now());
         metrics::gauge!("magpie_cell_lasting_overdue").set(long_waits as f64);
+        metrics::gauge!("magpie_cell_workers_sealed").set(ownership.cell.sealed_workers() as f64);
+        let unheard = ownership.cell.tasks_waiting_unheard(time::now());
+        metrics::gauge!("magpie_cell_tasks_waiting_unheard").set(unheard as f64);
         metrics::gauge!("magpie_cell_places_lost").set(ownership.cell.misplaced_tasks() as f64);
         after!(SUMMARY_INTERVAL, [cx], |this, cx| this
             .log_summary(cx, fence));
     }
 
+    /// Computes the figures for admission if they are due, for this box and the others.
+    fn refresh_figures(&mut self) {
+        let node = self.node.clone();
+        let now = time::now();
+        if !node.settings.admission {
+            return;
+        }
+        let Some(ownership) = self.confirmed_ownership() else {
+            return;
+        };
+        if !ownership.feed.is_due(now) {
+            return;
+        }
+        let pressure = ownership.cell.pressure(now, wall_clock::millis());
+        let pools = ownership.cell.pool_capacities(now);
+        ownership.feed.update(pressure.clone(), pools.clone(), now);
+        let figures = Figures {
+            pressure: Some(PressureReport { pressure, age: 0 }),
+            pools: Some(pools),
+        };
+        let known = &node.shared.admission.known;
+        known.record(&node.settings.name, Some(figures), now, true);
+        known.export_age(now);
+    }
+
+    /// What waits in each queue; `None` when this box does not own the cell, its ownership is
+    /// unconfirmed or it has no configuration.
+    pub(crate) fn queue_statuses(&mut self) -> Option<Vec<QueueStatus>> {
+        let config = self.node.shared.config.load_full()?;
+        Some(self.confirmed_ownership()?.queue_statuses(&config))
+    }
+
     /// Ends the ownership, because another box has claimed the cell or this box releases it.
     pub(crate) fn end_ownership(&mut self, cause: &str) {
         let Some(mut ownership) = self.ownership.take() else {
@@ -248,7 +340,8 @@
         self.node.shared.set_owning(0);
         ownership.cell.log_done(time::now());
         ownership.reset_hall_metrics();
-        log::warn!(target: "owner", fence = ownership.fence, cause; "Cell ownership ended.");
+        ownership.feed.reset_metrics();
+        log::warn!(target: "owner", fence = ownership.fence, held = ownership.held.len(), cause; "Cell ownership ended.");
         metrics::counter!("magpie_tenures_lost_total").increment(1);
         if let Some(responder) = ownership.handover {
             responder.send(true);
@@ -285,6 +378,7 @@
         if is_reread_due {
             owner_tasks::reread_intake(&self.node, fence);
         }
+        self.refresh_figures();
         self.reassign(fence, orphans);
         for entry in overdue {
             log::warn!(target: "owner", worker = &*entry.id; "No relay has capacity for a worker; the owner connects to it directly.");
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -4,7 +4,7 @@
 use {
     cell::Timing,
     kernel::client::Timeout,
-    std::{sync::Arc, time::Duration},
+    std::{str::FromStr, sync::Arc, time::Duration},
 };
 
 /// Settings of a box.
@@ -29,6 +29,31 @@
     pub drain: Duration,
     /// How long the record of an ended job is kept.
     pub retention: Duration,
+    /// What a new owner may start before all workers have answered it.
+    pub takeover: Takeover,
+    /// Jobs that would end too late are refused.
+    pub admission: bool,
+}
+
+/// What a new owner may start before all workers have answered it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Takeover {
+    /// All tasks that surely run nowhere else.
+    Gradual,
+    /// Nothing. Boxes write no fences into accepted jobs.
+    Complete,
+}
+
+impl FromStr for Takeover {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "gradual" => Ok(Takeover::Gradual),
+            "complete" => Ok(Takeover::Complete),
+            _ => Err(()),
+        }
+    }
 }
 
 impl Settings {
@@ -77,8 +102,8 @@
 /// and each group costs a call to the store.
 pub const GROUP_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum number of transaction entries for the records of a group. The store accepts 32 entries,
-/// of which the condition, the head, the owner and the fleet take four.
-pub const GROUP_ENTRIES: usize = 28;
+/// of which the condition, the head, the owner, the fleet and the seals take five.
+pub const GROUP_ENTRIES: usize = 27;
 /// Number of records that fills a group if all are of ended jobs, which take two entries each.
 pub const GROUP_RECORDS: usize = GROUP_ENTRIES / 2;
 /// Minimum time between two placement passes, so that many reports share one pass.
@@ -189,6 +214,9 @@
 /// burst.
 pub const RELAY_TIMEOUT: Timeout =
     Timeout::with_retry(Duration::from_millis(800), Duration::from_millis(400)).streaming();
+/// How long a relay whose box is stopping waits until the owner has given its workers to other
+/// relays. A stopped box serves callers for 2.6 s.
+pub const RELAY_LEAVE_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Boxes below this processor share, in thousandths of a core, leave the cell to stronger boxes.
 pub const LOW_SHARE: u32 = 200;
 /// How long such a box delays its claim, so that a stronger box can claim the cell first.
--- a/components/node/tests/load.rs
+++ b/components/node/tests/load.rs
@@ -129,6 +129,7 @@
             advised: false,
         },
         accepted: now,
+        fence: 0,
     }
 }
 
@@ -193,6 +194,7 @@
             batch: session.last_request,
             ack: session.last_response,
             heard: Vec::new(),
+            leaving: false,
         }
     }
 
--- a/programs/box/src/cli.rs
+++ b/programs/box/src/cli.rs
@@ -82,6 +82,13 @@
     /// how long the state of an ended job is kept, in seconds (MAGPIE_RETENTION, default 150)
     #[argh(option)]
     retention: Option<String>,
+    /// gradual: a new owner starts what surely runs nowhere else before all workers have answered;
+    /// complete: it waits for all workers (MAGPIE_TAKEOVER, default gradual)
+    #[argh(option)]
+    takeover: Option<String>,
+    /// true or false: refuse jobs that would end too late (MAGPIE_ADMISSION, default true)
+    #[argh(option)]
+    admission: Option<String>,
     /// time limit of a graceful shutdown, in milliseconds (MAGPIE_GRACE_MS, default 6000)
     #[argh(option)]
     grace_ms: Option<String>,
@@ -182,6 +189,13 @@
     let drain = reader.number("drain-ms", arguments.drain_ms, "2000", (100, 600_000));
     let retention = reader.number("retention", arguments.retention, "150", (1, 86_400));
     let grace = reader.number("grace-ms", arguments.grace_ms, "6000", (100, 600_000));
+    let takeover = reader.value(
+        "takeover",
+        arguments.takeover,
+        Some("gradual"),
+        "gradual or complete",
+    );
+    let admission = switch(&mut reader, "admission", arguments.admission);
     reader.build(|| {
         let inside = inside?;
         let node = Settings {
@@ -198,6 +212,8 @@
             },
             drain: Duration::from_millis(drain?),
             retention: Duration::from_secs(retention?),
+            takeover: takeover?,
+            admission: admission?,
         };
         Some(Setup {
             node,
@@ -229,6 +245,11 @@
     value
 }
 
+/// Reads a setting that switches a part on or off; on by default.
+fn switch(reader: &mut Reader<'_>, name: &str, flag: Option<String>) -> Option<bool> {
+    reader.value(name, flag, Some("true"), "true or false")
+}
+
 /// Combines the address and the first port of the settings into the address of the port for other
 /// boxes.
 fn inside(
@@ -253,7 +274,7 @@
 
 #[cfg(test)]
 mod tests {
-    use {super::*, test_case::test_case};
+    use {super::*, node::Takeover, test_case::test_case};
 
     fn build_from_text(text: &'static str) -> Result<Setup, Vec<Fault>> {
         let file = parse_lines(text);
@@ -271,6 +292,28 @@
         assert_eq!(setup.node.timing.lease, 6_000);
     }
 
+    #[test_case("", Takeover::Gradual; "default")]
+    #[test_case("MAGPIE_TAKEOVER=gradual", Takeover::Gradual; "gradual")]
+    #[test_case("MAGPIE_TAKEOVER=complete", Takeover::Complete; "complete")]
+    fn build_reads_takeover(text: &'static str, expected: Takeover) {
+        let file = parse_lines(text);
+        let required = |name: &str| ["MAGPIE_NAME", "MAGPIE_HALL"].contains(&name);
+        let reader = Reader::with_lookup(move |name| {
+            let value = file.get(name).cloned();
+            value.or_else(|| required(name).then(|| "x1".to_owned()))
+        });
+        let setup = build(reader, Arguments::from_args(&["box"], &[]).unwrap()).unwrap();
+        assert_eq!(setup.node.takeover, expected);
+    }
+
+    #[test_case("MAGPIE_NAME=b1\nMAGPIE_HALL=h1\nMAGPIE_TAKEOVER=partial"; "unknown value")]
+    #[test_case("MAGPIE_NAME=b1\nMAGPIE_HALL=h1\nMAGPIE_TAKEOVER=Gradual"; "wrong case")]
+    fn build_reports_invalid_takeover(text: &'static str) {
+        let faults = build_from_text(text).unwrap_err();
+        assert_eq!(faults.len(), 1);
+        assert!(faults[0].to_string().contains("gradual or complete"));
+    }
+
     #[test_case("MAGPIE_NAME=b1", 1; "missing hall")]
     #[test_case("MAGPIE_NAME=b1\nMAGPIE_HALL=h1\nMAGPIE_PORTS=x\nMAGPIE_STORE=here", 2; "two faults")]
     fn build_reports_all_faults(text: &'static str, faults: usize) {
