Cell: a recorded worker that is also listed stays until its end is proven

Cause: a new owner took a worker that stands both in the listing and in the record of the fleet for one that is known from the listing alone. If the next listing showed another incarnation of the name before it had answered, it was dropped without proof, and tasks that run there could start elsewhere.

Change: restoring the record marks such a worker as confirmed.

--- a/components/cell/src/incarnations.rs
+++ b/components/cell/src/incarnations.rs
@@ -101,6 +101,7 @@
             if let Some(known) = self.workers.get_mut(&entry.id) {
                 // An entry of another writer may be listed.
                 known.traits_unclear = !known.entry.has_same_traits(&entry);
+                known.confirmed = true;
                 self.mark_recorded(&entry.id);
                 continue;
             }
--- a/components/cell/tests/decisions/reused_names.rs
+++ b/components/cell/tests/decisions/reused_names.rs
@@ -347,6 +347,26 @@
     assert_eq!(world.starts().len(), 1);
 }
 
+/// Guards against a duplicate start. The listing and the persisted fleet contain the same
+/// incarnation, and the next listing shows its successor, before either has answered the new owner:
+/// the first one may still run what a previous owner has started there.
+#[test]
+fn listing_keeps_recorded_incarnation_without_answer() {
+    let mut world = World::without_reports(&[]);
+    let other = incarnation("w2", FIRST_START);
+    world.list(vec![incarnation("w1", FIRST_START), other.clone()]);
+    world
+        .cell
+        .restore_workers(vec![incarnation("w1", FIRST_START), other.clone()]);
+    world.resume(JOB, vec![step(1, 1_000)]);
+    world.cell.recover(world.now);
+    world.list(vec![incarnation("w1", SECOND_START), other.clone()]);
+    world.report(&other.id, vec![], vec![]);
+    world.cell.expire_leases(world.now);
+    assert!(world.cell.has_worker(&id("w1", FIRST_START)));
+    assert!(world.starts().is_empty());
+}
+
 /// The next incarnation may have another address.
 #[test]
 fn successor_at_other_address() {
