Takeover, admission: three pieces that stood twice

Cause: read once more. Sealing was enabled by the start of an ownership and again by recover_gradually; may_seal repeated the condition of may_replace_tasks; the shortest retry delay was a constant in admission and in retry_after.

Change: one of each is left. Behaviour and tests are the same.

--- a/components/node/src/admission/check.rs
+++ b/components/node/src/admission/check.rs
@@ -2,7 +2,7 @@
 
 use {
     super::Known,
-    crate::{keys, store::Store},
+    crate::{keys, retry_after::MIN_RETRY_AFTER, store::Store},
     job::{Id, Submission},
     kernel::Failure,
     policy::admission::{Demand, Kind, Verdict, impossible, judge, spread},
@@ -71,13 +71,10 @@
     Ok(store.get(&keys::job(id))?.is_some() || store.get(&keys::state(id))?.is_some())
 }
 
-/// The shortest retry delay, in seconds: the header has no fractions.
-const MIN_RETRY_SECONDS: u64 = 1;
-
 /// The retry delay in seconds for a refused job that could succeed after `time` milliseconds. The
 /// random number, from 0 to 1, spreads callers over half of that time.
 pub fn retry_seconds(time: u64, random: f64) -> u64 {
-    spread(time, random).div_ceil(1_000).max(MIN_RETRY_SECONDS)
+    spread(time, random).div_ceil(1_000).max(MIN_RETRY_AFTER)
 }
 
 #[cfg(test)]
--- a/components/node/src/ownership/mod.rs
+++ b/components/node/src/ownership/mod.rs
@@ -254,10 +254,7 @@
         let fence = ownership.fence;
         let entries: Vec<Entry> = ownership.cell.entries().cloned().collect();
         match self.node.settings.takeover {
-            Takeover::Gradual => {
-                ownership.cell.enable_sealing(true);
-                ownership.cell.recover_gradually(time::now(), fence);
-            }
+            Takeover::Gradual => ownership.cell.recover_gradually(time::now(), fence),
             Takeover::Complete => ownership.cell.recover(time::now()),
         }
         // The lease may have expired while the cell was loaded.
--- a/components/policy/src/takeover/sealing.rs
+++ b/components/policy/src/takeover/sealing.rs
@@ -37,7 +37,7 @@
     let is_lost = worker
         .unreachable_since
         .is_some_and(|since| now >= since + MIN_UNREACHABLE);
-    worker.reported && !worker.ends_pending && (worker.leaving || is_lost)
+    may_replace_tasks(worker) && (worker.leaving || is_lost)
 }
 
 /// True if the seal of a worker is to be withdrawn, since the worker can be given work again.
