Cell: tell of batch jobs that stand still beside free capacity

What a batch job waits for could not be told from logs: only long-running tasks that wait had a line.

Once a second the owner now logs batch jobs of which nothing has been placed for over 3 s although a task is ready, while tasks use less than half of the CPU of all listed workers: the suspicion, what blocks the start, and which obstacle rules out how many workers, at most four jobs at a time. A gauge counts them. With more than half in use waiting is normal and nothing is logged. The count of misplaced tasks covers batch tasks as well in that state; there are few of them then.

No decision changes.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -49,6 +49,8 @@
     /// Since when long-running tasks of the job have been waiting for capacity, in Unix
     /// milliseconds.
     pub waiting_since: Option<u64>,
+    /// Since when tasks of the job have been ready and none has been placed, on the owner's clock.
+    pub idle_since: Option<u64>,
     /// Long-running tasks of the job have waited for too long. They may also go to quarantined
     /// workers, since they may fail any number of times.
     pub overdue: bool,
--- a/components/cell/src/jobs.rs
+++ b/components/cell/src/jobs.rs
@@ -71,6 +71,7 @@
         let job = Job {
             rank: rank(&progress),
             waiting_since: None,
+            idle_since: None,
             urgent: false,
             overdue: false,
             crash_unpersisted: false,
--- a/components/cell/src/overdue.rs
+++ b/components/cell/src/overdue.rs
@@ -1,4 +1,5 @@
-//! Long-running tasks that wait for too long. The reasons are logged once a second.
+//! Tasks that wait for too long: long-running ones, and those of jobs that are stalled although most
+//! capacity is free. The reasons are logged once a second.
 
 use {
     crate::{
@@ -14,6 +15,9 @@
 /// again 6 s after its last run, and a worker that fails is declared lost 4.9 s after its last
 /// answer.
 const LOG_AFTER: u64 = 6_000;
+/// A job with a ready task is stalled if nothing of it has been placed for longer than this, in
+/// milliseconds. It must not be while there is capacity.
+const STALLED_AFTER: u64 = 3_000;
 /// The maximum number of tasks logged at once, since each takes a line and a scan of all workers.
 const MAX_LINES: usize = 4;
 
@@ -68,18 +72,69 @@
         }
         overdue.sort();
         for (_, key) in overdue.iter().take(MAX_LINES) {
+            let Some(job) = self.jobs.get(&key.job) else {
+                continue;
+            };
+            let since = job.waiting_since;
+            let waited = since.map_or(0, |since| wall.saturating_sub(since));
+            self.log_wait(key, job, waited, "Long-running task is overdue.", now);
+        }
+        overdue.len()
+    }
+
+    /// Logs jobs that are stalled although most capacity is free, starting with those that have
+    /// been for longest. Returns the number of all such jobs.
+    pub fn log_stalled(&mut self, now: u64) -> usize {
+        let mut stalled = self.update_idle(now);
+        if !self.is_mostly_free() {
+            return 0;
+        }
+        stalled.sort();
+        for (waited, key) in stalled.iter().rev().take(MAX_LINES) {
             if let Some(job) = self.jobs.get(&key.job) {
-                self.log_wait(key, job, wall, now);
+                let message = "Job is stalled although most capacity is free.";
+                self.log_wait(key, job, *waited, message, now);
             }
         }
-        overdue.len()
+        stalled.len()
+    }
+
+    /// Updates since when jobs with ready tasks have had nothing placed. Returns for how long the
+    /// stalled ones have, and their first ready task.
+    fn update_idle(&mut self, now: u64) -> Vec<(u64, TaskKey)> {
+        let mut stalled = Vec::new();
+        for rank in &self.ready_jobs {
+            let Some(job) = self.jobs.get_mut(&rank.id) else {
+                continue;
+            };
+            let Some(&place) = job.ready.first().filter(|_| !job.has_placed_task()) else {
+                job.idle_since = None;
+                continue;
+            };
+            let since = *job.idle_since.get_or_insert(now);
+            let waited = now.saturating_sub(since);
+            if waited > STALLED_AFTER && !job.progress.submission.spec.is_long_running() {
+                let job = rank.id.clone();
+                stalled.push((waited, TaskKey { job, place }));
+            }
+        }
+        stalled
+    }
+
+    /// True if tasks use less than half of the CPU of all listed workers, those included that can
+    /// be given no work.
+    fn is_mostly_free(&self) -> bool {
+        let (mut total, mut used) = (0, 0);
+        for worker in self.workers.values().filter(|worker| worker.listed) {
+            total += worker.entry.size.cpu;
+            used += worker.reserved.cpu + worker.best_effort_cpu;
+        }
+        used * 2 < total
     }
 
     /// Logs why a task waits: reasons of its own, and how many workers each obstacle excludes.
-    fn log_wait(&self, key: &TaskKey, job: &Job, wall: u64, now: u64) {
-        let waited = job
-            .waiting_since
-            .map_or(0, |since| wall.saturating_sub(since));
+    fn log_wait(&self, key: &TaskKey, job: &Job, waited: u64, message: &str, now: u64) {
+        let ready = job.ready.len();
         let is_queued = self.ready_jobs.contains(&job.rank);
         let must_wait = self.is_start_blocked(&key.job, key.place);
         let history = self.history(&job.rank, key.place);
@@ -93,7 +148,7 @@
             .filter_map(|(obstacle, count)| Some(format!("{:?}={count}", (*obstacle)?)))
             .collect();
         let obstacles = texts.join(" ");
-        log::warn!(target: "cell", job = key.job.as_str(), place = key.place, cpu, waited, line = is_queued, unsure = is_unconfirmed, suspicion:? = history.suspicion, unkept = job.crash_unpersisted, barred = must_wait, trials, free, obstacles = obstacles.as_str(); "Long-running task is overdue.");
+        log::warn!(target: "cell", job = key.job.as_str(), place = key.place, cpu, ready, waited, line = is_queued, unsure = is_unconfirmed, suspicion:? = history.suspicion, unkept = job.crash_unpersisted, barred = must_wait, trials, free, obstacles = obstacles.as_str(); "{message}");
     }
 
     /// Counts the workers by the obstacle that excludes them; workers without one are under `None`.
@@ -116,13 +171,15 @@
         counts
     }
 
-    /// Logs long-running tasks that count as placed on a worker that does not hold them. Returns
-    /// their number, which is 0 unless there is a fault.
+    /// Logs tasks that count as placed on a worker that does not hold them. Returns their number,
+    /// which is 0 unless there is a fault. Batch tasks are checked only while most capacity is free,
+    /// since there may be many of them otherwise.
     pub fn misplaced_tasks(&self) -> usize {
+        let checks_batch = self.is_mostly_free();
         let mut count = 0;
         for (id, job) in &self.jobs {
-            let is_over = job.progress.state.is_final();
-            if is_over || !job.progress.submission.spec.is_long_running() {
+            let is_checked = checks_batch || job.progress.submission.spec.is_long_running();
+            if job.progress.state.is_final() || !is_checked {
                 continue;
             }
             for (place, task) in job.progress.tasks.iter().enumerate() {
@@ -142,3 +199,11 @@
         count
     }
 }
+
+impl Job {
+    /// True if a task of the job is placed on a worker.
+    fn has_placed_task(&self) -> bool {
+        let mut tasks = self.progress.tasks.iter();
+        tasks.any(|task| matches!(task.phase, Phase::Placed(_)))
+    }
+}
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -336,6 +336,7 @@
     /// Resets the waiting time of long-running tasks, when no task of the job is ready.
     pub(crate) fn reset_waiting(&mut self) {
         self.waiting_since = None;
+        self.idle_since = None;
         self.overdue = false;
         self.rank.lasting = self.progress.submission.spec.is_long_running();
     }
@@ -347,6 +348,7 @@
         task.run = run;
         task.phase = Phase::Placed(id.clone());
         self.ready.remove(&place);
+        self.idle_since = None;
         self.unplaceable.remove(&place);
         let saved = task.checkpoint.clone();
         let spec = &self.progress.submission.spec;
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -177,6 +177,7 @@
         task.phase = Phase::Placed(id.clone());
         task.run = task.run.max(run.run);
         job.ready.remove(&key.place);
+        job.idle_since = None;
         if job.ready.is_empty() {
             self.ready_jobs.remove(&job.rank);
             job.reset_waiting();
--- a/components/cell/tests/decisions/main.rs
+++ b/components/cell/tests/decisions/main.rs
@@ -24,6 +24,7 @@
 mod run_log;
 mod seals;
 mod sim;
+mod stalled;
 mod starts;
 mod stuck_state;
 mod takeover;
--- a/components/node/src/ownership/mod.rs
+++ b/components/node/src/ownership/mod.rs
@@ -289,6 +289,8 @@
             .cell
             .log_overdue(wall_clock::millis(), time::now());
         metrics::gauge!("magpie_cell_lasting_overdue").set(long_waits as f64);
+        let stalled = ownership.cell.log_stalled(time::now());
+        metrics::gauge!("magpie_cell_jobs_stalled").set(stalled as f64);
         metrics::gauge!("magpie_cell_workers_sealed").set(ownership.cell.sealed_workers() as f64);
         let unheard = ownership.cell.tasks_waiting_unheard(time::now());
         metrics::gauge!("magpie_cell_tasks_waiting_unheard").set(unheard as f64);
