Tests: suspects of several jobs wait in line beside free capacity

A task is suspected after two crashes of its workers soon after it had started, and is then tried in isolation: in a cell of 48 workers one such trial at a time. The test resumes 4 and 12 jobs with such a task on 48 workers that are otherwise empty.

--- a/components/cell/tests/decisions/stalled.rs
+++ b/components/cell/tests/decisions/stalled.rs
@@ -1,7 +1,12 @@
 //! Jobs that stand still although most capacity is free.
 
 use {
-    crate::common::{JOB, World, step},
+    crate::{
+        common::{JOB, World, step},
+        sim::Sim,
+    },
+    job::{Crashes, Id, Record, State},
+    std::collections::HashMap,
     test_case::test_case,
 };
 
@@ -24,3 +29,55 @@
     world.starts();
     assert_eq!(world.cell.log_stalled(world.now), expected);
 }
+
+fn job_id(number: u64) -> String {
+    format!("{number:016x}")
+}
+
+/// The records of jobs under whose first task two workers have crashed.
+fn suspect_records(jobs: u64) -> Vec<(Id, Record)> {
+    let record = Record {
+        state: State::Running,
+        run: 2,
+        crashed: vec![(0, Crashes { early: 2, all: 2 })],
+        ..Record::default()
+    };
+    (1..=jobs)
+        .map(|number| (Id::new(&job_id(number)).unwrap(), record.clone()))
+        .collect()
+}
+
+/// Advances the simulation and returns the longest time for which a job had nothing running, in
+/// milliseconds, and that job.
+fn longest_idle(sim: &mut Sim, jobs: u64, time: u64) -> (u64, String) {
+    const SLICE: u64 = 50;
+    let mut idle: HashMap<String, u64> = HashMap::new();
+    let mut longest = (0, String::new());
+    for _ in 0..time / SLICE {
+        sim.advance(SLICE);
+        for id in (1..=jobs).map(job_id) {
+            let is_over = sim.state(&id).is_some_and(State::is_final);
+            let since = idle.entry(id.clone()).or_default();
+            if is_over || sim.machine_of(&id, 0).is_some() {
+                *since = 0;
+                continue;
+            }
+            *since += SLICE;
+            longest = longest.max((*since, id));
+        }
+    }
+    longest
+}
+
+/// Guards against suspects that wait in line for their isolated trials, one at a time.
+#[test_case(4)]
+#[test_case(12)]
+fn suspects_of_several_jobs_start_beside_free_capacity(jobs: u64) {
+    let mut sim = Sim::new(48, 1_700);
+    for number in 1..=jobs {
+        sim.submit(&job_id(number), step(1, 1_000));
+    }
+    sim.take_over(&suspect_records(jobs));
+    let (longest, job) = longest_idle(&mut sim, jobs, 20_000);
+    assert!(longest <= MAX_IDLE, "{job} had no run for {longest} ms");
+}
