--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -335,6 +335,7 @@
     /// Returns the parameters of the next poll of a worker, or `None` if the worker is unknown.
     pub fn next_poll(&mut self, id: &str, now: u64) -> Option<Poll> {
         let lease = self.timing.lease;
+        let has_trial = self.has_trial(id);
         let worker = self.workers.get_mut(id)?;
         // If the last poll was not answered, the lease is not extended: the worker may have
         // received that poll, and each attempt would postpone the time at which all its leases have
@@ -349,6 +350,9 @@
         let was_answered = std::mem::take(&mut worker.poll_answered);
         let wait = if worker.clock.is_none() || !was_answered {
             0
+        } else if has_trial {
+            // Other suspects may wait for the outcome.
+            worker.poll_wait().min(timing::POLL_SERVING)
         } else {
             worker.poll_wait()
         };
