Stand-in: a crashing task does not end before its worker crashes

What was seen: `crashing_task_fails_its_job`, case "one owner", failed three times in all on busy machines: "timed out waiting: the job has failed". Case "long-running" failed once in 18 runs of the whole file (load up to 43): 6 starts, 5 allowed.

Cause, the stand-in's: a task that crashes its worker does so 10 ms after its start, on a thread of its own, and ends well after 50 ms like all others. On a busy machine the thread came later than that, so the run was listed as done first. The logs of the long-running case show it: the trial of the task ends 69 ms after its start, its crash counts are cleared, and counting starts anew. A batch task is complete then, so that its job can never fail.

Evidence: with the crash after 100 ms all three cases fail on the code before, the first with the very message of the known failures, and pass with the change.

Change: a crashing task runs for an hour unless its worker crashes.

--- a/components/standin/src/runner.rs
+++ b/components/standin/src/runner.rs
@@ -41,6 +41,9 @@
 /// Prefix of a specification that names a task, as step and task number separated by a dot, which
 /// crashes its worker after it has started.
 pub const CRASHING_PREFIX: &str = "crash=";
+/// Duration of a crashing task: it does not end before its worker crashes, however late that is on a
+/// busy machine.
+const CRASHING_WORK: Duration = Duration::from_secs(3_600);
 /// Time from the start of a crashing task until its worker crashes.
 const CRASH_AFTER: Duration = Duration::from_millis(10);
 /// How long a worker stays down after it was crashed by a task.
@@ -598,11 +601,16 @@
         }
         self.lease = self.lease.max(deadline.min(self.clock() + MAX_LEASE));
         let text = body["specification"].as_str().unwrap_or_default();
+        let work = if is_crashing(body) {
+            CRASHING_WORK
+        } else {
+            duration_from(text).unwrap_or(self.work)
+        };
         let now = Instant::now();
         let mut run_log = lock(&self.run_log);
         let started = Run {
             number: run,
-            until: now + duration_from(text).unwrap_or(self.work),
+            until: now + work,
             fails: text.starts_with(FAILING_PREFIX),
             percent: 100,
             log_index: run_log.runs.len(),
