Node: a cancelled job that ends is never shown as running

What callers saw: `running` for a job whose cancellation had been confirmed, from a box that does not reach the owner. Seen once, in the test `cancelled_job_is_stopped` (1 of 18 runs of the whole file at a load up to 43); that this was the cause there is likely and not shown, since reads of states leave no line.

Cause: without an owner's answer the state is read from the store: first the record, then the mark of the cancellation. The owner removes the mark in the write that records the end. If that write came between the two reads, the first saw a running job and the second no cancellation.

Change: the mark is read first. If it is there, the record read after it is final or the job counts as cancelled; if it is not, a record that is not final was right at that moment. A final state takes one read more; only boxes that do not reach the owner read it so.

cancelled_job_that_ends_is_not_running fails on the code before (Running) and passes now.

--- a/components/node/src/callers.rs
+++ b/components/node/src/callers.rs
@@ -105,6 +105,9 @@
     /// job yet.
     fn stored_state(&self, id: &Id) -> Result<Reply, Failure> {
         let store = &self.external.store;
+        // The mark of a cancellation is removed when the end of the job is recorded, so it is read
+        // first.
+        let is_cancelled = store.get(&keys::cancel(id))?.is_some();
         let record = store.get(&keys::state(id))?;
         if let Some(item) = &record {
             let record = decode::record(item)?;
@@ -112,7 +115,7 @@
                 return Ok(Reply::State(record.state));
             }
         }
-        if store.get(&keys::cancel(id))?.is_some() {
+        if is_cancelled {
             return Ok(Reply::State(State::Cancelled));
         }
         if record.is_some() {
