Cell: an isolated trial explains the loss of its worker

What callers saw: tasks that crash their workers were started a sixth time, three times more after three workers had crashed under them; two are allowed.

Cause: a loss that comes with those of a quarter of the cell counts as one of power or network, so that it is a late crash of its tasks, of which five are allowed and not three. Where many tasks crash their workers a quarter is down without any such failure, and the crash of a trial in isolation, which nothing else on that worker explains, counted as late as well.

Change: the loss of a worker with an isolated trial counts as late only if it comes with those of three quarters of its rack (as before) or of the cell. A loss of power of all workers still fails no job.

Evidence: isolated_trial_explains_loss_of_its_worker, with a third of the workers lost at the moment of a third trial, had 4 starts on the code before and has 3 now; with all workers lost there are 4 as before.

Ruled out: the same for the rack. suspect_restarts_beside_unplaceable_suspect shows a rack that goes with a trial on it.

--- a/components/cell/src/crashes/losses.rs
+++ b/components/cell/src/crashes/losses.rs
@@ -24,6 +24,10 @@
 /// Share of the cell, in percent, from which a loss is correlated. It has to exceed a tenth: with
 /// six crashing tasks a tenth of the workers was down at any time.
 pub(super) const CELL_PERCENT: usize = 25;
+/// Share of the cell, in percent, from which even the loss of a worker with an isolated trial is
+/// attributed to power or network. Tasks that crash their workers can take a large part of the cell
+/// at once, but hardly this much.
+const ISOLATED_PERCENT: usize = 75;
 /// How long a loss is kept, in milliseconds: longer than the time until the leases of the last
 /// worker of a group expire and it is declared lost.
 const RETENTION_MS: u64 = 10_000;
@@ -182,8 +186,18 @@
     /// True if the loss is correlated and at most half of the lost workers had a new run of this
     /// job, so that no task of the job caused it.
     pub fn rules_out(&self, job: &Id) -> bool {
+        self.rules_out_from(CELL_PERCENT, job)
+    }
+
+    /// The same for a task of the job that was in an isolated trial, which explains the loss of its
+    /// worker unless the whole rack or most of the cell was lost.
+    pub fn rules_out_isolated(&self, job: &Id) -> bool {
+        self.rules_out_from(ISOLATED_PERCENT, job)
+    }
+
+    fn rules_out_from(&self, cell_percent: usize, job: &Id) -> bool {
         let is_ruled_out = |loss: GroupLoss| loss.rules_out(RACK_PERCENT, job);
-        self.in_rack().is_some_and(is_ruled_out) || self.in_cell().rules_out(CELL_PERCENT, job)
+        self.in_rack().is_some_and(is_ruled_out) || self.in_cell().rules_out(cell_percent, job)
     }
 
     /// The loss among the workers of its rack.
--- a/components/cell/src/crashes/mod.rs
+++ b/components/cell/src/crashes/mod.rs
@@ -31,7 +31,10 @@
         worker::{TaskKey, Worker},
     },
     job::Id,
-    std::{collections::HashMap, sync::Arc},
+    std::{
+        collections::{HashMap, HashSet},
+        sync::Arc,
+    },
 };
 
 /// A run reported for this long, in milliseconds, did not crash its worker by starting. Workers
@@ -106,12 +109,19 @@
             self.crashes.losses.record(worker, now);
             return Vec::new();
         }
+        let keys = worker.slots.keys();
+        let isolated = |key: &&TaskKey| self.suspicion(&key.job, key.place) == Suspicion::Alone;
+        let isolated: HashSet<TaskKey> = keys.filter(isolated).cloned().collect();
         let losses = &mut self.crashes.losses;
         let correlation = losses.correlated_with(&self.workers, worker, now);
         let mut tasks = Vec::new();
         for (key, slot) in &worker.slots {
-            let is_early = worker.is_early(slot) && !correlation.rules_out(&key.job);
-            tasks.push((key.clone(), is_early));
+            let is_ruled_out = if isolated.contains(key) {
+                correlation.rules_out_isolated(&key.job)
+            } else {
+                correlation.rules_out(&key.job)
+            };
+            tasks.push((key.clone(), worker.is_early(slot) && !is_ruled_out));
         }
         losses.record(worker, now);
         if worker.left_cleanly() {
--- a/components/cell/tests/decisions/crashes.rs
+++ b/components/cell/tests/decisions/crashes.rs
@@ -265,6 +265,25 @@
     );
 }
 
+/// Guards against a crash in an isolated trial that counts as a power failure because a third of the
+/// workers is lost meanwhile. If all are, it does.
+#[test_case(3, 3; "third")]
+#[test_case(1, 4; "all")]
+fn isolated_trial_explains_loss_of_its_worker(one_in: usize, expected: u32) {
+    let mut sim = Sim::new(48, 1_000);
+    sim.submit(JOB, step(1, 1_000));
+    sim.crash_on_start(JOB, 0, CRASH_AFTER);
+    while sim.start_count(JOB, 0) < 3 {
+        sim.advance(10);
+    }
+    for machine in (0..48).step_by(one_in) {
+        sim.cut_power(machine..machine + 1);
+    }
+    sim.advance(20_000);
+    assert_eq!(sim.start_count(JOB, 0), expected);
+    assert_eq!(sim.state(JOB), Some(State::Failed));
+}
+
 /// Guards against blaming a bystander. A task of some seconds on workers used for trials failed
 /// after five consecutive crashes, none of them its own. With polls held for 2 s, as on workers
 /// without serving tasks, a long-running task failed because runs started just before an isolated
