Tests: accepted jobs complete after a loss of power and while jobs name later fences

Real boxes against the simulated store and workers: all boxes and workers lose power right after an acceptance (the doubled number of incarnations needs relays), owners are killed while the takeover goes on, jobs are accepted while the cell has no owner, with writes that are answered late or not at all, and jobs that name a later fence are held by the former and the last owner.

--- a/components/standin/src/kv.rs
+++ b/components/standin/src/kv.rs
@@ -432,7 +432,12 @@
 
 /// Encodes a value as stored: base64 of its JSON text.
 pub fn encode(value: &Value) -> String {
-    STANDARD.encode(value.to_string())
+    encode_bytes(value.to_string().as_bytes())
+}
+
+/// Encodes bytes as stored.
+pub fn encode_bytes(bytes: &[u8]) -> String {
+    STANDARD.encode(bytes)
 }
 
 /// Decodes a stored value to its bytes; empty if the text is not valid base64.
--- a/programs/box/tests/end_to_end.rs
+++ b/programs/box/tests/end_to_end.rs
@@ -5,6 +5,11 @@
 
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
+#[path = "end_to_end/later_fence.rs"]
+mod later_fence;
+#[path = "end_to_end/power_loss.rs"]
+mod power_loss;
+
 use {
     job::Id,
     kernel::{Client, HttpResponse, client::Call, sync::lock},
@@ -210,11 +215,16 @@
 
 impl Cluster {
     fn new(work: Duration) -> Self {
+        Cluster::with_workers(3, work)
+    }
+
+    /// Opens workers of four cores each, and the store with the configuration.
+    fn with_workers(count: usize, work: Duration) -> Self {
         let kv = Kv::default();
         let url = kv.open(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
         let seen = Arc::new(Mutex::new(RunLog::default()));
         let mut runners = Vec::new();
-        for number in 0..3 {
+        for number in 0..count {
             let id = format!("i-{number}");
             runners.push(Runner::open(&kv, "pool", &id, 4, work, &seen).unwrap());
         }
@@ -297,6 +307,14 @@
             .unwrap()
     }
 
+    /// Returns the current revision of the store.
+    fn revision(&self) -> u64 {
+        let port = self.store.rsplit(':').next().unwrap().parse().unwrap();
+        let response = send(port, "GET", "/kv-key?privateKey=none", None).unwrap();
+        let body: Value = serde_json::from_slice(&response.body).unwrap();
+        body["at"].as_u64().unwrap()
+    }
+
     /// Returns the number of running tasks on all workers.
     fn running(&self) -> usize {
         self.runners.iter().map(Runner::running).sum()
