Node: the watch of the intake does not move on past what it has missed

Callers saw an accepted job that stayed queued for as long as its owner lived, with all workers free: another box had accepted it while the owner's watch of the store heard nothing.

Cause: an answer without events moved the watch on to the revision that it named. What a watch has missed by then lies before that revision, so no later watch delivers it, and nothing else tells the owner of a job: cancellations are sent to it, jobs are not. The next owner reads the intake, which cures it. The watch of the configuration goes on from the revision that was last proven, for this reason; the watch of the intake did not. The simulated store hid it: its silent watches named the revision that they had been asked for.

Change: only events or a read of the intake move the revision on. The history may be gone by the next watch; then the intake is read, once for each time that the store keeps its history (20 s) while no job comes.

Ruled out: a watch from the revision of the last event, which would be answered 410 at once for as long as no job comes. Not covered: a watch that misses an event and delivers a later one. Whether the users' store names a later revision in answers of watches that hear nothing is not known.

--- a/components/node/src/owner_tasks.rs
+++ b/components/node/src/owner_tasks.rs
@@ -186,6 +186,9 @@
 }
 
 /// Watches the intake and passes submissions and cancellations of callers to the cell.
+///
+/// A watch may miss changes and end without an event. So only an event or a read moves the revision
+/// to continue from, and the next watch delivers what one without an event has missed.
 fn watch_intake(node: &Node, fence: u64) {
     let mut after = fence;
     loop {
@@ -197,6 +200,7 @@
             return;
         }
         let events = match watched {
+            Ok(WatchResult::Events(events, _)) if events.is_empty() => continue,
             Ok(WatchResult::Events(events, at)) => {
                 after = at;
                 events
--- a/components/standin/src/kv.rs
+++ b/components/standin/src/kv.rs
@@ -40,7 +40,7 @@
     /// Number of further transactions that get no response and are applied only by
     /// [`Kv::apply_deferred`].
     pub deferred: u32,
-    /// Watches deliver no events: each one waits for its full time.
+    /// Watches deliver no events: each one waits for its full time and names the present revision.
     pub watches_silent: bool,
     /// Sets `busy` once all `lost` and `deferred` transactions have come.
     pub then_busy: bool,
@@ -245,12 +245,7 @@
             };
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() || core.faults.busy {
-                let at = if core.faults.watches_silent {
-                    after
-                } else {
-                    core.revision
-                };
-                return reply(200, &json!({ "events": events, "at": at }));
+                return reply(200, &json!({ "events": events, "at": core.revision }));
             }
             let step = left.min(WATCH_INTERVAL);
             let waited = self.changed.wait_timeout(core, step);
--- a/programs/box/tests/end_to_end.rs
+++ b/programs/box/tests/end_to_end.rs
@@ -9,6 +9,8 @@
 mod later_fence;
 #[path = "end_to_end/power_loss.rs"]
 mod power_loss;
+#[path = "end_to_end/silent_watch.rs"]
+mod silent_watch;
 
 use {
     job::Id,
