Cell: crashes of a task are persisted on their own

A task under which several workers have crashed waits until these crashes are persisted. That was noted for a job as a whole, and a written record counted only if the crashes of all its tasks still were the same. While those of others change during each write, the task waits for as long as they do: with a slow store and many suspects that pass their trials one after the other, a ready task stands still beside free capacity.

In the new test one suspect in 45 passes in each write of 0.1 s.

The counts are compared for each task, and a higher count in the record suffices. A lower one is never written in between: there is one batch at a time, and it is built after the counts that are compared.

Ruled out: a write that never follows. Each change of the counts marks the record as due.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -61,8 +61,8 @@
     /// Trial runs that have succeeded since the last early crash of a worker under a task of this
     /// job.
     pub passed_trials: usize,
-    /// A crash counted against a task of the job is not persisted yet.
-    pub crash_unpersisted: bool,
+    /// Tasks against which a crash was counted that is not persisted yet, by place.
+    pub unpersisted_crashes: BTreeSet<usize>,
     /// The job is about to miss its objective: its best-effort tasks may also run where they slow
     /// down serving tasks.
     pub urgent: bool,
--- a/components/cell/src/crashes/mod.rs
+++ b/components/cell/src/crashes/mod.rs
@@ -166,7 +166,7 @@
         task.crashes.early += u32::from(is_early);
         task.crashes.all += 1;
         job.suspects.insert(key.place);
-        job.crash_unpersisted = true;
+        job.unpersisted_crashes.insert(key.place);
         if is_early {
             job.passed_trials = 0;
             self.crashes.passed_isolated = 0;
--- a/components/cell/src/crashes/trial.rs
+++ b/components/cell/src/crashes/trial.rs
@@ -147,7 +147,7 @@
     pub(crate) fn has_unpersisted_crashes(&self, id: &Id, place: usize) -> bool {
         self.jobs.get(id).is_some_and(|job| {
             let crashes = job.progress.tasks[place].crashes;
-            job.crash_unpersisted
+            job.unpersisted_crashes.contains(&place)
                 && (crashes.early >= ISOLATE_AFTER_EARLY || crashes.all >= ISOLATE_AFTER)
         })
     }
--- a/components/cell/src/jobs.rs
+++ b/components/cell/src/jobs.rs
@@ -74,7 +74,7 @@
             idle_since: None,
             urgent: false,
             overdue: false,
-            crash_unpersisted: false,
+            unpersisted_crashes: BTreeSet::new(),
             unplaceable: BTreeSet::new(),
             passed_trials: 0,
             suspects: progress
--- a/components/cell/src/overdue.rs
+++ b/components/cell/src/overdue.rs
@@ -148,7 +148,7 @@
             .filter_map(|(obstacle, count)| Some(format!("{:?}={count}", (*obstacle)?)))
             .collect();
         let obstacles = texts.join(" ");
-        log::warn!(target: "cell", job = key.job.as_str(), place = key.place, cpu, ready, waited, line = is_queued, unsure = is_unconfirmed, suspicion:? = history.suspicion, unkept = job.crash_unpersisted, barred = must_wait, trials, free, obstacles = obstacles.as_str(); "{message}");
+        log::warn!(target: "cell", job = key.job.as_str(), place = key.place, cpu, ready, waited, line = is_queued, unsure = is_unconfirmed, suspicion:? = history.suspicion, unkept = job.unpersisted_crashes.contains(&key.place), barred = must_wait, trials, free, obstacles = obstacles.as_str(); "{message}");
     }
 
     /// Counts the workers by the obstacle that excludes them; workers without one are under `None`.
--- a/components/cell/src/persistence.rs
+++ b/components/cell/src/persistence.rs
@@ -6,7 +6,7 @@
         learned::Learned,
         worker::{Entry, TaskKey},
     },
-    job::{Id, Record},
+    job::{Crashes, Id, Record},
     serde::{Deserialize, Serialize},
     std::{collections::HashSet, sync::Arc},
 };
@@ -58,6 +58,21 @@
     fn has_separate_spec(&self) -> bool {
         self.progress.submission.spec.text.is_empty()
     }
+
+    /// Records which crashes are persisted. The counts of each task are compared on their own, since
+    /// those of others may change with each write.
+    fn apply_written_crashes(&mut self, record: &Record) {
+        let tasks = &self.progress.tasks;
+        self.unpersisted_crashes.retain(|&place| {
+            // The rows are in the order of places.
+            let row = record
+                .crashed
+                .binary_search_by_key(&place, |(row, _)| *row as usize);
+            let written = row.map_or_else(|_| Crashes::default(), |row| record.crashed[row].1);
+            let counted = tasks[place].crashes;
+            written.early < counted.early || written.all < counted.all
+        });
+    }
 }
 
 impl Cell {
@@ -157,9 +172,7 @@
             log::info!(target: "cell", job = id.as_str(), state = record.state.as_str(); "State of a job persisted.");
         }
         job.written_state = record.state;
-        if job.crash_unpersisted && record.crashed == job.progress.crashed() {
-            job.crash_unpersisted = false;
-        }
+        job.apply_written_crashes(record);
         if record.state.is_final() {
             self.ended_jobs
                 .insert(id.clone(), (record.state, record.ended));
--- /dev/null
+++ b/components/cell/tests/decisions/holds.rs
@@ -0,0 +1,93 @@
+//! What holds a ready batch task back: each hold ends by itself or within a bound.
+
+use {
+    crate::common::{JOB, World, large_cell, run, step, submission},
+    job::{Crashes, Id, Record, State, Step},
+    magpie_cell::{Outcome, Start},
+};
+
+/// Maximum time without a run of a job that has ready tasks, in milliseconds, while most capacity
+/// is free.
+const MAX_IDLE: u64 = 3_000;
+/// Interval between two passes of the tests, in milliseconds.
+const TICK: u64 = 100;
+
+impl World {
+    /// Resumes a job with this record.
+    fn resume_with(&mut self, id: &str, steps: Vec<Step>, record: &Record) {
+        self.cell.resume(submission(id, steps), record, 1);
+    }
+
+    /// Returns the time until the first start of a task, in milliseconds, with a pass and an action
+    /// each tick; `None` if it takes longer than this.
+    fn time_to_start(
+        &mut self,
+        job: &str,
+        place: usize,
+        most: u64,
+        mut act: impl FnMut(&mut World, u64),
+    ) -> Option<u64> {
+        let since = self.now;
+        let job = Id::new(job).unwrap();
+        while self.now - since <= most {
+            self.cell.rerank(self.now, self.now);
+            self.cell.expire_leases(self.now);
+            let starts = self.starts();
+            let is_task = |start: &Start| start.key.job == job && start.key.place == place;
+            if starts.iter().any(|(_, start)| is_task(start)) {
+                return Some(self.now - since);
+            }
+            self.now += TICK;
+            let elapsed = self.now - since;
+            act(self, elapsed);
+        }
+        None
+    }
+}
+
+/// The record of a job under whose tasks workers have crashed this often at their start.
+fn crashed(tasks: impl IntoIterator<Item = (u32, u32)>) -> Record {
+    let crashes = |early| Crashes { early, all: early };
+    let crashed = tasks
+        .into_iter()
+        .map(|(place, early)| (place, crashes(early)));
+    Record {
+        state: State::Running,
+        run: 2,
+        crashed: crashed.collect(),
+        ..Record::default()
+    }
+}
+
+/// Guards against a task whose crashes are persisted and that waits until no crash of any task of
+/// its job is changed between two writes.
+#[test]
+fn crashes_persisted_while_those_of_others_change() {
+    const OTHERS: usize = 45;
+    let mut world = large_cell(OTHERS + 4);
+    let name = |number: usize| format!("w{number:05}");
+    let others = (1..=OTHERS).map(|place| (place as u32, 1));
+    let record = crashed([(0, 1)].into_iter().chain(others));
+    world.resume_with(JOB, vec![step(OTHERS as u32 + 1, 4_000)], &record);
+    for place in 1..=OTHERS {
+        world.report(&name(place), vec![run(JOB, place as u32, 2)], vec![]);
+    }
+    let (worker, start) = world.starts()[0].clone();
+    assert_eq!(start.key.place, 0);
+    world.answer(&worker, &start, Outcome::Done);
+    world.now += 950;
+    world
+        .cell
+        .end_incarnation(&worker, "it has crashed", world.now);
+    let waited = world.time_to_start(JOB, 0, 4_000, |world, elapsed| {
+        // While each batch is written, the run of another suspect proves to be healthy.
+        let batch = world.cell.take_write_batch(100);
+        let place = (elapsed / TICK) as usize;
+        world.report(&name(place), vec![run(JOB, place as u32, 2)], vec![]);
+        world.cell.batch_written(&batch);
+    });
+    assert!(
+        waited.is_some_and(|waited| waited <= MAX_IDLE),
+        "{waited:?}"
+    );
+}
--- a/components/cell/tests/decisions/main.rs
+++ b/components/cell/tests/decisions/main.rs
@@ -12,6 +12,7 @@
 mod fault_regressions;
 mod gradual_takeover;
 mod halls;
+mod holds;
 mod incarnations;
 mod long_running_capacity;
 mod maintenance;
