Cell: suspects do not wait for a gang that cannot start

While a task of a job needs an isolated trial, other suspects of that job wait for it, unless the last pass found no worker for it. For members of a gang that was never noted. So a gang with such a member that no worker can take, or that waits for a member that is still placed, held the suspects of other steps of its job back for as long as it could not start: without bound if its label is gone.

The second case has another job in line for the same missing workers, whose demand keeps the gang from being tried at all.

Ruled out: leaving gangs out of the rule. A gang that can start may fail the job before other suspects cost a worker each, as any other suspect.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -56,7 +56,8 @@
     pub overdue: bool,
     /// Tasks whose workers crashed while running them, by place.
     pub suspects: BTreeSet<usize>,
-    /// Suspects for which the last placement pass found no worker to try them on.
+    /// Suspects for which the last placement pass found no worker to try them on, or whose gang
+    /// could not start.
     pub unplaceable: BTreeSet<usize>,
     /// Trial runs that have succeeded since the last early crash of a worker under a task of this
     /// job.
--- a/components/cell/src/crashes/trial.rs
+++ b/components/cell/src/crashes/trial.rs
@@ -168,7 +168,7 @@
 
     /// True if a task of the job needs an isolated trial. It goes first, since it may fail the job
     /// before other tasks cost a worker each. Tasks that no worker can take do not count: their
-    /// rack may be gone for good.
+    /// rack may be gone for good. Nor do members of a gang that cannot start.
     fn has_isolated_suspect(&self, id: &Id) -> bool {
         self.jobs.get(id).is_some_and(|job| {
             let mut places = job.suspects.difference(&job.unplaceable);
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -177,7 +177,9 @@
         let mut ready: Vec<usize> = job.ready.range(places).copied().collect();
         let has_held = self.retain_startable(&rank.id, address, &mut ready);
         if step.gang {
-            if !is_unplaceable && !has_held {
+            if is_unplaceable || has_held {
+                self.mark_gang_unplaceable(rank, &ready);
+            } else {
                 self.place_gang(rank, address, &ready, step, now);
             }
             return;
--- a/components/cell/tests/decisions/holds.rs
+++ b/components/cell/tests/decisions/holds.rs
@@ -4,6 +4,7 @@
     crate::common::{JOB, World, large_cell, run, step, submission},
     job::{Crashes, Id, Record, State, Step},
     magpie_cell::{Outcome, Start},
+    test_case::test_case,
 };
 
 /// Maximum time without a run of a job that has ready tasks, in milliseconds, while most capacity
@@ -91,3 +92,33 @@
         "{waited:?}"
     );
 }
+
+/// Guards against suspects that wait for a suspect of a gang that no worker can take.
+#[test_case(false)]
+#[test_case(true; "another job in line for the same workers")]
+fn suspect_starts_beside_unplaceable_gang(has_other: bool) {
+    let gang = Step {
+        gang: true,
+        label: Some("gone".into()),
+        ..step(3, 1_000)
+    };
+    let mut world = World::new(&["w1", "w2", "w3", "w4"]);
+    if has_other {
+        let label = gang.label.clone();
+        let single = Step {
+            label,
+            ..step(1, 1_000)
+        };
+        world.submit("0000000000000001", vec![single]);
+    }
+    world.resume_with(JOB, vec![gang, step(1, 1_000)], &crashed([(0, 2), (3, 1)]));
+    let waited = world.time_to_start(JOB, 3, 30_000, |world, _| {
+        for worker in ["w1", "w2", "w3", "w4"] {
+            world.report(worker, vec![], vec![]);
+        }
+    });
+    assert!(
+        waited.is_some_and(|waited| waited <= MAX_IDLE),
+        "{waited:?}"
+    );
+}
