Cell: a worker is tried again as soon as its quarantine or backoff ends

A demand for which no worker has capacity is tried on changed workers only, and on all of them each 0.5 s. The end of a quarantine, of a backoff, or of the time in which a worker gets no task that has failed before, was not a change. So a quarantine of 3 s kept a ready task waiting for up to 3.5 s from its worker's last failure, in a cell or a label whose workers have all failed lately.

The new test has one worker, quarantined 0.3 s before a job comes: the job started after 3.0 s, and now after 2.7 s, when the quarantine ends.

The workers are looked at once a pass anyway, for those that have changed; the scan of all workers each 0.5 s stays.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -200,6 +200,8 @@
     pub(crate) unknown_jobs: HashSet<Id>,
     /// What the current pass has placed of a job: place, run and worker.
     pub(crate) placed: Vec<(usize, u64, Arc<str>)>,
+    /// When the last pass began, on the owner's clock.
+    pub(crate) last_pass: u64,
     /// How many more tasks the current pass may place.
     pub(crate) placements_left: usize,
     /// The number of worker checks in the current pass.
@@ -263,6 +265,7 @@
             unplaceable: Vec::new(),
             unknown_jobs: HashSet::new(),
             placed: Vec::new(),
+            last_pass: 0,
             placements_left: 0,
             worker_checks: 0,
             scan_start: "".into(),
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -18,8 +18,7 @@
 };
 
 /// Demands that found no capacity are tried on all workers again after this time, in milliseconds,
-/// and until then on changed workers only. The only change that is not tracked is the end of a
-/// worker's quarantine or backoff.
+/// and until then on changed workers only.
 const RESCAN_AFTER: u64 = 500;
 /// In a cell with more workers than this, a task is placed on the best of a part of them. A scan of
 /// 3,000 workers takes 0.6 ms of CPU, and 2,600 long-running tasks that became ready at once
@@ -49,6 +48,7 @@
         self.update_max_isolated();
         self.held_back = HeldBack::default();
         let changed = self.take_changed(now);
+        self.last_pass = now;
         self.unplaceable
             .retain(|known| now < known.since + RESCAN_AFTER);
         let queue: Vec<Rank> = self.ready_jobs.iter().cloned().collect();
--- a/components/cell/src/serving_load.rs
+++ b/components/cell/src/serving_load.rs
@@ -96,7 +96,8 @@
     pub(crate) fn take_changed(&mut self, now: u64) -> Vec<Arc<str>> {
         let mut changed = Vec::new();
         for (id, worker) in &mut self.workers {
-            if !std::mem::take(&mut worker.changed) {
+            let is_reopened = worker.is_reopened(self.last_pass, now);
+            if !std::mem::take(&mut worker.changed) && !is_reopened {
                 continue;
             }
             worker.serving_load = serving_load(&self.interference, &self.forecasts, worker, now);
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -348,6 +348,17 @@
         is_usable && is_open && now >= self.backoff_until && now >= self.quarantined_until
     }
 
+    /// True if a backoff, a quarantine or the time after a failed run has ended since the last
+    /// pass.
+    pub fn is_reopened(&self, last_pass: u64, now: u64) -> bool {
+        let ends = [
+            self.backoff_until,
+            self.quarantined_until,
+            self.last_failure + QUARANTINE,
+        ];
+        ends.iter().any(|&end| last_pass < end && end <= now)
+    }
+
     /// True if failed runs are all that keeps it from being given work.
     pub fn is_quarantined(&self) -> bool {
         self.is_faulty() && self.is_schedulable(u64::MAX)
--- a/components/cell/tests/decisions/holds.rs
+++ b/components/cell/tests/decisions/holds.rs
@@ -1,9 +1,12 @@
 //! What holds a ready batch task back: each hold ends by itself or within a bound.
 
 use {
-    crate::common::{JOB, World, large_cell, run, step, submission},
-    job::{Crashes, Id, Record, State, Step},
-    magpie_cell::{Outcome, Start},
+    crate::{
+        common::{JOB, World, end, large_cell, run, step, submission},
+        seals::OTHER_JOB,
+    },
+    job::{Address, Crashes, Id, Record, State, Step},
+    magpie_cell::{EndCause, Outcome, RunEnd, Start},
     test_case::test_case,
 };
 
@@ -122,3 +125,27 @@
         "{waited:?}"
     );
 }
+
+/// Guards against work that is offered to a worker long after its quarantine has ended.
+#[test]
+fn job_starts_when_quarantine_ends() {
+    const QUARANTINE: u64 = 3_000;
+    let mut world = World::new(&["w1"]);
+    world.submit(JOB, vec![step(2, 1_000)]);
+    let starts = world.starts();
+    assert_eq!(starts.len(), 2);
+    let ends = (0..2).map(|index| {
+        let end = end(u64::from(index) + 1, JOB, 0, 1, EndCause::Failed);
+        let address = Address {
+            index,
+            ..end.address
+        };
+        RunEnd { address, ..end }
+    });
+    world.report("w1", vec![], ends.collect());
+    world.cell.cancel(&Id::new(JOB).unwrap(), world.now, 1);
+    world.now += 300;
+    world.submit(OTHER_JOB, vec![step(1, 1_000)]);
+    let waited = world.time_to_start(OTHER_JOB, 0, 5_000, |_, _| {});
+    assert_eq!(waited, Some(QUARANTINE - 300));
+}
