Cell: tasks that no worker can take do not use up the checks of a pass

A pass ends after 200,000 checks of workers, and the next one begins with the same jobs. A demand for which a scan found no capacity is not scanned for again, but that was left out for tasks that have failed or are suspected, since they are feasible on fewer workers: each of them was checked against all workers in each pass. In a cell of 2,000 workers 100 such tasks for which there is no worker, as while the hardware that they need is gone or full, ended every pass. No job behind them was placed, however much capacity was free, until these workers came back.

What restricts such a task (it has failed, or needs a worker without a trial) is part of the demand now. A demand covers those with the same restrictions or more. For an isolated trial the best of all workers is still chosen if one of the changed workers would do.

Ruled out: a higher limit, or passes that go on where the last one ended. The first takes the owner's time, the second breaks the order of jobs.

--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -97,11 +97,6 @@
                 self.cost(step, image, worker)
             }
         };
-        let among = match history.suspicion {
-            // The best worker for a trial may not be among the changed ones.
-            Suspicion::Alone => Scope::All,
-            Suspicion::None | Suspicion::Late | Suspicion::Shared => among,
-        };
         match among {
             Scope::All => cheapest(self.workers.iter(), is_accepted, cost),
             Scope::From(id, count) => {
--- a/components/cell/src/crashes/trial.rs
+++ b/components/cell/src/crashes/trial.rs
@@ -6,7 +6,7 @@
         worker::{TaskKey, Worker},
     },
     job::Id,
-    std::sync::Arc,
+    std::{ops::Range, sync::Arc},
 };
 
 /// Consecutive early crashes from which a task is tried in isolation. By then a task that merely
@@ -176,13 +176,24 @@
         })
     }
 
-    /// Notes that no worker can take a task that needs an isolated trial.
+    /// Notes that a task cannot start for now, if it is a suspect.
     pub(crate) fn mark_unplaceable(&mut self, id: &Id, place: usize) {
-        if let Some(job) = self.jobs.get_mut(id) {
+        if let Some(job) = self.jobs.get_mut(id)
+            && job.suspects.contains(&place)
+        {
             job.unplaceable.insert(place);
         }
     }
 
+    /// Notes that the ready suspects among these tasks cannot start for now.
+    pub(crate) fn mark_suspects_unplaceable(&mut self, id: &Id, places: Range<usize>) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            let suspects = job.suspects.range(places);
+            let waiting = suspects.filter(|place| job.ready.contains(place));
+            job.unplaceable.extend(waiting);
+        }
+    }
+
     /// True if a task with this suspicion may start on a worker, which must not run another trial.
     pub(crate) fn allows_trial(&self, id: &Arc<str>, suspicion: Suspicion) -> bool {
         !suspicion.needs_trial() || !self.crashes.trials.contains_key(id)
--- a/components/cell/src/gang.rs
+++ b/components/cell/src/gang.rs
@@ -4,7 +4,6 @@
     crate::{
         cell::{Cell, Rank},
         choose::cheapest,
-        crashes::Suspicion,
         worker::Worker,
     },
     job::{Address, Step},
@@ -41,7 +40,7 @@
         let is_blocked =
             self.has_task_over_limit(&rank.id) || places.iter().any(has_unpersisted_crashes);
         if places.len() < left as usize || is_blocked {
-            self.mark_gang_unplaceable(rank, places);
+            self.mark_suspects_unplaceable(&rank.id, self.places(rank, address));
             return;
         }
         for site in self.sites(rank, places, step) {
@@ -56,20 +55,10 @@
             }
             return;
         }
-        self.mark_gang_unplaceable(rank, places);
+        self.mark_suspects_unplaceable(&rank.id, self.places(rank, address));
         self.request_advice(rank, address, step, now);
     }
 
-    /// Notes that a gang does not start for now, so that suspects of other steps do not wait for
-    /// its members.
-    pub(crate) fn mark_gang_unplaceable(&mut self, rank: &Rank, places: &[usize]) {
-        for &place in places {
-            if self.suspicion(&rank.id, place) == Suspicion::Alone {
-                self.mark_unplaceable(&rank.id, place);
-            }
-        }
-    }
-
     /// Gives all members the same checkpoint to resume from; the checkpoint of any member will do.
     fn share_checkpoint(&mut self, rank: &Rank, places: &[usize]) {
         let Some(job) = self.jobs.get_mut(&rank.id) else {
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -145,7 +145,7 @@
     }
 
     /// Returns the places of all tasks of a step in one repetition.
-    fn places(&self, rank: &Rank, address: Address) -> Range<usize> {
+    pub(crate) fn places(&self, rank: &Rank, address: Address) -> Range<usize> {
         self.jobs
             .get(&rank.id)
             .map_or(0..0, |job| job.progress.places(address.time, address.step))
@@ -170,20 +170,22 @@
         let submission = job.progress.submission.clone();
         let step = &submission.spec.steps[address.step as usize];
         let demand = Demand::of(step, &submission, address, self.urgency(job));
-        let mut is_unplaceable = self.is_unplaceable(&demand);
+        let is_unplaceable = self.is_unplaceable(&demand);
         if is_unplaceable && changed.is_empty() {
             return;
         }
-        let mut ready: Vec<usize> = job.ready.range(places).copied().collect();
+        let mut ready: Vec<usize> = job.ready.range(places.clone()).copied().collect();
         let has_held = self.retain_startable(&rank.id, address, &mut ready);
         if step.gang {
             if is_unplaceable || has_held {
-                self.mark_gang_unplaceable(rank, &ready);
+                self.mark_suspects_unplaceable(&rank.id, places);
             } else {
                 self.place_gang(rank, address, &ready, step, now);
             }
             return;
         }
+        // The restrictions under which no worker was found in this pass.
+        let mut failed: Vec<Restrictions> = Vec::new();
         for place in ready {
             if self.is_pass_over() {
                 return;
@@ -191,36 +193,42 @@
             if self.is_start_blocked(&rank.id, place) {
                 continue;
             }
-            let among = is_unplaceable.then_some(changed);
             let history = self.history(rank, place);
-            if self.place_task(rank, address, place, history, among, now) {
+            let restrictions = Restrictions::of(history);
+            if failed.iter().any(|known| known.covers(restrictions)) {
+                self.mark_unplaceable(&rank.id, place);
                 continue;
             }
-            if history.suspicion == Suspicion::Alone {
-                self.mark_unplaceable(&rank.id, place);
+            let is_restricted = restrictions != Restrictions::default();
+            let is_unplaceable = is_unplaceable
+                || (is_restricted && self.is_unplaceable(&demand.restricted(restrictions)));
+            let among = is_unplaceable.then_some(changed);
+            if self.place_task(rank, address, place, history, among, now) {
+                continue;
             }
+            failed.push(restrictions);
+            self.mark_unplaceable(&rank.id, place);
             let is_advised = submission.queue.advised;
             if is_advised {
                 self.request_advice(rank, address, step, now);
             }
+            if !is_unplaceable && !is_advised {
+                self.unplaceable.push(Unplaceable {
+                    demand: demand.restricted(restrictions),
+                    since: now,
+                });
+            }
             // A task that has failed or is suspected is feasible on fewer workers, so other tasks
             // may still be placeable.
-            if history.failures > 0 || history.suspicion.needs_trial() {
-                continue;
-            }
-            if is_unplaceable || is_advised {
+            if !is_restricted {
+                self.mark_suspects_unplaceable(&rank.id, places);
                 return;
             }
-            self.unplaceable.push(Unplaceable {
-                demand: demand.clone(),
-                since: now,
-            });
-            is_unplaceable = true;
         }
     }
 
-    /// Places a task on the best worker, of all or only of the `among` workers. Returns false if
-    /// none is feasible.
+    /// Places a task on the best worker, of all or only if one of the `among` workers is feasible.
+    /// Returns false if none is feasible.
     fn place_task(
         &mut self,
         rank: &Rank,
@@ -237,6 +245,13 @@
             }
             None => self.choose_worker(rank, address, history, now),
         };
+        // The best worker for an isolated trial may not be among the changed ones.
+        let chosen = match chosen {
+            Some(_) if among.is_some() && history.suspicion == Suspicion::Alone => {
+                self.choose_worker(rank, address, history, now)
+            }
+            chosen => chosen,
+        };
         let Some(id) = chosen else {
             return false;
         };
@@ -246,8 +261,8 @@
     }
 
     /// Chooses the best worker for a task. A large cell is scanned in parts, a different one each
-    /// time. All workers are scanned if the part has no feasible worker, or if data or hardware
-    /// restrict the step to few workers.
+    /// time. All workers are scanned if the part has no feasible worker, if data or hardware
+    /// restrict the step to few workers, or if the task needs an isolated trial.
     fn choose_worker(
         &mut self,
         rank: &Rank,
@@ -256,7 +271,8 @@
         now: u64,
     ) -> Option<Arc<str>> {
         let count = self.workers.len();
-        if count > FULL_SCAN_MAX && !self.is_restricted(rank, address) {
+        let needs_best = history.suspicion == Suspicion::Alone || self.is_restricted(rank, address);
+        if count > FULL_SCAN_MAX && !needs_best {
             let from = std::mem::take(&mut self.scan_start);
             let chosen = self.choose(rank, address, history, Scope::From(&from, SCAN_SIZE), now);
             let mut rest = self.workers.range(from.clone()..);
@@ -368,6 +384,29 @@
     }
 }
 
+/// What restricts a task to fewer workers than others of its step.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Restrictions {
+    /// It has failed, and goes to no worker whose last run has failed.
+    has_failed: bool,
+    /// It goes to no worker with a trial.
+    needs_trial: bool,
+}
+
+impl Restrictions {
+    fn of(history: History) -> Self {
+        Restrictions {
+            has_failed: history.failures > 0,
+            needs_trial: history.suspicion.needs_trial(),
+        }
+    }
+
+    /// True if a task with these restrictions is feasible wherever one with the others is.
+    fn covers(self, other: Self) -> bool {
+        (other.has_failed || !self.has_failed) && (other.needs_trial || !self.needs_trial)
+    }
+}
+
 /// A class of tasks that are equally hard to place.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Demand {
@@ -381,6 +420,7 @@
     urgency: Urgency,
     /// The step itself, if the number of its tasks per worker is limited.
     only: Option<(Id, u32, u16)>,
+    restrictions: Restrictions,
 }
 
 /// A demand for which a scan of all workers found no capacity.
@@ -401,6 +441,15 @@
             image: step.image.clone().filter(|_| step.fills),
             urgency: if step.fills { urgency } else { Urgency::None },
             only: (step.spread > 0).then(this_step),
+            restrictions: Restrictions::default(),
+        }
+    }
+
+    /// Returns the demand of a task of the same step with these restrictions.
+    fn restricted(&self, restrictions: Restrictions) -> Self {
+        Demand {
+            restrictions,
+            ..self.clone()
         }
     }
 
@@ -412,6 +461,10 @@
             && self.image == other.image;
         let is_general = self.only.is_none() || self.only == other.only;
         let is_more_urgent = self.urgency >= other.urgency;
-        is_same_class && is_general && is_more_urgent && self.size.fits(other.size)
+        is_same_class
+            && is_general
+            && is_more_urgent
+            && self.restrictions.covers(other.restrictions)
+            && self.size.fits(other.size)
     }
 }
--- a/components/cell/tests/decisions/holds.rs
+++ b/components/cell/tests/decisions/holds.rs
@@ -126,6 +126,36 @@
     );
 }
 
+/// Guards against passes that end at their limit of checks, for tasks that no worker can take,
+/// before they reach a job that could start.
+#[test_case(&failed(120); "failed before")]
+#[test_case(&crashed((0..120).map(|place| (place, 1))); "suspects")]
+#[test_case(&crashed((0..120).map(|place| (place, 2))); "suspects to isolate")]
+fn job_starts_behind_many_unplaceable_tasks(record: &Record) {
+    let mut world = large_cell(2_000);
+    let step_of_gone = Step {
+        label: Some("gone".into()),
+        ..step(120, 1_000)
+    };
+    world.resume_with(JOB, vec![step_of_gone], record);
+    world.submit(OTHER_JOB, vec![step(1, 1_000)]);
+    let waited = world.time_to_start(OTHER_JOB, 0, 5_000, |_, _| {});
+    assert!(
+        waited.is_some_and(|waited| waited <= MAX_IDLE),
+        "{waited:?}"
+    );
+}
+
+/// The record of a job each of whose tasks has failed once.
+fn failed(tasks: u32) -> Record {
+    Record {
+        state: State::Running,
+        run: 2,
+        failed: (0..tasks).map(|place| (place, vec![1])).collect(),
+        ..Record::default()
+    }
+}
+
 /// Guards against work that is offered to a worker long after its quarantine has ended.
 #[test]
 fn job_starts_when_quarantine_ends() {
