Cell: overdue long-running tasks are tried on quarantined workers

A long-running task that has waited for 2 s also goes to quarantined workers. A batch task of the same size that found no worker, as it may not go there, marked the demand of both as one without capacity. The long-running task was then tried on workers that had reported since only, of which there are few between two polls of 2 s, and on none if the batch job is first in each scan.

In the new test, with one quarantined worker that does not report, the overdue task did not start in 5 s; it now starts when it is overdue.

Whether a job is overdue is part of the demand now. Of the other obstacles those that depend on the job are there already (urgency, the step for its limit for each worker) or are never noted (advice).

--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -13,7 +13,7 @@
         timing,
         worker::TaskKey,
     },
-    job::{Address, Id, Phase, Step, Submission, spec::Size},
+    job::{Address, Id, Phase, spec::Size},
     std::{collections::HashSet, ops::Range, sync::Arc},
 };
 
@@ -169,7 +169,7 @@
         };
         let submission = job.progress.submission.clone();
         let step = &submission.spec.steps[address.step as usize];
-        let demand = Demand::of(step, &submission, address, self.urgency(job));
+        let demand = Demand::of(job, address, self.urgency(job));
         let is_unplaceable = self.is_unplaceable(&demand);
         if is_unplaceable && changed.is_empty() {
             return;
@@ -420,6 +420,8 @@
     urgency: Urgency,
     /// The step itself, if the number of its tasks per worker is limited.
     only: Option<(Id, u32, u16)>,
+    /// The task also goes to quarantined workers, since its job is overdue.
+    overdue: bool,
     restrictions: Restrictions,
 }
 
@@ -431,7 +433,9 @@
 }
 
 impl Demand {
-    fn of(step: &Step, submission: &Submission, address: Address, urgency: Urgency) -> Self {
+    fn of(job: &Job, address: Address, urgency: Urgency) -> Self {
+        let submission = &job.progress.submission;
+        let step = &submission.spec.steps[address.step as usize];
         let this_step = || (submission.id.clone(), address.time, address.step);
         Demand {
             pool: submission.queue.pool.clone(),
@@ -441,6 +445,7 @@
             image: step.image.clone().filter(|_| step.fills),
             urgency: if step.fills { urgency } else { Urgency::None },
             only: (step.spread > 0).then(this_step),
+            overdue: job.overdue,
             restrictions: Restrictions::default(),
         }
     }
@@ -460,7 +465,7 @@
             && self.label == other.label
             && self.image == other.image;
         let is_general = self.only.is_none() || self.only == other.only;
-        let is_more_urgent = self.urgency >= other.urgency;
+        let is_more_urgent = self.urgency >= other.urgency && (self.overdue || !other.overdue);
         is_same_class
             && is_general
             && is_more_urgent
--- a/components/cell/tests/decisions/holds.rs
+++ b/components/cell/tests/decisions/holds.rs
@@ -15,6 +15,11 @@
 const MAX_IDLE: u64 = 3_000;
 /// Interval between two passes of the tests, in milliseconds.
 const TICK: u64 = 100;
+/// How long a worker is quarantined, in milliseconds.
+const QUARANTINE: u64 = 3_000;
+/// When long-running tasks that wait are overdue, in milliseconds.
+const OVERDUE_AFTER: u64 = 2_000;
+const LASTING_JOB: &str = "00000000000000c3";
 
 impl World {
     /// Resumes a job with this record.
@@ -156,14 +161,11 @@
     }
 }
 
-/// Guards against work that is offered to a worker long after its quarantine has ended.
-#[test]
-fn job_starts_when_quarantine_ends() {
-    const QUARANTINE: u64 = 3_000;
+/// Creates a cell whose only worker has just been quarantined.
+fn quarantined_world() -> World {
     let mut world = World::new(&["w1"]);
     world.submit(JOB, vec![step(2, 1_000)]);
-    let starts = world.starts();
-    assert_eq!(starts.len(), 2);
+    assert_eq!(world.starts().len(), 2);
     let ends = (0..2).map(|index| {
         let end = end(u64::from(index) + 1, JOB, 0, 1, EndCause::Failed);
         let address = Address {
@@ -174,8 +176,34 @@
     });
     world.report("w1", vec![], ends.collect());
     world.cell.cancel(&Id::new(JOB).unwrap(), world.now, 1);
+    world
+}
+
+/// Guards against work that is offered to a worker long after its quarantine has ended.
+#[test]
+fn job_starts_when_quarantine_ends() {
+    let mut world = quarantined_world();
     world.now += 300;
     world.submit(OTHER_JOB, vec![step(1, 1_000)]);
     let waited = world.time_to_start(OTHER_JOB, 0, 5_000, |_, _| {});
     assert_eq!(waited, Some(QUARANTINE - 300));
 }
+
+/// Guards against an overdue long-running task that is not tried on quarantined workers, since a
+/// batch task found no other.
+#[test]
+fn overdue_task_starts_behind_batch_task_on_quarantined_worker() {
+    let mut world = quarantined_world();
+    world.now += 300;
+    world.submit(OTHER_JOB, vec![step(1, 1_000)]);
+    let lasting = Step {
+        lasting: true,
+        ..step(1, 1_000)
+    };
+    world.submit(LASTING_JOB, vec![lasting]);
+    let waited = world.time_to_start(LASTING_JOB, 0, 5_000, |_, _| {});
+    assert!(
+        waited.is_some_and(|waited| waited <= OVERDUE_AFTER + TICK),
+        "{waited:?}"
+    );
+}
