Cell: a gang is stopped when a member surely does not start

Members of a gang wait on their workers for the others, 3 s by the worker API, and then end alone. If the start of one member was refused, or its worker does not list it after the last moment at which it could begin, the others were left to that: nothing of the step worked for these 3 s, the capacity of the members was taken, and the gang was placed again only then.

No work is lost, since none has begun.

In the new tests no stop was ordered after a refused member, nor after one whose start had no answer; now the accepted one is stopped.

Members that end for another reason are left alone: their worker ends the others itself.

--- a/components/cell/src/gang.rs
+++ b/components/cell/src/gang.rs
@@ -4,9 +4,9 @@
     crate::{
         cell::{Cell, Rank},
         choose::cheapest,
-        worker::Worker,
+        worker::{TaskKey, Worker},
     },
-    job::{Address, Step},
+    job::{Address, Phase, Step},
     std::{collections::HashMap, sync::Arc},
 };
 
@@ -59,6 +59,35 @@
         self.request_advice(rank, address, step, now);
     }
 
+    /// Stops the other members of a gang if this one surely does not start: they would only wait for
+    /// it, and no member starts again before the last of them has ended.
+    pub(crate) fn stop_gang(&mut self, key: &TaskKey, run: u64, now: u64) {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        if !job.progress.step(key.place).gang {
+            return;
+        }
+        let address = job.progress.submission.spec.address(key.place);
+        let mut members = Vec::new();
+        for place in job.progress.places(address.time, address.step) {
+            let member = TaskKey {
+                job: key.job.clone(),
+                place,
+            };
+            if let Phase::Placed(worker) = &job.progress.tasks[place].phase
+                && let Some(slot) = self.slot(worker, &member)
+                && slot.run == run
+                && slot.stopping.is_none()
+            {
+                members.push((worker.clone(), member));
+            }
+        }
+        for (worker, member) in members {
+            self.stop(&worker, &member, now);
+        }
+    }
+
     /// Gives all members the same checkpoint to resume from; the checkpoint of any member will do.
     fn share_checkpoint(&mut self, rank: &Rank, places: &[usize]) {
         let Some(job) = self.jobs.get_mut(&rank.id) else {
--- a/components/cell/src/outcome.rs
+++ b/components/cell/src/outcome.rs
@@ -92,6 +92,7 @@
                     self.drop_ticket(&start.key.job, start.address, id);
                 }
                 self.requeue_if_unplaced(&start.key);
+                self.stop_gang(&start.key, start.run, now);
             }
         }
     }
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -329,7 +329,7 @@
                 Stage::Running { at } => is_before(at),
             };
             if is_missing {
-                missing.push((key.clone(), slot.stage));
+                missing.push((key.clone(), slot.run, slot.stage));
             } else if slot.unanswered.is_some_and(is_before) && slot.stopping.is_none() {
                 unanswered.push(key.clone());
             }
@@ -339,7 +339,7 @@
         for key in unanswered {
             self.stop(id, &key, times.now);
         }
-        for (key, stage) in missing {
+        for (key, run, stage) in missing {
             log::info!(target: "cell", job = key.job.as_str(), place = key.place, worker = &**id, stage:? = stage; "Worker does not list a run that it was given.");
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.remove_slot(&key);
@@ -351,6 +351,9 @@
                 }
             }
             self.requeue_if_unplaced(&key);
+            if let Stage::Sent { .. } = stage {
+                self.stop_gang(&key, run, times.now);
+            }
         }
     }
 }
--- a/components/cell/tests/decisions/holds.rs
+++ b/components/cell/tests/decisions/holds.rs
@@ -6,7 +6,7 @@
         seals::OTHER_JOB,
     },
     job::{Address, Crashes, Id, Record, State, Step},
-    magpie_cell::{EndCause, Outcome, RunEnd, Start},
+    magpie_cell::{EndCause, Outcome, Refusal, RunEnd, Start},
     test_case::test_case,
 };
 
@@ -207,3 +207,42 @@
         "{waited:?}"
     );
 }
+
+/// Guards against members of a gang that wait for one that surely does not start, until their
+/// workers give up.
+#[test]
+fn gang_is_stopped_after_refused_member() {
+    let gang = Step {
+        gang: true,
+        ..step(2, 3_000)
+    };
+    let mut world = World::new(&["w1", "w2", "w3"]);
+    world.submit(JOB, vec![gang]);
+    let starts = world.starts();
+    let [(first, accepted), (second, refused)] = &starts[..] else {
+        panic!("{starts:?}");
+    };
+    world.answer(first, accepted, Outcome::Done);
+    world.answer(second, refused, Outcome::Refused(Refusal::Room));
+    assert_eq!(world.stops(), [(first.clone(), accepted.run)]);
+}
+
+/// The same if the start of the member had no answer and its worker does not list it.
+#[test]
+fn gang_is_stopped_after_lost_member() {
+    let gang = Step {
+        gang: true,
+        ..step(2, 3_000)
+    };
+    let mut world = World::new(&["w1", "w2", "w3"]);
+    world.submit(JOB, vec![gang]);
+    let starts = world.starts();
+    let [(first, accepted), (second, lost)] = &starts[..] else {
+        panic!("{starts:?}");
+    };
+    world.answer(first, accepted, Outcome::Done);
+    world.answer(second, lost, Outcome::Unknown);
+    world.now += 1_600;
+    world.report(second, vec![], vec![]);
+    assert_eq!(world.stops(), [(first.clone(), accepted.run)]);
+}
