Cell: a worker that has not answered for 3 s is given no work

A worker whose poll fails is given no work until it answers. One that is not polled at all, as its poll was lost or it has no connection, kept getting work: orders without a connection are dropped, and each start postpones the end of all leases of the worker, until which its tasks wait. So a task on such a worker waited as long as others were placed there.

After 3 s without an answer a start would outlive the longest lease; until then it postpones nothing. The longest wait of a poll is 2 s. The worker is tried again with its next report, as before.

drain_precedes_maintenance let 10 s pass without a report of the worker that was then expected to take the task. It reports now; the check is the same.

Not shown: that an owner leaves a worker unpolled for so long.

--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -146,7 +146,8 @@
         if !has_capacity(step, worker, before) {
             return Some(Obstacle::Room);
         }
-        let is_schedulable = worker.is_schedulable(now) || (job.overdue && worker.is_quarantined());
+        let is_schedulable =
+            worker.is_schedulable(now) || (job.overdue && worker.is_quarantined(now));
         if !is_schedulable {
             return Some(Obstacle::Closed);
         }
--- a/components/cell/src/timing.rs
+++ b/components/cell/src/timing.rs
@@ -40,6 +40,11 @@
 /// A worker that has answered within this time counts as reachable. It is the wait of a poll of a
 /// worker with serving tasks plus the time that its answer may take.
 pub const REACHABLE_WITHIN: u64 = POLL_SERVING + POLL_GRACE;
+/// A worker that has not answered for longer than this is given no work, whether its poll has
+/// failed or not: the poll may be lost, or the worker may have no connection. A start until then
+/// ends before the longest lease, so that it does not postpone the end of all leases.
+pub const HEARD_WITHIN: u64 = MAX_LEASE - START_WINDOW;
+
 /// The time on the owner's clock after which a lease of this length on a worker's clock has surely
 /// expired.
 pub const fn max_lease_duration(length: u64) -> u64 {
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -337,15 +337,24 @@
 
     /// True if the worker may be given work. It may not before it is in the persisted record: the
     /// listing may lack it for a while, and a new owner would not know of it. It may not while it
-    /// is unreachable either, since each start postpones the time at which all its leases have
-    /// expired: with five short tasks a second, a long-running task on a partitioned worker was
-    /// restarted after 17.8 s instead of within 6 s. Nor may it while it may be sealed, or while it
-    /// runs tasks of jobs that are not known yet.
+    /// is unreachable or has not answered for long, since each start postpones the time at which
+    /// all its leases have expired: with five short tasks a second, a long-running task on a
+    /// partitioned worker was restarted after 17.8 s instead of within 6 s. Nor may it while it may
+    /// be sealed, or while it runs tasks of jobs that are not known yet.
     pub fn is_schedulable(&self, now: u64) -> bool {
+        let is_closed = now < self.backoff_until || now < self.quarantined_until;
+        !is_closed && self.is_available(now)
+    }
+
+    /// True if nothing but a backoff or failed runs may keep it from being given work.
+    fn is_available(&self, now: u64) -> bool {
         let is_known = self.fenced && self.listed && self.recorded && !self.entry_invalid;
         let is_usable = is_known && !self.is_unreachable() && !self.entry.leaving && !self.draining;
         let is_open = self.seal == SealState::Open && !self.runs_pending;
-        is_usable && is_open && now >= self.backoff_until && now >= self.quarantined_until
+        let is_heard = self
+            .clock
+            .is_some_and(|clock| now <= clock.at + timing::HEARD_WITHIN);
+        is_usable && is_open && is_heard
     }
 
     /// True if a backoff, a quarantine or the time after a failed run has ended since the last
@@ -360,8 +369,8 @@
     }
 
     /// True if failed runs are all that keeps it from being given work.
-    pub fn is_quarantined(&self) -> bool {
-        self.is_faulty() && self.is_schedulable(u64::MAX)
+    pub fn is_quarantined(&self, now: u64) -> bool {
+        self.is_faulty() && self.is_available(now)
     }
 
     /// True if the worker may be given a task that has failed this often. A worker whose last run
--- a/components/cell/tests/decisions/holds.rs
+++ b/components/cell/tests/decisions/holds.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        common::{JOB, World, end, large_cell, run, step, submission},
+        common::{JOB, World, end, large_cell, other_worker, run, step, submission},
         seals::OTHER_JOB,
     },
     job::{Address, Crashes, Id, Record, State, Step},
@@ -15,6 +15,8 @@
 const MAX_IDLE: u64 = 3_000;
 /// Interval between two passes of the tests, in milliseconds.
 const TICK: u64 = 100;
+/// Time from the last answer of a worker until all its leases have expired, in milliseconds.
+const LEASE_END: u64 = 4_900;
 /// How long a worker is quarantined, in milliseconds.
 const QUARANTINE: u64 = 3_000;
 /// When long-running tasks that wait are overdue, in milliseconds.
@@ -246,3 +248,24 @@
     world.report(second, vec![], vec![]);
     assert_eq!(world.stops(), [(first.clone(), accepted.run)]);
 }
+
+/// Guards against work that is given to a worker nobody polls any more: each start postpones the
+/// end of its leases, and thereby the next start of its tasks.
+#[test]
+fn unpolled_worker_gets_no_work() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.submit(JOB, vec![step(1, 2_000)]);
+    let (worker, start) = world.starts()[0].clone();
+    world.answer(&worker, &start, Outcome::Done);
+    let other = other_worker(&worker);
+    let mut number = 0xc000;
+    let waited = world.time_to_start(JOB, 0, 30_000, |world, _| {
+        number += 1;
+        world.submit(&format!("{number:016x}"), vec![step(1, 5)]);
+        world.report(other, vec![], vec![]);
+    });
+    assert!(
+        waited.is_some_and(|waited| waited <= MAX_IDLE + LEASE_END),
+        "{waited:?}"
+    );
+}
--- a/components/cell/tests/decisions/maintenance.rs
+++ b/components/cell/tests/decisions/maintenance.rs
@@ -1,7 +1,7 @@
 //! Maintenance waves: limit, draining, and completion.
 
 use {
-    crate::common::{JOB, World, end, entry, run, step},
+    crate::common::{JOB, World, end, entry, other_worker, run, step},
     job::{Id, Step},
     magpie_cell::{EndCause, Machine, MaintenanceOrder, Order, Outcome, Run, Wave},
     std::{collections::HashMap, slice::from_ref},
@@ -98,6 +98,7 @@
     assert_eq!(world.stops(), [(worker.clone(), start.run)]);
     world.now += 10_000;
     world.report(&worker, vec![run(JOB, 0, start.run)], vec![]);
+    world.report(other_worker(&worker), vec![], vec![]);
     assert!(
         world
             .cell
