--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -56,13 +56,14 @@
     pub overdue: bool,
     /// Tasks whose workers crashed while running them, by place.
     pub suspects: BTreeSet<usize>,
-    /// Suspects for which the last placement pass found no worker to try them on.
+    /// Suspects for which the last placement pass found no worker to try them on, or whose gang
+    /// could not start.
     pub unplaceable: BTreeSet<usize>,
     /// Trial runs that have succeeded since the last early crash of a worker under a task of this
     /// job.
     pub passed_trials: usize,
-    /// A crash counted against a task of the job is not persisted yet.
-    pub crash_unpersisted: bool,
+    /// Tasks against which a crash was counted that is not persisted yet, by place.
+    pub unpersisted_crashes: BTreeSet<usize>,
     /// The job is about to miss its objective: its best-effort tasks may also run where they slow
     /// down serving tasks.
     pub urgent: bool,
@@ -199,6 +200,8 @@
     pub(crate) unknown_jobs: HashSet<Id>,
     /// What the current pass has placed of a job: place, run and worker.
     pub(crate) placed: Vec<(usize, u64, Arc<str>)>,
+    /// When the last pass began, on the owner's clock.
+    pub(crate) last_pass: u64,
     /// How many more tasks the current pass may place.
     pub(crate) placements_left: usize,
     /// The number of worker checks in the current pass.
@@ -262,6 +265,7 @@
             unplaceable: Vec::new(),
             unknown_jobs: HashSet::new(),
             placed: Vec::new(),
+            last_pass: 0,
             placements_left: 0,
             worker_checks: 0,
             scan_start: "".into(),
--- a/components/cell/src/crashes/trial.rs
+++ b/components/cell/src/crashes/trial.rs
@@ -6,7 +6,7 @@
         worker::{TaskKey, Worker},
     },
     job::Id,
-    std::sync::Arc,
+    std::{ops::Range, sync::Arc},
 };
 
 /// Consecutive early crashes from which a task is tried in isolation. By then a task that merely
@@ -129,7 +129,7 @@
     pub(crate) fn has_unpersisted_crashes(&self, id: &Id, place: usize) -> bool {
         self.jobs.get(id).is_some_and(|job| {
             let crashes = job.progress.tasks[place].crashes;
-            job.crash_unpersisted
+            job.unpersisted_crashes.contains(&place)
                 && (crashes.early >= ISOLATE_AFTER_EARLY || crashes.all >= ISOLATE_AFTER)
         })
     }
@@ -150,7 +150,7 @@
 
     /// True if a task of the job needs an isolated trial. It goes first, since it may fail the job
     /// before other tasks cost a worker each. Tasks that no worker can take do not count: their
-    /// rack may be gone for good.
+    /// rack may be gone for good. Nor do members of a gang that cannot start.
     fn has_isolated_suspect(&self, id: &Id) -> bool {
         self.jobs.get(id).is_some_and(|job| {
             let mut places = job.suspects.difference(&job.unplaceable);
@@ -158,13 +158,24 @@
         })
     }
 
-    /// Notes that no worker can take a task that needs an isolated trial.
+    /// Notes that a task cannot start for now, if it is a suspect.
     pub(crate) fn mark_unplaceable(&mut self, id: &Id, place: usize) {
-        if let Some(job) = self.jobs.get_mut(id) {
+        if let Some(job) = self.jobs.get_mut(id)
+            && job.suspects.contains(&place)
+        {
             job.unplaceable.insert(place);
         }
     }
 
+    /// Notes that the ready suspects among these tasks cannot start for now.
+    pub(crate) fn mark_suspects_unplaceable(&mut self, id: &Id, places: Range<usize>) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            let suspects = job.suspects.range(places);
+            let waiting = suspects.filter(|place| job.ready.contains(place));
+            job.unplaceable.extend(waiting);
+        }
+    }
+
     /// True if a task with this suspicion may start on a worker, which must not run another trial.
     pub(crate) fn allows_trial(&self, id: &Arc<str>, suspicion: Suspicion) -> bool {
         !suspicion.needs_trial() || !self.crashes.trials.contains_key(id)
