Cell: an end that needs no write is acknowledged with the write before it

What was seen, in a test of the cell: a worker lists the end of a run that its owner does not know (stopped orphans, ends that a former owner has noted) while another end of it is being written. The first one stayed unacknowledged after that write, until some other record was written. While a cell has nothing to write, the worker lists it in each answer, is polled once a second only, so that its next end is noted up to a second late, and is not sealed.

Cause: ends are acknowledged by the batch that was taken after they were listed, or at once if nothing waits to be written. This one came between the two, and nothing was left to write.

Change: when a batch is written, ends listed since then are acknowledged too, up to the first one whose job has a record to write. No batch is under way at that moment.

Tests: ends::end_listed_during_write_is_acknowledged fails on the code before (nothing is acknowledged); end_changing_record_during_write_is_not_acknowledged holds on both. Not measured in a cell of real boxes.

--- a/components/cell/src/persistence.rs
+++ b/components/cell/src/persistence.rs
@@ -133,6 +133,13 @@
             };
             worker.ends_written = worker.ends_written.max(*number);
             worker.unwritten_ends.retain(|(end, _)| end > number);
+            // Ends that were listed meanwhile and have changed no record need no write.
+            while let Some((end, job)) = worker.unwritten_ends.front()
+                && !self.dirty.contains(job)
+            {
+                worker.ends_written = worker.ends_written.max(*end);
+                worker.unwritten_ends.pop_front();
+            }
             if worker.unwritten_ends.is_empty() {
                 acknowledged.push(id.clone());
             }
--- a/components/cell/tests/decisions/ends.rs
+++ b/components/cell/tests/decisions/ends.rs
@@ -1,7 +1,7 @@
 //! Ends and runs in reports: state transitions, retries, orphaned runs and persistence.
 
 use {
-    crate::common::{JOB, World, end, run, state, step},
+    crate::common::{JOB, World, end, run, state, step, task_end},
     job::{Id, State},
     magpie_cell::{EndCause, Order, Outcome},
     test_case::test_case,
@@ -42,6 +42,61 @@
     assert_eq!(world.starts().len(), 2);
 }
 
+/// Guards against an end that changes nothing and is listed while another one is being written: it
+/// stayed unacknowledged until the next write, and its worker was polled only once a second.
+#[test]
+fn end_listed_during_write_is_acknowledged() {
+    let mut world = World::new(&["w1"]);
+    world.submit(JOB, vec![step(2, 1_000)]);
+    let starts = world.starts();
+    for (worker, start) in &starts {
+        world.answer(worker, start, Outcome::Done);
+    }
+    let done = end(1, JOB, 0, starts[0].1.run, EndCause::Done);
+    world.report("w1", vec![run(JOB, 1, starts[1].1.run)], vec![done.clone()]);
+    let batch = world.cell.take_write_batch(27);
+    let former = end(2, "00000000000000b2", 0, 1, EndCause::Stopped);
+    world.report("w1", vec![run(JOB, 1, starts[1].1.run)], vec![done, former]);
+    let acknowledged = world.cell.batch_written(&batch);
+    assert_eq!(acknowledged, ["w1".into()]);
+    assert!(!world.cell.has_unwritten_ends("w1"));
+    assert_eq!(world.cell.next_poll("w1", world.now).unwrap().seen, 2);
+}
+
+/// An end that has changed a record since the batch was taken is acknowledged with the next one.
+#[test]
+fn end_changing_record_during_write_is_not_acknowledged() {
+    let mut world = World::new(&["w1"]);
+    world.submit(JOB, vec![step(2, 1_000)]);
+    let starts = world.starts();
+    for (worker, start) in &starts {
+        world.answer(worker, start, Outcome::Done);
+    }
+    let first = task_end(
+        1,
+        (Id::new(JOB).unwrap(), starts[0].1.address),
+        starts[0].1.run,
+        EndCause::Done,
+    );
+    let second = task_end(
+        2,
+        (Id::new(JOB).unwrap(), starts[1].1.address),
+        starts[1].1.run,
+        EndCause::Done,
+    );
+    world.report(
+        "w1",
+        vec![run(JOB, 1, starts[1].1.run)],
+        vec![first.clone()],
+    );
+    let batch = world.cell.take_write_batch(27);
+    world.report("w1", vec![], vec![first, second]);
+    assert!(world.cell.batch_written(&batch).is_empty());
+    assert_eq!(world.cell.next_poll("w1", world.now).unwrap().seen, 1);
+    world.persist();
+    assert_eq!(world.cell.next_poll("w1", world.now).unwrap().seen, 2);
+}
+
 /// A worker reports an end again until it is acknowledged.
 #[test]
 fn repeated_end_counts_once() {
