Cell: suspects do not wait for the proof that silent trials are lost

A job has four trials of suspected tasks at a time, one of them in isolation. A trial whose worker falls silent ends when the worker is proven to be over, or when its leases have expired, 4.9 s after its last answer. All that time the other suspects of the job waited, and others for a task in an isolated trial, while nothing of the job was left running and there was room.

In the new tests (four silent trials; an isolated one before another; an isolated one before a shared one) the next suspect did not start in 10 s, in which nobody answers the starts after the 4.9 s; it now starts after 2.5 s.

If all trials of a job are on unreachable workers that have not answered for 2.5 s, one more suspect is tried: as it counts at once, one at a time.

The file also gets tests of holds that keep their bounds.

--- a/components/cell/src/crashes/trial.rs
+++ b/components/cell/src/crashes/trial.rs
@@ -5,7 +5,7 @@
         cell::Cell,
         worker::{TaskKey, Worker},
     },
-    job::Id,
+    job::{Id, Phase},
     std::{ops::Range, sync::Arc},
 };
 
@@ -27,6 +27,10 @@
 const JOB_TRIALS: usize = 4;
 /// Concurrent isolated trials of a job, and how many each passed trial adds.
 const ISOLATED_JOB_TRIALS: usize = 1;
+/// Once all trials of a job are on unreachable workers that have not answered for this long, in
+/// milliseconds, more of its suspects are tried, although these workers are declared lost only when
+/// their leases have expired: a job must not stand still for longer than 3 s.
+const MAX_SILENCE: u64 = 2_500;
 /// Workers per additional isolated trial in the cell; one is always allowed. The capacity reserved
 /// for a trial is not available to others. With six crashing tasks the callers are notified after
 /// 10.6 s, compared with 16.9 s with a single trial in the cell, and 8.5 s with one trial per 16
@@ -102,7 +106,7 @@
         if !suspicion.needs_trial() {
             return self.has_unpersisted_crashes(id, place);
         }
-        let running_trials = self.job_trials(id);
+        let running_trials = self.open_job_trials(id);
         if suspicion == Suspicion::Shared {
             return running_trials >= self.max_job_trials(id) || self.has_isolated_suspect(id);
         }
@@ -158,6 +162,28 @@
         trials.filter(|trial| trial.key.job == *id).count()
     }
 
+    /// Number of tasks of a job in a trial, for its limits; 0 if the outcome of all of them is as
+    /// good as known, see [`MAX_SILENCE`].
+    fn open_job_trials(&self, id: &Id) -> usize {
+        let trials = self.crashes.trials.iter();
+        let of_job = trials.filter(|(_, trial)| trial.key.job == *id);
+        let (mut count, mut silent) = (0, 0);
+        for (worker, _) in of_job {
+            count += 1;
+            silent += usize::from(self.is_long_silent(worker));
+        }
+        if count == silent { 0 } else { count }
+    }
+
+    /// True if a worker is unreachable and has not answered for so long that suspects do not wait
+    /// for the proof that it is lost.
+    fn is_long_silent(&self, id: &str) -> bool {
+        let worker = self.workers.get(id);
+        let worker = worker.filter(|worker| worker.is_unreachable());
+        let clock = worker.and_then(|worker| worker.clock);
+        clock.is_some_and(|clock| self.last_pass >= clock.at + MAX_SILENCE)
+    }
+
     /// Number of tasks in a trial, and the age of the oldest trial in milliseconds.
     pub(crate) fn trials(&self, now: u64) -> (usize, u64) {
         let trials = self.crashes.trials.values();
@@ -168,11 +194,16 @@
 
     /// True if a task of the job needs an isolated trial. It goes first, since it may fail the job
     /// before other tasks cost a worker each. Tasks that no worker can take do not count: their
-    /// rack may be gone for good. Nor do members of a gang that cannot start.
+    /// rack may be gone for good. Nor do members of a gang that cannot start, and tasks on workers
+    /// that have been silent for long.
     fn has_isolated_suspect(&self, id: &Id) -> bool {
         self.jobs.get(id).is_some_and(|job| {
             let mut places = job.suspects.difference(&job.unplaceable);
-            places.any(|&place| self.suspicion(id, place) == Suspicion::Alone)
+            places.any(|&place| {
+                let phase = &job.progress.tasks[place].phase;
+                let is_silent = matches!(phase, Phase::Placed(at) if self.is_long_silent(at));
+                !is_silent && self.suspicion(id, place) == Suspicion::Alone
+            })
         })
     }
 
--- a/components/cell/tests/decisions/holds.rs
+++ b/components/cell/tests/decisions/holds.rs
@@ -2,11 +2,11 @@
 
 use {
     crate::{
-        common::{JOB, World, end, large_cell, other_worker, run, step, submission},
-        seals::OTHER_JOB,
+        common::{JOB, World, end, entry, large_cell, other_worker, run, step, submission},
+        seals::{OTHER_JOB, UNREACHABLE},
     },
     job::{Address, Crashes, Id, Record, State, Step},
-    magpie_cell::{EndCause, Outcome, Refusal, RunEnd, Start},
+    magpie_cell::{EndCause, Entry, Listing, Outcome, Refusal, RunEnd, Start},
     test_case::test_case,
 };
 
@@ -269,3 +269,181 @@
         "{waited:?}"
     );
 }
+
+/// A probe that hangs keeps a worker that has failed from other tasks for the length of a
+/// quarantine, which ends with its first confirmation.
+#[test]
+fn hanging_probe_holds_worker_for_quarantine() {
+    let mut world = quarantined_world();
+    world.submit(OTHER_JOB, vec![step(2, 1_000)]);
+    world.now += QUARANTINE;
+    world.report("w1", vec![], vec![]);
+    let (worker, start) = world.starts()[0].clone();
+    world.answer(&worker, &start, Outcome::Done);
+    let waited = world.time_to_start(OTHER_JOB, 1, 10_000, |world, _| {
+        world.report("w1", vec![run(OTHER_JOB, 0, start.run)], vec![]);
+    });
+    assert_eq!(waited, Some(QUARANTINE));
+}
+
+/// A task that has failed waits for workers that have just failed no longer than a quarantine, also
+/// if there are no others.
+#[test]
+fn failed_task_waits_for_failed_workers() {
+    let mut world = World::new(&["w1"]);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    assert_eq!(world.starts().len(), 1);
+    let failed = end(1, JOB, 0, 1, EndCause::Failed);
+    world.report("w1", vec![], vec![failed]);
+    let waited = world.time_to_start(JOB, 0, 10_000, |_, _| {});
+    assert_eq!(waited, Some(QUARANTINE));
+}
+
+/// A worker that never answers a new owner holds tasks until the leases of the former one are over,
+/// and one that does holds them until it answers.
+#[test_case(None, LEASE_END; "never answers")]
+#[test_case(Some(2_000), 2_000; "answers late")]
+fn unheard_worker_holds_tasks(answer: Option<u64>, longest: u64) {
+    let workers = vec![entry("w1", 4), entry("w2", 4)];
+    let mut world = World::inheriting(workers.clone(), workers, vec![]);
+    world.resume(JOB, vec![step(1, 1_000)]);
+    world.recover();
+    let waited = world.time_to_start(JOB, 0, 10_000, |world, elapsed| {
+        world.report("w2", vec![], vec![]);
+        if answer.is_some_and(|answer| elapsed >= answer) {
+            world.report("w1", vec![], vec![]);
+        }
+    });
+    assert!(
+        waited.is_some_and(|waited| waited <= longest + TICK),
+        "{waited:?}"
+    );
+}
+
+/// The task of a worker whose successor never answers starts elsewhere once the leases of the
+/// worker are over.
+#[test]
+fn silent_successor_holds_task_until_leases_end() {
+    let incarnation = |started| Entry {
+        id: Entry::incarnation_id("w1", Some(started)),
+        started: Some(started),
+        ..entry("w1", 4)
+    };
+    let first = incarnation(1);
+    let id = first.id.clone();
+    let mut world = World::without_reports(&[]);
+    world.list(vec![first]);
+    world.report(&id, vec![], vec![]);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    let (worker, start) = world.starts()[0].clone();
+    world.answer(&worker, &start, Outcome::Done);
+    world.list(vec![incarnation(2), entry("w2", 4)]);
+    world.now += TICK;
+    let now = world.now;
+    assert!(world.cell.handle_successor(&id, 2, now, now).is_some());
+    let waited = world.time_to_start(JOB, 0, 10_000, |world, _| {
+        world.report("w2", vec![], vec![]);
+        let later = Entry::incarnation_id("w1", Some(2));
+        world.cell.poll_failed(&later, world.now);
+    });
+    assert!(
+        waited.is_some_and(|waited| waited <= LEASE_END + TICK),
+        "{waited:?}"
+    );
+}
+
+/// A worker whose seal is to be withdrawn gets work with the first batch that is written, however
+/// many failed before.
+#[test]
+fn withdrawn_seal_holds_worker_until_write() {
+    let mut world = World::sealing(&["w1"]);
+    world.cell.poll_failed("w1", world.now);
+    world.now += UNREACHABLE;
+    assert!(world.written_seals().is_some());
+    world.submit(JOB, vec![step(1, 1_000)]);
+    let waited = world.time_to_start(JOB, 0, 10_000, |world, elapsed| {
+        world.report("w1", vec![], vec![]);
+        let batch = world.cell.take_write_batch(100);
+        if elapsed < 2_000 {
+            world.cell.batch_failed(batch);
+        } else {
+            world.cell.batch_written(&batch);
+        }
+    });
+    assert!(
+        waited.is_some_and(|waited| waited <= 2_000 + 2 * TICK),
+        "{waited:?}"
+    );
+}
+
+/// Guards against suspects that wait for trials on workers that have fallen silent until their
+/// leases are over, while nothing of their job runs.
+#[test_case(&crashed((0..5).map(|place| (place, 1))), 4; "shared")]
+#[test_case(&crashed((0..2).map(|place| (place, 2))), 1; "isolated")]
+#[test_case(&crashed([(0, 2), (1, 1)]), 1; "shared behind isolated")]
+fn suspect_starts_beside_silent_trials(record: &Record, trials: usize) {
+    let names: Vec<String> = (0..8).map(|number| format!("w{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut world = World::new(&names);
+    let tasks = record.crashed.len() as u32;
+    world.resume_with(JOB, vec![step(tasks, 1_000)], record);
+    let starts = world.starts();
+    assert_eq!(starts.len(), trials);
+    for (worker, start) in &starts {
+        world.answer(worker, start, Outcome::Done);
+    }
+    let last = trials;
+    let waited = world.time_to_start(JOB, last, 10_000, |world, _| {
+        for name in &names {
+            if starts.iter().any(|(worker, _)| **worker == **name) {
+                world.cell.poll_failed(name, world.now);
+            } else {
+                world.report(name, vec![], vec![]);
+            }
+        }
+    });
+    assert!(
+        waited.is_some_and(|waited| waited <= MAX_IDLE),
+        "{waited:?}"
+    );
+}
+
+/// A worker with runs of a job that is not known yet gets work once the jobs have been read again.
+#[test]
+fn pending_runs_hold_worker_until_reread() {
+    let workers = vec![entry("w1", 4)];
+    let mut world = World::inheriting(workers.clone(), workers, vec![]);
+    world.recover();
+    world.resume(JOB, vec![step(1, 1_000)]);
+    world.report("w1", vec![run(OTHER_JOB, 0, 1)], vec![]);
+    assert!(world.cell.is_reread_due());
+    let waited = world.time_to_start(JOB, 0, 10_000, |world, elapsed| {
+        if elapsed >= 1_000 {
+            world.cell.jobs_reread();
+        }
+        world.report("w1", vec![run(OTHER_JOB, 0, 1)], vec![]);
+    });
+    assert!(
+        waited.is_some_and(|waited| waited <= 1_000 + TICK),
+        "{waited:?}"
+    );
+}
+
+/// A worker whose entry cannot be read gets work with the first listing in which it can.
+#[test]
+fn unreadable_entry_holds_worker_until_listing() {
+    let mut world = World::new(&["w1"]);
+    let listing = Listing {
+        entries: vec![],
+        unreadable: vec!["w1".into()],
+    };
+    world.cell.handle_listing(listing, world.now);
+    world.submit(JOB, vec![step(1, 1_000)]);
+    let waited = world.time_to_start(JOB, 0, 10_000, |world, elapsed| {
+        world.report("w1", vec![], vec![]);
+        if elapsed == 1_000 {
+            world.list(vec![entry("w1", 4)]);
+        }
+    });
+    assert_eq!(waited, Some(1_000));
+}
