Cell: the trend of a serving job without readings is not extrapolated for long

The load of a serving job is forecast from its last readings and their trend, to any time after the last reading, until the job is forgotten after 30 s. If its tasks report no figure any more while their load was rising, the forecast reaches full load within seconds, and best-effort tasks that may slow them down wait for the 30 s although the workers are idle.

Workers with serving tasks report twice a second, so a reading that is older than 2 s is followed by none; the load that is assumed for an unknown job counts from then on, with the highest load so far.

Not shown: how often workers report no figure for a serving task, but after its start.

--- a/components/cell/src/interference/forecast.rs
+++ b/components/cell/src/interference/forecast.rs
@@ -24,7 +24,10 @@
 const MAX_DEVIATION: f64 = 0.15;
 /// Jobs without readings for this long, in milliseconds, are dropped.
 const RETENTION: u64 = 30_000;
-/// Load that is assumed before there are readings: the mean of observed loads (0.45) plus half of
+/// The trend of a job without readings for this long, in milliseconds, tells nothing of its load any
+/// more: four reports of its workers.
+const STALE_AFTER: u64 = 2_000;
+/// Load that is assumed without recent readings: the mean of observed loads (0.45) plus half of
 /// their swing.
 const DEFAULT_LOAD: f64 = 0.55;
 /// The averages of a new job start at zero: for this long, in milliseconds, no peak or trend is
@@ -156,6 +159,9 @@
             return (load, load);
         }
         let elapsed = now.saturating_sub(job_load.last_at);
+        if elapsed > STALE_AFTER {
+            return (DEFAULT_LOAD, job_load.peak.max(DEFAULT_LOAD));
+        }
         let expected = job_load.forecast((elapsed + ahead) as f64);
         (expected, job_load.peak.max(expected))
     }
--- a/components/cell/tests/decisions/holds.rs
+++ b/components/cell/tests/decisions/holds.rs
@@ -6,7 +6,7 @@
         seals::{OTHER_JOB, UNREACHABLE},
     },
     job::{Address, Crashes, Id, Record, State, Step},
-    magpie_cell::{EndCause, Entry, Listing, Outcome, Refusal, RunEnd, Start},
+    magpie_cell::{EndCause, Entry, Listing, Outcome, Refusal, Run, RunEnd, Start},
     test_case::test_case,
 };
 
@@ -447,3 +447,40 @@
     });
     assert_eq!(waited, Some(1_000));
 }
+
+/// Guards against best-effort tasks that wait for the last trend of a serving job without readings.
+#[test]
+fn best_effort_task_starts_beside_serving_job_without_readings() {
+    let serving = Step {
+        lasting: true,
+        target: 50,
+        image: Some("s".into()),
+        ..step(1, 1_000)
+    };
+    let best_effort = Step {
+        fills: true,
+        image: Some("f".into()),
+        ..step(1, 500)
+    };
+    let mut world = World::new(&["w1"]);
+    world.submit(JOB, vec![serving]);
+    let (worker, start) = world.starts()[0].clone();
+    world.answer(&worker, &start, Outcome::Done);
+    let report = |world: &mut World, figure| {
+        let run = Run {
+            figure,
+            ..run(JOB, 0, 1)
+        };
+        world.report("w1", vec![run], vec![]);
+    };
+    for figure in [15, 15, 15, 16, 18, 20, 23, 27, 32, 38, 45] {
+        world.now += 500;
+        report(&mut world, figure);
+    }
+    world.submit(OTHER_JOB, vec![best_effort]);
+    let waited = world.time_to_start(OTHER_JOB, 0, 40_000, |world, _| report(world, 0));
+    assert!(
+        waited.is_some_and(|waited| waited <= MAX_IDLE),
+        "{waited:?}"
+    );
+}
