Tests: crashes that an owner does not observe are counted by nobody

What the callers may see: a task that crashes its workers is started more than five times, so that more workers and more runs of others are lost before its job fails.

If the owner ends before, the crash is in no record: the next owner knows neither that the run was started nor on which worker. Each takeover within that time hides one crash per task.

Evidence: the test sees 13 starts of at most 5 when ten owners in a row end 0.5 s after a start.

Not fixed: it needs a record of the start of a suspect's trial before the order is sent, which changes what a takeover rests on.

--- a/components/cell/tests/decisions/crashes.rs
+++ b/components/cell/tests/decisions/crashes.rs
@@ -132,6 +132,30 @@
     assert_eq!(sim.state(JOB), Some(State::Failed));
 }
 
+/// A task that crashes its workers must not start without limit if each owner ends before it
+/// observes the crash.
+#[test]
+fn unobserved_crashes_count_after_takeover() {
+    let mut sim = Sim::new(8, 1_000);
+    sim.submit(JOB, step(1, 1_000));
+    sim.crash_on_start(JOB, 0, CRASH_AFTER);
+    for term in 0..10 {
+        for _ in 0..100 {
+            if sim.start_count(JOB, 0) > term {
+                break;
+            }
+            sim.advance(100);
+        }
+        sim.advance(500);
+        let records = sim.records();
+        sim.take_over(&records);
+    }
+    sim.advance(20_000);
+    let starts = sim.start_count(JOB, 0);
+    assert!(starts <= MAX_STARTS, "{starts} starts");
+    assert_eq!(sim.state(JOB), Some(State::Failed));
+}
+
 /// Incarnations that crashed before a takeover must not be taken for a power failure. Otherwise the
 /// next crashes count as late ones: a task was started six times.
 #[test]
