Tests: unobserved crashes of a task that is suspected already

Two more cases of the listed test: the first owner observes one or two crashes, the next ones end 0.5 s after each start.

--- a/components/cell/tests/decisions/crashes.rs
+++ b/components/cell/tests/decisions/crashes.rs
@@ -133,15 +133,17 @@
 }
 
 /// A task that crashes its workers must not start without limit if each owner ends before it
-/// observes the crash.
-#[test]
-fn unobserved_crashes_count_after_takeover() {
+/// observes the crash. The first owner ends after it has observed some.
+#[test_case(0; "none observed")]
+#[test_case(1; "first observed")]
+#[test_case(2; "two observed")]
+fn unobserved_crashes_count_after_takeover(observed: u32) {
     let mut sim = Sim::new(8, 1_000);
     sim.submit(JOB, step(1, 1_000));
     sim.crash_on_start(JOB, 0, CRASH_AFTER);
     for term in 0..10 {
         for _ in 0..100 {
-            if sim.start_count(JOB, 0) > term {
+            if sim.start_count(JOB, 0) > observed + term {
                 break;
             }
             sim.advance(100);
