Soak: a job of which nothing runs beside room is a breach

The soak looked at long-running tasks only, once at the end. Now it samples every 0.1 s: with no fault for 4 s, and room twice over and under half of the cores in use for 3 s, an accepted job that nobody cancelled has a task running, or all its tasks have succeeded; a single long-running task is judged from 6 s after its last run. All of it is taken from what the workers recorded. Jobs with a task that crashes workers are left out; such crashes are no faults, so that jobs beside them are judged. Without time bounds the bound is 30 s. The summary counts the jobs and moments judged, and says so when there are none.

--- a/components/standin/src/runner.rs
+++ b/components/standin/src/runner.rs
@@ -345,6 +345,11 @@
         core.size = size;
     }
 
+    /// Returns true while the worker is down.
+    pub fn is_down(&self) -> bool {
+        lock(&self.core).is_down
+    }
+
     /// Returns the number of running tasks.
     pub fn running(&self) -> usize {
         let mut core = lock(&self.core);
--- a/programs/soak/src/history.rs
+++ b/programs/soak/src/history.rs
@@ -155,6 +155,11 @@
         }
     }
 
+    /// When the last fault so far ended; 0 without one.
+    pub fn calm_since(&self) -> Micros {
+        self.periods.last().map_or(0, |(_, end)| *end)
+    }
+
     /// True when no fault was active between `from` and `to`, both inclusive.
     pub fn is_fault_free(&self, from: Micros, to: Micros) -> bool {
         let mut periods = self.periods.iter();
--- a/programs/soak/src/main.rs
+++ b/programs/soak/src/main.rs
@@ -6,6 +6,7 @@
 mod fault;
 mod guard;
 mod history;
+mod idle;
 mod plan;
 mod process;
 mod report;
@@ -44,6 +45,8 @@
 const EXIT_SIGNAL: i32 = 130;
 /// Number of concurrent callers.
 const CALLERS: u64 = 4;
+/// The interval between two samples of jobs of which nothing runs.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
 /// The interval between two checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Workers that an owner polls directly, with even and with odd seeds: all, or so few that relays
@@ -141,6 +144,7 @@
         scope.spawn(|| exit_on_signal(world, &mut signals));
         scope.spawn(|| fault::watch_ready(world, &background));
         scope.spawn(|| check_until(world, &background));
+        scope.spawn(|| watch_idle(world, &load, &background));
         let idle = Signal::new();
         let other = idle.clone();
         let starter = scope.spawn(move || Player::new(world, &[]).run(Instant::now(), &other));
@@ -189,6 +193,14 @@
     }
 }
 
+/// Watches for jobs of which nothing runs until the signal is set.
+fn watch_idle(world: &World, load: &Signal, until: &Signal) {
+    while !until.is_stopped() {
+        world.watch_idle(load.is_stopped());
+        thread::sleep(SAMPLE_INTERVAL);
+    }
+}
+
 /// Kills all boxes and exits on SIGINT or SIGTERM.
 fn exit_on_signal(world: &World, signals: &mut Signals) {
     if signals.forever().next().is_none() {
--- a/programs/soak/src/report.rs
+++ b/programs/soak/src/report.rs
@@ -58,9 +58,15 @@
     let (runs, versions, crashes) = (world.runs().len(), world.latest(), world.crashes());
     let (stops, closures) = (world.judged_stops(), world.judged_closures());
     let breaches = world.breaches().len();
+    let idle = lock(&world.idle);
+    let (judged, closing, moments) = (idle.judged.len(), idle.closing.len(), idle.moments);
+    drop(idle);
     println!(
-        "seed {seed}: {breaches} breaches; {total} jobs, {accepted} accepted, {cancelled} cancelled; {runs} runs, {crashes} crashes under tasks, {stops} stops in calm; {closures} halls shut for long; {versions} versions; {stalls} stalls of the stand-ins"
+        "seed {seed}: {breaches} breaches; {total} jobs, {accepted} accepted, {cancelled} cancelled; {runs} runs, {crashes} crashes under tasks, {stops} stops in calm; {judged} jobs judged for standing still at {moments} moments, {closing} after the load; {closures} halls shut for long; {versions} versions; {stalls} stalls of the stand-ins"
     );
+    if judged == 0 {
+        println!("seed {seed}: no job was judged for standing still");
+    }
     if breaches > 0 {
         println!("seed {seed}: logs of the boxes lie in {}", logs.display());
     }
--- a/programs/soak/src/world.rs
+++ b/programs/soak/src/world.rs
@@ -4,6 +4,7 @@
     crate::{
         check::{self, Breach, Closure},
         history::{FaultPeriods, Jobs, Micros, NEVER, Run},
+        idle::{Capacity, IDLE_BOUND, IdleWatch, Sample, UNTIMED_BOUND},
         plan::HALLS,
         process::{Process, Program},
         versions::{ObservedVersion, VersionLog, render},
@@ -74,6 +75,8 @@
     observed: Mutex<HashMap<(usize, u64), ObservedVersion>>,
     closures: Mutex<Vec<Closure>>,
     breaches: Mutex<Vec<Breach>>,
+    /// Watches for jobs of which nothing runs.
+    pub idle: Mutex<IdleWatch>,
     /// Time bounds are checked.
     pub timed: bool,
 }
@@ -102,6 +105,10 @@
             observed: Mutex::default(),
             closures: Mutex::default(),
             breaches: Mutex::default(),
+            idle: Mutex::new(IdleWatch::new(match timed {
+                true => IDLE_BOUND,
+                false => UNTIMED_BOUND,
+            })),
             timed,
         };
         for number in 0..workers {
@@ -218,7 +225,7 @@
         let workers = (hall..self.workers.len()).step_by(HALLS);
         lock(&self.closures).push(Closure {
             hall: name,
-            workers: workers.map(|number| format!("w{number}-")).collect(),
+            workers: workers.map(worker_prefix).collect(),
             closed: closed_at,
             opened: NEVER,
         });
@@ -353,14 +360,52 @@
     /// Number of free cores on all workers.
     pub fn free_cores(&self) -> usize {
         let runs = self.runs();
-        let mut free_cores = 0;
+        let all = 0..self.workers.len();
+        all.map(|number| self.capacity(number, &runs).free).sum()
+    }
+
+    /// The cores of a worker.
+    fn capacity(&self, number: usize, runs: &[Run]) -> Capacity {
+        let incarnation = self.incarnation(number);
+        let is_active = |run: &&Run| run.worker == incarnation && run.ended == NEVER;
+        let used = runs.iter().filter(is_active).count();
+        let total = self.workers[number].runner.cores() as usize;
+        let free = total.saturating_sub(used);
+        Capacity { total, free }
+    }
+
+    /// The cores of all workers that are up and in halls that are not closed.
+    fn open_capacity(&self, runs: &[Run]) -> Capacity {
+        let mut sum = Capacity::default();
         for (number, worker) in self.workers.iter().enumerate() {
-            let incarnation = self.incarnation(number);
-            let is_active = |run: &&Run| run.worker == incarnation && run.ended == NEVER;
-            let used = runs.iter().filter(is_active).count();
-            free_cores += (worker.runner.cores() as usize).saturating_sub(used);
+            let prefix = worker_prefix(number);
+            let is_closing = |own: &Closure| own.opened == NEVER && own.workers.contains(&prefix);
+            if worker.runner.is_down() || lock(&self.closures).iter().any(is_closing) {
+                continue;
+            }
+            let Capacity { total, free } = self.capacity(number, runs);
+            sum.total += total;
+            sum.free += free;
+        }
+        sum
+    }
+
+    /// Looks for jobs of which nothing runs although there is room.
+    pub fn watch_idle(&self, is_closing: bool) {
+        let now = self.now();
+        let (jobs, runs) = (lock(&self.jobs).clone(), self.runs());
+        let sample = Sample {
+            now,
+            calm_since: lock(&self.fault_log).any.calm_since(),
+            capacity: self.open_capacity(&runs),
+            jobs: &jobs,
+            runs: &runs,
+            is_closing,
+        };
+        let found = lock(&self.idle).take(&sample);
+        for breach in found {
+            self.record_breach(breach);
         }
-        free_cores
     }
 
     /// All runs of tasks so far.
@@ -447,6 +492,11 @@
     format!("h{hall}")
 }
 
+/// The prefix of the ids of all incarnations of a worker.
+fn worker_prefix(number: usize) -> String {
+    format!("w{number}-")
+}
+
 fn foreign_key(kind: usize) -> String {
     format!("servers/x-{kind}")
 }
