Soak: the run may end with a loss of power of all boxes and workers

Both go on with jobs for 10 s once the long-running ones are cancelled, so that most cores are free and the check of jobs that stand still applies at the end; with half of the seeds some of these jobs crash workers. The faults come from a random generator of their own, and without the option runs are as before.

--- a/components/standin/src/runner.rs
+++ b/components/standin/src/runner.rs
@@ -285,6 +285,16 @@
         core.is_down = false;
     }
 
+    /// Takes the power from the worker: its tasks end, and it is down until
+    /// [`Runner::restart_without_entry`].
+    pub fn power_off(&self) {
+        let mut core = lock(&self.core);
+        core.end_all();
+        // The incarnation ends here: a restart that is due after a crash does not apply any more.
+        core.started_at = wall_clock::millis().max(core.started_at + 1);
+        core.is_down = true;
+    }
+
     /// Updates the start time in the store entry to that of the current incarnation.
     pub fn update_entry(&self) {
         let id = self.id();
--- a/programs/soak/src/callers.rs
+++ b/programs/soak/src/callers.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        CALLERS,
         history::{Exchange, Job, NEVER, RequestKind},
         versions::{ALWAYS, KEPT},
         world::{World, send},
@@ -9,7 +10,10 @@
     fastrand::Rng,
     kernel::{Client, sync::lock, task::Signal},
     serde_json::{Value, json},
-    std::{thread, time::Duration},
+    std::{
+        thread,
+        time::{Duration, Instant},
+    },
 };
 
 /// The pause between two actions of a caller, in milliseconds.
@@ -21,6 +25,9 @@
 const LONG_TASK: std::ops::Range<u64> = 2_000..8_000;
 /// One job in this many of the first caller crashes its workers.
 const CRASHING_ONE_IN: u64 = 12;
+/// Duration of the tasks of the last jobs, in milliseconds: some jobs go on for longer than the boxes
+/// need to be ready again.
+const CLOSING_TASK: std::ops::Range<u64> = 50..3_000;
 /// Maximum number of long-running jobs per caller.
 const MAX_LONG_RUNNING: usize = 2;
 /// Duration of a long-running task, in milliseconds: longer than any run.
@@ -56,6 +63,11 @@
         }
     }
 
+    /// Creates a caller of the last jobs, for one of several phases.
+    pub fn for_closing(world: &'a World, seed: u64, phase: u64) -> Self {
+        Caller::new(world, seed, CALLERS + phase)
+    }
+
     /// Performs random actions until the signal is set.
     pub fn run(&mut self, until: &Signal) {
         while !until.is_stopped() {
@@ -103,23 +115,47 @@
         self.submitted.push(id);
     }
 
+    /// Submits a job of one to three steps, until it is accepted or for `time`.
+    pub fn submit_closing(&mut self, time: Duration, is_crashing: bool) {
+        let steps = (0..self.rng.u64(1..4)).map(|_| self.rng.u32(1..3));
+        let steps: Vec<u32> = steps.collect();
+        let millis = self.rng.u64(CLOSING_TASK);
+        let (mut job, mut body) = self.job(steps, millis, false);
+        if is_crashing {
+            self.make_crashing(&mut job, &mut body);
+        }
+        let id = job.id.clone();
+        lock(&self.world.jobs).insert(id.clone(), job);
+        let started = Instant::now();
+        while started.elapsed() < time {
+            let (to, kind) = (self.target(), RequestKind::Submit);
+            if send_request(self.world, &self.client, to, &id, kind, Some(&body)) == 200 {
+                return;
+            }
+            thread::sleep(RETRY_PAUSE);
+        }
+    }
+
     /// Draws a job, sometimes with a task that crashes its workers.
     fn draw_job(&mut self) -> (Job, Value) {
         let (mut job, mut body) = self.draw_ordinary();
         let is_crashing = self.crash_rng.u64(0..CRASHING_ONE_IN) == 0 && self.number == 0;
         if is_crashing && !job.long_running {
-            let step = self.crash_rng.usize(0..job.steps.len());
-            let index = self.crash_rng.u32(0..job.steps[step]);
-            body["specification"] = format!("crash={step}.{index}").into();
-            job.crashing = Some((step, index));
+            self.make_crashing(&mut job, &mut body);
         }
         (job, body)
     }
 
+    /// Has one task of the job crash its workers.
+    fn make_crashing(&mut self, job: &mut Job, body: &mut Value) {
+        let step = self.crash_rng.usize(0..job.steps.len());
+        let index = self.crash_rng.u32(0..job.steps[step]);
+        body["specification"] = format!("crash={step}.{index}").into();
+        job.crashing = Some((step, index));
+    }
+
     /// Draws a job with short tasks, longer tasks in dependent steps, or long-running tasks.
     fn draw_ordinary(&mut self) -> (Job, Value) {
-        self.count += 1;
-        let id = format!("{:08x}{:08x}", self.number + 1, self.count);
         let long_running = self.long_running.len() < MAX_LONG_RUNNING && self.rng.u64(0..12) == 0;
         let (steps, millis) = match self.rng.u64(0..12) {
             _ if long_running => (vec![self.rng.u32(1..3)], LONG_RUNNING_MS),
@@ -130,9 +166,17 @@
             ),
             _ => (vec![self.rng.u32(1..4)], self.rng.u64(10..400)),
         };
+        let (job, body) = self.job(steps, millis, long_running);
         if long_running {
-            self.long_running.push(id.clone());
+            self.long_running.push(job.id.clone());
         }
+        (job, body)
+    }
+
+    /// The next job of this caller.
+    fn job(&mut self, steps: Vec<u32>, millis: u64, long_running: bool) -> (Job, Value) {
+        self.count += 1;
+        let id = format!("{:08x}{:08x}", self.number + 1, self.count);
         let mut steps_json = Vec::new();
         for (index, count) in steps.iter().enumerate() {
             let after: Vec<usize> = index.checked_sub(1).into_iter().collect();
--- a/programs/soak/src/cli.rs
+++ b/programs/soak/src/cli.rs
@@ -1,6 +1,6 @@
 //! Command-line arguments.
 
-use {argh::FromArgs, std::path::PathBuf};
+use {crate::closing::Closing, argh::FromArgs, std::path::PathBuf};
 
 /// Runs real boxes against a simulated store and workers, injects faults derived from the seed
 /// alone, and checks what callers and workers observe. Exits with 1 on any breach.
@@ -30,6 +30,10 @@
     /// such restarts)
     #[argh(option)]
     pub reborn: Option<u64>,
+    /// how the run ends: with `calm` last jobs follow on the load, with `power-loss` all boxes and
+    /// workers also lose power right after one was accepted (default: no further jobs)
+    #[argh(option)]
+    pub closing: Option<Closing>,
     /// the box executable (default: magpie-box beside this program)
     #[argh(option, long = "box")]
     pub program: Option<PathBuf>,
--- /dev/null
+++ b/programs/soak/src/closing.rs
@@ -0,0 +1,148 @@
+//! The end of a run: last jobs, with or without a final loss of power of all boxes and workers right
+//! after a job was accepted, and jobs in the calm that follows.
+
+use {
+    crate::{
+        callers::Caller,
+        fault::Player,
+        plan::{Event, Fault},
+        settle,
+        world::World,
+    },
+    anyhow::Result,
+    fastrand::Rng,
+    kernel::task::Signal,
+    std::{
+        str::FromStr,
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Salt of the random generators.
+const SALT: u64 = 0x706f_7765;
+/// Number of jobs that are submitted before the power is lost.
+const JOBS: std::ops::Range<u64> = 3..7;
+/// The pause between two of them, in milliseconds.
+const PAUSE: std::ops::Range<u64> = 0..300;
+/// Time from the last acceptance to the loss of power, in milliseconds; often none.
+const DELAY: std::ops::Range<u64> = 1..1_000;
+/// How long a box stays down, in milliseconds.
+const BOX_DOWNTIME: std::ops::Range<u64> = 200..3_000;
+/// How long a worker stays down, in milliseconds.
+const WORKER_DOWNTIME: std::ops::Range<u64> = 200..5_000;
+/// The duration of the load in the calm: it goes on until the checks that need a calm apply.
+const CALM_TIME: Duration = Duration::from_secs(10);
+/// The same where time bounds are not checked.
+const UNTIMED_CALM_TIME: Duration = Duration::from_secs(2);
+/// The pause between two jobs in the calm, in milliseconds.
+const CALM_PAUSE: std::ops::Range<u64> = 200..900;
+/// One job in this many crashes workers in the calm, with half of the seeds.
+const CRASHING_ONE_IN: u64 = 8;
+
+/// How a run ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Closing {
+    /// Without a further fault.
+    Calm,
+    /// All boxes and workers lose power.
+    PowerLoss,
+}
+
+impl FromStr for Closing {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "calm" => Ok(Closing::Calm),
+            "power-loss" => Ok(Closing::PowerLoss),
+            _ => Err("expected calm or power-loss".to_owned()),
+        }
+    }
+}
+
+/// Draws the final faults. Their time 0 is the acceptance of the last job.
+pub fn draw(closing: Option<Closing>, seed: u64, boxes: usize, workers: usize) -> Vec<Event> {
+    if closing != Some(Closing::PowerLoss) {
+        return Vec::new();
+    }
+    let mut rng = Rng::with_seed(seed ^ SALT);
+    let at = match rng.u64(0..3) {
+        0 => rng.u64(DELAY),
+        _ => 0,
+    };
+    // Whether workers keep their names is a property of the platform, not of one worker.
+    let keeps_name = rng.bool();
+    let off = (0..workers).map(|number| Event {
+        at,
+        duration: rng.u64(WORKER_DOWNTIME),
+        fault: Fault::PowerOff(number, keeps_name),
+    });
+    let mut plan: Vec<Event> = off.collect();
+    plan.extend((0..boxes).map(|number| Event {
+        at,
+        duration: rng.u64(BOX_DOWNTIME),
+        fault: Fault::Kill(number),
+    }));
+    plan
+}
+
+/// Submits the last jobs, then applies the final faults until they are over. The player goes on
+/// restarting boxes when it is run again.
+///
+/// # Errors
+///
+/// A box cannot be started.
+pub fn run<'a>(world: &'a World, seed: u64, plan: &'a [Event]) -> Result<Player<'a>> {
+    let mut rng = Rng::with_seed(seed ^ SALT);
+    let mut caller = Caller::for_closing(world, seed, 0);
+    for _ in 0..rng.u64(JOBS) {
+        thread::sleep(Duration::from_millis(rng.u64(PAUSE)));
+        caller.submit_closing(settle::timeout(world), false);
+    }
+    let mut player = Player::new(world, plan);
+    let over = Signal::new();
+    over.stop();
+    player.run(Instant::now(), &over)?;
+    Ok(player)
+}
+
+/// Submits jobs in the calm after the last fault, few enough to leave most cores free.
+pub fn run_calm(world: &World, seed: u64) {
+    let mut rng = Rng::with_seed(seed ^ !SALT);
+    let mut caller = Caller::for_closing(world, seed, 1);
+    let time = match world.timed {
+        true => CALM_TIME,
+        false => UNTIMED_CALM_TIME,
+    };
+    let has_crashes = rng.bool();
+    let started = Instant::now();
+    while started.elapsed() < time {
+        let is_crashing = rng.u64(0..CRASHING_ONE_IN) == 0 && has_crashes;
+        caller.submit_closing(settle::timeout(world), is_crashing);
+        thread::sleep(Duration::from_millis(rng.u64(CALM_PAUSE)));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn draw_hits_all_at_once() {
+        let closing = Some(Closing::PowerLoss);
+        let mut names = std::collections::HashSet::new();
+        for seed in 0..50 {
+            let plan = draw(closing, seed, 3, 6);
+            assert_eq!(plan.len(), 9);
+            assert!(plan.iter().all(|event| event.at == plan[0].at));
+            assert_eq!(plan, draw(closing, seed, 3, 6));
+            for event in plan {
+                if let Fault::PowerOff(_, keeps_name) = event.fault {
+                    names.insert(keeps_name);
+                }
+            }
+        }
+        assert_eq!(names.len(), 2);
+    }
+}
--- a/programs/soak/src/fault.rs
+++ b/programs/soak/src/fault.rs
@@ -49,14 +49,14 @@
         }
     }
 
-    /// Applies the plan until the signal is set. `started` is the time 0 of the plan.
+    /// Applies the plan until it is over and the signal is set. `started` is the time 0 of the plan.
     ///
     /// # Errors
     ///
     /// A box cannot be started.
     pub fn run(&mut self, started: Instant, until: &Signal) -> Result<()> {
         let mut last = Instant::now();
-        while !until.is_stopped() {
+        while !until.is_stopped() || !self.is_over() {
             self.step(started.elapsed().as_millis() as u64)?;
             if last.elapsed() > STALL_THRESHOLD {
                 self.stalls += 1;
@@ -70,6 +70,10 @@
         Ok(())
     }
 
+    fn is_over(&self) -> bool {
+        self.next == self.plan.len() && self.active.is_empty()
+    }
+
     fn step(&mut self, now: u64) -> Result<()> {
         let mut started = Vec::new();
         while let Some(event) = self.plan.get(self.next) {
@@ -144,6 +148,7 @@
                 self.stale.insert(index, world.crash(number));
             }
             Fault::Reborn(number, is_entry_late) => world.restart_same_id(number, is_entry_late),
+            Fault::PowerOff(number, _) => world.workers[number].runner.power_off(),
             Fault::CallsLate(number, count) => world.workers[number].runner.defer_calls(count),
             Fault::Unlisted(number) => world.remove_entry(&world.incarnation(number)),
             Fault::Shut(hall) => world.close_hall(hall),
@@ -169,6 +174,11 @@
             Fault::Unlisted(number) | Fault::Garbled(number) | Fault::Reborn(number, _) => {
                 self.world.write_entry(number);
             }
+            Fault::PowerOff(number, true) => self.world.restart_same_id(number, false),
+            Fault::PowerOff(number, false) => {
+                let former = self.world.crash(number);
+                self.world.remove_entry(&former);
+            }
             Fault::CallsLate(number, _) => self.world.workers[number].runner.run_deferred(),
             Fault::Shrunk(number, _) => self.world.resize(number, CORES),
             Fault::Foreign(kind) => self.world.remove_foreign(kind),
--- a/programs/soak/src/main.rs
+++ b/programs/soak/src/main.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod check;
 mod cli;
+mod closing;
 mod fault;
 mod guard;
 mod history;
@@ -31,7 +32,7 @@
         path::PathBuf,
         process as system,
         sync::Arc,
-        thread,
+        thread::{self, ScopedJoinHandle},
         time::{Duration, Instant},
     },
     world::World,
@@ -87,8 +88,17 @@
         arguments.workers,
         arguments.reborn,
     );
+    let final_plan = closing::draw(
+        arguments.closing,
+        arguments.seed,
+        arguments.boxes,
+        arguments.workers,
+    );
     if arguments.plan {
         plan.iter().for_each(|event| println!("{event}"));
+        final_plan
+            .iter()
+            .for_each(|event| println!("after the load: {event}"));
         return Ok(0);
     }
     let program = program(arguments)?;
@@ -98,7 +108,7 @@
         arguments.workers,
         !arguments.untimed,
     )?;
-    let stalls = run_world(&world, arguments.seed, time, &plan)?;
+    let stalls = run_world(&world, arguments, &plan, &final_plan)?;
     world.check();
     let breaches = world.breaches();
     for breach in &breaches {
@@ -136,7 +146,14 @@
 }
 
 /// Runs boxes, callers, faults and checks. Returns how often the soak process itself stalled.
-fn run_world(world: &World, seed: u64, time: Duration, plan: &[Event]) -> Result<u32> {
+fn run_world(
+    world: &World,
+    arguments: &cli::Arguments,
+    plan: &[Event],
+    final_plan: &[Event],
+) -> Result<u32> {
+    let (seed, closing) = (arguments.seed, arguments.closing);
+    let time = Duration::from_secs(arguments.seconds);
     let (load, background) = (Signal::new(), Signal::new());
     let mut signals = Signals::new([SIGINT, SIGTERM])?;
     let handle = signals.handle();
@@ -152,8 +169,9 @@
         idle.stop();
         let started = starter.join();
         let started_at = Instant::now();
-        let until = background.clone();
-        let player = scope.spawn(move || {
+        let faults = Signal::new();
+        let until = faults.clone();
+        let first = scope.spawn(move || {
             let mut player = Player::new(world, plan);
             player.run(started_at, &until).map(|()| player.stalls)
         });
@@ -168,15 +186,33 @@
                 world.report_breach("soak", "caller", "the caller panicked".to_owned());
             }
         }
-        settle::run(world);
+        let mut players = vec![first];
+        if closing.is_some() && settle::wait_ready(world) {
+            faults.stop();
+            // Otherwise it could restart a box without power.
+            while !players[0].is_finished() {
+                thread::sleep(SAMPLE_INTERVAL);
+            }
+            let until = background.clone();
+            let player = closing::run(world, seed, final_plan);
+            players.push(scope.spawn(move || {
+                let mut player = player?;
+                player.run(Instant::now(), &until).map(|()| player.stalls)
+            }));
+        }
+        settle::run(world, closing.map(|_| seed));
+        faults.stop();
         background.stop();
         handle.close();
-        (started, player.join())
+        let mut all = vec![started.map(|started| started.map(|()| 0))];
+        all.extend(players.into_iter().map(ScopedJoinHandle::join));
+        all
     });
-    match stalls {
-        (Ok(started), Ok(stalls)) => started.and(stalls),
-        _ => anyhow::bail!("a thread of the soak panicked"),
+    let mut sum = 0;
+    for own in stalls {
+        sum += own.map_err(|_| anyhow::anyhow!("a thread of the soak panicked"))??;
     }
+    Ok(sum)
 }
 
 /// Keeps the load on for `time`, then stops it.
--- a/programs/soak/src/plan.rs
+++ b/programs/soak/src/plan.rs
@@ -86,6 +86,8 @@
     /// A worker crashes and restarts under its former id; its entry is updated at once, or at the
     /// end if the flag is true.
     Reborn(usize, bool),
+    /// A worker loses power and comes back at the end: under its former id if the flag is true.
+    PowerOff(usize, bool),
     /// A worker does not respond to this many calls, and executes them at the end.
     CallsLate(usize, u32),
     /// A worker refuses starts.
--- a/programs/soak/src/settle.rs
+++ b/programs/soak/src/settle.rs
@@ -2,7 +2,7 @@
 //! states.
 
 use {
-    crate::{callers::send_request, check, history::RequestKind, world::World},
+    crate::{callers::send_request, check, closing, history::RequestKind, world::World},
     kernel::{Client, sync::lock},
     std::{
         thread,
@@ -16,7 +16,8 @@
 const UNTIMED_TIMEOUT: Duration = Duration::from_secs(240);
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-fn timeout(world: &World) -> Duration {
+/// Time for the jobs to end.
+pub fn timeout(world: &World) -> Duration {
     if world.timed {
         TIMEOUT
     } else {
@@ -42,16 +43,17 @@
 }
 
 /// Waits until all jobs have ended, and checks that each box reports the end of each accepted job.
-pub fn run(world: &World) {
+/// With `calm_seed` more jobs are submitted once the long-running ones are cancelled.
+pub fn run(world: &World, calm_seed: Option<u64>) {
     let client = Client::new(None);
     if !wait_ready(world) {
         return;
     }
     wait_long_running(world);
-    let started = Instant::now();
-    let is_late = || started.elapsed() > timeout(world);
+    let mut started = Instant::now();
+    let is_late = |started: Instant| started.elapsed() > timeout(world);
     for (id, is_accepted) in long_running(world) {
-        while !is_late() {
+        while !is_late(started) {
             let status = send_request(world, &client, 0, &id, RequestKind::Cancel, None);
             if status == 200 || status == 410 && !is_accepted {
                 break;
@@ -59,10 +61,14 @@
             thread::sleep(POLL_INTERVAL);
         }
     }
+    if let Some(seed) = calm_seed {
+        closing::run_calm(world, seed);
+        started = Instant::now();
+    }
     for id in accepted(world) {
         for number in 0..world.boxes.len() {
             while !has_ended(world, &client, number, &id) {
-                if is_late() {
+                if is_late(started) {
                     let last = lock(&world.jobs)[&id].exchanges.last().cloned();
                     let text = format!("not ended at the end, as b{number} shows: {last:?}");
                     world.report_breach("unfinished", &id, text);
--- a/programs/soak/tests/seeds.rs
+++ b/programs/soak/tests/seeds.rs
@@ -53,6 +53,14 @@
     run_soak(seed, &["--reborn", "10000"]);
 }
 
+/// At the end all boxes and workers lose power at once, right after a job was accepted. Workers come
+/// back under new names or under their former ids.
+#[test_case(9; "new names")]
+#[test_case(11; "former ids")]
+fn seed_with_power_loss_finds_no_breach(seed: u64) {
+    run_soak(seed, &["--seconds", "1", "--closing", "power-loss"]);
+}
+
 /// Seed 215 guards against blaming a task for crashes that other tasks caused: a task of a few
 /// seconds reached the crash limit, and its job failed, after five crashes of workers under
 /// suspected tasks of other jobs on trial beside it. Seed 282 guards against a worker entry that
