Soak: some workers never come back from the final loss of power

With one seed in three up to a third of the workers stay down and are taken off the listing, so that the new owner has to prove their end by their leases alone. Cores of workers that are down count as free nowhere.

--- a/programs/soak/src/closing.rs
+++ b/programs/soak/src/closing.rs
@@ -31,6 +31,8 @@
 const BOX_DOWNTIME: std::ops::Range<u64> = 200..3_000;
 /// How long a worker stays down, in milliseconds.
 const WORKER_DOWNTIME: std::ops::Range<u64> = 200..5_000;
+/// With one seed in this many some workers stay down, and one of this many workers at most.
+const GONE_ONE_IN: usize = 3;
 /// The duration of the load in the calm: it goes on until the checks that need a calm apply.
 const CALM_TIME: Duration = Duration::from_secs(10);
 /// The same where time bounds are not checked.
@@ -84,6 +86,16 @@
         duration: rng.u64(BOX_DOWNTIME),
         fault: Fault::Kill(number),
     }));
+    if rng.usize(0..GONE_ONE_IN) == 0 {
+        for event in &mut plan[..workers / GONE_ONE_IN] {
+            let Fault::PowerOff(number, _) = event.fault else {
+                continue;
+            };
+            if rng.bool() {
+                event.fault = Fault::Gone(number);
+            }
+        }
+    }
     plan
 }
 
@@ -132,17 +144,21 @@
     fn draw_hits_all_at_once() {
         let closing = Some(Closing::PowerLoss);
         let mut names = std::collections::HashSet::new();
+        let mut gone = 0;
         for seed in 0..50 {
             let plan = draw(closing, seed, 3, 6);
             assert_eq!(plan.len(), 9);
             assert!(plan.iter().all(|event| event.at == plan[0].at));
             assert_eq!(plan, draw(closing, seed, 3, 6));
             for event in plan {
-                if let Fault::PowerOff(_, keeps_name) = event.fault {
-                    names.insert(keeps_name);
+                match event.fault {
+                    Fault::PowerOff(_, keeps_name) => drop(names.insert(keeps_name)),
+                    Fault::Gone(_) => gone += 1,
+                    _ => {}
                 }
             }
         }
         assert_eq!(names.len(), 2);
+        assert!((1..50).contains(&gone));
     }
 }
--- a/programs/soak/src/fault.rs
+++ b/programs/soak/src/fault.rs
@@ -148,7 +148,9 @@
                 self.stale.insert(index, world.crash(number));
             }
             Fault::Reborn(number, is_entry_late) => world.restart_same_id(number, is_entry_late),
-            Fault::PowerOff(number, _) => world.workers[number].runner.power_off(),
+            Fault::PowerOff(number, _) | Fault::Gone(number) => {
+                world.workers[number].runner.power_off()
+            }
             Fault::CallsLate(number, count) => world.workers[number].runner.defer_calls(count),
             Fault::Unlisted(number) => world.remove_entry(&world.incarnation(number)),
             Fault::Shut(hall) => world.close_hall(hall),
@@ -179,6 +181,7 @@
                 let former = self.world.crash(number);
                 self.world.remove_entry(&former);
             }
+            Fault::Gone(number) => self.world.remove_entry(&self.world.incarnation(number)),
             Fault::CallsLate(number, _) => self.world.workers[number].runner.run_deferred(),
             Fault::Shrunk(number, _) => self.world.resize(number, CORES),
             Fault::Foreign(kind) => self.world.remove_foreign(kind),
--- a/programs/soak/src/plan.rs
+++ b/programs/soak/src/plan.rs
@@ -88,6 +88,8 @@
     Reborn(usize, bool),
     /// A worker loses power and comes back at the end: under its former id if the flag is true.
     PowerOff(usize, bool),
+    /// A worker loses power and stays down; its entry is removed at the end.
+    Gone(usize),
     /// A worker does not respond to this many calls, and executes them at the end.
     CallsLate(usize, u32),
     /// A worker refuses starts.
--- a/programs/soak/src/world.rs
+++ b/programs/soak/src/world.rs
@@ -357,10 +357,11 @@
         }
     }
 
-    /// Number of free cores on all workers.
+    /// Number of free cores on all workers that are up.
     pub fn free_cores(&self) -> usize {
         let runs = self.runs();
-        let all = 0..self.workers.len();
+        let is_up = |number: &usize| !self.workers[*number].runner.is_down();
+        let all = (0..self.workers.len()).filter(is_up);
         all.map(|number| self.capacity(number, &runs).free).sum()
     }
 
