--- a/programs/soak/src/closing.rs
+++ b/programs/soak/src/closing.rs
@@ -34,13 +34,14 @@
 /// With one seed in this many some workers stay down, and one of this many workers at most.
 const GONE_ONE_IN: usize = 3;
 /// The duration of the load in the calm: it goes on until the checks that need a calm apply.
-const CALM_TIME: Duration = Duration::from_secs(10);
+const CALM_TIME: Duration = Duration::from_secs(12);
 /// The same where time bounds are not checked.
 const UNTIMED_CALM_TIME: Duration = Duration::from_secs(2);
 /// The pause between two jobs in the calm, in milliseconds.
 const CALM_PAUSE: std::ops::Range<u64> = 200..900;
-/// One job in this many crashes workers in the calm, with half of the seeds.
-const CRASHING_ONE_IN: u64 = 8;
+/// With half of the seeds this one of the jobs in the calm crashes workers. More would keep so many
+/// workers down that there is no room.
+const CRASHING_JOB: usize = 4;
 
 /// How a run ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -129,9 +130,14 @@
     };
     let has_crashes = rng.bool();
     let started = Instant::now();
-    while started.elapsed() < time {
-        let is_crashing = rng.u64(0..CRASHING_ONE_IN) == 0 && has_crashes;
-        caller.submit_closing(settle::timeout(world), is_crashing);
+    for number in 0.. {
+        if started.elapsed() >= time {
+            break;
+        }
+        caller.submit_closing(
+            settle::timeout(world),
+            has_crashes && number == CRASHING_JOB,
+        );
         thread::sleep(Duration::from_millis(rng.u64(CALM_PAUSE)));
     }
 }
