--- a/programs/soak/src/closing.rs
+++ b/programs/soak/src/closing.rs
@@ -11,7 +11,7 @@
     },
     anyhow::Result,
     fastrand::Rng,
-    kernel::task::Signal,
+    kernel::{sync::lock, task::Signal},
     std::{
         str::FromStr,
         thread,
@@ -33,8 +33,12 @@
 const WORKER_DOWNTIME: std::ops::Range<u64> = 200..5_000;
 /// With one seed in this many some workers stay down, and one of this many workers at most.
 const GONE_ONE_IN: usize = 3;
-/// The duration of the load in the calm: it goes on until the checks that need a calm apply.
+/// The duration of the load in the calm.
 const CALM_TIME: Duration = Duration::from_secs(12);
+/// It goes on for longer, up to this time, until the check of jobs that stand still has applied at
+/// `MIN_MOMENTS` moments.
+const MAX_CALM_TIME: Duration = Duration::from_secs(30);
+const MIN_MOMENTS: usize = 50;
 /// The same where time bounds are not checked.
 const UNTIMED_CALM_TIME: Duration = Duration::from_secs(2);
 /// The pause between two jobs in the calm, in milliseconds.
@@ -124,14 +128,17 @@
 pub fn run_calm(world: &World, seed: u64) {
     let mut rng = Rng::with_seed(seed ^ !SALT);
     let mut caller = Caller::for_closing(world, seed, 1);
-    let time = match world.timed {
-        true => CALM_TIME,
-        false => UNTIMED_CALM_TIME,
+    let is_over = |time: Duration| {
+        let is_judged = || lock(&world.idle).moments >= MIN_MOMENTS || time >= MAX_CALM_TIME;
+        match world.timed {
+            true => time >= CALM_TIME && is_judged(),
+            false => time >= UNTIMED_CALM_TIME,
+        }
     };
     let has_crashes = rng.bool();
     let started = Instant::now();
     for number in 0.. {
-        if started.elapsed() >= time {
+        if is_over(started.elapsed()) {
             break;
         }
         caller.submit_closing(
