--- a/components/standin/src/runner.rs
+++ b/components/standin/src/runner.rs
@@ -288,6 +288,16 @@
         core.is_down = false;
     }
 
+    /// Takes the power from the worker: its tasks end, and it is down until
+    /// [`Runner::restart_without_entry`].
+    pub fn power_off(&self) {
+        let mut core = lock(&self.core);
+        core.end_all();
+        // The incarnation ends here: a restart that is due after a crash does not apply any more.
+        core.started_at = wall_clock::millis().max(core.started_at + 1);
+        core.is_down = true;
+    }
+
     /// Updates the start time in the store entry to that of the current incarnation.
     pub fn update_entry(&self) {
         let id = self.id();
@@ -348,6 +358,11 @@
         core.size = size;
     }
 
+    /// Returns true while the worker is down.
+    pub fn is_down(&self) -> bool {
+        lock(&self.core).is_down
+    }
+
     /// Returns the number of running tasks.
     pub fn running(&self) -> usize {
         let mut core = lock(&self.core);
