--- a/components/cell/tests/decisions/net_sim.rs
+++ b/components/cell/tests/decisions/net_sim.rs
@@ -597,6 +597,9 @@
                     stalls.note_loss(job, *address, now);
                 }
             }
+            if let Some(stalls) = &mut self.stalls {
+                stalls.note_lost_ends(&machine.ended);
+            }
             machine.runs.clear();
             machine.ended.clear();
             machine.ended_at.clear();
--- a/components/cell/tests/decisions/net_sim/stalls.rs
+++ b/components/cell/tests/decisions/net_sim/stalls.rs
@@ -4,7 +4,7 @@
 use {
     super::{Event, NetSim, PASS_INTERVAL, TaskId, Violation, advice, machine::Machine, operators},
     job::{Address, Id, State, Step, Submission},
-    magpie_cell::EndCause,
+    magpie_cell::{EndCause, RunEnd},
     std::collections::{HashMap, HashSet},
 };
 
@@ -30,6 +30,8 @@
     idle: HashMap<Id, u64>,
     /// Tasks that have completed, whether or not the owner knows.
     done: HashSet<TaskId>,
+    /// Jobs with ends that were lost with their worker: the owner may not have heard of them.
+    uncertain: HashSet<Id>,
     /// Failed runs, and lost ones, by task.
     failures: HashMap<TaskId, u32>,
     losses: HashMap<(Id, Address), u32>,
@@ -45,14 +47,21 @@
         self.lost.insert(job.clone(), now);
         *self.losses.entry((job.clone(), address)).or_default() += 1;
     }
+
+    /// Notes that a worker was lost with these ends.
+    pub fn note_lost_ends(&mut self, ends: &[RunEnd]) {
+        self.uncertain
+            .extend(ends.iter().map(|end| end.job.clone()));
+    }
 }
 
 impl NetSim {
-    /// Checks for stalled jobs from now on. Machines are in three data halls, and tasks run for as
-    /// long as estimated, times the length of tasks in seconds.
-    pub fn check_for_stalls(&mut self) {
+    /// Checks for stalled jobs from now on. Machines are in three data halls and in racks of this
+    /// size, and tasks run for as long as estimated, times the length of tasks in seconds.
+    pub fn check_for_stalls(&mut self, rack_size: usize) {
         self.stalls = Some(Stalls::default());
         for (number, machine) in self.machines.iter_mut().enumerate() {
+            machine.rack = number / rack_size;
             machine.hall = operators::hall(number % 3);
         }
         self.list();
@@ -138,7 +147,10 @@
         for submission in &self.jobs {
             let id = &submission.id;
             let is_over = self.cell.state(id).is_some_and(State::is_final)
-                || self.persisted.get(id).is_some_and(|job| job.state.is_final());
+                || self
+                    .persisted
+                    .get(id)
+                    .is_some_and(|job| job.state.is_final());
             let is_waiting = is_free
                 && !is_over
                 && !submission.spec.is_long_running()
@@ -191,6 +203,11 @@
                 stalls.done.contains(&(submission.id.clone(), place))
             })
         };
+        // If the owner has not heard of all ends, it runs some tasks again.
+        let is_uncertain = stalls.uncertain.contains(&submission.id);
+        if is_uncertain && self.now < spec.due(spec.times() - 1) {
+            return false;
+        }
         let mut is_known = false;
         for time in 0..spec.times() {
             if self.now < spec.due(time) {
@@ -203,15 +220,14 @@
                     continue;
                 }
                 is_known = true;
-                if self.has_capacity_twice(submission, number, step) {
+                if !is_uncertain && self.has_capacity_twice(submission, number, step) {
                     return true;
                 }
             }
         }
-        // If the owner has not heard of all ends, it runs some tasks again.
-        let has_started = spec.timetable.is_none() && !is_known;
         let mut steps = (0..).zip(&spec.steps);
-        has_started && steps.all(|(number, step)| self.has_capacity_twice(submission, number, step))
+        (is_uncertain || (!is_known && spec.timetable.is_none()))
+            && steps.all(|(number, step)| self.has_capacity_twice(submission, number, step))
     }
 
     fn has_capacity_twice(&self, submission: &Submission, number: u16, step: &Step) -> bool {
@@ -221,9 +237,11 @@
         for machine in &self.machines {
             let is_up = machine.returns_at.is_none() && !machine.is_leaving;
             let labels = machine.labels();
-            let has_label = step.label.as_ref().is_none_or(|label| labels.contains(label));
-            let is_allowed =
-                !is_advised || advice::is_allowed(&submission.id, number, &machine.id);
+            let has_label = step
+                .label
+                .as_ref()
+                .is_none_or(|label| labels.contains(label));
+            let is_allowed = !is_advised || advice::is_allowed(&submission.id, number, &machine.id);
             if !(is_up && has_label && is_allowed) {
                 continue;
             }
--- a/components/cell/tests/decisions/random_jobs.rs
+++ b/components/cell/tests/decisions/random_jobs.rs
@@ -11,6 +11,7 @@
     },
     fastrand::Rng,
     job::{Step, Submission, spec::Timetable},
+    magpie_cell::Refusal,
 };
 
 /// Default number of cases.
@@ -23,6 +24,10 @@
 const SETTLING_TIME: u64 = 20_000;
 /// Mean work of a job for each millisecond of the length of tasks, in millicores times milliseconds.
 const JOB_WORK: u64 = 10_000;
+/// The times after the last event at which a job is submitted for each rack, in milliseconds.
+const PROBE_TIMES: [u64; 2] = [3_000, 7_000];
+/// The number of the first of these jobs.
+const FIRST_PROBE: u64 = 10_000;
 /// Seed modifier of these cases.
 const SEED: u64 = 0x6a6f_6273;
 
@@ -45,6 +50,7 @@
 struct Case {
     seed: u64,
     workers: usize,
+    rack_size: usize,
     task_ms: u64,
     reuses_names: bool,
     is_gradual: bool,
@@ -53,12 +59,12 @@
 }
 
 impl JobPlan {
-    fn random(number: u64, at: u64, rng: &mut Rng, workers: usize) -> Self {
+    fn random(number: u64, at: u64, rng: &mut Rng, racks: usize) -> Self {
         if rng.u8(0..8) == 0 {
             return JobPlan::long_running(number, at, rng);
         }
         let count = [1, 1, 2, 2, 3][rng.usize(0..5)];
-        let steps = (0..count).map(|number| random_step(number, rng, workers));
+        let steps = (0..count).map(|number| random_step(number, rng, racks));
         let steps: Vec<Step> = steps.collect();
         let interval = rng.u64(10..=40) * 100;
         let timetable = (rng.u32(1..=4), rng.u64(0..=20) * 100, interval);
@@ -90,6 +96,23 @@
         }
     }
 
+    /// A job of one task for a rack.
+    fn probe(number: u64, at: u64, rack: usize) -> Self {
+        let step = Step {
+            label: Some(format!("r{rack}").into()),
+            ..step(1, 500)
+        };
+        JobPlan {
+            number,
+            at,
+            steps: vec![step],
+            timetable: None,
+            priority: 0,
+            is_advised: false,
+            crashing: Vec::new(),
+        }
+    }
+
     /// Lets some tasks of the first step crash their workers.
     fn crash(&mut self, rng: &mut Rng) {
         let tasks = self.steps[0].count as usize;
@@ -141,16 +164,41 @@
         }
         for (number, step) in self.steps.iter().enumerate() {
             let mut plain = vec![
-                Step { gang: false, one_rack: false, ..step.clone() },
-                Step { spread: 0, ..step.clone() },
-                Step { checkpoints: false, ..step.clone() },
-                Step { copies: false, ..step.clone() },
-                Step { fills: false, ..step.clone() },
-                Step { label: None, ..step.clone() },
-                Step { rack: None, ..step.clone() },
+                Step {
+                    gang: false,
+                    one_rack: false,
+                    ..step.clone()
+                },
+                Step {
+                    spread: 0,
+                    ..step.clone()
+                },
+                Step {
+                    checkpoints: false,
+                    ..step.clone()
+                },
+                Step {
+                    copies: false,
+                    ..step.clone()
+                },
+                Step {
+                    fills: false,
+                    ..step.clone()
+                },
+                Step {
+                    label: None,
+                    ..step.clone()
+                },
+                Step {
+                    rack: None,
+                    ..step.clone()
+                },
             ];
             if step.count > 1 && self.crashing.is_empty() {
-                plain.push(Step { count: step.count - 1, ..step.clone() });
+                plain.push(Step {
+                    count: step.count - 1,
+                    ..step.clone()
+                });
             }
             plain.retain(|plain| plain != step);
             for plain in plain {
@@ -163,14 +211,14 @@
     }
 }
 
-fn random_step(number: u16, rng: &mut Rng, workers: usize) -> Step {
+fn random_step(number: u16, rng: &mut Rng, racks: usize) -> Step {
     let is_one_in = |rng: &mut Rng, of: u8| rng.u8(0..of) == 0;
     let mut step = step(rng.u32(1..=6), rng.u64(1..=4) * 500);
     step.estimate = rng.u64(2..=25) * 100;
     if number > 0 && rng.u8(0..6) > 0 {
         step.after = vec![rng.u16(0..number)];
     }
-    let rack = |rng: &mut Rng| Some(format!("r{}", rng.usize(0..workers.div_ceil(8))).into());
+    let rack = |rng: &mut Rng| Some(format!("r{}", rng.usize(0..racks)).into());
     step.gang = is_one_in(rng, 8);
     step.one_rack = step.gang && rng.bool();
     step.checkpoints = is_one_in(rng, 4);
@@ -190,9 +238,12 @@
 
 /// An event in the midst of a case.
 fn random_event(at: u64, rng: &mut Rng, workers: usize) -> ScheduledEvent {
-    let range = random_range(rng, workers);
+    let range = match rng.u8(0..3) {
+        0 => 0..workers,
+        _ => random_range(rng, workers),
+    };
     let time = rng.u64(1..=50) * 100;
-    let event = match rng.u8(0..10) {
+    let event = match rng.u8(0..14) {
         0 => Event::CloseHall(rng.usize(0..3), time),
         1 => Event::Saturate(range, time),
         2 => Event::Maintain(range, time),
@@ -200,6 +251,12 @@
             let down = rng.u64(1..=30) * 100;
             Event::Restart(range, down, rng.u64(0..=20) * 100, rng.u64(0..=1) * 2_000)
         }
+        6 => Event::FailRuns(range, time),
+        7 => {
+            let reasons = [Refusal::Room, Refusal::Unwell, Refusal::NotSent];
+            Event::RefuseStarts(range, time, reasons[rng.usize(0..3)])
+        }
+        8 => Event::DropAnswers(range, time, rng.bool().then(|| rng.u64(1..=50) * 100)),
         5 => return ScheduledEvent::around_takeover(at, rng, workers),
         _ => return ScheduledEvent::random(at, rng, workers),
     };
@@ -236,10 +293,15 @@
 impl Case {
     fn random(seed: u64) -> Self {
         let mut rng = Rng::with_seed(seed ^ SEED);
-        let max_workers = if rng.bool() { 24 } else { 50 };
-        let workers = rng.usize(12..=max_workers);
+        let workers = match rng.u8(0..3) {
+            0 => rng.usize(6..=12),
+            1 => rng.usize(12..=24),
+            _ => rng.usize(12..=50),
+        };
+        let rack_size = [2, 4, 8][rng.usize(0..3)];
+        let racks = workers.div_ceil(rack_size);
         let mut events = Vec::new();
-        for _ in 0..rng.usize(0..=3) {
+        for _ in 0..rng.usize(1..=4) {
             let burst = rng.u64(FIRST_EVENT..EVENT_SPAN) / 10 * 10;
             for _ in 0..rng.usize(1..=4) {
                 let at = burst + rng.u64(0..100) * 10;
@@ -259,13 +321,13 @@
         let interval = JOB_WORK * task_ms * 100 / (load * workers as u64 * 4_000);
         let mut at = 0;
         while at < last + 1_500 {
-            jobs.push(JobPlan::random(1 + jobs.len() as u64, at, &mut rng, workers));
+            jobs.push(JobPlan::random(1 + jobs.len() as u64, at, &mut rng, racks));
             at += rng.u64(1..=2 + interval / 5) * 10;
         }
         for _ in 0..rng.usize(0..=2) {
             // A job is accepted right before the last fault.
             let at = last - rng.u64(0..=20) * 10;
-            jobs.push(JobPlan::random(1 + jobs.len() as u64, at, &mut rng, workers));
+            jobs.push(JobPlan::random(1 + jobs.len() as u64, at, &mut rng, racks));
         }
         if rng.u8(0..3) == 0 {
             let crashing = rng.usize(1..=5);
@@ -277,6 +339,7 @@
         Case {
             seed,
             workers,
+            rack_size,
             task_ms,
             reuses_names: rng.bool(),
             is_gradual: rng.u8(0..3) > 0,
@@ -291,15 +354,18 @@
             true => NetSim::with_reused_names(self.workers, self.task_ms),
             false => NetSim::new(self.workers, self.task_ms),
         };
-        sim.check_for_stalls();
+        sim.check_for_stalls(self.rack_size);
         if self.is_gradual {
             sim.take_over_gradually(self.seed);
         }
         let end = |scheduled: &ScheduledEvent| scheduled.at + scheduled.event.duration();
         let jobs_end = self.jobs.iter().map(|plan| plan.at).max();
         let last = self.events.iter().map(end).max().max(jobs_end);
-        for at in (0..last.unwrap_or_default() + SETTLING_TIME).step_by(10) {
-            for plan in self.jobs.iter().filter(|plan| plan.at == at) {
+        let last = last.unwrap_or_default();
+        let probes = self.probes(last);
+        for at in (0..last + SETTLING_TIME).step_by(10) {
+            let plans = self.jobs.iter().chain(&probes);
+            for plan in plans.filter(|plan| plan.at == at) {
                 let submission = plan.submission(sim.now);
                 for &(place, after) in &plan.crashing {
                     sim.crash_on_start(&submission.id, place, after);
@@ -317,6 +383,18 @@
         sim.violation
     }
 
+    /// Jobs for each rack, which stand still if its workers get no work any more.
+    fn probes(&self, last: u64) -> Vec<JobPlan> {
+        let mut probes = Vec::new();
+        for time in PROBE_TIMES {
+            for rack in 0..self.workers.div_ceil(self.rack_size) {
+                let number = FIRST_PROBE + probes.len() as u64;
+                probes.push(JobPlan::probe(number, last + time, rack));
+            }
+        }
+        probes
+    }
+
     /// Minimizes a case that fails with the same kind of fault.
     fn minimize(mut self, violation: &Violation) -> Self {
         let fails = |case: &Case| {
