--- a/components/cell/tests/decisions/net_sim.rs
+++ b/components/cell/tests/decisions/net_sim.rs
@@ -592,9 +592,9 @@
                 now + machine.downtime.0
             });
             machine.crashes_at = None;
-            for (job, address) in machine.runs.keys() {
+            for (job, _) in machine.runs.keys() {
                 if let Some(stalls) = &mut self.stalls {
-                    stalls.note_loss(job, *address, now);
+                    stalls.note_loss(job, now);
                 }
             }
             if let Some(stalls) = &mut self.stalls {
--- a/components/cell/tests/decisions/net_sim/network.rs
+++ b/components/cell/tests/decisions/net_sim/network.rs
@@ -3,7 +3,7 @@
 use {
     super::{NetSim, Violation, advice, machine::Machine},
     job::{Address, Id},
-    magpie_cell::{Entry, Order, Outcome, Poll, Refusal, Report},
+    magpie_cell::{Entry, Order, Outcome, Poll, Refusal, Report, Start},
     std::{collections::HashSet, sync::Arc},
 };
 
@@ -232,6 +232,9 @@
         let Some(entry) = self.cell.entry(&id).cloned() else {
             return;
         };
+        if let (Order::Start(start), Some(stalls)) = (&order, &mut self.stalls) {
+            stalls.note_start(&start.key);
+        }
         let machine = self.machines.iter().find(|machine| machine.id == id);
         let expires = match (&order, machine) {
             (Order::Start(start), Some(machine)) => machine.started_at + start.deadline,
@@ -286,6 +289,12 @@
         let due: Vec<OrderInTransit> = self.sent.extract_if(.., |sent| sent.at <= now).collect();
         for sent in due {
             let outcome = self.execute(&sent);
+            if let Order::Start(Start { key, .. }) = &sent.order
+                && let Outcome::Refused(_) = outcome
+                && let Some(stalls) = &mut self.stalls
+            {
+                stalls.note_end(&(key.job.clone(), key.place));
+            }
             let Some(answers) = self.answers_to(sent.owner) else {
                 continue;
             };
--- a/components/cell/tests/decisions/net_sim/stalls.rs
+++ b/components/cell/tests/decisions/net_sim/stalls.rs
@@ -4,7 +4,7 @@
 use {
     super::{Event, NetSim, PASS_INTERVAL, TaskId, Violation, advice, machine::Machine, operators},
     job::{Address, Id, State, Step, Submission},
-    magpie_cell::{EndCause, RunEnd},
+    magpie_cell::{EndCause, RunEnd, TaskKey},
     std::collections::{HashMap, HashSet},
 };
 
@@ -14,7 +14,8 @@
 const CALM: u64 = 4_000;
 /// After this time without events, a job must run whatever has followed from them, in milliseconds.
 const MAX_RECOVERY: u64 = 10_000;
-/// Lost runs of a task after which its job may fail, since it may have crashed its workers.
+/// Starts of a task of which the owner may not have heard the end, after which its job may fail: if
+/// their workers were lost, the task may have crashed them.
 const MAX_LOSSES: u32 = 3;
 
 /// What is known of the jobs and of the time since the last faults.
@@ -32,9 +33,10 @@
     done: HashSet<TaskId>,
     /// Jobs with ends that were lost with their worker: the owner may not have heard of them.
     uncertain: HashSet<Id>,
-    /// Failed runs, and lost ones, by task.
+    /// Failed runs, by task.
     failures: HashMap<TaskId, u32>,
-    losses: HashMap<(Id, Address), u32>,
+    /// Starts without an end that is sure to be heard, by task.
+    losses: HashMap<TaskId, u32>,
 }
 
 impl Stalls {
@@ -43,9 +45,20 @@
     }
 
     /// Notes that a run was lost with its worker or its lease.
-    pub fn note_loss(&mut self, job: &Id, address: Address, now: u64) {
+    pub fn note_loss(&mut self, job: &Id, now: u64) {
         self.lost.insert(job.clone(), now);
-        *self.losses.entry((job.clone(), address)).or_default() += 1;
+    }
+
+    pub fn note_start(&mut self, key: &TaskKey) {
+        let task = (key.job.clone(), key.place);
+        *self.losses.entry(task).or_default() += 1;
+    }
+
+    /// Notes that a run has ended or was surely not started.
+    pub fn note_end(&mut self, task: &TaskId) {
+        if let Some(count) = self.losses.get_mut(task) {
+            *count = count.saturating_sub(1);
+        }
     }
 
     /// Notes that a worker was lost with these ends.
@@ -97,6 +110,9 @@
                     .collect(),
                 false => vec![spec.place(address).unwrap()],
             };
+            if matches!(how, EndCause::Done | EndCause::Failed | EndCause::Stopped) {
+                stalls.note_end(&(job.clone(), spec.place(address).unwrap()));
+            }
             match how {
                 EndCause::Done => stalls
                     .done
@@ -107,7 +123,7 @@
                     }
                 }
                 EndCause::Lapsed | EndCause::Broken | EndCause::Alone => {
-                    stalls.note_loss(&job, address, self.now);
+                    stalls.note_loss(&job, self.now);
                 }
                 EndCause::Stopped => {}
             }
--- a/components/cell/tests/decisions/random_jobs.rs
+++ b/components/cell/tests/decisions/random_jobs.rs
@@ -267,8 +267,8 @@
     }
 }
 
-/// The events with which the faults end: all machines and the owner at the same moment, some of
-/// them, or none.
+/// The events with which the faults end: all machines and the owner at the same moment, or some of
+/// them.
 fn last_events(at: u64, rng: &mut Rng, workers: usize) -> Vec<ScheduledEvent> {
     let all = 0..workers;
     let restart = |range, rng: &mut Rng| {
@@ -280,7 +280,12 @@
         4 => vec![restart(random_range(rng, workers), rng), takeover],
         5 => vec![takeover],
         6 => vec![restart(all, rng)],
-        _ => vec![],
+        _ => {
+            // The former owner resumes and starts jobs on workers that the new one does not reach.
+            let gap = rng.u64(0..=5) * 100;
+            let suspend = Event::Suspend(gap, rng.u64(0..=5) * 100, 3_000);
+            vec![suspend, Event::Partition(all, gap + rng.u64(0..=25) * 100)]
+        }
     };
     let events = events.into_iter().map(|event| ScheduledEvent {
         at,
@@ -320,7 +325,7 @@
         let load = rng.u64(5..=70);
         let interval = JOB_WORK * task_ms * 100 / (load * workers as u64 * 4_000);
         let mut at = 0;
-        while at < last + 1_500 {
+        while at < last + 2_500 {
             jobs.push(JobPlan::random(1 + jobs.len() as u64, at, &mut rng, racks));
             at += rng.u64(1..=2 + interval / 5) * 10;
         }
