--- a/components/cell/tests/decisions/net_sim/operators.rs
+++ b/components/cell/tests/decisions/net_sim/operators.rs
@@ -10,7 +10,7 @@
 /// Downtime of a machine under maintenance, in milliseconds.
 const MAINTENANCE_TIME: u64 = 1_500;
 /// How many machines of a wave may be down at once.
-const MAX_DOWN: usize = 2;
+const MAX_DOWN: usize = 8;
 
 /// What is withdrawn, and until when.
 #[derive(Debug, Default)]
--- a/components/cell/tests/decisions/net_sim/stalls.rs
+++ b/components/cell/tests/decisions/net_sim/stalls.rs
@@ -75,7 +75,7 @@
         self.stalls = Some(Stalls::default());
         for (number, machine) in self.machines.iter_mut().enumerate() {
             machine.rack = number / rack_size;
-            machine.hall = operators::hall(number % 3);
+            machine.hall = operators::hall(machine.rack % 3);
         }
         self.list();
     }
--- a/components/cell/tests/decisions/random_jobs.rs
+++ b/components/cell/tests/decisions/random_jobs.rs
@@ -24,6 +24,8 @@
 const SETTLING_TIME: u64 = 20_000;
 /// Mean work of a job for each millisecond of the length of tasks, in millicores times milliseconds.
 const JOB_WORK: u64 = 10_000;
+/// The number of small jobs that are accepted while a former owner acts.
+const MAX_BURST: usize = 60;
 /// The times after the last event at which a job is submitted for each rack, in milliseconds.
 const PROBE_TIMES: [u64; 2] = [3_000, 7_000];
 /// The number of the first of these jobs.
@@ -251,7 +253,7 @@
             let down = rng.u64(1..=30) * 100;
             Event::Restart(range, down, rng.u64(0..=20) * 100, rng.u64(0..=1) * 2_000)
         }
-        6 => Event::FailRuns(range, time),
+        6 | 9 => Event::FailRuns(range, time),
         7 => {
             let reasons = [Refusal::Room, Refusal::Unwell, Refusal::NotSent];
             Event::RefuseStarts(range, time, reasons[rng.usize(0..3)])
@@ -284,7 +286,7 @@
             // The former owner resumes and starts jobs on workers that the new one does not reach.
             let gap = rng.u64(0..=5) * 100;
             let suspend = Event::Suspend(gap, rng.u64(0..=5) * 100, 3_000);
-            vec![suspend, Event::Partition(all, gap + rng.u64(0..=25) * 100)]
+            vec![suspend, Event::Partition(all, gap + rng.u64(5..=20) * 100)]
         }
     };
     let events = events.into_iter().map(|event| ScheduledEvent {
@@ -334,6 +336,19 @@
             let at = last - rng.u64(0..=20) * 10;
             jobs.push(JobPlan::random(1 + jobs.len() as u64, at, &mut rng, racks));
         }
+        for _ in 0..rng.usize(0..=10) {
+            // Jobs are accepted while the owner changes.
+            let at = last + rng.u64(0..=250) * 10;
+            jobs.push(JobPlan::random(1 + jobs.len() as u64, at, &mut rng, racks));
+        }
+        let mut scheduled = events.iter();
+        if scheduled.any(|event| event.at == last && matches!(event.event, Event::Suspend(..))) {
+            for _ in 0..MAX_BURST {
+                let at = last + rng.u64(50..300) * 10;
+                let number = 1 + jobs.len() as u64;
+                jobs.push(JobPlan::probe(number, at, rng.usize(0..racks)));
+            }
+        }
         if rng.u8(0..3) == 0 {
             let crashing = rng.usize(1..=5);
             for _ in 0..crashing {
