Cell: losses at another time do not hide the loss of all workers

Cause: the share of lost workers is taken of all workers, those included that were lost in the last 10 s and those that have returned meanwhile.

Change: for isolated trials, workers that were lost at another time are left out, and two fifths of the cell are enough: more than tasks that crash their workers take at once, and less than the half that remains when returned workers count as new ones before their former incarnations are declared lost. Only the task that is tried on the worker counts as isolated, by its trial and not by its counts: a gang's members are suspected as strongly and may share a worker.

isolated_trial_survives_losses_of_all_workers fails on the code before with the second start as the last (its job fails) and passes now.

--- a/components/cell/src/crashes/losses.rs
+++ b/components/cell/src/crashes/losses.rs
@@ -24,10 +24,10 @@
 /// Share of the cell, in percent, from which a loss is correlated. It has to exceed a tenth: with
 /// six crashing tasks a tenth of the workers was down at any time.
 pub(super) const CELL_PERCENT: usize = 25;
-/// Share of the cell, in percent, from which even the loss of a worker with an isolated trial is
-/// attributed to power or network. Tasks that crash their workers can take a large part of the cell
-/// at once, but hardly this much.
-const ISOLATED_PERCENT: usize = 75;
+/// The same for the loss of a worker with an isolated trial. It has to exceed a third: tasks that
+/// crash their workers can take that much of the cell at once. It has to stay below one half:
+/// workers that return count as new ones before all of their former incarnations are declared lost.
+const ISOLATED_PERCENT: usize = 40;
 /// How long a loss is kept, in milliseconds: longer than the time until the leases of the last
 /// worker of a group expire and it is declared lost.
 const RETENTION_MS: u64 = 10_000;
@@ -186,18 +186,19 @@
     /// True if the loss is correlated and at most half of the lost workers had a new run of this
     /// job, so that no task of the job caused it.
     pub fn rules_out(&self, job: &Id) -> bool {
-        self.rules_out_from(CELL_PERCENT, job)
+        let is_ruled_out = |loss: GroupLoss| loss.rules_out(RACK_PERCENT, loss.total(), job);
+        let in_cell = self.in_cell();
+        self.in_rack().is_some_and(is_ruled_out)
+            || in_cell.rules_out(CELL_PERCENT, in_cell.total(), job)
     }
 
     /// The same for a task of the job that was in an isolated trial, which explains the loss of its
-    /// worker unless the whole rack or most of the cell was lost.
+    /// worker unless many workers of the rack or of the cell were lost that had been up until then.
     pub fn rules_out_isolated(&self, job: &Id) -> bool {
-        self.rules_out_from(ISOLATED_PERCENT, job)
-    }
-
-    fn rules_out_from(&self, cell_percent: usize, job: &Id) -> bool {
-        let is_ruled_out = |loss: GroupLoss| loss.rules_out(RACK_PERCENT, job);
-        self.in_rack().is_some_and(is_ruled_out) || self.in_cell().rules_out(cell_percent, job)
+        let is_ruled_out = |loss: GroupLoss| loss.rules_out(RACK_PERCENT, loss.total_up(), job);
+        let in_cell = self.in_cell();
+        self.in_rack().is_some_and(is_ruled_out)
+            || in_cell.rules_out(ISOLATED_PERCENT, in_cell.total_up(), job)
     }
 
     /// The loss among the workers of its rack.
@@ -234,6 +235,13 @@
         self.group.total
     }
 
+    /// Number of workers in the group without those that were lost at another time.
+    fn total_up(&self) -> usize {
+        let others = self.group.outages.len() - usize::from(self.indexed.is_some());
+        let before = others - self.overlapping_others(&self.group.outages, self.indexed);
+        self.total() - before
+    }
+
     /// Number of workers lost together, including this one.
     pub fn lost_count(&self) -> usize {
         self.overlapping_others(&self.group.outages, self.indexed) + 1
@@ -255,11 +263,11 @@
         outages.count_overlapping(self.own.outage) - usize::from(is_counted)
     }
 
-    /// True if at least `percent` of the group was lost and at most half of the lost workers had a
-    /// new run of the job.
-    fn rules_out(&self, percent: usize, job: &Id) -> bool {
+    /// True if at least `percent` of `total` workers were lost and at most half of the lost workers
+    /// had a new run of the job.
+    fn rules_out(&self, percent: usize, total: usize, job: &Id) -> bool {
         let lost = self.lost_count();
-        let is_group = lost >= MIN_GROUP && lost * 100 >= self.total() * percent;
+        let is_group = lost >= MIN_GROUP && lost * 100 >= total * percent;
         is_group && self.starting(job) * 2 <= lost
     }
 }
--- a/components/cell/src/crashes/mod.rs
+++ b/components/cell/src/crashes/mod.rs
@@ -31,10 +31,7 @@
         worker::{TaskKey, Worker},
     },
     job::Id,
-    std::{
-        collections::{HashMap, HashSet},
-        sync::Arc,
-    },
+    std::{collections::HashMap, sync::Arc},
 };
 
 /// A run reported for this long, in milliseconds, did not crash its worker by starting. Workers
@@ -109,14 +106,12 @@
             self.crashes.losses.record(worker, now);
             return Vec::new();
         }
-        let keys = worker.slots.keys();
-        let isolated = |key: &&TaskKey| self.suspicion(&key.job, key.place) == Suspicion::Alone;
-        let isolated: HashSet<TaskKey> = keys.filter(isolated).cloned().collect();
+        let isolated = self.crashes.trials.get(id).and_then(trial::Trial::isolated);
         let losses = &mut self.crashes.losses;
         let correlation = losses.correlated_with(&self.workers, worker, now);
         let mut tasks = Vec::new();
         for (key, slot) in &worker.slots {
-            let is_ruled_out = if isolated.contains(key) {
+            let is_ruled_out = if isolated == Some(key) {
                 correlation.rules_out_isolated(&key.job)
             } else {
                 correlation.rules_out(&key.job)
--- a/components/cell/src/crashes/outage.rs
+++ b/components/cell/src/crashes/outage.rs
@@ -47,6 +47,11 @@
         remove_sorted(&mut self.until, outage.until);
     }
 
+    /// The number of outages.
+    pub const fn len(&self) -> usize {
+        self.from.len()
+    }
+
     pub const fn is_empty(&self) -> bool {
         self.from.is_empty()
     }
--- a/components/cell/src/crashes/trial.rs
+++ b/components/cell/src/crashes/trial.rs
@@ -32,8 +32,8 @@
 /// their leases have expired: a job must not stand still for longer than 3 s.
 const MAX_SILENCE: u64 = 2_500;
 /// Workers per isolated trial in the cell; one is always allowed. The capacity reserved for a trial
-/// is not available to others. If all these trials crash their workers at once, that does not look
-/// like a power failure of the cell.
+/// is not available to others. If as many trials crash their workers at once, that alone does not
+/// look like a power failure of the cell.
 const WORKERS_PER_TRIAL: usize = 5;
 /// Cost of another new run on the worker of an isolated trial, in millicores: a crash would make
 /// its task a suspect as well.
@@ -75,6 +75,13 @@
     since: u64,
 }
 
+impl Trial {
+    /// The task, if it is tried in isolation.
+    pub(super) fn isolated(&self) -> Option<&TaskKey> {
+        (self.suspicion == Suspicion::Alone).then_some(&self.key)
+    }
+}
+
 impl Cell {
     /// How strongly a task is suspected.
     pub(crate) fn suspicion(&self, id: &Id, place: usize) -> Suspicion {
--- a/components/cell/tests/decisions/crashes.rs
+++ b/components/cell/tests/decisions/crashes.rs
@@ -5,7 +5,7 @@
         common::{self, JOB, World, large_cell, step},
         sim::{CRASH_AFTER, Sim, Stats},
     },
-    job::{Id, Record, State, Step},
+    job::{Crashes, Id, Record, State, Step},
     magpie_cell::Outcome,
     std::sync::Arc,
     test_case::test_case,
@@ -472,3 +472,31 @@
     let lookups = lookups_per_worker(&world, before);
     assert!((1..=8).contains(&lookups), "{lookups}");
 }
+
+/// Guards against a healthy job that fails because the cell loses all workers twice while its
+/// suspected task is being tried.
+#[test]
+fn isolated_trial_survives_losses_of_all_workers() {
+    let mut sim = Sim::new(48, 5_000);
+    sim.submit(JOB, step(1, 1_000));
+    let record = Record {
+        state: State::Running,
+        run: 2,
+        crashed: vec![(0, Crashes { early: 2, all: 2 })],
+        ..Record::default()
+    };
+    sim.take_over(&[(Id::new(JOB).unwrap(), record)]);
+    for _ in 0..2 {
+        let starts = sim.start_count(JOB, 0);
+        for _ in 0..500 {
+            sim.advance(10);
+            if sim.start_count(JOB, 0) > starts {
+                break;
+            }
+        }
+        sim.cut_power(0..48);
+    }
+    sim.advance(20_000);
+    assert_eq!(sim.start_count(JOB, 0), 3);
+    assert_eq!(sim.state(JOB), Some(State::Completed));
+}
--- a/components/cell/tests/decisions/restart_times.rs
+++ b/components/cell/tests/decisions/restart_times.rs
@@ -349,9 +349,15 @@
     sim.advance(8_000);
     sim.cut_power(0..48);
     sim.advance(1_000);
-    while !ids.iter().all(|id| is_complete(&sim, id)) {
+    for _ in 0..RESTART_LIMIT / 10 {
+        if ids.iter().all(|id| is_complete(&sim, id)) {
+            break;
+        }
         sim.advance(10);
     }
+    for id in &ids {
+        assert!(is_complete(&sim, id), "{id}");
+    }
     for machine in (0..48).step_by(6) {
         sim.cut_power(machine..machine + 1);
     }
