--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,8 +9,8 @@
 
 import platform_standin as platform  # noqa: E402
 
-# The largest dose of `srv_crash` in the site file: a share of 0.14 (one of seven), down for 4.5 s.
-MINIONS = 7
+# The largest dose of `srv_crash` in the site file: a share of 0.14, down for 4.5 s; one of 8 is less.
+MINIONS = 8
 DOWN_S = 4.5
 EVERY_S = 10.0
 CRASHES = 6
