Show case 1 also for a job whose task no minion ever began

Tried: three crashes of minions, 4 s apart, beside the flaky minion that the script had. Each order for the job's only task goes to a minion that has just crashed.

--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -317,6 +317,7 @@
         self.ended = []
         self.count = 0
         self.sequence = 0
+        self.last_answer = time.monotonic()
         self.news = asyncio.Event()
         self.entry_due = time.monotonic()
         self.world.record.add("%s begins its life on %s" % (self.id, self.machine))
@@ -324,6 +325,7 @@
     def die(self, cause):
         """Ends a life: what runs on it dies, and nothing is said of it."""
         self.up = False
+        self.last_answer_of_life = self.last_answer
         for task, run in self.running.items():
             run.timer.cancel()
             self.world.ran(self, task, run, "gone")
@@ -473,6 +475,7 @@
             percent = int(min(99, 100 * (now - run.began) * 1000 / run.length))
             running.append([task, run.number, "", percent, self.world.cpu_of(task)])
         body = {"clockMs": self.clock(), "running": running, "ended": self.ended[:500]}
+        self.last_answer = time.monotonic()
         return Answer(200, body)
 
 
