--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -396,6 +396,11 @@
 
     async def handle(self, method, path, parameters, headers, body):
         if not self.up:
+            if path == "/run-start":
+                call = json.loads(body)
+                self.world.record.add(
+                    "%s is dark: the start of %s run %d gets no answer" % (self.id, call["task"], call["run"])
+                )
             raise Silent()
         life = self.id
         answer = await self.answer(path, headers, json.loads(body) if body else {})
