Cell: log each crash that is counted against a task, and with what window

No line told of late crashes, nor whether a run had begun, nor how long before the loss the worker was last known to live, nor how many others were lost then. The line of a job that fails for crashes has the counts now.

No change of logic.

--- a/components/cell/src/crashes/mod.rs
+++ b/components/cell/src/crashes/mod.rs
@@ -24,6 +24,7 @@
 };
 
 use {
+    self::outage::Outage,
     crate::{
         cell::Cell,
         run_log::RUNS_PER_LINE,
@@ -124,10 +125,29 @@
         }
         tasks.sort();
         self.retain_likely_causes(&mut tasks);
-        tasks.retain(|(key, is_early)| self.count_crash(key, *is_early));
+        tasks.retain(|(key, is_early)| {
+            let is_counted = self.count_crash(key, *is_early);
+            if is_counted {
+                self.log_counted_crash(id, key, *is_early, now);
+            }
+            is_counted
+        });
         tasks
     }
 
+    /// Logs what is known of a run whose worker was lost: whether it had begun, and within how many
+    /// milliseconds before `now` the worker has crashed.
+    fn log_counted_crash(&self, id: &Arc<str>, key: &TaskKey, is_early: bool, now: u64) {
+        let (Some(worker), Some(slot)) = (self.workers.get(id), self.slot(id, key)) else {
+            return;
+        };
+        let Outage { from, until } = Outage::of(worker, now);
+        let (alive, silent) = (now.saturating_sub(from), now.saturating_sub(until));
+        let age = worker.confirmed_runtime(slot);
+        let others = self.crashes.losses.recent.len().saturating_sub(1);
+        log::warn!(target: "cell", job = key.job.as_str(), place = key.place, worker = &**id, run = slot.run, is_early, confirmed = !slot.is_sent(), age:? = age, alive, silent, others; "Crash of a worker was counted against a task.");
+    }
+
     /// Removes the tasks that probably did not cause the crash. `tasks` has the tasks of the worker,
     /// and for each whether the crash was early.
     fn retain_likely_causes(&self, tasks: &mut Vec<(TaskKey, bool)>) {
@@ -267,7 +287,12 @@
             if !self.is_over_limit(&key) {
                 continue;
             }
-            log::warn!(target: "cell", job = key.job.as_str(), place = key.place; "Task reached its crash limit; its job fails.");
+            let crashes = self
+                .jobs
+                .get(&key.job)
+                .map(|job| job.progress.tasks[key.place].crashes);
+            let crashes = crashes.unwrap_or_default();
+            log::warn!(target: "cell", job = key.job.as_str(), place = key.place, early = crashes.early, all = crashes.all; "Task reached its crash limit; its job fails.");
             self.finish(&key.job, job::State::Failed, now, wall);
         }
     }
