Cell: tests of jobs that fail after chance losses of their workers

Callers see a job as failed of which no run failed, or, if the job is not asked for, a task of it that could run and does not: the words of the report.

The simulator gets silent crashes, whose polls and orders time out. Of the new tests six fail on this code: four of five series of crashes, the starts that reach no worker, the long-running job. Those of tasks that crash their workers beside such series pass and guard the other side.

--- /dev/null
+++ b/components/cell/tests/decisions/crash_evidence.rs
@@ -0,0 +1,135 @@
+//! Which crashes of workers are evidence against a task that ran there.
+
+use {
+    crate::{
+        common::{JOB, step},
+        sim::{CRASH_AFTER, Sim},
+    },
+    job::{State, Step},
+    test_case::test_case,
+};
+
+/// Maximum starts of a task that crashes its workers: two more after three crashes.
+const MAX_STARTS: u32 = 5;
+/// How long a machine is down after a silent crash, in milliseconds.
+const DOWNTIME: u64 = 4_500;
+
+/// A cell with a load of short jobs in which a share of the machines crashes silently and in turn.
+struct Series {
+    sim: Sim,
+    random: fastrand::Rng,
+    jobs: Vec<String>,
+}
+
+impl Series {
+    fn new(workers: usize, seed: u64) -> Self {
+        let mut sim = Sim::new(workers, 1_000);
+        sim.hold_polls();
+        let random = fastrand::Rng::with_seed(seed);
+        let jobs = Vec::new();
+        Series { sim, random, jobs }
+    }
+
+    /// Runs for `time` milliseconds; each `gap` milliseconds `share` percent of the machines crash.
+    fn run(&mut self, time: u64, gap: u64, share: usize) {
+        for at in (0..time).step_by(100) {
+            if at.is_multiple_of(300) {
+                let id = format!("{:016}", 100 + self.jobs.len());
+                self.sim.submit(&id, step(6, 1_000));
+                self.jobs.push(id);
+            }
+            if at % gap == 0 {
+                self.crash(share);
+            }
+            self.sim.advance(100);
+        }
+    }
+
+    fn crash(&mut self, share: usize) {
+        let total = self.sim.machine_count();
+        for _ in 0..(total * share).div_ceil(100) {
+            let machine = self.random.usize(0..total);
+            self.sim.crash_silently(machine, DOWNTIME);
+        }
+    }
+
+    /// The jobs that failed.
+    fn failed(&self) -> Vec<&String> {
+        let jobs = self.jobs.iter();
+        jobs.filter(|id| self.sim.state(id) == Some(State::Failed))
+            .collect()
+    }
+}
+
+/// Guards against healthy jobs that fail since several of their workers were lost by chance.
+#[test_case(48, 4_500, 14; "seventh of a cell")]
+#[test_case(48, 4_500, 30; "third of a cell")]
+#[test_case(48, 4_900, 30; "third of a cell as leases end")]
+#[test_case(8, 4_500, 10; "one of eight workers")]
+#[test_case(8, 4_000, 25; "two of eight workers")]
+fn healthy_jobs_survive_series_of_crashes(workers: usize, gap: u64, share: usize) {
+    for seed in 0..5 {
+        let mut series = Series::new(workers, seed);
+        series.run(60_000, gap, share);
+        series.sim.advance(30_000);
+        assert_eq!(series.failed(), Vec::<&String>::new(), "seed {seed}");
+    }
+}
+
+/// Guards against a job that fails although none of its starts reached a worker.
+#[test]
+fn starts_to_dead_workers_fail_no_job() {
+    let mut sim = Sim::new(8, 1_000);
+    sim.hold_polls();
+    sim.advance(5_000);
+    sim.crash_before_start(JOB, 0, 3);
+    sim.submit(JOB, step(1, 1_000));
+    sim.advance(20_000);
+    assert_eq!(sim.stats.crashes, 3);
+    sim.advance(20_000);
+    assert_eq!(sim.state(JOB), Some(State::Completed));
+}
+
+/// Guards against a long-running job that fails since workers were lost under its tasks.
+#[test]
+fn long_running_job_survives_crashes_in_turn() {
+    let mut sim = Sim::new(8, 1_000);
+    let step = Step {
+        lasting: true,
+        spread: 1,
+        ..step(8, 1_000)
+    };
+    sim.submit(JOB, step);
+    for _ in 0..8 {
+        sim.advance(9_000);
+        sim.crash_silently(3, DOWNTIME);
+    }
+    sim.advance(20_000);
+    assert_eq!(sim.state(JOB), Some(State::Running));
+    let running = (0..8).filter(|&place| sim.machine_of(JOB, place).is_some());
+    assert_eq!(running.count(), 8);
+}
+
+/// Guards against a task that crashes its workers and is started without end while other workers
+/// crash as well.
+#[test_case(48, 4_500, 14, CRASH_AFTER; "at once beside a seventh of the cell")]
+#[test_case(48, 4_500, 30, CRASH_AFTER; "at once beside a third of the cell")]
+#[test_case(48, 2_300, 10, 300; "after 300 ms beside a tenth of the cell")]
+#[test_case(48, 4_500, 14, 700; "after 700 ms beside a seventh of the cell")]
+fn crashing_task_fails_its_job_beside_series_of_crashes(
+    workers: usize,
+    gap: u64,
+    share: usize,
+    after: u64,
+) {
+    for seed in 0..5 {
+        let mut series = Series::new(workers, seed);
+        series.run(9_700, gap, share);
+        series.sim.submit(JOB, step(1, 1_000));
+        series.sim.crash_on_start(JOB, 0, after);
+        series.run(50_000, gap, share);
+        let starts = series.sim.start_count(JOB, 0);
+        assert!(starts <= MAX_STARTS, "seed {seed}: {starts} starts");
+        assert_eq!(series.sim.state(JOB), Some(State::Failed), "seed {seed}");
+    }
+}
--- a/components/cell/tests/decisions/main.rs
+++ b/components/cell/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod best_effort;
 mod capacity;
 mod common;
+mod crash_evidence;
 mod crashes;
 mod drain;
 mod ends;
--- a/components/cell/tests/decisions/sim.rs
+++ b/components/cell/tests/decisions/sim.rs
@@ -23,6 +23,10 @@
 const ENTRY_EXPIRY: u64 = 3_300;
 /// Downtime of a crashed worker, in milliseconds.
 const DOWNTIME: u64 = 2_000;
+/// Time until polls of a worker that crashed silently fail, and until an order to it is given up,
+/// in milliseconds.
+const POLL_TIMEOUT: u64 = 1_600;
+const ORDER_TIMEOUT: u64 = 500;
 
 /// A task: its job and its place.
 type TaskId = (Id, usize);
@@ -49,6 +53,12 @@
     returns_at: Option<u64>,
     /// When the worker crashes.
     crashes_at: Option<u64>,
+    /// How long the worker is down after its next crash.
+    downtime: u64,
+    /// How long polls of a crashed worker get no answer before they fail.
+    silence: u64,
+    /// When polls of the crashed worker begin to fail.
+    fails_from: u64,
     runs: BTreeMap<(Id, Address), ActiveRun>,
     ended: Vec<RunEnd>,
     end_count: u64,
@@ -81,8 +91,12 @@
     stale_entries: Vec<(Entry, u64)>,
     /// Tasks that crash every worker that starts them, and the delay of the crash.
     crashing: HashMap<TaskId, u64>,
+    /// Tasks whose next starts reach a worker that has just crashed silently, and how many.
+    unreached: HashMap<TaskId, u32>,
     submitted: Vec<Submission>,
     persisted: HashMap<Id, Record>,
+    /// Orders that get no answer, and when they are given up.
+    unanswered: Vec<(u64, Arc<str>, Order)>,
     writes_suspended: bool,
     /// Workers hold polls for as long as requested, unless they have an end to report.
     holds_polls: bool,
@@ -102,8 +116,10 @@
             machines: Vec::new(),
             stale_entries: Vec::new(),
             crashing: HashMap::new(),
+            unreached: HashMap::new(),
             submitted: Vec::new(),
             persisted: HashMap::new(),
+            unanswered: Vec::new(),
             writes_suspended: false,
             holds_polls: false,
             incarnations: 0,
@@ -121,6 +137,9 @@
                 lease: 0,
                 returns_at: None,
                 crashes_at: None,
+                downtime: DOWNTIME,
+                silence: 0,
+                fails_from: 0,
                 runs: BTreeMap::new(),
                 ended: Vec::new(),
                 end_count: 0,
@@ -159,6 +178,11 @@
         self.crashing.insert((Id::new(id).unwrap(), place), after);
     }
 
+    /// Lets the worker crash silently right before each of the next `starts` starts of a task.
+    pub fn crash_before_start(&mut self, id: &str, place: usize, starts: u32) {
+        self.unreached.insert((Id::new(id).unwrap(), place), starts);
+    }
+
     /// The state of a job as shown to clients.
     pub fn state(&self, id: &str) -> Option<State> {
         self.cell.state(&Id::new(id).unwrap())
@@ -184,6 +208,23 @@
         }
     }
 
+    /// Lets a machine crash without closing its connections: for `downtime` milliseconds polls and
+    /// orders get no answer.
+    pub fn crash_silently(&mut self, machine: usize, downtime: u64) {
+        let machine = &mut self.machines[machine];
+        if machine.returns_at.is_some() {
+            return;
+        }
+        machine.crashes_at = Some(self.now);
+        machine.downtime = downtime;
+        machine.silence = POLL_TIMEOUT;
+    }
+
+    /// Number of machines.
+    pub fn machine_count(&self) -> usize {
+        self.machines.len()
+    }
+
     /// Removes a machine permanently and without notice.
     pub fn remove(&mut self, machine: usize) {
         let machine = &mut self.machines[machine];
@@ -272,8 +313,12 @@
                 self.cell.expire_leases(self.now);
             }
             self.cell.place(self.now);
+            self.expire_orders();
             for (id, order) in self.cell.take_orders() {
-                let outcome = self.execute(&id, &order);
+                let Some(outcome) = self.execute(&id, &order) else {
+                    self.unanswered.push((self.now + ORDER_TIMEOUT, id, order));
+                    continue;
+                };
                 self.cell.handle_outcome(&id, &order, outcome, self.now);
             }
             self.persist();
@@ -297,7 +342,8 @@
                 continue;
             }
             machine.crashes_at = None;
-            machine.returns_at = Some(self.now + DOWNTIME);
+            machine.returns_at = Some(self.now + machine.downtime);
+            machine.fails_from = self.now + machine.silence;
             self.stats.crashes += 1;
             for (job, address) in machine.runs.keys() {
                 let task = (job.clone(), address.index as usize);
@@ -361,6 +407,8 @@
             self.incarnations += 1;
             machine.id = format!("w{:04}", self.incarnations).into();
             machine.returns_at = None;
+            machine.downtime = DOWNTIME;
+            machine.silence = 0;
             machine.is_leaving = false;
             machine.started_at = self.now;
             machine.lease = 0;
@@ -395,20 +443,23 @@
     fn poll(&mut self) {
         let known: Vec<Entry> = self.cell.entries().cloned().collect();
         for entry in known {
+            let now = self.now;
             let Some(machine) = self.machine_at(&entry) else {
                 continue;
             };
             if machine.returns_at.is_some() || machine.is_partitioned {
+                if now < machine.fails_from {
+                    continue;
+                }
                 machine.held_poll = None;
-                self.cell.poll_failed(&entry.id, self.now);
+                self.cell.poll_failed(&entry.id, now);
                 continue;
             }
             if machine.id != entry.id {
                 self.cell
-                    .end_incarnation(&entry.id, "another incarnation answers", self.now);
+                    .end_incarnation(&entry.id, "another incarnation answers", now);
                 continue;
             }
-            let now = self.now;
             if self.holds_polls {
                 self.poll_with_hold(&entry);
                 continue;
@@ -454,7 +505,34 @@
         machines.find(|machine| machine.address == entry.address)
     }
 
-    fn execute(&mut self, id: &Arc<str>, order: &Order) -> Outcome {
+    /// Gives up orders that got no answer.
+    fn expire_orders(&mut self) {
+        let due = self.unanswered.extract_if(.., |(at, _, _)| *at <= self.now);
+        let due: Vec<_> = due.collect();
+        for (_, id, order) in due {
+            let outcome = Outcome::Unknown;
+            self.cell.handle_outcome(&id, &order, outcome, self.now);
+        }
+    }
+
+    /// Crashes the worker of an order that must not reach it.
+    fn crash_before(&mut self, id: &Arc<str>, order: &Order) {
+        let Order::Start(start) = order else {
+            return;
+        };
+        let task = (start.key.job.clone(), start.key.place);
+        let Some(left) = self.unreached.get_mut(&task).filter(|left| **left > 0) else {
+            return;
+        };
+        *left -= 1;
+        let machine = self.machines.iter().position(|machine| machine.id == *id);
+        self.crash_silently(machine.unwrap(), DOWNTIME);
+        self.crash_machines();
+    }
+
+    /// Carries out an order; `None` if it gets no answer.
+    fn execute(&mut self, id: &Arc<str>, order: &Order) -> Option<Outcome> {
+        self.crash_before(id, order);
         let (now, task_ms) = (self.now, self.task_ms);
         let (after, is_long_running) = match order {
             Order::Start(start) => {
@@ -465,10 +543,13 @@
             Order::Stop { .. } | Order::Pace { .. } | Order::Withdraw { .. } => (None, false),
         };
         let Some(machine) = self.machines.iter_mut().find(|machine| machine.id == *id) else {
-            return Outcome::Refused(Refusal::OtherLife);
+            return Some(Outcome::Refused(Refusal::OtherLife));
         };
+        if machine.returns_at.is_some() && machine.silence > 0 {
+            return None;
+        }
         if machine.returns_at.is_some() || machine.is_partitioned {
-            return Outcome::Refused(Refusal::NotSent);
+            return Some(Outcome::Refused(Refusal::NotSent));
         }
         match order {
             Order::Start(start) => {
@@ -487,7 +568,7 @@
             Order::Stop { key, address, run } => machine.stop(&key.job, *address, *run),
             Order::Pace { .. } | Order::Withdraw { .. } => {}
         }
-        Outcome::Done
+        Some(Outcome::Done)
     }
 }
 
