Cell: weigh how likely a worker's loss was by chance, and count none

Callers saw a job shown as failed, or tasks of it that could run and did not, although no run of it had failed. After three losses of a worker soon after a start of one task, or five of any kind, its job was given up; the number of losses was taken as proof that the task causes them. Where many workers are lost for other reasons that comes to pass by chance, and often: tasks lost together start together again, 4.9 s later, in step with whatever takes workers at intervals, and a start to a worker that had died unnoticed counted in full.

Each loss is now weighed: the probability that the worker was lost for other reasons in the time for which the run may have been running, from the rate of losses that no trial explains in the last 10 s and from the share of the cell that was lost at the same time. The bits add up over consecutive crashes; 15 bits fail the job, six at most come from one crash, two from a start that was not confirmed, none from a loss of most of a rack or of two fifths of the cell. A crash is weighed when the other workers have answered since, or 1.5 s after its proof, so that losses at the same time are known. Isolated trials begin on workers that have just answered and are polled each 100 ms, after a random part of a second, so that the window is small and in step with nothing. A long-running task is never failed, as its users expect; once there is enough evidence it is started further apart each time.

Records keep the counts as they were, capped below the limits of older builds, and the evidence in rows that older builds ignore.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -56,6 +56,9 @@
     pub overdue: bool,
     /// Tasks whose workers crashed while running them, by place.
     pub suspects: BTreeSet<usize>,
+    /// Tasks that surely crash their workers and are started again later, by place, and when, on
+    /// the owner's clock.
+    pub delayed: BTreeMap<usize, u64>,
     /// Suspects for which the last placement pass found no worker to try them on, or whose gang
     /// could not start.
     pub unplaceable: BTreeSet<usize>,
@@ -339,7 +342,7 @@
     /// Returns the parameters of the next poll of a worker, or `None` if the worker is unknown.
     pub fn next_poll(&mut self, id: &str, now: u64) -> Option<Poll> {
         let lease = self.timing.lease;
-        let has_trial = self.has_trial(id);
+        let is_watched = self.has_trial(id) || self.crashes.is_watched(id);
         let worker = self.workers.get_mut(id)?;
         // If the last poll was not answered, the lease is not extended: the worker may have
         // received that poll, and each attempt would postpone the time at which all its leases have
@@ -354,9 +357,10 @@
         let was_answered = std::mem::take(&mut worker.poll_answered);
         let wait = if worker.clock.is_none() || !was_answered {
             0
-        } else if has_trial {
-            // Other suspects may wait for the outcome.
-            worker.poll_wait().min(timing::POLL_SERVING)
+        } else if is_watched {
+            // The shorter the time in which the worker may crash for another reason, the more its
+            // crash tells of the task.
+            worker.poll_wait().min(timing::POLL_TRIAL)
         } else {
             worker.poll_wait()
         };
--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         cell::{Cell, Job, Rank},
-        crashes::{Suspicion, crash_cost},
+        crashes::{Suspicion, crash_cost, trial_cost},
         interference::Image,
         overdue::Obstacle,
         worker::{TaskKey, Worker},
@@ -91,7 +91,9 @@
                     .is_none()
         };
         let cost = |worker: &Worker| {
-            if history.suspicion.is_risky() {
+            if history.suspicion == Suspicion::Alone {
+                trial_cost(worker, now)
+            } else if history.suspicion.is_risky() {
                 crash_cost(worker)
             } else {
                 self.cost(step, image, worker)
--- /dev/null
+++ b/components/cell/src/crashes/evidence.rs
@@ -0,0 +1,355 @@
+//! How much the loss of a worker tells against a task that ran there.
+//!
+//! A worker may be lost for any reason. The less likely that is in the time for which the task ran,
+//! the more the loss tells against the task. The likelihood comes from the other workers: how many
+//! of them were lost lately, and how many at the same time. Losses that a suspected task explains
+//! are not counted. The evidence of consecutive crashes adds up.
+
+use {
+    super::{
+        losses::{Correlation, GroupLoss, Loss, RETENTION_MS},
+        trial::{ISOLATE_AFTER_EARLY, Suspicion},
+    },
+    crate::{
+        cell::Cell,
+        slot::Slot,
+        worker::{TaskKey, Worker},
+    },
+    job::Id,
+    std::{
+        collections::{HashMap, HashSet},
+        hash::{DefaultHasher, Hash, Hasher},
+        sync::Arc,
+    },
+};
+
+/// Evidence, in tenths of a bit, from which a task surely crashes its workers: 15 bits, or one in
+/// 32,768 series of crashes by chance.
+pub(super) const PROOF: u32 = 150;
+/// The most that one crash tells, in tenths of a bit: two crashes never prove anything.
+const MAX_EVIDENCE: u32 = 60;
+/// The same if the worker did not confirm the start: it may have been lost before.
+const MAX_UNCONFIRMED: u32 = 20;
+/// Isolated trials begin after a random part of this time, in milliseconds. Without it suspects
+/// would start in step with whatever crashes workers at intervals, since they are lost together.
+pub(super) const TRIAL_SPREAD_MS: u64 = 1_000;
+/// The shortest time, in milliseconds, over which the rate of losses is taken.
+const MIN_OBSERVED_MS: u64 = 1_000;
+/// How long an adopted run may have been running before, in milliseconds: the time of a takeover.
+const ADOPTED_MS: u64 = 10_000;
+/// Time, in milliseconds, after the loss of a worker is proven, after which its crash is weighed
+/// although some workers have not answered since.
+const WEIGH_AFTER_MS: u64 = 1_500;
+/// The delay, in milliseconds, before a long-running task that surely crashes its workers at its
+/// start is started again, and before one that crashes them later is. It doubles with each further
+/// crash, at most this often.
+const START_DELAY_MS: u64 = 20_000;
+const LATE_DELAY_MS: u64 = 2_000;
+const MAX_DOUBLINGS: u32 = 4;
+/// A crash tells nothing if such a share of the cell or of the rack was lost at the same time.
+const MAX_CELL_SHARE: f64 = 0.4;
+const MAX_RACK_SHARE: f64 = 0.75;
+/// Fewer other workers of a rack than this may be lost at the same time by chance.
+const MIN_OTHERS_IN_RACK: usize = 2;
+
+/// A crash that is to be weighed once the losses at the same time are known.
+#[derive(Debug)]
+pub(super) struct Unweighed {
+    loss: Loss,
+    /// When the worker was declared lost, on the owner's clock.
+    at: u64,
+    /// The tasks that may have caused the crash.
+    suspects: Vec<Suspect>,
+}
+
+/// A run that may have caused a crash.
+#[derive(Debug)]
+pub(super) struct Suspect {
+    pub key: TaskKey,
+    /// For how long it may have run, in milliseconds.
+    pub runtime: u64,
+    /// The start was put off by a random part of this time, in milliseconds.
+    pub spread: u64,
+    /// The worker has confirmed the start.
+    pub confirmed: bool,
+}
+
+/// Crashes to be weighed, and what their evidence depends on.
+#[derive(Debug, Default)]
+pub(super) struct Evidence {
+    /// Since when losses are observed, on the owner's clock.
+    since: Option<u64>,
+    unweighed: Vec<Unweighed>,
+    /// The tasks of these crashes.
+    awaiting: HashSet<TaskKey>,
+    /// When crashes were counted against a task, while the losses of the workers are kept.
+    blamed: HashMap<TaskKey, Vec<u64>>,
+}
+
+impl Evidence {
+    /// True if a crash under the task is still to be weighed.
+    pub fn is_awaiting(&self, key: &TaskKey) -> bool {
+        self.awaiting.contains(key)
+    }
+
+    /// True if a crash was counted against any task lately.
+    pub fn has_recent(&self) -> bool {
+        !self.blamed.is_empty()
+    }
+
+    /// Drops the crash of a worker that has returned.
+    pub fn revoke(&mut self, id: &str) {
+        self.unweighed.retain(|crash| &*crash.loss.id != id);
+        self.update_awaiting();
+    }
+
+    fn update_awaiting(&mut self) {
+        let suspects = self.unweighed.iter().flat_map(|crash| &crash.suspects);
+        self.awaiting = suspects.map(|suspect| suspect.key.clone()).collect();
+    }
+
+    /// Drops what is older than the recent losses.
+    fn expire(&mut self, now: u64) {
+        self.since.get_or_insert(now);
+        self.blamed.retain(|_, times| {
+            times.retain(|at| now < at + RETENTION_MS);
+            !times.is_empty()
+        });
+    }
+
+    /// Number of recent losses that were counted against the task.
+    fn blamed_count(&self, key: &TaskKey) -> usize {
+        self.blamed.get(key).map_or(0, Vec::len)
+    }
+
+    /// The time over which losses are known, in milliseconds.
+    fn observed(&self, now: u64) -> u64 {
+        let since = self.since.unwrap_or(now);
+        now.saturating_sub(since)
+            .clamp(MIN_OBSERVED_MS, RETENTION_MS)
+    }
+}
+
+impl Cell {
+    /// What is known of a task that ran on a lost worker.
+    pub(super) fn suspect(&self, id: &str, key: &TaskKey, now: u64) -> Option<Suspect> {
+        let worker = self.workers.get(id)?;
+        let slot = worker.slots.get(key)?;
+        Some(Suspect {
+            key: key.clone(),
+            runtime: worker.max_runtime(slot, now),
+            spread: slot.spread,
+            confirmed: !slot.is_sent(),
+        })
+    }
+
+    /// Notes a crash whose evidence is to be weighed.
+    pub(super) fn add_unweighed(&mut self, loss: Loss, suspects: Vec<Suspect>, now: u64) {
+        if suspects.is_empty() {
+            return;
+        }
+        let evidence = &mut self.crashes.evidence;
+        for Suspect { key, .. } in &suspects {
+            evidence.awaiting.insert(key.clone());
+            evidence.blamed.entry(key.clone()).or_default().push(now);
+        }
+        let at = now;
+        evidence.unweighed.push(Unweighed { loss, at, suspects });
+    }
+
+    /// Weighs the crashes for which the losses at the same time are known.
+    pub(super) fn weigh_crashes(&mut self, now: u64) {
+        self.crashes.evidence.expire(now);
+        if self.crashes.evidence.unweighed.is_empty() {
+            return;
+        }
+        let heard = self.heard_since();
+        let is_due = |crash: &mut Unweighed| {
+            heard.is_none_or(|heard| crash.loss.outage.until < heard)
+                || now >= crash.at + WEIGH_AFTER_MS
+        };
+        let due = self.crashes.evidence.unweighed.extract_if(.., is_due);
+        let due: Vec<_> = due.collect();
+        if due.is_empty() {
+            return;
+        }
+        let unexplained = self.crashes.losses.unexplained();
+        for crash in due {
+            self.weigh_crash(crash, unexplained, now);
+        }
+        self.crashes.evidence.update_awaiting();
+    }
+
+    /// The time after which all workers that are not known to be unreachable have answered, on the
+    /// owner's clock; `None` if there are none.
+    fn heard_since(&self) -> Option<u64> {
+        let reachable = self.workers.values();
+        let reachable = reachable.filter(|worker| !worker.is_unreachable());
+        let clocks = reachable.filter_map(|worker| worker.clock);
+        clocks.map(|clock| clock.at).min()
+    }
+
+    /// Weighs a crash. No trial explains `unexplained` of the recent losses.
+    fn weigh_crash(&mut self, crash: Unweighed, unexplained: usize, now: u64) {
+        let Unweighed { loss, suspects, .. } = crash;
+        let id = loss.id.clone();
+        let evidence = &self.crashes.evidence;
+        let observed = evidence.observed(now);
+        let losses = &mut self.crashes.losses;
+        let is_counted = !loss.has_trial && losses.recent.contains_key(&id);
+        let unexplained = unexplained.saturating_sub(usize::from(is_counted));
+        let context = Context {
+            losses: losses.correlate(&self.workers, loss),
+            unexplained,
+            observed,
+        };
+        let mut weighed = Vec::new();
+        for suspect in suspects {
+            let own = evidence.blamed_count(&suspect.key).saturating_sub(1);
+            let chance = context.chance(&suspect, own);
+            let most = suspect.max_evidence();
+            weighed.push((suspect, to_evidence(chance).min(most)));
+        }
+        for (suspect, added) in weighed {
+            self.add_evidence(&id, &suspect, added, now);
+        }
+    }
+
+    /// Adds to the evidence against a task, and puts off its next start if that is to be in
+    /// isolation.
+    fn add_evidence(&mut self, id: &Arc<str>, suspect: &Suspect, added: u32, now: u64) {
+        let Suspect { key, runtime, .. } = suspect;
+        let is_isolated = self.suspicion(&key.job, key.place) == Suspicion::Alone;
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let Some(task) = job.progress.tasks.get_mut(key.place) else {
+            return;
+        };
+        // The task may have been cleared since.
+        if job.progress.state.is_final() || task.crashes.all == 0 {
+            return;
+        }
+        task.crashes.evidence += added;
+        let evidence = task.crashes.evidence;
+        if is_isolated {
+            let delay = trial_delay(key, task.run);
+            job.delayed.insert(key.place, now + delay);
+        }
+        job.unpersisted_crashes.insert(key.place);
+        log::info!(target: "cell", job = key.job.as_str(), place = key.place, worker = &**id, runtime = *runtime, added, evidence; "Evidence of a crash was weighed.");
+        self.dirty.insert(key.job.clone());
+        if let Some(provisional) = self.crashes.provisional.get_mut(id) {
+            provisional.evidence.push((key.clone(), added));
+        }
+        if self.is_over_limit(key) {
+            self.crashes.over_limit.push(key.clone());
+        }
+    }
+}
+
+/// The loss of a worker beside other losses.
+struct Context<'a> {
+    losses: Correlation<'a>,
+    /// Other recent losses that no trial explains.
+    unexplained: usize,
+    /// The time over which these are known, in milliseconds.
+    observed: u64,
+}
+
+impl Context<'_> {
+    /// The probability that a run loses its worker for reasons that have nothing to do with its
+    /// job. `own` of the recent losses were counted against the same task.
+    fn chance(&self, suspect: &Suspect, own: usize) -> f64 {
+        let job = &suspect.key.job;
+        let in_cell = self.losses.in_cell();
+        let total = in_cell.total().max(1) as f64;
+        let explained = own.max(in_cell.explained_others(job));
+        let others = self.unexplained.saturating_sub(explained) + 1;
+        let rate = others as f64 / (total * self.observed as f64);
+        let by_rate = 1.0 - (-rate * suspect.runtime as f64).exp();
+        let in_rack = self.losses.in_rack();
+        let in_rack = in_rack.map_or(0.0, |rack| share(&rack, job, MIN_OTHERS_IN_RACK));
+        let in_cell = share(&in_cell, job, 1);
+        if in_cell >= MAX_CELL_SHARE || in_rack >= MAX_RACK_SHARE {
+            return 1.0;
+        }
+        by_rate.max(in_cell * suspect.coverage())
+    }
+}
+
+impl Suspect {
+    const fn max_evidence(&self) -> u32 {
+        if self.confirmed {
+            MAX_EVIDENCE
+        } else {
+            MAX_UNCONFIRMED
+        }
+    }
+
+    /// The part of the possible starts after which the run would have been running at a given time.
+    fn coverage(&self) -> f64 {
+        if self.spread <= self.runtime {
+            return 1.0;
+        }
+        self.runtime as f64 / self.spread as f64
+    }
+}
+
+/// The share of a group that was lost at the same time for reasons that have nothing to do with the
+/// job, if at least `least` other workers were.
+fn share(loss: &GroupLoss<'_>, job: &Id, least: usize) -> f64 {
+    let others = loss.unexplained_others();
+    let others = others.saturating_sub(loss.explained_others(job));
+    if others < least {
+        return 0.0;
+    }
+    (others + 1) as f64 / loss.total().max(1) as f64
+}
+
+/// The evidence in an event with this probability, in tenths of a bit.
+fn to_evidence(chance: f64) -> u32 {
+    let tenths = -chance.log2() * 10.0;
+    tenths.max(0.0) as u32
+}
+
+/// The time by which the start of an isolated trial is put off, in milliseconds. It differs between
+/// tasks and between runs, and is the same whenever the same events are played again.
+fn trial_delay(key: &TaskKey, run: u64) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (key, run).hash(&mut hasher);
+    hasher.finish() % TRIAL_SPREAD_MS
+}
+
+/// The time over which the start of a task was spread, in milliseconds, if it was put off.
+pub(crate) const fn start_spread(delayed: Option<u64>) -> u64 {
+    if delayed.is_some() {
+        TRIAL_SPREAD_MS
+    } else {
+        0
+    }
+}
+
+/// The delay before a long-running task with these crashes is started again, in milliseconds.
+pub(super) fn restart_delay(crashes: job::Crashes) -> u64 {
+    let doublings = crashes.evidence.saturating_sub(PROOF) / MAX_EVIDENCE;
+    let is_early = crashes.early >= ISOLATE_AFTER_EARLY;
+    let delay = if is_early {
+        START_DELAY_MS
+    } else {
+        LATE_DELAY_MS
+    };
+    delay << doublings.min(MAX_DOUBLINGS)
+}
+
+impl Worker {
+    /// For how long a run may have been running when the worker was lost, in milliseconds. If the
+    /// worker was last heard before the start, the time since then counts, since it may have been
+    /// lost before.
+    pub(super) fn max_runtime(&self, slot: &Slot, now: u64) -> u64 {
+        let lost = self.silent_by.unwrap_or(now);
+        let heard = self.clock.map_or(slot.decided, |clock| clock.at);
+        let adopted = if slot.adopted { ADOPTED_MS } else { 0 };
+        lost.saturating_sub(slot.decided.min(heard)) + adopted
+    }
+}
--- a/components/cell/src/crashes/index.rs
+++ b/components/cell/src/crashes/index.rs
@@ -18,6 +18,8 @@
     pub total: usize,
     /// Outages of the lost workers.
     pub outages: Outages,
+    /// Outages of the lost workers with a trial.
+    pub trials: Outages,
     /// Outages of the lost workers that had a new run, by the job of that run.
     pub job_outages: HashMap<Id, Outages>,
 }
@@ -25,6 +27,9 @@
 impl Group {
     fn add(&mut self, loss: &Loss) {
         self.outages.add(loss.outage);
+        if loss.has_trial {
+            self.trials.add(loss.outage);
+        }
         for job in &loss.jobs {
             let outages = self.job_outages.entry(job.clone()).or_default();
             outages.add(loss.outage);
@@ -33,6 +38,9 @@
 
     fn remove(&mut self, loss: &Loss) {
         self.outages.remove(loss.outage);
+        if loss.has_trial {
+            self.trials.remove(loss.outage);
+        }
         for job in &loss.jobs {
             let Some(outages) = self.job_outages.get_mut(job) else {
                 continue;
--- a/components/cell/src/crashes/losses.rs
+++ b/components/cell/src/crashes/losses.rs
@@ -30,16 +30,18 @@
 const ISOLATED_PERCENT: usize = 40;
 /// How long a loss is kept, in milliseconds: longer than the time until the leases of the last
 /// worker of a group expire and it is declared lost.
-const RETENTION_MS: u64 = 10_000;
+pub(super) const RETENTION_MS: u64 = 10_000;
 
 /// The loss of a worker that is unreachable or was declared lost.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Loss {
     pub id: Arc<str>,
     pub rack: Arc<str>,
     pub outage: Outage,
     /// Jobs with a new run on the worker.
     pub jobs: BTreeSet<Id>,
+    /// A suspected task was being tried on the worker, which explains the loss.
+    pub has_trial: bool,
     /// When the worker was declared lost, in milliseconds on the owner's clock; until then, since
     /// when it is unreachable.
     at: u64,
@@ -54,6 +56,7 @@
             rack: worker.entry.rack().into(),
             outage: Outage::of(worker, now),
             jobs: early.map(|(key, _)| key.job.clone()).collect(),
+            has_trial: worker.has_trial,
             at: now,
         }
     }
@@ -90,6 +93,12 @@
         self.recent.insert(id.clone(), loss);
     }
 
+    /// Number of recent losses that no trial explains.
+    pub(super) fn unexplained(&self) -> usize {
+        let recent = self.recent.values();
+        recent.filter(|loss| !loss.has_trial).count()
+    }
+
     /// Drops losses older than the retention time.
     pub fn expire(&mut self, now: u64) {
         let before = self.recent.len();
@@ -151,6 +160,15 @@
         workers: &BTreeMap<Arc<str>, Worker>,
         worker: &Worker,
         now: u64,
+    ) -> Correlation<'_> {
+        self.correlate(workers, Loss::of(worker, now))
+    }
+
+    /// The same for a loss of a worker that may have been removed since.
+    pub(super) fn correlate(
+        &mut self,
+        workers: &BTreeMap<Arc<str>, Worker>,
+        own: Loss,
     ) -> Correlation<'_> {
         self.lookups += 1;
         if self.index.is_none() {
@@ -159,7 +177,6 @@
         let recent = &self.recent;
         let build = || LossIndex::of(workers, recent);
         let index = self.index.get_or_insert_with(build);
-        let own = Loss::of(worker, now);
         let indexed = recent.get(&own.id).or_else(|| index.unreachable(&own.id));
         Correlation {
             own,
@@ -247,6 +264,25 @@
         self.overlapping_others(&self.group.outages, self.indexed) + 1
     }
 
+    /// Number of other workers that were lost at the same time and without a trial that explains
+    /// it.
+    pub fn unexplained_others(&self) -> usize {
+        let indexed = self.indexed.filter(|indexed| indexed.has_trial);
+        let explained = self.overlapping_others(&self.group.trials, indexed);
+        self.lost_count() - 1 - explained
+    }
+
+    /// Number of other workers whose loss a job explains: those that had a new run of it, if more
+    /// than half of the workers lost together had one.
+    pub fn explained_others(&self, job: &Id) -> usize {
+        let starting = self.starting(job);
+        if starting * 2 > self.lost_count() {
+            starting.saturating_sub(1)
+        } else {
+            0
+        }
+    }
+
     /// Number of workers lost together that had a new run of a job.
     pub fn starting(&self, job: &Id) -> usize {
         let has_job = |loss: &&Loss| loss.jobs.contains(job);
--- a/components/cell/src/crashes/mod.rs
+++ b/components/cell/src/crashes/mod.rs
@@ -5,12 +5,15 @@
 //! worker crashes before the run has been reported for [`EARLY_MS`]; suspicion grows with
 //! consecutive crashes. A suspected task gets a trial on a worker where a crash costs little, never
 //! together with another suspect, so that the next crash tells them apart. A run reported for
-//! longer clears its task. After [`MAX_EARLY_CRASHES`] consecutive early crashes the job fails.
+//! longer clears its task. A loss correlated with the loss of many other workers is attributed to
+//! power or network and counts as a late crash. If a worker whose leases had expired returns, its
+//! crash is revoked.
 //!
-//! A loss correlated with the loss of many other workers is attributed to power or network and
-//! counts as a late crash. Late crashes are bounded too, by a higher limit. If a worker whose
-//! leases had expired returns, its crash is revoked.
+//! The number of crashes proves nothing, since workers are also lost for other reasons. Each crash
+//! is weighed by how likely it was by chance, see [`evidence`]. Once there is enough evidence
+//! against a task its job fails; a long-running task is started again, further apart each time.
 
+mod evidence;
 mod index;
 mod losses;
 mod outage;
@@ -19,12 +22,13 @@
 mod trial;
 
 pub(crate) use {
+    evidence::start_spread,
     losses::Losses,
-    trial::{Suspicion, crash_cost},
+    trial::{Suspicion, crash_cost, trial_cost},
 };
 
 use {
-    self::outage::Outage,
+    self::{losses::Loss, outage::Outage},
     crate::{
         cell::Cell,
         run_log::RUNS_PER_LINE,
@@ -32,7 +36,10 @@
         worker::{TaskKey, Worker},
     },
     job::Id,
-    std::{collections::HashMap, sync::Arc},
+    std::{
+        collections::{HashMap, HashSet},
+        sync::Arc,
+    },
 };
 
 /// A run reported for this long, in milliseconds, did not crash its worker by starting. Workers
@@ -42,14 +49,10 @@
 /// A run reported for this long, in milliseconds, clears its task of all earlier crashes: ten times
 /// the duration of most tasks.
 const STABLE_MS: u64 = 30_000;
-/// Consecutive early crashes after which a task fails its job. Two may be two power failures, or a
-/// crash caused by another suspect followed by an unrelated one, and must not fail a healthy job.
-/// Each further crash costs a worker per task: six such tasks on 66 workers crash 12 workers with a
-/// limit of two, 18 with three, 30 with five, and 174 in 60 s without a limit.
-const MAX_EARLY_CRASHES: u32 = 3;
-/// Consecutive crashes, early or late, after which a task fails its job: at most two more starts
-/// are allowed once three workers have crashed under the task.
-const MAX_CRASHES: u32 = 5;
+/// Early crashes are counted up to this number, from which the task is tried in isolation.
+const MAX_EARLY_COUNT: u32 = trial::ISOLATE_AFTER_EARLY;
+/// Crashes of any kind are counted up to this number.
+const MAX_COUNT: u32 = 4;
 /// Time, in milliseconds, in which the crash of a worker that was lost through expired leases can
 /// be revoked. The longest network partitions in the requirements last about ten seconds.
 const REVOCABLE_MS: u64 = 60_000;
@@ -63,8 +66,20 @@
     pub losses: Losses,
     /// Crashes of workers that may return, by worker.
     provisional: HashMap<Arc<str>, ProvisionalCrashes>,
-    /// Tasks that reached a crash limit and whose jobs are to fail.
+    /// What the crashes tell against the tasks.
+    evidence: evidence::Evidence,
+    /// Tasks that surely crash their workers, and whose jobs are to fail or whose next starts are
+    /// to be delayed.
     over_limit: Vec<TaskKey>,
+    /// Workers on which a suspect may be tried in isolation next.
+    watched: HashSet<Arc<str>>,
+}
+
+impl CrashTracker {
+    /// True if a suspect may be tried in isolation on the worker next.
+    pub fn is_watched(&self, id: &str) -> bool {
+        self.watched.contains(id)
+    }
 }
 
 /// Crashes counted for a worker that may be alive.
@@ -74,6 +89,8 @@
     at: u64,
     /// The tasks, and for each whether the crash was early.
     tasks: Vec<(TaskKey, bool)>,
+    /// The evidence that was added, in tenths of a bit.
+    evidence: Vec<(TaskKey, u32)>,
 }
 
 impl Cell {
@@ -92,7 +109,11 @@
         }
         let tasks = self.attribute_crash(id, now);
         if !tasks.is_empty() {
-            let provisional = ProvisionalCrashes { at: now, tasks };
+            let provisional = ProvisionalCrashes {
+                at: now,
+                tasks,
+                evidence: Vec::new(),
+            };
             self.crashes.provisional.insert(id.clone(), provisional);
         }
     }
@@ -123,6 +144,7 @@
         if worker.left_cleanly() {
             return Vec::new();
         }
+        let loss = Loss::of(worker, now);
         tasks.sort();
         self.retain_likely_causes(&mut tasks);
         tasks.retain(|(key, is_early)| {
@@ -132,6 +154,9 @@
             }
             is_counted
         });
+        let keys = tasks.iter().map(|(key, _)| key);
+        let suspects = keys.filter_map(|key| self.suspect(id, key, now)).collect();
+        self.add_unweighed(loss, suspects, now);
         tasks
     }
 
@@ -184,8 +209,9 @@
         let Some(task) = job.progress.tasks.get_mut(key.place) else {
             return false;
         };
-        task.crashes.early += u32::from(is_early);
-        task.crashes.all += 1;
+        let crashes = &mut task.crashes;
+        crashes.early = (crashes.early + u32::from(is_early)).min(MAX_EARLY_COUNT);
+        crashes.all = (crashes.all + 1).min(MAX_COUNT);
         job.suspects.insert(key.place);
         job.unpersisted_crashes.insert(key.place);
         if is_early {
@@ -193,9 +219,6 @@
             log::warn!(target: "cell", job = key.job.as_str(), place = key.place, early = task.crashes.early, all = task.crashes.all; "Worker crashed soon after the task started; the task is suspected.");
         }
         self.dirty.insert(key.job.clone());
-        if self.is_over_limit(key) {
-            self.crashes.over_limit.push(key.clone());
-        }
         true
     }
 
@@ -205,6 +228,13 @@
             return;
         };
         log::info!(target: "cell", worker = &**id, tasks = provisional.tasks.len(); "Worker that had been declared lost has returned; crashes counted against its tasks are revoked.");
+        self.crashes.evidence.revoke(id);
+        for (key, bits) in provisional.evidence {
+            if let Some(job) = self.jobs.get_mut(&key.job) {
+                let crashes = &mut job.progress.tasks[key.place].crashes;
+                crashes.evidence = crashes.evidence.saturating_sub(bits);
+            }
+        }
         for (key, is_early) in provisional.tasks {
             let Some(job) = self.jobs.get_mut(&key.job) else {
                 continue;
@@ -213,6 +243,7 @@
             crashes.early = crashes.early.saturating_sub(u32::from(is_early));
             crashes.all = crashes.all.saturating_sub(1);
             if crashes.all == 0 {
+                *crashes = job::Crashes::default();
                 job.suspects.remove(&key.place);
             }
             self.dirty.insert(key.job);
@@ -260,6 +291,7 @@
         if crashes.early > 0 {
             log::info!(target: "cell", job = key.job.as_str(), place = key.place, early = crashes.early; "Suspected task is running; its early crashes are cleared.");
             crashes.early = 0;
+            crashes.evidence = 0;
             self.dirty.insert(key.job.clone());
         }
     }
@@ -274,17 +306,19 @@
         };
         if task.crashes.all > 0 && !job.progress.state.is_final() {
             task.crashes = job::Crashes::default();
+            job.delayed.remove(&key.place);
             job.suspects.remove(&key.place);
             self.dirty.insert(key.job.clone());
         }
     }
 
-    /// Fails the jobs of tasks that reached a crash limit. `wall` is in milliseconds since 1970,
-    /// `now` on the owner's clock.
+    /// Fails the jobs of tasks that surely crash their workers. Long-running tasks are started
+    /// again however they end, so their next start is delayed instead. `wall` is in milliseconds
+    /// since 1970, `now` on the owner's clock.
     pub(crate) fn fail_over_limit(&mut self, wall: u64, now: u64) {
         for key in std::mem::take(&mut self.crashes.over_limit) {
             // The crash of its last worker may have been revoked.
-            if !self.is_over_limit(&key) {
+            if !self.is_over_limit(&key) || self.delay_restart(&key, now) {
                 continue;
             }
             let crashes = self
@@ -292,11 +326,39 @@
                 .get(&key.job)
                 .map(|job| job.progress.tasks[key.place].crashes);
             let crashes = crashes.unwrap_or_default();
-            log::warn!(target: "cell", job = key.job.as_str(), place = key.place, early = crashes.early, all = crashes.all; "Task reached its crash limit; its job fails.");
+            log::warn!(target: "cell", job = key.job.as_str(), place = key.place, early = crashes.early, all = crashes.all, evidence = crashes.evidence; "Task reached its crash limit; its job fails.");
             self.finish(&key.job, job::State::Failed, now, wall);
         }
     }
 
+    /// Delays the next start of a long-running task that surely crashes its workers. Returns false
+    /// if the task is not long-running.
+    fn delay_restart(&mut self, key: &TaskKey, now: u64) -> bool {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return false;
+        };
+        if !job.progress.step(key.place).lasting {
+            return false;
+        }
+        let crashes = job.progress.tasks[key.place].crashes;
+        let (evidence, delay) = (crashes.evidence, evidence::restart_delay(crashes));
+        job.delayed.insert(key.place, now + delay);
+        log::warn!(target: "cell", job = key.job.as_str(), place = key.place, evidence, delay; "Long-running task crashes its workers; its next start is delayed.");
+        true
+    }
+
+    /// True if the next start of a task is delayed since it crashes its workers.
+    pub(crate) fn is_delayed(&self, id: &Id, place: usize) -> bool {
+        let until = self.jobs.get(id).and_then(|job| job.delayed.get(&place));
+        until.is_some_and(|&until| self.last_pass < until)
+    }
+
+    /// True if the next start of a task is delayed for longer than that of an isolated trial.
+    fn is_long_delayed(&self, id: &Id, place: usize) -> bool {
+        let until = self.jobs.get(id).and_then(|job| job.delayed.get(&place));
+        until.is_some_and(|&until| self.last_pass + evidence::TRIAL_SPREAD_MS < until)
+    }
+
     /// Queues the tasks of a resumed job that reached a crash limit under a previous owner.
     pub(crate) fn check_crash_limits(&mut self, id: &Id) {
         let Some(job) = self.jobs.get(id) else {
@@ -320,13 +382,15 @@
     fn is_over_limit(&self, key: &TaskKey) -> bool {
         self.jobs.get(&key.job).is_some_and(|job| {
             let crashes = job.progress.tasks[key.place].crashes;
-            crashes.early >= MAX_EARLY_CRASHES || crashes.all >= MAX_CRASHES
+            crashes.evidence >= evidence::PROOF
         })
     }
 
     /// Drops losses and revocable crashes that are too old.
     pub(crate) fn expire_crash_state(&mut self, now: u64) {
         self.crashes.losses.expire(now);
+        self.weigh_crashes(now);
+        self.watch_workers(now);
         self.crashes
             .provisional
             .retain(|_, provisional| now < provisional.at + REVOCABLE_MS);
--- a/components/cell/src/gang.rs
+++ b/components/cell/src/gang.rs
@@ -37,8 +37,10 @@
         });
         let has_unpersisted_crashes =
             |&place: &usize| self.has_unpersisted_crashes(&rank.id, place);
-        let is_blocked =
-            self.has_task_over_limit(&rank.id) || places.iter().any(has_unpersisted_crashes);
+        let is_delayed = |&place: &usize| self.is_delayed(&rank.id, place);
+        let is_blocked = self.has_task_over_limit(&rank.id)
+            || places.iter().any(has_unpersisted_crashes)
+            || places.iter().any(is_delayed);
         if places.len() < left as usize || is_blocked {
             self.mark_suspects_unplaceable(&rank.id, self.places(rank, address));
             return;
--- a/components/cell/src/jobs.rs
+++ b/components/cell/src/jobs.rs
@@ -8,7 +8,7 @@
     job::{Id, Phase, Progress, Record, State, Submission},
     policy::lateness::{Lateness, Objective, classify},
     std::{
-        collections::{BTreeSet, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         sync::Arc,
     },
 };
@@ -77,11 +77,8 @@
             unpersisted_crashes: BTreeSet::new(),
             unplaceable: BTreeSet::new(),
             passed_trials: 0,
-            suspects: progress
-                .crashed()
-                .into_iter()
-                .map(|(place, _)| place as usize)
-                .collect(),
+            delayed: BTreeMap::new(),
+            suspects: progress.crashed().iter().map(|row| row.0).collect(),
             advice: HashMap::new(),
             measured: vec![StepRuns::default(); steps],
             low_paths,
--- a/components/cell/src/lease_expiry.rs
+++ b/components/cell/src/lease_expiry.rs
@@ -1,7 +1,7 @@
 //! Unreachable workers and expired leases.
 
 use {
-    crate::{cell::Cell, worker::TaskKey},
+    crate::{cell::Cell, timing, worker::TaskKey},
     job::Phase,
     std::sync::Arc,
 };
@@ -17,6 +17,8 @@
             worker.back_off(now);
             if worker.unreachable_since.is_none() {
                 worker.unreachable_since = Some(now);
+                let due = worker.answer_due.map_or(now, timing::expected_answer);
+                worker.silent_by = Some(due.min(now));
                 self.crashes.losses.refresh(worker);
             }
         }
--- a/components/cell/src/persistence.rs
+++ b/components/cell/src/persistence.rs
@@ -6,7 +6,7 @@
         learned::Learned,
         worker::{Entry, TaskKey},
     },
-    job::{Crashes, Id, Record},
+    job::{Id, Record},
     serde::{Deserialize, Serialize},
     std::{collections::HashSet, sync::Arc},
 };
@@ -64,13 +64,11 @@
     fn apply_written_crashes(&mut self, record: &Record) {
         let tasks = &self.progress.tasks;
         self.unpersisted_crashes.retain(|&place| {
-            // The rows are in the order of places.
-            let row = record
-                .crashed
-                .binary_search_by_key(&place, |(row, _)| *row as usize);
-            let written = row.map_or_else(|_| Crashes::default(), |row| record.crashed[row].1);
+            let written = record.crashes(place);
             let counted = tasks[place].crashes;
-            written.early < counted.early || written.all < counted.all
+            written.early < counted.early
+                || written.all < counted.all
+                || written.evidence < counted.evidence
         });
     }
 }
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -4,7 +4,7 @@
     crate::{
         cell::{Cell, Job, Rank},
         choose::{History, Scope},
-        crashes::Suspicion,
+        crashes::{self, Suspicion},
         order::{Order, Start},
         run_log::RUNS_PER_LINE,
         serving_load::Urgency,
@@ -333,7 +333,11 @@
         let step = job.progress.step(place);
         let address = job.progress.submission.spec.address(place);
         let image = self.interference.intern(step.image.as_ref());
-        let slot = Slot::new(step, address, image, run, Stage::Sent { deadline });
+        let slot = Slot {
+            decided: now,
+            spread: crashes::start_spread(job.delayed.remove(&place)),
+            ..Slot::new(step, address, image, run, Stage::Sent { deadline })
+        };
         // A stopped run of the task may still hold the slot that is replaced.
         worker.reported &= !worker.slots.contains_key(&key);
         worker.add_slot(key.clone(), slot);
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -45,6 +45,7 @@
         worker.confirmed = true;
         worker.answer_due = None;
         let was_unreachable = worker.unreachable_since.take().is_some();
+        worker.silent_by = None;
         worker.changed = true;
         worker.clock = Some(Clock {
             value: report.clock,
@@ -186,6 +187,7 @@
         let image = self.interference.intern(step.image.as_ref());
         let stage = Stage::Running { at: times.now };
         let slot = Slot {
+            decided: times.now,
             adopted: true,
             percent: UNKNOWN_PACE,
             figure: run.figure,
--- a/components/cell/src/slot.rs
+++ b/components/cell/src/slot.rs
@@ -37,6 +37,10 @@
     pub run: u64,
     /// Counts up with each slot that the worker gets.
     pub number: u64,
+    /// When the start was decided or the run adopted, on the owner's clock.
+    pub decided: u64,
+    /// The start was put off by a random part of this time, in milliseconds.
+    pub spread: u64,
     /// The run was adopted from a worker's report: it started before this owner recorded it.
     pub adopted: bool,
     /// The resources of the task.
@@ -80,6 +84,8 @@
             address,
             run,
             number: 0,
+            decided: 0,
+            spread: 0,
             adopted: false,
             size: step.size,
             best_effort: step.fills,
--- a/components/cell/src/timing.rs
+++ b/components/cell/src/timing.rs
@@ -30,6 +30,8 @@
 /// How long a poll may be held on a worker that has not answered an order to start. Its next report
 /// shows whether the run exists.
 pub const POLL_UNANSWERED: u64 = 100;
+/// How long a poll may be held on a worker that tries a suspected task, or is about to.
+pub const POLL_TRIAL: u64 = 100;
 /// How long a poll may be held on a worker with serving tasks. Its figures cover the last half
 /// second, and best-effort tasks may be placed beside these tasks meanwhile.
 pub const POLL_SERVING: u64 = 500;
@@ -37,6 +39,8 @@
 /// The answer to a poll is overdue this long after its wait: the client times out after 0.8 s, and
 /// the rest is the round trip through a relay.
 pub const POLL_GRACE: u64 = 1_000;
+/// The answer to a poll takes this long after its wait, unless the link is slow.
+const ANSWER_TIME: u64 = 300;
 /// A worker that has answered within this time counts as reachable. It is the wait of a poll of a
 /// worker with serving tasks plus the time that its answer may take.
 pub const REACHABLE_WITHIN: u64 = POLL_SERVING + POLL_GRACE;
@@ -45,6 +49,11 @@
 /// ends before the longest lease, so that it does not postpone the end of all leases.
 pub const HEARD_WITHIN: u64 = MAX_LEASE - START_WINDOW;
 
+/// When an answer that is overdue at this time would have been expected.
+pub const fn expected_answer(due: u64) -> u64 {
+    due - POLL_GRACE + ANSWER_TIME
+}
+
 /// The time on the owner's clock after which a lease of this length on a worker's clock has surely
 /// expired.
 pub const fn max_lease_duration(length: u64) -> u64 {
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -197,6 +197,10 @@
     pub answer_due: Option<u64>,
     /// Since when it has been unreachable.
     pub unreachable_since: Option<u64>,
+    /// When it would have answered at the latest if it were not unreachable, on the owner's clock.
+    pub silent_by: Option<u64>,
+    /// A suspected task is being tried on it.
+    pub has_trial: bool,
     /// The last reading of its clock.
     pub clock: Option<Clock>,
     /// The highest deadline of a lease or start that it was sent, on its clock.
@@ -268,6 +272,8 @@
             poll_answered: false,
             answer_due: None,
             unreachable_since: None,
+            silent_by: None,
+            has_trial: false,
             clock: None,
             max_deadline: 0,
             ends_read: 0,
--- a/components/cell/tests/decisions/crash_evidence.rs
+++ b/components/cell/tests/decisions/crash_evidence.rs
@@ -110,6 +110,28 @@
     assert_eq!(running.count(), 8);
 }
 
+/// Guards against a long-running task that takes one worker after the other: it is started again
+/// further apart each time.
+#[test_case(CRASH_AFTER, 1; "at its start")]
+#[test_case(4_000, 3; "after a while")]
+fn long_running_crashing_task_restarts_less_often(after: u64, most: u32) {
+    let mut sim = Sim::new(12, 1_000);
+    let lasting = Step {
+        lasting: true,
+        ..step(3, 1_000)
+    };
+    sim.submit(JOB, lasting);
+    sim.crash_on_start(JOB, 1, after);
+    sim.advance(60_000);
+    let before = sim.start_count(JOB, 1);
+    sim.advance(60_000);
+    let starts = sim.start_count(JOB, 1) - before;
+    assert!((1..=most).contains(&starts), "{before} and {starts} starts");
+    assert_eq!(sim.state(JOB), Some(State::Running));
+    let others = [0, 2].map(|place| sim.machine_of(JOB, place));
+    assert!(others.iter().all(Option::is_some));
+}
+
 /// Guards against a task that crashes its workers and is started without end while other workers
 /// crash as well.
 #[test_case(48, 4_500, 14, CRASH_AFTER; "at once beside a seventh of the cell")]
--- a/components/job/src/progress.rs
+++ b/components/job/src/progress.rs
@@ -112,9 +112,10 @@
                 task.checkpoint = Some(checkpoint.as_str().into());
             }
         }
-        for (place, crashes) in &record.crashed {
-            if let Some(task) = self.tasks.get_mut(*place as usize) {
-                task.crashes = *crashes;
+        for (place, _) in &record.crashed {
+            let place = *place as usize;
+            if let Some(task) = self.tasks.get_mut(place) {
+                task.crashes = record.crashes(place);
             }
         }
     }
@@ -145,15 +146,17 @@
                 record.saved.push((place as u32, checkpoint.to_string()));
             }
         }
-        record.crashed = self.crashed();
+        for (place, crashes) in self.crashed() {
+            record.add_crashes(place, crashes);
+        }
         record
     }
 
-    /// Returns the tasks with consecutive worker crashes, by place, and their counts.
-    pub fn crashed(&self) -> Vec<(u32, Crashes)> {
+    /// Returns the tasks with consecutive worker crashes, by place.
+    pub fn crashed(&self) -> Vec<(usize, Crashes)> {
         let tasks = self.tasks.iter().enumerate();
         let crashed = tasks.filter(|(_, task)| task.crashes != Crashes::default());
-        let rows = crashed.map(|(place, task)| (place as u32, task.crashes));
+        let rows = crashed.map(|(place, task)| (place, task.crashes));
         rows.collect()
     }
 
--- a/components/job/src/record.rs
+++ b/components/job/src/record.rs
@@ -65,6 +65,9 @@
     }
 }
 
+/// Added to the place of a task in the row of [`Record::crashed`] that has the evidence against it.
+const EVIDENCE_ROWS: u32 = 1 << 31;
+
 /// Consecutive worker crashes attributed to a task.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crashes {
@@ -73,6 +76,10 @@
     pub early: u32,
     /// All crashes.
     pub all: u32,
+    /// How unlikely these crashes are if the task did not cause them, in tenths of a bit: the
+    /// negative binary logarithm of their probability. Persisted in a row of its own, which older builds ignore.
+    #[serde(skip)]
+    pub evidence: u32,
 }
 
 /// The persisted part of a job's progress. Tasks are identified by their place in the job.
@@ -91,6 +98,49 @@
     pub run: u64,
     /// Checkpoints of tasks that are waiting, so that no worker holds them.
     pub saved: Vec<(u32, String)>,
-    /// Tasks with consecutive worker crashes.
+    /// Tasks with consecutive worker crashes: first the rows with the counts, by place, then those
+    /// with the evidence.
     pub crashed: Vec<(u32, Crashes)>,
 }
+
+impl Record {
+    /// Adds the crashes of a task. Rows are kept in order.
+    pub fn add_crashes(&mut self, place: usize, crashes: Crashes) {
+        let place = place as u32;
+        let mut rows = vec![(
+            place,
+            Crashes {
+                evidence: 0,
+                ..crashes
+            },
+        )];
+        if crashes.evidence > 0 {
+            let early = crashes.evidence;
+            rows.push((
+                place | EVIDENCE_ROWS,
+                Crashes {
+                    early,
+                    ..Crashes::default()
+                },
+            ));
+        }
+        for row in rows {
+            let at = self.crashed.partition_point(|(other, _)| *other < row.0);
+            self.crashed.insert(at, row);
+        }
+    }
+
+    /// The crashes of a task.
+    pub fn crashes(&self, place: usize) -> Crashes {
+        let row = |place: u32| {
+            let at = self.crashed.binary_search_by_key(&place, |(row, _)| *row);
+            at.map_or_else(|_| Crashes::default(), |at| self.crashed[at].1)
+        };
+        let place = place as u32;
+        let evidence = row(place | EVIDENCE_ROWS).early;
+        Crashes {
+            evidence,
+            ..row(place)
+        }
+    }
+}
