Cell: count the crashes that no owner observed

Callers saw workers crash without end under one task while owners were killed or frozen. A crash is counted when the loss of the worker is proven, 2 to 5 s later; an owner that ends before counts nothing, and the next one took the task for one that never ran. The known test starts such a task 13 times where five starts are allowed, in each of its three cases.

The record of a job tells which tasks run, and of suspects on which worker; it is written when a suspect is placed. The new owner looks at a task right before its start: a run that was on record and that no worker reports was lost with its worker. So was one that the former owner has recorded for a sealed worker that is gone. It counts as an early crash, and tells against the task by the share of the workers that is gone, half a second later, when those that live have answered; 2 bits at most unless the worker is known.

The bit set of running tasks follows that of the done ones, and the worker of a suspect is a row of the checkpoints with a place that no task has, so that older builds ignore both. The simulator hands the record of the fleet to the next owner, as the store does.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -428,7 +428,9 @@
         if job.progress.state.is_final() || job.progress.tasks[key.place].phase == Phase::Done {
             return;
         }
-        job.progress.tasks[key.place].phase = Phase::Waiting;
+        let task = &mut job.progress.tasks[key.place];
+        task.phase = Phase::Waiting;
+        task.confirmed = false;
         job.ready.insert(key.place);
         self.ready_jobs.insert(job.rank.clone());
     }
--- a/components/cell/src/crashes/evidence.rs
+++ b/components/cell/src/crashes/evidence.rs
@@ -27,9 +27,9 @@
 /// 32,768 series of crashes by chance.
 pub(super) const PROOF: u32 = 150;
 /// The most that one crash tells, in tenths of a bit: two crashes never prove anything.
-const MAX_EVIDENCE: u32 = 60;
+pub(super) const MAX_EVIDENCE: u32 = 60;
 /// The same if the worker did not confirm the start: it may have been lost before.
-const MAX_UNCONFIRMED: u32 = 20;
+pub(super) const MAX_UNCONFIRMED: u32 = 20;
 /// Isolated trials begin after a random part of this time, in milliseconds. Without it suspects
 /// would start in step with whatever crashes workers at intervals, since they are lost together.
 pub(super) const TRIAL_SPREAD_MS: u64 = 1_000;
@@ -47,8 +47,11 @@
 const LATE_DELAY_MS: u64 = 2_000;
 const MAX_DOUBLINGS: u32 = 4;
 /// A crash tells nothing if such a share of the cell or of the rack was lost at the same time.
-const MAX_CELL_SHARE: f64 = 0.4;
+pub(super) const MAX_CELL_SHARE: f64 = 0.4;
 const MAX_RACK_SHARE: f64 = 0.75;
+/// The probability that workers are lost during a takeover for reasons that have nothing to do with
+/// their tasks.
+pub(super) const UNOBSERVED_CHANCE: f64 = 0.5;
 /// Fewer other workers of a rack than this may be lost at the same time by chance.
 const MIN_OTHERS_IN_RACK: usize = 2;
 
@@ -160,6 +163,7 @@
     /// Weighs the crashes for which the losses at the same time are known.
     pub(super) fn weigh_crashes(&mut self, now: u64) {
         self.crashes.evidence.expire(now);
+        self.weigh_unobserved(now);
         if self.crashes.evidence.unweighed.is_empty() {
             return;
         }
@@ -217,7 +221,7 @@
 
     /// Adds to the evidence against a task, and puts off its next start if that is to be in
     /// isolation.
-    fn add_evidence(&mut self, id: &Arc<str>, suspect: &Suspect, added: u32, now: u64) {
+    pub(super) fn add_evidence(&mut self, id: &Arc<str>, suspect: &Suspect, added: u32, now: u64) {
         let Suspect { key, runtime, .. } = suspect;
         let is_isolated = self.suspicion(&key.job, key.place) == Suspicion::Alone;
         let Some(job) = self.jobs.get_mut(&key.job) else {
@@ -279,6 +283,16 @@
 }
 
 impl Suspect {
+    /// A task that ran under a former owner.
+    pub const fn unobserved(key: TaskKey) -> Self {
+        Suspect {
+            key,
+            runtime: ADOPTED_MS,
+            spread: 0,
+            confirmed: true,
+        }
+    }
+
     const fn max_evidence(&self) -> u32 {
         if self.confirmed {
             MAX_EVIDENCE
@@ -308,7 +322,7 @@
 }
 
 /// The evidence in an event with this probability, in tenths of a bit.
-fn to_evidence(chance: f64) -> u32 {
+pub(super) fn to_evidence(chance: f64) -> u32 {
     let tenths = -chance.log2() * 10.0;
     tenths.max(0.0) as u32
 }
--- a/components/cell/src/crashes/mod.rs
+++ b/components/cell/src/crashes/mod.rs
@@ -20,6 +20,7 @@
 #[cfg(test)]
 mod tests;
 mod trial;
+mod unobserved;
 
 pub(crate) use {
     evidence::start_spread,
@@ -68,6 +69,8 @@
     provisional: HashMap<Arc<str>, ProvisionalCrashes>,
     /// What the crashes tell against the tasks.
     evidence: evidence::Evidence,
+    /// Workers that were lost before this owner heard them.
+    pub unobserved: unobserved::Unobserved,
     /// Tasks that surely crash their workers, and whose jobs are to fail or whose next starts are
     /// to be delayed.
     over_limit: Vec<TaskKey>,
--- a/components/cell/src/crashes/trial.rs
+++ b/components/cell/src/crashes/trial.rs
@@ -130,7 +130,8 @@
     /// workers.
     fn is_unweighed(&self, id: &Id, place: usize) -> bool {
         let job = id.clone();
-        self.crashes.evidence.is_awaiting(&TaskKey { job, place })
+        let key = TaskKey { job, place };
+        self.crashes.evidence.is_awaiting(&key) || self.crashes.unobserved.is_awaiting(&key)
     }
 
     /// Chooses the workers on which suspects may be tried in isolation next, if any suspect needs
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -13,7 +13,7 @@
         timing,
         worker::TaskKey,
     },
-    job::{Address, Id, Phase, spec::Size},
+    job::{Address, Crashes, Id, Phase, Recorded, spec::Size},
     std::{collections::HashSet, ops::Range, sync::Arc},
 };
 
@@ -175,6 +175,7 @@
         }
         let mut ready: Vec<usize> = job.ready.range(places.clone()).copied().collect();
         let has_held = self.retain_startable(&rank.id, address, &mut ready);
+        self.count_unobserved_crashes(&rank.id, &ready, now);
         if step.gang {
             if is_unplaceable || has_held {
                 self.mark_suspects_unplaceable(&rank.id, places);
@@ -345,6 +346,10 @@
             worker.probe = Some(key.clone());
         }
         let start = job.assign(key.clone(), run, id, deadline, now);
+        if job.progress.tasks[place].crashes != Crashes::default() {
+            // The next owner has to know where a suspect was started.
+            self.dirty.insert(key.job.clone());
+        }
         self.begin_trial(id, key, run, now);
         self.placements_left = self.placements_left.saturating_sub(1);
         self.first_placement.get_or_insert(now);
@@ -369,6 +374,8 @@
         let task = &mut self.progress.tasks[place];
         task.run = run;
         task.phase = Phase::Placed(id.clone());
+        task.confirmed = false;
+        task.recorded = Recorded::None;
         self.ready.remove(&place);
         self.idle_since = None;
         self.unplaceable.remove(&place);
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -7,7 +7,7 @@
         slot::{Slot, Stage, UNKNOWN_PACE},
         worker::{Clock, TaskKey},
     },
-    job::{Address, Id, Phase, State, Step, spec::Size},
+    job::{Address, Id, Phase, Recorded, State, Step, spec::Size},
     std::{collections::HashSet, sync::Arc},
 };
 
@@ -176,6 +176,7 @@
             return;
         }
         task.phase = Phase::Placed(id.clone());
+        task.recorded = Recorded::None;
         task.run = task.run.max(run.run);
         job.ready.remove(&key.place);
         job.idle_since = None;
@@ -289,6 +290,9 @@
             return;
         };
         job.started = true;
+        if let Some(task) = job.progress.tasks.get_mut(key.place) {
+            task.confirmed = true;
+        }
         if job.progress.state == State::Queued {
             job.progress.state = State::Running;
             self.dirty.insert(key.job.clone());
--- a/components/cell/src/run_end.rs
+++ b/components/cell/src/run_end.rs
@@ -9,7 +9,7 @@
         run_log::FinishedRun,
         worker::TaskKey,
     },
-    job::{Id, Phase, State, Step},
+    job::{Id, Phase, Recorded, State, Step},
     policy::durations::Ended,
     std::sync::Arc,
 };
@@ -34,10 +34,11 @@
         let Some(key) = self.task_key(id, &end.job, end.address) else {
             return;
         };
-        if !self.jobs.contains_key(&end.job) {
+        let Some(job) = self.jobs.get_mut(&end.job) else {
             self.release_slot(id, &key, end.run);
             return;
-        }
+        };
+        job.progress.tasks[key.place].recorded = Recorded::None;
         self.log_end(id, &key, end, times);
         self.learn_duration(id, &key, end, times);
         let was_held = self.release_slot(id, &key, end.run);
--- a/components/cell/tests/decisions/sim.rs
+++ b/components/cell/tests/decisions/sim.rs
@@ -95,6 +95,7 @@
     unreached: HashMap<TaskId, u32>,
     submitted: Vec<Submission>,
     persisted: HashMap<Id, Record>,
+    persisted_fleet: Vec<Entry>,
     /// Orders that get no answer, and when they are given up.
     unanswered: Vec<(u64, Arc<str>, Order)>,
     writes_suspended: bool,
@@ -119,6 +120,7 @@
             unreached: HashMap::new(),
             submitted: Vec::new(),
             persisted: HashMap::new(),
+            persisted_fleet: Vec::new(),
             unanswered: Vec::new(),
             writes_suspended: false,
             holds_polls: false,
@@ -288,6 +290,7 @@
             machine.held_poll = None;
         }
         self.list();
+        self.cell.restore_workers(self.persisted_fleet.clone());
         self.cell.recover(self.now);
     }
 
@@ -437,6 +440,9 @@
         let change = self.cell.take_write_batch(100);
         self.cell.batch_written(&change);
         self.persisted.extend(change.records);
+        if let Some(fleet) = change.fleet {
+            self.persisted_fleet = fleet;
+        }
     }
 
     /// Polls all workers known to the cell.
--- a/components/job/src/lib.rs
+++ b/components/job/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod record;
 pub mod spec;
 
-pub use progress::{Phase, Progress, Task};
+pub use progress::{Phase, Progress, Recorded, Task};
 pub use queue::{Config, Queue};
 pub use record::{Crashes, Record, State, Submission};
 pub use spec::{Address, Id, Spec, Step};
--- a/components/job/src/progress.rs
+++ b/components/job/src/progress.rs
@@ -25,6 +25,17 @@
     Done,
 }
 
+/// What the record of a former owner tells of a run that had not ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Recorded {
+    /// No run.
+    None,
+    /// The task was running on some worker.
+    Started,
+    /// The task, which was suspected of crashing its workers, was placed on this worker.
+    On(Arc<str>),
+}
+
 /// The state of one task.
 #[derive(Debug, Clone)]
 pub struct Task {
@@ -38,6 +49,10 @@
     pub checkpoint: Option<Arc<str>>,
     /// Consecutive worker crashes attributed to the task.
     pub crashes: Crashes,
+    /// Its worker has confirmed that the task is running.
+    pub confirmed: bool,
+    /// The run that a former owner recorded, until its fate is known.
+    pub recorded: Recorded,
 }
 
 /// The state of one job and its tasks.
@@ -74,6 +89,8 @@
             failed: Vec::new(),
             checkpoint: None,
             crashes: Crashes::default(),
+            confirmed: false,
+            recorded: Recorded::None,
         };
         let mut unfinished = Vec::new();
         for _ in 0..spec.times() {
@@ -93,13 +110,11 @@
     }
 
     fn restore(&mut self, record: &Record) {
-        for (byte, bits) in record.done.iter().enumerate() {
-            for bit in 0..8 {
-                let place = byte * 8 + bit;
-                if bits & (1 << bit) == 0 || place >= self.tasks.len() {
-                    continue;
-                }
+        for place in 0..self.tasks.len() {
+            if record.is_done(place) {
                 self.mark_done(place);
+            } else if record.is_started(place, self.tasks.len()) {
+                self.tasks[place].recorded = Recorded::Started;
             }
         }
         for (place, runs) in &record.failed {
@@ -107,6 +122,11 @@
                 task.failed.clone_from(runs);
             }
         }
+        for (place, worker) in record.placements() {
+            if let Some(task) = self.tasks.get_mut(place) {
+                task.recorded = Recorded::On(worker.into());
+            }
+        }
         for (place, checkpoint) in &record.saved {
             if let Some(task) = self.tasks.get_mut(*place as usize) {
                 task.checkpoint = Some(checkpoint.as_str().into());
@@ -137,6 +157,7 @@
                 record.done[place / 8] |= 1 << (place % 8);
                 continue;
             }
+            self.record_run(place, task, &mut record);
             if !task.failed.is_empty() {
                 record.failed.push((place as u32, task.failed.clone()));
             }
@@ -152,6 +173,18 @@
         record
     }
 
+    /// Adds the run of a task that has not ended.
+    fn record_run(&self, place: usize, task: &Task, record: &mut Record) {
+        let is_suspect = task.crashes != Crashes::default();
+        match (&task.phase, &task.recorded) {
+            (Phase::Placed(worker), _) if is_suspect => record.add_placement(place, worker),
+            (Phase::Placed(_), _) if task.confirmed => record.add_started(place, self.tasks.len()),
+            (Phase::Waiting, Recorded::On(worker)) => record.add_placement(place, worker),
+            (Phase::Waiting, Recorded::Started) => record.add_started(place, self.tasks.len()),
+            _ => {}
+        }
+    }
+
     /// Returns the tasks with consecutive worker crashes, by place.
     pub fn crashed(&self) -> Vec<(usize, Crashes)> {
         let tasks = self.tasks.iter().enumerate();
--- a/components/job/src/record.rs
+++ b/components/job/src/record.rs
@@ -65,6 +65,8 @@
     }
 }
 
+/// Added to the place of a task in the row of [`Record::saved`] that has its worker.
+const PLACEMENT_ROWS: u32 = 1 << 31;
 /// Added to the place of a task in the row of [`Record::crashed`] that has the evidence against it.
 const EVIDENCE_ROWS: u32 = 1 << 31;
 
@@ -90,19 +92,26 @@
     pub state: State,
     /// When the job ended, in milliseconds since 1970; 0 while it has not.
     pub ended: u64,
-    /// A bit set of the tasks that are done; the lowest bit of the first byte is place 0.
+    /// A bit set of the tasks that are done; the lowest bit of the first byte is place 0. If there
+    /// are any, a bit set follows of the tasks that are running, which older builds ignore.
     pub done: Vec<u8>,
     /// Tasks with failed runs, and the numbers of these runs.
     pub failed: Vec<(u32, Vec<u64>)>,
     /// The highest run number of any task.
     pub run: u64,
-    /// Checkpoints of tasks that are waiting, so that no worker holds them.
+    /// Checkpoints of tasks that are waiting, so that no worker holds them; then, in rows that older
+    /// builds ignore, the workers of suspected tasks that are placed.
     pub saved: Vec<(u32, String)>,
     /// Tasks with consecutive worker crashes: first the rows with the counts, by place, then those
     /// with the evidence.
     pub crashed: Vec<(u32, Crashes)>,
 }
 
+/// The bit of the first task in the bit set of running tasks, which starts with a byte of its own.
+const fn first_started(tasks: usize) -> usize {
+    tasks.div_ceil(8) * 8
+}
+
 impl Record {
     /// Adds the crashes of a task. Rows are kept in order.
     pub fn add_crashes(&mut self, place: usize, crashes: Crashes) {
@@ -130,6 +139,37 @@
         }
     }
 
+    /// Whether a task is done.
+    pub fn is_done(&self, place: usize) -> bool {
+        let byte = self.done.get(place / 8);
+        byte.is_some_and(|byte| byte & (1 << (place % 8)) != 0)
+    }
+
+    /// Whether one of so many tasks is running.
+    pub fn is_started(&self, place: usize, tasks: usize) -> bool {
+        self.is_done(first_started(tasks) + place)
+    }
+
+    /// Records that one of so many tasks is running.
+    pub fn add_started(&mut self, place: usize, tasks: usize) {
+        let bit = first_started(tasks) + place;
+        self.done.resize(2 * tasks.div_ceil(8), 0);
+        self.done[bit / 8] |= 1 << (bit % 8);
+    }
+
+    /// Records that a suspected task is placed on a worker.
+    pub fn add_placement(&mut self, place: usize, worker: &str) {
+        let row = place as u32 | PLACEMENT_ROWS;
+        self.saved.push((row, worker.to_owned()));
+    }
+
+    /// The suspected tasks that are placed, and their workers.
+    pub fn placements(&self) -> impl Iterator<Item = (usize, &str)> {
+        let rows = self.saved.iter();
+        let rows = rows.filter(|(row, _)| row & PLACEMENT_ROWS != 0);
+        rows.map(|(row, worker)| ((row & !PLACEMENT_ROWS) as usize, &**worker))
+    }
+
     /// The crashes of a task.
     pub fn crashes(&self, place: usize) -> Crashes {
         let row = |place: u32| {
