Job: refuse timetables whose last time overflows

Cause: the first time and the interval of a timetable were each bounded by 10^15 ms, but not what `Spec::due` makes of them: 20,000 times at an interval of 10^15 ms are more than 64 bits hold. Such a job was accepted, and its due times panicked in a debug build and wrapped around in a release build, so that times were due at once or in the wrong order. The sums of amounts are not affected: tasks are at most 20,000 and each amount is bounded.

Change: the last time of a timetable is bounded by `MAX_UNIX_MS`, computed without overflow. Callers get 400 with the bound; a job of an earlier build that is stored with such a timetable is skipped like other invalid ones.

Test: `validate_timetable_out_of_range` failed before in the cases "second time" and "last time overflows"; `validate_timetable_within_range` shows that the bound itself is accepted.

--- a/components/job/src/spec.rs
+++ b/components/job/src/spec.rs
@@ -19,9 +19,9 @@
 const MAX_RESOURCE: u64 = 1_000_000_000;
 /// The maximum estimated run time of a task, in milliseconds: one year.
 const MAX_ESTIMATE: u64 = 366 * 86_400_000;
-/// The latest time in a timetable, in milliseconds since 1970: about 30,000 years ahead, so that
-/// times cannot overflow.
-const MAX_UNIX_MS: u64 = 1_000_000_000_000_000;
+/// The latest time at which a task may be due, in milliseconds since 1970: about 30,000 years ahead.
+/// It bounds the last time of a timetable, so that no time overflows.
+pub const MAX_UNIX_MS: u64 = 1_000_000_000_000_000;
 
 /// The id of a job, chosen by its caller: 16 hexadecimal digits.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -174,7 +174,7 @@
     NoInterval,
     /// step {0} asks for more than any worker has, or takes longer than any task
     OutOfRange(usize),
-    /// the timetable is out of range
+    /// a time of the timetable is later than 1,000,000,000,000,000 ms after 1970
     TimetableOutOfRange,
 }
 
@@ -187,6 +187,16 @@
     }
 }
 
+impl Timetable {
+    /// Whether all of its times can be represented and are at most [`MAX_UNIX_MS`].
+    fn is_in_range(&self) -> bool {
+        let last = u64::from(self.times.saturating_sub(1))
+            .checked_mul(self.interval)
+            .and_then(|span| span.checked_add(self.first));
+        last.is_some_and(|last| last.max(self.interval) <= MAX_UNIX_MS)
+    }
+}
+
 impl std::error::Error for InvalidSpec {}
 
 impl Spec {
@@ -235,8 +245,9 @@
                 return Err(InvalidSpec::OutOfRange(number));
             }
         }
-        if let Some(timetable) = self.timetable
-            && timetable.first.max(timetable.interval) > MAX_UNIX_MS
+        if self
+            .timetable
+            .is_some_and(|timetable| !timetable.is_in_range())
         {
             return Err(InvalidSpec::TimetableOutOfRange);
         }
--- a/components/job/tests/progress.rs
+++ b/components/job/tests/progress.rs
@@ -6,7 +6,7 @@
     magpie_job::{
         Address, Crashes, Id, Phase, Progress, Queue, Record, Spec, State, Step, Submission,
         progress::RUN_GAP,
-        spec::{InvalidSpec, Size, Timetable},
+        spec::{InvalidSpec, MAX_UNIX_MS, Size, Timetable},
     },
     std::sync::Arc,
     test_case::test_case,
@@ -184,13 +184,33 @@
     assert_eq!(spec.validate_bounds(), Err(InvalidSpec::OutOfRange(0)));
 }
 
-#[test]
-fn validate_timetable_out_of_range() {
+/// Timetables of which a time could overflow are refused to callers, and also when read from the
+/// store.
+#[test_case(2, 1, u64::MAX / 2; "interval")]
+#[test_case(1, u64::MAX, 1; "first time")]
+#[test_case(2, 1, MAX_UNIX_MS; "second time")]
+#[test_case(20_000, 0, MAX_UNIX_MS; "last time overflows")]
+fn validate_timetable_out_of_range(times: u32, first: u64, interval: u64) {
+    let timetable = Timetable {
+        times,
+        first,
+        interval,
+    };
+    let spec = spec(vec![step(1, &[])], Some(timetable));
+    let expected = Err(InvalidSpec::TimetableOutOfRange);
+    assert_eq!(spec.validate(), expected);
+    assert_eq!(spec.validate_bounds(), expected);
+}
+
+#[test_case(20_000, 0, MAX_UNIX_MS / 19_999; "many times")]
+#[test_case(1, MAX_UNIX_MS, 0; "one time")]
+fn validate_timetable_within_range(times: u32, first: u64, interval: u64) {
     let timetable = Timetable {
-        times: 2,
-        first: 1,
-        interval: u64::MAX / 2,
+        times,
+        first,
+        interval,
     };
     let spec = spec(vec![step(1, &[])], Some(timetable));
-    assert_eq!(spec.validate(), Err(InvalidSpec::TimetableOutOfRange));
+    assert_eq!(spec.validate(), Ok(()));
+    assert!(spec.due(times - 1) <= MAX_UNIX_MS);
 }
