Cell: a task that is not reported at work counts as away

Cause: `is_unavailable` took the confirmation of a start for work. The fourth field of a listed run, its percent, was dropped when the report was decoded; a long-running task is at work only when it is 100. So a drain or a wave stopped a task while another one of its step was starting or stood still, beyond `may_miss`. The pace that the owner has ordered was counted already, and stays so: it is another percent.

In the exchange of a relay the flag is left out where it is not set and is part of what makes a run unchanged; the whole share would have changed with each report of a batch task and undone the encoding of differences. The price is that a wave waits for the next report of a restarted task, 0.5 s on workers with serving tasks and 2 s on others.

Not changed: a task that stands still for good holds up the others of its step, as one without room does.

Tests: `drain_waits_until_other_task_is_ready` (two cases) and `drain_waits_while_other_task_stands_still` failed before (the task was stopped). The differences of reports also pass through their encoding in `apply_restores_any_sequence`. Tests of the cell pass except `unobserved_crashes_count_after_takeover` (known red); libraries of node and platform, and `relays`, pass.

--- a/components/cell/src/crashes/tests.rs
+++ b/components/cell/src/crashes/tests.rs
@@ -176,6 +176,7 @@
                 run: slot.run,
                 saved: None,
                 figure: 0,
+                ready: true,
             });
         }
         running.retain(|_| self.random.u32(0..4) > 0);
--- a/components/cell/src/drain.rs
+++ b/components/cell/src/drain.rs
@@ -94,7 +94,7 @@
         unavailable < may_miss as usize
     }
 
-    /// True unless the task is known to be running at full speed.
+    /// True unless the task was at work at full speed according to the last report of its worker.
     fn is_unavailable(&self, key: &TaskKey, place: usize) -> bool {
         let Some(job) = self.jobs.get(&key.job) else {
             return true;
@@ -107,6 +107,9 @@
             place,
         };
         let slot = self.slot(at, &key);
-        slot.is_none_or(|slot| slot.stopping.is_some() || slot.percent < 100 || slot.is_sent())
+        slot.is_none_or(|slot| {
+            let is_started = !slot.is_sent() && slot.ready;
+            !is_started || slot.stopping.is_some() || slot.percent < 100
+        })
     }
 }
--- a/components/cell/src/order.rs
+++ b/components/cell/src/order.rs
@@ -144,6 +144,19 @@
     /// For a serving task, the tail latency in milliseconds; for any other task, the CPU in use in
     /// thousandths of a core. A rough estimate over the last half second.
     pub figure: u64,
+    /// The worker reports the run at 100 percent. A long-running task is at work only then: before,
+    /// it is starting or stands still. Left out while it is not, like batch tasks until they end.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub ready: bool,
+}
+
+/// True for a flag that is left out of messages.
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_false(flag: &bool) -> bool {
+    !*flag
 }
 
 /// A run that a worker lists as ended.
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -135,6 +135,7 @@
             slot.stage = Stage::Running { at: times.now };
         }
         slot.figure = run.figure;
+        slot.ready = run.ready;
         let is_due = slot
             .stopping
             .is_some_and(|at| times.sent >= at + STOP_RETRY);
@@ -189,6 +190,7 @@
             adopted: true,
             percent: UNKNOWN_PACE,
             figure: run.figure,
+            ready: run.ready,
             ..Slot::new(step, run.address, image, run.run, stage)
         };
         log::info!(target: "cell", job = key.job.as_str(), place = key.place, worker = &**id, run = run.run; "Run adopted.");
--- a/components/cell/src/slot.rs
+++ b/components/cell/src/slot.rs
@@ -71,6 +71,8 @@
     pub lost: u64,
     /// See [`crate::order::Run::figure`].
     pub figure: u64,
+    /// See [`crate::order::Run::ready`]; false until the worker has listed the run.
+    pub ready: bool,
 }
 
 impl Slot {
@@ -96,6 +98,7 @@
             slow_since: None,
             lost: 0,
             figure: 0,
+            ready: false,
         }
     }
 
--- a/components/cell/tests/decisions/common.rs
+++ b/components/cell/tests/decisions/common.rs
@@ -209,6 +209,7 @@
         run: number,
         saved: None,
         figure: 0,
+        ready: true,
     }
 }
 
@@ -239,6 +240,7 @@
         run,
         saved: None,
         figure: 0,
+        ready: true,
     });
     Report {
         clock,
--- a/components/cell/tests/decisions/drain.rs
+++ b/components/cell/tests/decisions/drain.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::common::{JOB, World, entry, run, step},
-    magpie_cell::Outcome,
+    job::Step,
+    magpie_cell::{Outcome, Run},
+    std::sync::Arc,
+    test_case::test_case,
 };
 
 fn announce_leave(world: &mut World) {
@@ -32,6 +35,66 @@
     assert!(world.stops().is_empty());
 }
 
+/// Creates a world with a long-running step of two tasks, one on each worker, of which one may be
+/// away. Returns the index of the task on w1 and that of the task on w2.
+fn world_with_task_on_each() -> (World, [u32; 2]) {
+    let mut world = World::new(&["w1", "w2"]);
+    let long_running = Step {
+        lasting: true,
+        may_miss: Some(1),
+        ..step(2, 4_000)
+    };
+    world.submit(JOB, vec![long_running]);
+    let starts = world.starts();
+    assert_eq!(starts.len(), 2);
+    let mut indices = [0; 2];
+    for (worker, start) in &starts {
+        world.answer(worker, start, Outcome::Done);
+        indices[usize::from(&**worker == "w2")] = start.address.index;
+    }
+    (world, indices)
+}
+
+/// Lists both workers, w1 as leaving. Returns the stops.
+fn stops_of_leaving(world: &mut World) -> Vec<(Arc<str>, u64)> {
+    let mut leaving = entry("w1", 4);
+    leaving.leaving = true;
+    world.list(vec![leaving, entry("w2", 4)]);
+    world.stops()
+}
+
+/// Guards against a task that is stopped while the other one of its step is not at work.
+#[test_case(false; "start is confirmed only")]
+#[test_case(true; "task is listed as starting")]
+fn drain_waits_until_other_task_is_ready(is_listed: bool) {
+    let (mut world, [first, second]) = world_with_task_on_each();
+    world.report("w1", vec![run(JOB, first, 1)], vec![]);
+    if is_listed {
+        let starting = Run {
+            ready: false,
+            ..run(JOB, second, 1)
+        };
+        world.report("w2", vec![starting], vec![]);
+    }
+    assert!(stops_of_leaving(&mut world).is_empty());
+    world.report("w2", vec![run(JOB, second, 1)], vec![]);
+    assert_eq!(stops_of_leaving(&mut world), [("w1".into(), 1)]);
+}
+
+/// Guards against a task that is stopped while the other one of its step stands still.
+#[test]
+fn drain_waits_while_other_task_stands_still() {
+    let (mut world, [first, second]) = world_with_task_on_each();
+    world.report("w1", vec![run(JOB, first, 1)], vec![]);
+    world.report("w2", vec![run(JOB, second, 1)], vec![]);
+    let standing = Run {
+        ready: false,
+        ..run(JOB, second, 1)
+    };
+    world.report("w2", vec![standing], vec![]);
+    assert!(stops_of_leaving(&mut world).is_empty());
+}
+
 #[test]
 fn drain_keeps_tasks_without_checkpoints() {
     let mut world = World::new(&["w1"]);
@@ -51,7 +114,7 @@
 }
 
 /// Lists only w2 until a given time while w1 keeps reporting. Returns the stops.
-fn list_only_second(world: &mut World, until: u64) -> Vec<(std::sync::Arc<str>, u64)> {
+fn list_only_second(world: &mut World, until: u64) -> Vec<(Arc<str>, u64)> {
     let mut stops = Vec::new();
     while world.now < until {
         world.now += 700;
--- a/components/node/src/report_delta.rs
+++ b/components/node/src/report_delta.rs
@@ -81,6 +81,7 @@
             && own.address == run.address
             && own.job == run.job
             && own.saved == run.saved
+            && own.ready == run.ready
     };
     let number = previous.iter().position(is_unchanged)?;
     u16::try_from(number).ok()
@@ -97,17 +98,20 @@
 
     /// One of twelve runs, with one of two checkpoints.
     fn run() -> impl Strategy<Value = Run> {
-        (0..12_u32, 0..2_u64, any::<u64>()).prop_map(|(index, save, figure)| Run {
-            job: Id::new(&format!("{:016x}", index / 4)).unwrap(),
-            address: Address {
-                time: 0,
-                step: 0,
-                index,
+        (0..12_u32, 0..2_u64, any::<u64>(), any::<bool>()).prop_map(
+            |(index, save, figure, ready)| Run {
+                job: Id::new(&format!("{:016x}", index / 4)).unwrap(),
+                address: Address {
+                    time: 0,
+                    step: 0,
+                    index,
+                },
+                run: 1,
+                saved: Some(Arc::from(save.to_string())),
+                figure,
+                ready,
             },
-            run: 1,
-            saved: Some(Arc::from(save.to_string())),
-            figure,
-        })
+        )
     }
 
     /// A report that lists each task at most once.
@@ -142,6 +146,8 @@
             let (mut sent, mut received) = (Vec::new(), Vec::new());
             for report in reports {
                 let delta = ReportDelta::diff(report.clone(), &mut sent);
+                let bytes = kernel::wire::encode_compact(&delta).unwrap();
+                let delta: ReportDelta = kernel::wire::decode(&bytes).unwrap();
                 let whole = delta.apply(&mut received);
                 prop_assert_eq!(&sent, &received);
                 prop_assert_eq!(sorted(whole), sorted(report));
@@ -162,6 +168,7 @@
             run: 1,
             saved: Some("00000bb87a21d94b".into()),
             figure: 1_800,
+            ready: true,
         };
         let report = Report {
             clock: 482_113,
--- a/components/node/tests/relays.rs
+++ b/components/node/tests/relays.rs
@@ -449,6 +449,7 @@
         run: 1,
         saved: None,
         figure,
+        ready: false,
     }
 }
 
--- a/programs/load/src/slope/owner/worker.rs
+++ b/programs/load/src/slope/owner/worker.rs
@@ -50,6 +50,7 @@
                 } else {
                     random.u64(800..2_500)
                 },
+                ready: run.serving,
             });
         }
         Some(Report {
