Cell: tasks on silent workers count as away

A task that a worker has once listed counted as at work until its lease was over, up to 4.9 s after the worker had fallen silent, so that a drain or a wave stopped another task of its step meanwhile.

Change: a task counts as available only on a worker that may be given work for having been heard: its last poll was answered, within 3 s. That condition of `is_available` is a function of its own now and otherwise unchanged.

Test: `drain_waits_while_other_worker_is_silent` failed before in both cases (the task was stopped). Tests of the cell pass except `unobserved_crashes_count_after_takeover` (known red).

--- a/components/cell/src/drain.rs
+++ b/components/cell/src/drain.rs
@@ -54,7 +54,7 @@
             .count();
         let mut moves = Vec::new();
         for (key, slot) in &worker.slots {
-            if slot.stopping.is_some() || !self.is_movable(key) {
+            if slot.stopping.is_some() || !self.is_movable(key, now) {
                 continue;
             }
             moves.push(key.clone());
@@ -63,7 +63,7 @@
         let most = MAX_MOVES.saturating_sub(stopping);
         for key in moves.into_iter().take(most) {
             // Each move is checked again, since earlier ones count as unavailable.
-            if self.is_movable(&key) {
+            if self.is_movable(&key, now) {
                 log::info!(target: "cell", job = key.job.as_str(), place = key.place, worker = &**id; "Task moved off a leaving worker.");
                 self.stop(id, &key, now);
             }
@@ -72,7 +72,7 @@
 
     /// True if stopping the task loses no work and does not make too many tasks of its step
     /// unavailable.
-    fn is_movable(&self, key: &TaskKey) -> bool {
+    fn is_movable(&self, key: &TaskKey, now: u64) -> bool {
         let Some(job) = self.jobs.get(&key.job) else {
             return false;
         };
@@ -89,25 +89,28 @@
         let address = job.progress.submission.spec.address(key.place);
         let places = job.progress.places(address.time, address.step);
         let unavailable = places
-            .filter(|&place| place != key.place && self.is_unavailable(key, place))
+            .filter(|&place| place != key.place && self.is_unavailable(key, place, now))
             .count();
         unavailable < may_miss as usize
     }
 
-    /// True unless the task was at work at full speed according to the last report of its worker.
-    fn is_unavailable(&self, key: &TaskKey, place: usize) -> bool {
+    /// True unless the task is at work at full speed according to a recent report of its worker.
+    fn is_unavailable(&self, key: &TaskKey, place: usize, now: u64) -> bool {
         let Some(job) = self.jobs.get(&key.job) else {
             return true;
         };
         let Phase::Placed(at) = &job.progress.tasks[place].phase else {
             return true;
         };
+        let worker = self.workers.get(at);
+        let Some(worker) = worker.filter(|worker| worker.is_heard(now)) else {
+            return true;
+        };
         let key = TaskKey {
             job: key.job.clone(),
             place,
         };
-        let slot = self.slot(at, &key);
-        slot.is_none_or(|slot| {
+        worker.slots.get(&key).is_none_or(|slot| {
             let is_started = !slot.is_sent() && slot.ready;
             !is_started || slot.stopping.is_some() || slot.percent < 100
         })
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -349,12 +349,15 @@
     /// True if nothing but a backoff or failed runs may keep it from being given work.
     fn is_available(&self, now: u64) -> bool {
         let is_known = self.fenced && self.listed && self.recorded && !self.entry_invalid;
-        let is_usable = is_known && !self.is_unreachable() && !self.entry.leaving && !self.draining;
+        let is_usable = is_known && !self.entry.leaving && !self.draining;
         let is_open = self.seal == SealState::Open && !self.runs_pending;
-        let is_heard = self
-            .clock
-            .is_some_and(|clock| now <= clock.at + timing::HEARD_WITHIN);
-        is_usable && is_open && is_heard
+        is_usable && is_open && self.is_heard(now)
+    }
+
+    /// True if the last completed poll was answered, and that recently.
+    pub fn is_heard(&self, now: u64) -> bool {
+        let is_recent = |clock: Clock| now <= clock.at + timing::HEARD_WITHIN;
+        !self.is_unreachable() && self.clock.is_some_and(is_recent)
     }
 
     /// True if a backoff, a quarantine or the time after a failed run has ended since the last
--- a/components/cell/tests/decisions/drain.rs
+++ b/components/cell/tests/decisions/drain.rs
@@ -95,6 +95,23 @@
     assert!(stops_of_leaving(&mut world).is_empty());
 }
 
+/// Guards against a task that is stopped while the other one of its step is on a worker that does
+/// not answer, or has not answered for long.
+#[test_case(true, 0; "poll failed")]
+#[test_case(false, 3_100; "no answer for long")]
+fn drain_waits_while_other_worker_is_silent(is_failed: bool, silence: u64) {
+    let (mut world, [first, second]) = world_with_task_on_each();
+    world.report("w2", vec![run(JOB, second, 1)], vec![]);
+    world.now += silence;
+    world.report("w1", vec![run(JOB, first, 1)], vec![]);
+    if is_failed {
+        world.cell.poll_failed("w2", world.now);
+    }
+    assert!(stops_of_leaving(&mut world).is_empty());
+    world.report("w2", vec![run(JOB, second, 1)], vec![]);
+    assert_eq!(stops_of_leaving(&mut world), [("w1".into(), 1)]);
+}
+
 #[test]
 fn drain_keeps_tasks_without_checkpoints() {
     let mut world = World::new(&["w1"]);
