Cell: order a pace again until it is confirmed

Cause: the pace of a best-effort task was recorded as in force when its order was issued, and the outcome of the order was not looked at. While the pace stayed as it was meant to be, it was not ordered again: a task whose pause was lost went on beside a serving task over its target, and one whose end of a pause was lost stayed slow. An order without an answer may also be carried out seconds later, after newer ones; a pause that came late then lasted until the next change. Workers do not report the pace: the percent of a listed run is its progress, and the processors in use are rough and depend on what else runs. So a pace can only be made sure of by ordering it again.

Change: `PaceOrder` keeps what is known of the orders to pace a run. One that was refused or not answered is sent again with the next report from 0.5 s on; one whose outcome does not arrive within 3 s, as when its relay has ended, counts as unanswered. For 10 s after an unanswered order the present pace is sent again each 2 s, and once at the end. At most two orders are repeated at a time on a worker, the oldest first, since stops and starts wait behind them. No length is learned from a run of which an order went unanswered, and a task whose pace is not confirmed counts as away for `may_miss`.

Ruled out: orders of a former owner, which workers refuse by their fence.

Tests: `unconfirmed_pause_is_repeated` (four cases) and `late_pause_does_not_last` failed before; `confirmed_pause_is_not_repeated` shows that nothing is sent more than once otherwise. Tests of the cell pass except `unobserved_crashes_count_after_takeover` (known red).

--- a/components/cell/src/drain.rs
+++ b/components/cell/src/drain.rs
@@ -110,9 +110,7 @@
             job: key.job.clone(),
             place,
         };
-        worker.slots.get(&key).is_none_or(|slot| {
-            let is_started = !slot.is_sent() && slot.ready;
-            !is_started || slot.stopping.is_some() || slot.percent < 100
-        })
+        let slot = worker.slots.get(&key);
+        slot.is_none_or(|slot| slot.stopping.is_some() || !slot.is_at_full_work())
     }
 }
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -36,6 +36,7 @@
 mod order;
 mod outcome;
 mod overdue;
+mod pace_order;
 mod persistence;
 mod place;
 mod pressure;
--- a/components/cell/src/outcome.rs
+++ b/components/cell/src/outcome.rs
@@ -37,14 +37,40 @@
             self.end_incarnation(id, "another incarnation answers", now);
             return false;
         }
-        if let Order::Stop { key, run, .. } = order
-            && outcome == Outcome::Done
-        {
-            self.stop_confirmed(id, key, *run, now);
+        match order {
+            Order::Stop { key, run, .. } if outcome == Outcome::Done => {
+                self.stop_confirmed(id, key, *run, now);
+            }
+            Order::Pace {
+                key, run, percent, ..
+            } => self.pace_answered(id, key, *run, *percent, outcome, now),
+            Order::Start(_) | Order::Stop { .. } | Order::Withdraw { .. } => {}
         }
         false
     }
 
+    /// Handles the answer to an order to pace a run.
+    fn pace_answered(
+        &mut self,
+        id: &Arc<str>,
+        key: &TaskKey,
+        run: u64,
+        percent: u8,
+        outcome: Outcome,
+        now: u64,
+    ) {
+        let slot = self
+            .workers
+            .get_mut(id)
+            .and_then(|worker| worker.slots.get_mut(key));
+        if let Some(slot) = slot
+            && slot.run == run
+        {
+            let is_last = slot.percent == percent;
+            slot.pace_order.answered(outcome, is_last, now);
+        }
+    }
+
     /// Handles the confirmation of an order to stop.
     fn stop_confirmed(&mut self, id: &Arc<str>, key: &TaskKey, run: u64, now: u64) {
         let slot = self
--- a/components/cell/src/slot.rs
+++ b/components/cell/src/slot.rs
@@ -2,7 +2,7 @@
 //! throttling.
 
 use {
-    crate::interference::Image,
+    crate::{interference::Image, pace_order::PaceOrder},
     job::{Address, Step, spec::Size},
 };
 
@@ -62,6 +62,8 @@
     pub percent: u8,
     /// When the pace was ordered, on the owner's clock; 0 if no pace was ordered.
     pub pace_set_at: u64,
+    /// What is known of the orders to pace it.
+    pub pace_order: PaceOrder,
     /// The task was paused because a serving task stayed over its latency target. The pace is
     /// raised again in steps.
     pub tripped: bool,
@@ -94,6 +96,7 @@
             stopping: None,
             percent: 100,
             pace_set_at: 0,
+            pace_order: PaceOrder::none(),
             tripped: false,
             slow_since: None,
             lost: 0,
@@ -115,15 +118,16 @@
     }
 
     /// Returns how long the run took if it ends now, in milliseconds; `None` if that tells nothing
-    /// about the task, since it started at an unknown time or was throttled for more than a tenth
-    /// of it.
+    /// about the task, since it started at an unknown time, was throttled for more than a tenth of
+    /// it, or may have been throttled by an order that went unanswered.
     pub fn measured_length(&self, now: u64) -> Option<u64> {
         let Stage::Running { at } = self.stage else {
             return None;
         };
         let length = now.saturating_sub(at);
         let is_throttled = self.lost_at(now) > length / MAX_LOST_PART;
-        (!self.adopted && !is_throttled).then_some(length)
+        let is_known = !self.adopted && !self.pace_order.was_unanswered();
+        (is_known && !is_throttled).then_some(length)
     }
 
     /// The part of the worker's capacity that it reserves.
@@ -142,6 +146,12 @@
         matches!(self.stage, Stage::Running { at } if at > time)
     }
 
+    /// True if the task is at work and is not throttled, as far as its worker has confirmed it.
+    pub fn is_at_full_work(&self) -> bool {
+        let is_at_work = self.ready && !self.is_sent();
+        is_at_work && self.percent >= 100 && self.pace_order.is_confirmed()
+    }
+
     /// True if the worker has not confirmed the start.
     pub fn is_sent(&self) -> bool {
         matches!(self.stage, Stage::Sent { .. })
--- a/components/cell/src/throttle.rs
+++ b/components/cell/src/throttle.rs
@@ -43,6 +43,9 @@
 const MIN_PACE: u8 = 15;
 /// Changes of pace by fewer percentage points are not ordered.
 const MIN_CHANGE: u8 = 15;
+/// The maximum number of orders that are repeated at a time on a worker, the oldest first. It may
+/// leave all of them unanswered, while other orders wait behind them.
+const MAX_REPEATS: usize = 2;
 
 impl Cell {
     /// Updates the interference model from a worker's latest figures, and sets the pace of its
@@ -179,7 +182,8 @@
     }
 }
 
-/// Sets the pace of each best-effort task. Returns the changes to order.
+/// Sets the pace of each best-effort task. Returns the paces to order: changes, and ones that may
+/// not be in force.
 fn set_paces(
     model: &Interference,
     forecasts: &Forecasts,
@@ -199,20 +203,32 @@
         limits: limits(model, forecasts, worker, now),
     };
     let mut changes = Vec::new();
+    let mut repeats = Vec::new();
     for (key, slot) in &mut worker.slots {
         if !slot.best_effort || !is_running(slot) {
             continue;
         }
         let (worst, limit) = bounds.of(model, slot.image);
         let Some(percent) = next_pace(slot, bounds.is_over, worst, limit, now) else {
+            if slot.pace_order.is_repeat_due(now) {
+                repeats.push((slot.pace_order.sent_at(), key.clone()));
+            }
             continue;
         };
         log::debug!(target: "cell", worker = &*worker.entry.id, job = key.job.as_str(), place = key.place, worst, limit, from = slot.percent, to = percent; "Pace of a best-effort task changed.");
         slot.lost = slot.lost_at(now);
         slot.percent = percent;
         slot.pace_set_at = now;
+        slot.pace_order.sent(now);
         changes.push((key.clone(), slot.run, percent));
     }
+    repeats.sort();
+    for (_, key) in repeats.into_iter().take(MAX_REPEATS) {
+        if let Some(slot) = worker.slots.get_mut(&key) {
+            slot.pace_order.sent(now);
+            changes.push((key, slot.run, slot.percent));
+        }
+    }
     changes
 }
 
--- a/components/cell/tests/decisions/best_effort.rs
+++ b/components/cell/tests/decisions/best_effort.rs
@@ -4,7 +4,7 @@
 use {
     crate::common::{JOB, World, end, entry, run, step, submission},
     job::Step,
-    magpie_cell::{EndCause, Interference, Order, Outcome, Report},
+    magpie_cell::{EndCause, Interference, Order, Outcome, Refusal, Report},
     std::sync::Arc,
     test_case::test_case,
 };
@@ -223,6 +223,95 @@
     assert!(last < 70, "{paces:?}");
 }
 
+/// Reports both tasks with a tail latency of the serving task, every half second for a time in
+/// milliseconds. Each order to pace gets the outcome that `answer` returns for its time and pace, if
+/// any. Returns the times of these orders and their paces.
+fn paces_during(
+    world: &mut World,
+    tail: u64,
+    time: u64,
+    mut answer: impl FnMut(u64, u8) -> Option<Outcome>,
+) -> Vec<(u64, u8)> {
+    let mut paces = Vec::new();
+    for _ in 0..time / 500 {
+        world.now += 500;
+        report_tail(world, tail);
+        for (worker, order) in world.cell.take_orders() {
+            let Order::Pace { percent, .. } = order else {
+                continue;
+            };
+            paces.push((world.now, percent));
+            if let Some(outcome) = answer(world.now, percent) {
+                world
+                    .cell
+                    .handle_outcome(&worker, &order, outcome, world.now);
+            }
+        }
+    }
+    paces
+}
+
+const OVER_TARGET: u64 = 60;
+const BELOW_TARGET: u64 = 13;
+
+/// Guards against a best-effort task that is never paused beside a serving task over its target,
+/// since the order to pause it was lost.
+#[test_case(Some(Outcome::Unknown), 500; "no answer")]
+#[test_case(Some(Outcome::Refused(Refusal::Unwell)), 500; "worker is unhealthy")]
+#[test_case(Some(Outcome::Refused(Refusal::NotSent)), 500; "order was not sent")]
+#[test_case(None, 3_000; "no outcome")]
+fn unconfirmed_pause_is_repeated(outcome: Option<Outcome>, interval: u64) {
+    let mut world = shared_world(best_effort("f", 500));
+    let paces = paces_during(&mut world, OVER_TARGET, 9_000, |_, _| outcome);
+    let times: Vec<u64> = paces.iter().map(|&(time, _)| time).collect();
+    assert!(paces.iter().all(|&(_, pace)| pace == 0), "{paces:?}");
+    assert!(times.len() > 1, "{paces:?}");
+    for pair in times.windows(2) {
+        assert_eq!(pair[1] - pair[0], interval, "{paces:?}");
+    }
+}
+
+/// A confirmed pause is ordered once.
+#[test]
+fn confirmed_pause_is_not_repeated() {
+    let mut world = shared_world(best_effort("f", 500));
+    let paces = paces_during(&mut world, OVER_TARGET, 20_000, |_, _| Some(Outcome::Done));
+    assert_eq!(paces.len(), 1, "{paces:?}");
+}
+
+/// Guards against a best-effort task that stays paused for good, since an unanswered order to pause
+/// it is carried out after the one to run it at full speed.
+#[test]
+fn late_pause_does_not_last() {
+    let mut world = shared_world(best_effort("f", 500));
+    let mut is_first = true;
+    let first = paces_during(&mut world, OVER_TARGET, 2_000, |_, _| {
+        let outcome = if is_first {
+            Outcome::Unknown
+        } else {
+            Outcome::Done
+        };
+        is_first = false;
+        Some(outcome)
+    });
+    let unanswered = first[0].0;
+    let rest = paces_during(&mut world, BELOW_TARGET, 20_000, |_, _| Some(Outcome::Done));
+    let last_change = rest.iter().position(|&(_, pace)| pace == 100);
+    let repeats = &rest[last_change.unwrap()..];
+    assert!(repeats.iter().all(|&(_, pace)| pace == 100), "{rest:?}");
+    // One follows after each time at which the late order may be carried out.
+    for late in (unanswered..unanswered + 10_000).step_by(500) {
+        let is_followed = rest
+            .iter()
+            .any(|&(time, _)| time >= late && time <= late + 5_000);
+        assert!(is_followed, "at {late}: {rest:?}");
+    }
+    // The repetition is bounded.
+    let last = repeats[repeats.len() - 1].0;
+    assert!(last <= unanswered + 11_000, "{rest:?}");
+    assert!(repeats.len() <= 7, "{rest:?}");
+}
+
 /// A job that will certainly miss its objective does not delay a job that can meet its own.
 #[test]
 fn job_that_misses_objective_has_low_rank() {
