Node: do not start a job whose record cannot be decoded

What could be seen, found while tracing the intake: a new owner starts all tasks of a job anew whose record is in the store but cannot be decoded, also those that have ended.

Cause: the claim skips such a job, since none of its tasks may run twice. The intake is read again once all workers know the new fence, for jobs that the former owner had heard of after the claim's read; that read admits every job that the cell does not know, this one as well.

Change: a job of the second read that the cell does not know is admitted only if it has no record. The jobs that this read is for have none: a former owner can write no record after the claim. One read of the store for each unknown job; most are known by then from the watch.

Test: `job_with_undecodable_record_is_not_started` failed before (one start) and passes; it also waits for a check of the intake, which has the same condition. Tests of node and the files of platform on takeovers, admission and cancellation pass.

--- a/components/node/src/intake_check.rs
+++ b/components/node/src/intake_check.rs
@@ -79,11 +79,20 @@
 }
 
 /// Reads the submission of a job that the owner does not know; `None` if the job has ended since,
-/// or has a record: the owner has skipped a record that it could not decode, and no task of the job
-/// may run twice.
+/// or has a record.
 fn unstarted(node: &Node, id: &Id) -> Result<Option<Item>, Failure> {
-    let store = &node.external.store;
-    let submission = store.get(&keys::job(id))?;
-    let has_record = store.get(&keys::state(id))?.is_some();
+    let submission = node.external.store.get(&keys::job(id))?;
+    let has_record = has_record(node, id)?;
     Ok(submission.filter(|_| !has_record))
 }
+
+/// True if a job that the owner does not know has a record. The owner could not decode it when it
+/// loaded the cell, and the job must not be admitted, since its tasks may have run.
+///
+/// # Errors
+///
+/// The store gave no valid answer.
+pub fn has_record(node: &Node, id: &Id) -> Result<bool, Failure> {
+    let record = node.external.store.get(&keys::state(id))?;
+    Ok(record.is_some())
+}
--- a/components/node/src/owner_tasks.rs
+++ b/components/node/src/owner_tasks.rs
@@ -307,7 +307,8 @@
     }
 }
 
-/// Reads the cancellations, and the jobs that the cell does not know, from the intake.
+/// Reads the cancellations, and the jobs that the cell does not know and that have no record, from
+/// the intake.
 fn read_unknown(node: &Node, fence: u64) -> Result<Vec<Event>, Failure> {
     let (items, _) = range_all(&*node.external.store, keys::INTAKE)?;
     let ids: Vec<Id> = items
@@ -319,7 +320,10 @@
         .ask(move |core, _| core.unknown_jobs(fence, ids))?;
     let mut events = Vec::new();
     for item in items {
-        let is_wanted = keys::id(&item.key, keys::JOB).is_none_or(|id| unknown.contains(&id));
+        let is_wanted = match keys::id(&item.key, keys::JOB) {
+            Some(id) => unknown.contains(&id) && !intake_check::has_record(node, &id)?,
+            None => true,
+        };
         if is_wanted {
             events.push(Event::Put(item));
         }
