Node: an owner in doubt grants leases that end before its successor's wait

Cause: an owner that only its workers confirm, since it does not reach the store, granted leases of their full length. If it is cut off alone, another box claims the cell, polls all workers and counts the leases of those that it cannot reach as over 4.9 s after its claim. The former owner learns of the claim when a worker refuses its poll, and polls are held for up to 2 s. Until then it extended the leases of a worker that it alone reaches: such tasks ran twice.

Change: the owner keeps until when no other box can have claimed the cell (`Cell::set_claim_bound`, with each tick): for the length of its lease from the last renewal, as of its last write, or as of the time since which more than half of the workers have accepted a poll. Leases end within what a successor waits from there, less the slack of 0.3 s, which is left to the successor's first polls. A held poll confirms as of when it was sent, so polls are held for 1 s at most once two renewals have failed; without that, leases would be hardly longer than a poll takes. While the store answers, nothing changes.

Price: while the store is away leases are shorter by the age of the confirmation, and workers without serving tasks are polled twice as often. Not covered: a successor whose first polls take longer, as through relays, or that does not reach most workers.

The cell's `lease_ends_before_successor_counts_it_as_expired`, `lease_is_full_while_store_confirms` and `majority_confirmed_by_answered_polls` are new with their functions.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         advice::{AdviceQuery, StepAdvice},
+        claim_bound::ClaimBound,
         crashes,
         interference::Interference,
         interference::forecast::Forecasts,
@@ -218,6 +219,8 @@
     pub(crate) overcommitting: HashSet<Arc<str>>,
     /// Leases may not be extended: another owner may already count them as expired.
     pub(crate) leases_frozen: bool,
+    /// See [`Cell::set_claim_bound`].
+    pub(crate) claim_bound: ClaimBound,
     /// Tasks suspected of crashing their workers, and workers that were lost.
     pub(crate) crashes: crashes::CrashTracker,
 }
@@ -274,6 +277,7 @@
             finished_runs: Vec::new(),
             overcommitting: HashSet::new(),
             leases_frozen: false,
+            claim_bound: ClaimBound::default(),
             crashes: crashes::CrashTracker::default(),
         }
     }
@@ -338,7 +342,7 @@
 
     /// Returns the parameters of the next poll of a worker, or `None` if the worker is unknown.
     pub fn next_poll(&mut self, id: &str, now: u64) -> Option<Poll> {
-        let lease = self.timing.lease;
+        let lease = self.claim_bound.max_lease(self.timing.lease, now);
         let has_trial = self.has_trial(id);
         let worker = self.workers.get_mut(id)?;
         // If the last poll was not answered, the lease is not extended: the worker may have
@@ -360,6 +364,7 @@
         } else {
             worker.poll_wait()
         };
+        let wait = self.claim_bound.poll_wait(wait);
         worker.answer_due = Some(now + wait + timing::POLL_GRACE);
         Some(Poll {
             deadline,
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -23,6 +23,7 @@
 mod capacity;
 mod cell;
 mod choose;
+mod claim_bound;
 mod crashes;
 mod drain;
 mod gang;
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -43,6 +43,7 @@
         worker.fenced = true;
         worker.poll_answered = true;
         worker.confirmed = true;
+        worker.confirmed_at = worker.confirmed_at.max(sent);
         worker.answer_due = None;
         let was_unreachable = worker.unreachable_since.take().is_some();
         worker.changed = true;
--- a/components/cell/src/timing.rs
+++ b/components/cell/src/timing.rs
@@ -33,6 +33,9 @@
 /// How long a poll may be held on a worker with serving tasks. Its figures cover the last half
 /// second, and best-effort tasks may be placed beside these tasks meanwhile.
 pub const POLL_SERVING: u64 = 500;
+/// How long a poll may be held while the store does not confirm the ownership. Leases are shorter by
+/// the time since the polls that confirm it were sent.
+pub const POLL_CONFIRMING: u64 = 1_000;
 
 /// The answer to a poll is overdue this long after its wait: the client times out after 0.8 s, and
 /// the rest is the round trip through a relay.
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -193,6 +193,9 @@
     pub fenced: bool,
     /// The last poll was answered.
     pub poll_answered: bool,
+    /// When the last poll that was answered was sent, on the owner's clock: no later owner had
+    /// polled the worker before. 0 if none was answered.
+    pub confirmed_at: u64,
     /// When the answer to the open poll is overdue; `None` if no poll is open.
     pub answer_due: Option<u64>,
     /// Since when it has been unreachable.
@@ -266,6 +269,7 @@
             draining: false,
             fenced: false,
             poll_answered: false,
+            confirmed_at: 0,
             answer_due: None,
             unreachable_since: None,
             clock: None,
--- a/components/cell/tests/decisions/unreachable.rs
+++ b/components/cell/tests/decisions/unreachable.rs
@@ -8,6 +8,7 @@
     job::{State, Step},
     magpie_cell::{EndCause, Order, Outcome, Reachability, Refusal, Report},
     std::sync::Arc,
+    test_case::test_case,
 };
 
 #[test]
@@ -177,3 +178,65 @@
         assert_eq!(world.cell.reachability(world.now + after).unreachable, 0);
     }
 }
+
+/// Reports without tasks at the current time, and returns the lease that the next poll grants on
+/// the worker's clock and how long the poll may be held, in milliseconds.
+fn next_lease(world: &mut World, worker: &str) -> (u64, u64) {
+    let report = Report {
+        clock: world.now + 50_000,
+        ..Report::default()
+    };
+    let clock = report.clock;
+    let id: Arc<str> = worker.into();
+    world.cell.report(&id, report, world.now, world.now, 1);
+    let poll = world.cell.next_poll(worker, world.now).unwrap();
+    (poll.deadline.saturating_sub(clock), poll.wait)
+}
+
+/// Guards against an owner that grants leases beyond the time after which another one that cannot
+/// reach the worker counts them as expired: 4.9 s after its claim, of which 0.3 s are left to its
+/// first polls.
+#[test_case(0; "confirmed now")]
+#[test_case(600; "0.6 s ago")]
+#[test_case(2_000; "2 s ago")]
+#[test_case(4_000; "4 s ago")]
+#[test_case(6_000; "6 s ago")]
+fn lease_ends_before_successor_counts_it_as_expired(age: u64) {
+    let mut world = World::new(&["w1"]);
+    world.now += 10_000;
+    let confirmed = world.now - age;
+    world.cell.set_claim_bound(confirmed, true);
+    let (lease, wait) = next_lease(&mut world, "w1");
+    let end_on_slow_clock = world.now + lease * 1_021 / 1_000;
+    let limit = confirmed + 4_594;
+    assert!(lease == 0 || end_on_slow_clock <= limit, "{lease}");
+    assert!(lease <= 4_500 && lease + 10 >= limit.saturating_sub(world.now) * 1_000 / 1_021);
+    assert_eq!(wait, 1_000);
+}
+
+/// While the store confirms the ownership, leases and polls have their full length.
+#[test]
+fn lease_is_full_while_store_confirms() {
+    let mut world = World::new(&["w1"]);
+    world.cell.set_claim_bound(world.now + 1_000, false);
+    assert_eq!(next_lease(&mut world, "w1"), (4_500, 2_000));
+}
+
+/// More than half of the workers must have accepted a poll since the time that counts.
+#[test_case(&[], 0; "no worker")]
+#[test_case(&[500], 500; "one worker")]
+#[test_case(&[500, 300], 300; "half of the workers do not suffice")]
+#[test_case(&[100, 500, 300], 300; "two of three")]
+#[test_case(&[500, 500, 100, 100], 100; "two of four do not suffice")]
+fn majority_confirmed_by_answered_polls(answered: &[u64], expected: u64) {
+    let names = ["w1", "w2", "w3", "w4"];
+    let mut world = World::without_reports(&names[..answered.len()]);
+    let start = world.now;
+    for (name, at) in names.iter().zip(answered) {
+        let id: Arc<str> = (*name).into();
+        let report = Report::default();
+        world.cell.report(&id, report, start + at, start + 2_000, 1);
+    }
+    let expected = if expected > 0 { start + expected } else { 0 };
+    assert_eq!(world.cell.majority_confirmed(), expected);
+}
--- a/components/node/src/owner_tasks.rs
+++ b/components/node/src/owner_tasks.rs
@@ -176,7 +176,7 @@
         if renewed == Ok(true) {
             node.actor.tell(move |core, _| {
                 if let Some(ownership) = core.ownership_of(fence) {
-                    ownership.confirm_at(sent);
+                    ownership.renewed_at(sent);
                 }
             });
         }
--- a/components/node/src/ownership/confirmation.rs
+++ b/components/node/src/ownership/confirmation.rs
@@ -15,7 +15,7 @@
 use {
     super::Ownership,
     crate::{
-        settings::{OWNER_LEASE, RENEW_INTERVAL},
+        settings::{MAX_LEASE_AGE, OWNER_LEASE, RENEW_INTERVAL},
         time,
     },
     cell::Reachability,
@@ -77,6 +77,25 @@
         }
     }
 
+    /// Updates the time until which no other box has claimed the cell: the lease of the owner's key
+    /// lasts for its length after the last renewal, and later the polls of the workers tell.
+    pub(super) fn update_claim_bound(&mut self) {
+        let now = time::now();
+        let by_lease = self.last_renewed + OWNER_LEASE.as_millis() as u64;
+        let mut unclaimed_until = by_lease.max(self.last_confirmed);
+        if unclaimed_until < now {
+            unclaimed_until = unclaimed_until.max(self.cell.majority_confirmed());
+        }
+        let polls_confirm = now > self.last_renewed + MAX_LEASE_AGE.as_millis() as u64;
+        self.cell.set_claim_bound(unclaimed_until, polls_confirm);
+    }
+
+    /// Records that the lease of the owner's key was renewed at this time.
+    pub(crate) fn renewed_at(&mut self, at: u64) {
+        self.last_renewed = self.last_renewed.max(at);
+        self.confirm_at(at);
+    }
+
     /// Records that the store has confirmed the ownership at this time.
     pub(crate) fn confirm_at(&mut self, at: u64) {
         self.last_confirmed = self.last_confirmed.max(at);
--- a/components/node/src/ownership/mod.rs
+++ b/components/node/src/ownership/mod.rs
@@ -80,6 +80,8 @@
     last_tick: u64,
     /// When the store last confirmed the ownership, by a lease renewal or a write.
     last_confirmed: u64,
+    /// When the lease was last renewed.
+    last_renewed: u64,
     /// Set while another box may own the cell.
     unconfirmed: Option<Unconfirmed>,
     /// Jobs that name the fence of a later owner.
@@ -122,6 +124,7 @@
             writer: None,
             last_tick: claimed,
             last_confirmed: claimed,
+            last_renewed: claimed,
             unconfirmed: None,
             held: HeldJobs::default(),
             halls: Halls::default(),
@@ -364,6 +367,7 @@
         };
         ownership.last_tick = time::now();
         ownership.check_isolation();
+        ownership.update_claim_bound();
         ownership.cell.log_done(time::now());
         ownership.cell.activate_due_steps(wall_clock::millis());
         ownership.cell.rerank(wall_clock::millis(), time::now());
--- a/components/standin/src/runner.rs
+++ b/components/standin/src/runner.rs
@@ -358,6 +358,11 @@
         core.size = size;
     }
 
+    /// Returns the current time on its clock, in milliseconds.
+    pub fn clock(&self) -> u64 {
+        lock(&self.core).clock()
+    }
+
     /// Returns true while the worker is down.
     pub fn is_down(&self) -> bool {
         lock(&self.core).is_down
