--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -43,6 +43,7 @@
         worker.fenced = true;
         worker.poll_answered = true;
         worker.confirmed = true;
+        worker.confirmed_at = worker.confirmed_at.max(sent);
         worker.answer_due = None;
         let was_unreachable = worker.unreachable_since.take().is_some();
         worker.silent_by = None;
@@ -136,6 +137,7 @@
             slot.stage = Stage::Running { at: times.now };
         }
         slot.figure = run.figure;
+        slot.ready = run.ready;
         let is_due = slot
             .stopping
             .is_some_and(|at| times.sent >= at + STOP_RETRY);
@@ -192,6 +194,7 @@
             adopted: true,
             percent: UNKNOWN_PACE,
             figure: run.figure,
+            ready: run.ready,
             ..Slot::new(step, run.address, image, run.run, stage)
         };
         log::info!(target: "cell", job = key.job.as_str(), place = key.place, worker = &**id, run = run.run; "Run adopted.");
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -193,6 +193,9 @@
     pub fenced: bool,
     /// The last poll was answered.
     pub poll_answered: bool,
+    /// When the last poll that was answered was sent, on the owner's clock: no later owner had
+    /// polled the worker before. 0 if none was answered.
+    pub confirmed_at: u64,
     /// When the answer to the open poll is overdue; `None` if no poll is open.
     pub answer_due: Option<u64>,
     /// Since when it has been unreachable.
@@ -270,6 +273,7 @@
             draining: false,
             fenced: false,
             poll_answered: false,
+            confirmed_at: 0,
             answer_due: None,
             unreachable_since: None,
             silent_by: None,
@@ -355,12 +359,15 @@
     /// True if nothing but a backoff or failed runs may keep it from being given work.
     fn is_available(&self, now: u64) -> bool {
         let is_known = self.fenced && self.listed && self.recorded && !self.entry_invalid;
-        let is_usable = is_known && !self.is_unreachable() && !self.entry.leaving && !self.draining;
+        let is_usable = is_known && !self.entry.leaving && !self.draining;
         let is_open = self.seal == SealState::Open && !self.runs_pending;
-        let is_heard = self
-            .clock
-            .is_some_and(|clock| now <= clock.at + timing::HEARD_WITHIN);
-        is_usable && is_open && is_heard
+        is_usable && is_open && self.is_heard(now)
+    }
+
+    /// True if the last completed poll was answered, and that recently.
+    pub fn is_heard(&self, now: u64) -> bool {
+        let is_recent = |clock: Clock| now <= clock.at + timing::HEARD_WITHIN;
+        !self.is_unreachable() && self.clock.is_some_and(is_recent)
     }
 
     /// True if a backoff, a quarantine or the time after a failed run has ended since the last
