Complete a wave only with proof of each maintenance

A wave was completed without the maintenance of a machine: its order got no answer and was not carried out, later its worker crashed and came back as another one, and that counted as proof. An order without an answer was never repeated either, so without a crash the wave waited for good.

Ruled out: the answer was not at fault; it was thrown away unless it was a refusal.

A machine is now done when it is up and its maintenance has surely begun: the order was answered with 200 (also if it was carried out before), or the machine was listed as down for it. An order without proof is repeated once it can no longer be carried out, when the machine is up and drained; its worker stays closed until then. A machine that crashed meanwhile leaves its place to others.

Tests: crash_after_unanswered_order_does_not_complete_wave, unanswered_order_is_repeated, answered_order_completes_wave, crashed_machine_does_not_hold_up_wave and the first case of wave_completes_under_same_name failed before. Three tests took a changed worker as the end of a maintenance, which is the fault: wave_completes_under_same_name has the former case as one that does not complete, and wave_limit_is_respected and wave_completes_when_machines_return list the machine as down for maintenance meanwhile, as the service does. wave_continues_with_next_ incarnation answers its order, which is repeated else.

--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -59,7 +59,9 @@
 pub use cell::{Cell, Poll, Reachability};
 pub use interference::Interference;
 pub use learned::Learned;
-pub use maintenance::{Machine, MaintenanceOrder, Wave, WaveStatus};
+pub use maintenance::{
+    Machine, MaintenanceOrder, MaintenanceOutcome, ORDER_LIFETIME, Wave, WaveStatus,
+};
 pub use order::{EndCause, Order, Outcome, Refusal, Report, Run, RunEnd, Start};
 pub use persistence::{Seal, WriteBatch};
 pub use summary::Summary;
--- /dev/null
+++ b/components/cell/src/maintenance/progress.rs
@@ -0,0 +1,111 @@
+//! The owner's state of one maintenance wave.
+
+use {
+    super::{Machine, Wave},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
+};
+
+/// How long an order that is neither proven nor refused may still be carried out, in milliseconds.
+/// This is longer than the time-out of its call, and than the time within which two owners must not
+/// take turns at one machine.
+pub const ORDER_LIFETIME: u64 = 5_000;
+
+/// The owner's state of a wave.
+#[derive(Debug, Default)]
+pub(crate) struct WaveState {
+    /// Machines that have had their maintenance.
+    pub done: BTreeSet<Arc<str>>,
+    /// Machines that were ordered down and are not done.
+    pub orders: BTreeMap<Arc<str>, OrderState>,
+    /// Machines that are being drained, and since when.
+    pub draining: BTreeMap<Arc<str>, u64>,
+}
+
+/// What is known of an order to take a machine down.
+#[derive(Debug)]
+pub(crate) struct OrderState {
+    /// The id of the incarnation that it takes down, if that was known.
+    pub incarnation: Option<Arc<str>>,
+    /// Since when the worker of the machine has been drained.
+    pub drained_since: u64,
+    /// Until when it may still be carried out.
+    pub open_until: u64,
+    /// The maintenance has surely begun.
+    pub begun: bool,
+}
+
+impl OrderState {
+    /// True if the order has to be repeated once the machine is up and drained.
+    fn is_over(&self, now: u64) -> bool {
+        !self.begun && now >= self.open_until
+    }
+}
+
+impl WaveState {
+    /// Updates the state of each machine from the listing. A machine is done when its maintenance
+    /// has surely begun and it is up. Another worker or incarnation on it proves nothing, since the
+    /// former one may have crashed.
+    pub(crate) fn update(&mut self, wave: &Wave, listed: &BTreeMap<&str, &Machine>, now: u64) {
+        self.done.extend(wave.done.iter().cloned());
+        self.orders.retain(|name, _| wave.machines.contains(name));
+        self.draining.retain(|name, _| wave.machines.contains(name));
+        for name in &wave.machines {
+            let Some(machine) = listed.get(&**name) else {
+                self.draining.remove(name);
+                self.orders.remove(name);
+                self.done.insert(name.clone());
+                continue;
+            };
+            if let Some(order) = self.orders.get_mut(name) {
+                order.begun |= machine.in_maintenance;
+                if order.begun && machine.up {
+                    self.done.insert(name.clone());
+                } else if order.is_over(now) && !machine.up {
+                    // It is ordered again when it is back. Its place goes to others until then.
+                    self.orders.remove(name);
+                }
+            }
+            if self.done.contains(name) {
+                self.orders.remove(name);
+            }
+        }
+    }
+
+    /// True if a machine is drained or ordered down.
+    pub(crate) fn is_started(&self, name: &str) -> bool {
+        self.orders.contains_key(name) || self.draining.contains_key(name)
+    }
+
+    /// Returns the machines that may be ordered down once they are drained, and since when they
+    /// have been.
+    pub(crate) fn candidates(&self, now: u64) -> BTreeMap<Arc<str>, u64> {
+        let mut candidates = self.draining.clone();
+        for (name, order) in &self.orders {
+            if order.is_over(now) {
+                candidates.insert(name.clone(), order.drained_since);
+            }
+        }
+        candidates
+    }
+
+    /// Records an order to take a machine down, which is about to be sent.
+    pub(crate) fn record_order(
+        &mut self,
+        name: &Arc<str>,
+        incarnation: Option<Arc<str>>,
+        drained_since: u64,
+        now: u64,
+    ) {
+        self.draining.remove(name);
+        let order = OrderState {
+            incarnation,
+            drained_since,
+            open_until: now + ORDER_LIFETIME,
+            begun: false,
+        };
+        self.orders.insert(name.clone(), order);
+    }
+}
--- a/components/cell/tests/decisions/maintenance.rs
+++ b/components/cell/tests/decisions/maintenance.rs
@@ -17,11 +17,12 @@
     }
 }
 
+/// A machine that is up with this worker, or down for maintenance.
 fn machine(name: &str, worker: Option<&str>) -> Machine {
     Machine {
         name: name.into(),
         up: worker.is_some(),
-        in_maintenance: false,
+        in_maintenance: worker.is_none(),
         worker: worker.map(Into::into),
     }
 }
@@ -59,6 +60,9 @@
     let mut world = World::new(&["w1", "w2"]);
     world.cell.plan_maintenance(&[wave(2)], &both(), world.now);
     assert!(!world.cell.wave_statuses(&[wave(2)])[0].complete);
+    let down = [machine("m1", None), machine("m2", None)];
+    world.cell.plan_maintenance(&[wave(2)], &down, world.now);
+    assert!(!world.cell.wave_statuses(&[wave(2)])[0].complete);
     let back = [machine("m1", Some("w8")), machine("m2", Some("w9"))];
     world.cell.plan_maintenance(&[wave(2)], &back, world.now);
     assert!(world.cell.wave_statuses(&[wave(2)])[0].complete);
@@ -121,6 +125,82 @@
     assert_eq!(repeated, orders);
 }
 
+/// Guards against a wave that is complete without the maintenance of a machine. Its order got no
+/// answer and was not carried out, and its worker crashed and returned as another one, which
+/// counted as proof.
+#[test]
+fn crash_after_unanswered_order_does_not_complete_wave() {
+    let mut world = World::new(&["w1", "w2"]);
+    let mut single = wave(1);
+    single.machines.truncate(1);
+    let waves = [single];
+    world.cell.plan_maintenance(&waves, &both(), world.now);
+    let crashed = [machine("m1", Some("w9"))];
+    world.list(vec![entry("w9", 4)]);
+    world.now += 2_000;
+    world.cell.plan_maintenance(&waves, &crashed, world.now);
+    assert!(!world.cell.wave_statuses(&waves)[0].complete);
+    world.now += 10_000;
+    let repeated = world.cell.plan_maintenance(&waves, &crashed, world.now);
+    assert_eq!(repeated, [order("m1")]);
+    let down = [machine("m1", None)];
+    world.cell.plan_maintenance(&waves, &down, world.now);
+    assert!(!world.cell.wave_statuses(&waves)[0].complete);
+    world.cell.plan_maintenance(&waves, &crashed, world.now);
+    assert!(world.cell.wave_statuses(&waves)[0].complete);
+}
+
+/// Guards against a wave that waits for good for a machine whose order got no answer and was not
+/// carried out.
+#[test]
+fn unanswered_order_is_repeated() {
+    let mut world = World::new(&["w1", "w2"]);
+    let orders = world.cell.plan_maintenance(&[wave(1)], &both(), world.now);
+    world.now += 700;
+    assert!(
+        world
+            .cell
+            .plan_maintenance(&[wave(1)], &both(), world.now)
+            .is_empty()
+    );
+    world.now += 10_000;
+    let repeated = world.cell.plan_maintenance(&[wave(1)], &both(), world.now);
+    assert_eq!(repeated, orders);
+}
+
+/// A machine whose maintenance was over before the order is done at the next listing.
+#[test]
+fn answered_order_completes_wave() {
+    let mut world = World::new(&["w1", "w2"]);
+    let orders = world.cell.plan_maintenance(&[wave(1)], &both(), world.now);
+    world.cell.maintenance_begun(&orders[0]);
+    let orders = world.cell.plan_maintenance(&[wave(1)], &both(), world.now);
+    assert_eq!(orders, [order("m2")]);
+    world.cell.maintenance_begun(&orders[0]);
+    world.cell.plan_maintenance(&[wave(1)], &both(), world.now);
+    assert!(world.cell.wave_statuses(&[wave(1)])[0].complete);
+}
+
+/// A machine that crashes after an order without an answer leaves its place to the next one.
+#[test]
+fn crashed_machine_does_not_hold_up_wave() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.cell.plan_maintenance(&[wave(1)], &both(), world.now);
+    let mut crashed = both();
+    crashed[0].up = false;
+    crashed[0].worker = None;
+    world.now += 700;
+    assert!(
+        world
+            .cell
+            .plan_maintenance(&[wave(1)], &crashed, world.now)
+            .is_empty()
+    );
+    world.now += 10_000;
+    let orders = world.cell.plan_maintenance(&[wave(1)], &crashed, world.now);
+    assert_eq!(orders, [order("m2")]);
+}
+
 /// Guards against a worker that stays closed when its wave, or its machine's part in it, is
 /// withdrawn during draining.
 #[test_case(&[]; "no wave remains")]
@@ -227,11 +307,13 @@
             }
         }
         world.persist();
-        orders_to_next.extend(world.cell.plan_maintenance(
-            from_ref(&wave),
-            &[machine("w3")],
-            world.now,
-        ));
+        let orders = world
+            .cell
+            .plan_maintenance(from_ref(&wave), &[machine("w3")], world.now);
+        for order in &orders {
+            world.cell.maintenance_begun(order);
+        }
+        orders_to_next.extend(orders);
     }
     assert!(
         moved_job.is_some(),
--- a/components/cell/tests/decisions/reused_names.rs
+++ b/components/cell/tests/decisions/reused_names.rs
@@ -429,16 +429,22 @@
     }
 }
 
-/// A machine is done when its worker has returned after maintenance under the same name.
-#[test_case(true, false; "a later incarnation is listed")]
-#[test_case(false, true; "the machine was seen down")]
-fn wave_completes_under_same_name(is_listed: bool, is_seen_down: bool) {
+/// A machine is done when its worker has returned after maintenance under the same name, and the
+/// maintenance is proven. A later incarnation alone proves nothing.
+#[test_case(true, false, false => false; "a later incarnation is listed")]
+#[test_case(true, false, true => true; "the order was answered")]
+#[test_case(false, true, false => true; "the machine was seen down")]
+#[test_case(true, true, false => true; "a later incarnation is listed and the machine was seen down")]
+fn wave_completes_under_same_name(is_listed: bool, is_seen_down: bool, is_answered: bool) -> bool {
     let mut world = world();
     let wave = wave();
     let orders = world
         .cell
         .plan_maintenance(from_ref(&wave), &[machine(true)], world.now);
     assert_eq!(orders.len(), 1);
+    if is_answered {
+        world.cell.maintenance_begun(&orders[0]);
+    }
     if is_seen_down {
         world
             .cell
@@ -454,7 +460,7 @@
     world
         .cell
         .plan_maintenance(from_ref(&wave), &[machine(true)], world.now);
-    assert!(world.cell.wave_statuses(from_ref(&wave))[0].complete);
+    world.cell.wave_statuses(from_ref(&wave))[0].complete
 }
 
 /// If the machine was never seen down, an order alone does not complete the wave.
--- a/components/node/src/external.rs
+++ b/components/node/src/external.rs
@@ -4,8 +4,8 @@
 use {
     crate::store::Store,
     cell::{
-        Advice, AdviceQuery, Entry, Listing, Machine, MaintenanceOrder, Order, Outcome, Poll,
-        Refusal, Report, Wave, WaveStatus,
+        Advice, AdviceQuery, Entry, Listing, Machine, MaintenanceOrder, MaintenanceOutcome, Order,
+        Outcome, Poll, Refusal, Report, Wave, WaveStatus,
     },
     job::Config,
     kernel::Failure,
@@ -148,9 +148,13 @@
     /// The list could not be read.
     fn list(&self) -> Result<Vec<Machine>, Failure>;
 
-    /// Takes a machine down for maintenance, under the fence of this owner. False when the request
-    /// surely had no effect.
-    fn start_maintenance(&self, order: &MaintenanceOrder, owner: &str, fence: u64) -> bool;
+    /// Takes a machine down for maintenance, under the fence of this owner.
+    fn start_maintenance(
+        &self,
+        order: &MaintenanceOrder,
+        owner: &str,
+        fence: u64,
+    ) -> MaintenanceOutcome;
 
     /// Reports the progress of a maintenance wave to the operators.
     ///
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod spec_text;
 pub mod store;
 pub mod time;
+pub mod waves;
 pub mod worker;
 
 pub use callers::{Call, Reply};
--- a/components/node/src/owner_tasks.rs
+++ b/components/node/src/owner_tasks.rs
@@ -13,7 +13,7 @@
             WAVE_INTERVAL,
         },
         store::{ApplyResult, Change, Event, WatchResult, range_all},
-        time,
+        time, waves,
     },
     cell::{AdviceQuery, WaveStatus},
     job::Id,
@@ -70,12 +70,9 @@
         };
         had_waves = has_waves;
         for order in orders {
-            let is_done = machines.start_maintenance(&order, &node.settings.name, fence);
-            log::info!(target: "owner", wave = order.wave, machine = &*order.machine, fence, done = is_done; "Machine ordered down for maintenance.");
-            if !is_done {
-                node.actor
-                    .tell(move |core, _| core.maintenance_refused(fence, &order));
-            }
+            let outcome = machines.start_maintenance(&order, &node.settings.name, fence);
+            log::info!(target: "owner", wave = order.wave, machine = &*order.machine, fence, outcome:? = outcome; "Machine ordered down for maintenance.");
+            waves::handle_outcome(node, fence, order, outcome);
         }
         for status in statuses {
             if reported.get(&status.wave) == Some(&status) {
--- a/components/node/src/ownership/inputs.rs
+++ b/components/node/src/ownership/inputs.rs
@@ -219,6 +219,13 @@
             ownership.cell.maintenance_refused(order);
         }
     }
+
+    /// Applies that the ordered maintenance has begun or is over.
+    pub(crate) fn maintenance_begun(&mut self, fence: u64, order: &MaintenanceOrder) {
+        if let Some(ownership) = self.ownership_of(fence) {
+            ownership.cell.maintenance_begun(order);
+        }
+    }
 }
 
 #[cfg(test)]
