Let maintenance waves survive a change of owner

After a change of the owner during a wave the next one exceeded the limit, ordered machines again that were done, waited for good for them to go down, and kept their workers closed: jobs that need them never ran. What an owner had ordered was known to it alone; only the machines that were done were kept.

Ruled out: a listing alone does not tell enough, since an order may be on its way while the machine is up, and a machine may be down and up again between the listings of two owners.

A new owner reads the notes, counts all machines that are down or may be, takes a machine that had its maintenance as done when it is listed as up, and repeats an order without proof once the former can no longer be carried out. A machine of two waves goes down for one at a time. Older builds find the list of machines that are done where it was; what they order is in no note, and is counted and completed from the listing.

Tests: takeover_counts_machine_in_maintenance, takeover_completes_machine_in_maintenance, done_machine_counts_while_down, takeover_completes_machine_noted_as_begun, takeover_repeats_order_noted_as_sent, drained_machine_waits_for_one_that_is_down and machine_of_two_waves_is_down_for_each failed with the former code, without the notes where it has none.

--- a/components/cell/src/maintenance/mod.rs
+++ b/components/cell/src/maintenance/mod.rs
@@ -18,8 +18,8 @@
 /// costs less than a delayed wave.
 const DRAIN_TIMEOUT: u64 = 4_000;
 
-/// A maintenance wave as requested by the operators.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// A maintenance wave as requested by the operators, with the notes of its owners.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Wave {
     /// The number of the wave.
     pub number: u64,
@@ -29,6 +29,10 @@
     pub limit: usize,
     /// Machines that an owner has recorded as done.
     pub done: Vec<Arc<str>>,
+    /// Machines whose order was about to be sent, and of which nothing else is known.
+    pub sent: Vec<Arc<str>>,
+    /// Machines whose maintenance has begun.
+    pub begun: Vec<Arc<str>>,
 }
 
 /// A listed machine.
@@ -71,12 +75,18 @@
     pub wave: u64,
     /// Machines that are done.
     pub done: Vec<Arc<str>>,
+    /// Machines whose order may be out, and of which nothing else is known.
+    pub sent: Vec<Arc<str>>,
+    /// Machines whose maintenance has surely begun, and that are not done.
+    pub begun: Vec<Arc<str>>,
     /// All machines are done.
     pub complete: bool,
 }
 
 impl Cell {
-    /// Processes the current waves and machines. Returns the orders to take machines down.
+    /// Processes the current waves and machines. Returns the orders to take machines down. They
+    /// must be in the notes of the wave before they are sent, see [`Cell::wave_statuses`]; the
+    /// notes must have been read before the machines were listed.
     pub fn plan_maintenance(
         &mut self,
         waves: &[Wave],
@@ -89,12 +99,19 @@
             .collect();
         self.waves
             .retain(|number, _| waves.iter().any(|wave| wave.number == *number));
+        let shared = shared_machines(waves);
+        for wave in waves {
+            let progress = self.waves.entry(wave.number).or_default();
+            progress.update(wave, &listed, &shared, now);
+        }
         let mut orders = Vec::new();
         for wave in waves {
             let mut progress = self.waves.remove(&wave.number).unwrap_or_default();
-            progress.update(wave, &listed, now);
             self.start_draining(wave, &mut progress, &listed, now);
             for (machine, since) in self.drained(&progress, &listed, now) {
+                if progress.down(wave, &listed, now) >= wave.limit {
+                    break;
+                }
                 let worker = listed[&*machine].worker.as_deref();
                 let incarnation = worker.and_then(|name| self.incarnation_of(name));
                 progress.record_order(&machine, incarnation, since, now);
@@ -163,6 +180,13 @@
             let Some(progress) = self.waves.get(&wave.number) else {
                 continue;
             };
+            let with = |is_begun: bool| -> Vec<Arc<str>> {
+                let orders = progress.orders.iter();
+                orders
+                    .filter(|(_, order)| order.begun == is_begun)
+                    .map(|(name, _)| name.clone())
+                    .collect()
+            };
             statuses.push(WaveStatus {
                 wave: wave.number,
                 complete: wave
@@ -170,6 +194,8 @@
                     .iter()
                     .all(|name| progress.done.contains(name)),
                 done: progress.done.iter().cloned().collect(),
+                sent: with(false),
+                begun: with(true),
             });
         }
         statuses
@@ -183,11 +209,13 @@
         listed: &BTreeMap<&str, &Machine>,
         now: u64,
     ) {
-        let in_progress = progress.orders.len() + progress.draining.len();
+        let in_progress = progress.in_progress(wave, listed, now);
         let mut remaining = wave.limit.saturating_sub(in_progress);
+        // A machine that is down for two waves at once would prove the maintenance of both.
+        let is_taken = |name: &str| self.waves.values().any(|other| other.is_started(name));
         for name in &wave.machines {
             let is_begun = progress.done.contains(name) || progress.is_started(name);
-            if remaining == 0 || is_begun {
+            if remaining == 0 || is_begun || is_taken(name) {
                 continue;
             }
             if !listed.get(&**name).is_some_and(|machine| machine.up) {
@@ -236,3 +264,17 @@
             .map(|worker| worker.entry.id.clone())
     }
 }
+
+/// Returns the machines that several waves still have to take down.
+fn shared_machines(waves: &[Wave]) -> HashSet<&str> {
+    let mut seen = HashSet::new();
+    let mut shared = HashSet::new();
+    for wave in waves {
+        for name in &wave.machines {
+            if !wave.done.contains(name) && !seen.insert(&**name) {
+                shared.insert(&**name);
+            }
+        }
+    }
+    shared
+}
--- a/components/cell/src/maintenance/progress.rs
+++ b/components/cell/src/maintenance/progress.rs
@@ -3,7 +3,7 @@
 use {
     super::{Machine, Wave},
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, HashSet},
         sync::Arc,
     },
 };
@@ -48,8 +48,17 @@
     /// Updates the state of each machine from the listing. A machine is done when its maintenance
     /// has surely begun and it is up. Another worker or incarnation on it proves nothing, since the
     /// former one may have crashed.
-    pub(crate) fn update(&mut self, wave: &Wave, listed: &BTreeMap<&str, &Machine>, now: u64) {
-        self.done.extend(wave.done.iter().cloned());
+    ///
+    /// A machine that is down for maintenance without a note was ordered by an owner that writes
+    /// none. If several waves have it, that proves nothing for any of them.
+    pub(crate) fn update(
+        &mut self,
+        wave: &Wave,
+        listed: &BTreeMap<&str, &Machine>,
+        shared: &HashSet<&str>,
+        now: u64,
+    ) {
+        self.adopt_notes(wave, now);
         self.orders.retain(|name, _| wave.machines.contains(name));
         self.draining.retain(|name, _| wave.machines.contains(name));
         for name in &wave.machines {
@@ -59,6 +68,10 @@
                 self.done.insert(name.clone());
                 continue;
             };
+            let is_begun = machine.in_maintenance && !shared.contains(&**name);
+            if is_begun && !self.done.contains(name) && !self.orders.contains_key(name) {
+                self.adopt_order(name, now);
+            }
             if let Some(order) = self.orders.get_mut(name) {
                 order.begun |= machine.in_maintenance;
                 if order.begun && machine.up {
@@ -74,6 +87,60 @@
         }
     }
 
+    /// Adopts what owners have noted.
+    fn adopt_notes(&mut self, wave: &Wave, now: u64) {
+        self.done.extend(wave.done.iter().cloned());
+        for name in wave.sent.iter().chain(&wave.begun) {
+            if !self.done.contains(name) && !self.orders.contains_key(name) {
+                self.adopt_order(name, now);
+            }
+        }
+        for name in &wave.begun {
+            if let Some(order) = self.orders.get_mut(name) {
+                order.begun = true;
+            }
+        }
+    }
+
+    /// Adopts an order of another owner, which may have been sent just now.
+    fn adopt_order(&mut self, name: &Arc<str>, now: u64) {
+        self.record_order(name, None, now, now);
+    }
+
+    /// The number of machines that are drained, ordered down or down for maintenance, whoever has
+    /// ordered it.
+    pub(crate) fn in_progress(
+        &self,
+        wave: &Wave,
+        listed: &BTreeMap<&str, &Machine>,
+        now: u64,
+    ) -> usize {
+        let is_up = |name: &str| listed.get(name).is_some_and(|machine| machine.up);
+        let is_drained = |name: &&Arc<str>| {
+            self.draining.contains_key(*name) || self.orders.contains_key(*name) && is_up(name)
+        };
+        let machines = wave.machines.iter();
+        machines
+            .filter(|name| is_drained(name) || self.may_be_down(name, listed, now))
+            .count()
+    }
+
+    /// The number of machines that are down for maintenance, or may be.
+    pub(crate) fn down(&self, wave: &Wave, listed: &BTreeMap<&str, &Machine>, now: u64) -> usize {
+        let machines = wave.machines.iter();
+        machines
+            .filter(|name| self.may_be_down(name, listed, now))
+            .count()
+    }
+
+    fn may_be_down(&self, name: &str, listed: &BTreeMap<&str, &Machine>, now: u64) -> bool {
+        let is_listed_down = listed
+            .get(name)
+            .is_some_and(|machine| machine.in_maintenance);
+        let order = self.orders.get(name);
+        is_listed_down || order.is_some_and(|order| now < order.open_until)
+    }
+
     /// True if a machine is drained or ordered down.
     pub(crate) fn is_started(&self, name: &str) -> bool {
         self.orders.contains_key(name) || self.draining.contains_key(name)
--- a/components/cell/tests/decisions/maintenance.rs
+++ b/components/cell/tests/decisions/maintenance.rs
@@ -3,7 +3,7 @@
 use {
     crate::common::{JOB, World, end, entry, other_worker, run, step},
     job::{Id, Step},
-    magpie_cell::{EndCause, Machine, MaintenanceOrder, Order, Outcome, Run, Wave},
+    magpie_cell::{EndCause, Machine, MaintenanceOrder, ORDER_LIFETIME, Order, Outcome, Run, Wave},
     std::{collections::HashMap, slice::from_ref},
     test_case::test_case,
 };
@@ -13,7 +13,7 @@
         number: 3,
         machines: vec!["m1".into(), "m2".into()],
         limit,
-        done: Vec::new(),
+        ..Wave::default()
     }
 }
 
@@ -201,6 +201,164 @@
     assert_eq!(orders, [order("m2")]);
 }
 
+/// True if a task that only this worker has room for starts there.
+fn takes_work(world: &mut World, worker: &str) -> bool {
+    world.list(vec![entry(worker, 64)]);
+    world.report(worker, vec![], vec![]);
+    world.submit(JOB, vec![step(1, 60_000)]);
+    world.starts().iter().any(|(id, _)| **id == *worker)
+}
+
+/// Guards against a new owner that exceeds the limit, since a former one has ordered a machine down.
+/// It knew only of its own orders.
+#[test]
+fn takeover_counts_machine_in_maintenance() {
+    let mut world = World::new(&["w1", "w2"]);
+    let down = [machine("m1", None), machine("m2", Some("w2"))];
+    assert!(
+        world
+            .cell
+            .plan_maintenance(&[wave(1)], &down, world.now)
+            .is_empty()
+    );
+}
+
+/// The same for a machine that is noted as done and is still down.
+#[test]
+fn done_machine_counts_while_down() {
+    let mut world = World::new(&["w1", "w2"]);
+    let mut noted = wave(1);
+    noted.done = vec!["m1".into()];
+    let down = [machine("m1", None), machine("m2", Some("w2"))];
+    let orders = world.cell.plan_maintenance(&[noted], &down, world.now);
+    assert!(orders.is_empty());
+}
+
+/// Guards against a worker that stays closed, and a wave that never ends, after a takeover during
+/// the maintenance: the new owner ordered the machine again and waited for it to go down.
+#[test]
+fn takeover_completes_machine_in_maintenance() {
+    let mut world = World::new(&["w1", "w2"]);
+    let down = [machine("m1", None), machine("m2", Some("w2"))];
+    world.cell.plan_maintenance(&[wave(1)], &down, world.now);
+    world.now += 2_000;
+    let back = [machine("m1", Some("w9")), machine("m2", Some("w2"))];
+    let orders = world.cell.plan_maintenance(&[wave(1)], &back, world.now);
+    assert_eq!(orders, [order("m2")]);
+    let status = &world.cell.wave_statuses(&[wave(1)])[0];
+    assert_eq!(status.done, ["m1".into()]);
+    assert!(takes_work(&mut world, "w9"));
+}
+
+/// A machine that was down before the takeover and is up again is done without another order.
+#[test]
+fn takeover_completes_machine_noted_as_begun() {
+    let mut world = World::new(&["w1", "w2"]);
+    let mut noted = wave(1);
+    noted.begun = vec!["m1".into()];
+    let orders = world
+        .cell
+        .plan_maintenance(&[noted.clone()], &both(), world.now);
+    assert_eq!(orders, [order("m2")]);
+    let status = &world.cell.wave_statuses(&[noted])[0];
+    assert_eq!(status.done, ["m1".into()]);
+    assert!(takes_work(&mut world, "w1"));
+}
+
+/// An order of the former owner counts, and is repeated when it can no longer be carried out. Its
+/// answer completes the machine and reopens the worker.
+#[test]
+fn takeover_repeats_order_noted_as_sent() {
+    let mut world = World::new(&["w1", "w2"]);
+    let mut noted = wave(1);
+    noted.sent = vec!["m1".into()];
+    let waves = [noted];
+    for _ in 0..7 {
+        let orders = world.cell.plan_maintenance(&waves, &both(), world.now);
+        assert!(orders.is_empty());
+        world.now += 700;
+    }
+    world.now += ORDER_LIFETIME;
+    let orders = world.cell.plan_maintenance(&waves, &both(), world.now);
+    assert_eq!(orders, [order("m1")]);
+    world.cell.maintenance_begun(&orders[0]);
+    world.now += 700;
+    let orders = world.cell.plan_maintenance(&waves, &both(), world.now);
+    assert_eq!(orders, [order("m2")]);
+    assert!(takes_work(&mut world, "w1"));
+}
+
+/// Each order is in the notes before it is sent, and stays there until the machine is done.
+#[test]
+fn notes_name_each_order() {
+    let mut world = World::new(&["w1", "w2"]);
+    let orders = world.cell.plan_maintenance(&[wave(1)], &both(), world.now);
+    let status = world.cell.wave_statuses(&[wave(1)]).remove(0);
+    assert_eq!((status.sent, status.begun), (vec!["m1".into()], vec![]));
+    world.cell.maintenance_begun(&orders[0]);
+    let status = world.cell.wave_statuses(&[wave(1)]).remove(0);
+    assert_eq!((status.sent, status.begun), (vec![], vec!["m1".into()]));
+    let down = [machine("m1", None), machine("m2", Some("w2"))];
+    world.cell.plan_maintenance(&[wave(1)], &down, world.now);
+    world.cell.plan_maintenance(&[wave(1)], &both(), world.now);
+    let status = world.cell.wave_statuses(&[wave(1)]).remove(0);
+    assert_eq!((status.sent, status.begun), (vec!["m2".into()], vec![]));
+    assert_eq!(status.done, ["m1".into()]);
+}
+
+/// Two owners may each have drained as many machines as the limit. No order leaves while that many
+/// are down.
+#[test]
+fn drained_machine_waits_for_one_that_is_down() {
+    let mut world = World::new(&["w1", "w2"]);
+    let long_running = Step {
+        lasting: true,
+        ..step(1, 1_000)
+    };
+    world.submit(JOB, vec![long_running]);
+    let (worker, start) = world.starts()[0].clone();
+    world.report(&worker, vec![run(JOB, 0, start.run)], vec![]);
+    let mut single = wave(1);
+    let other = other_worker(&worker).replace('w', "m");
+    let name = worker.replace('w', "m");
+    single.machines = vec![name.as_str().into(), other.as_str().into()];
+    let waves = [single];
+    world.cell.plan_maintenance(&waves, &both(), world.now);
+    let ended = end(1, JOB, 0, start.run, EndCause::Stopped);
+    world.report(&worker, vec![], vec![ended]);
+    let mut listed = both();
+    let index = usize::from(other == "m2");
+    listed[index] = machine(&other, None);
+    assert!(
+        world
+            .cell
+            .plan_maintenance(&waves, &listed, world.now)
+            .is_empty()
+    );
+    let orders = world.cell.plan_maintenance(&waves, &both(), world.now);
+    assert_eq!(orders, [order(&name)]);
+}
+
+/// A machine of two waves is down for one at a time, so that its return completes the right one.
+#[test]
+fn machine_of_two_waves_is_down_for_each() {
+    let mut world = World::new(&["w1", "w2"]);
+    let mut first = wave(1);
+    first.machines.truncate(1);
+    let mut second = first.clone();
+    second.number = 4;
+    let waves = [first, second];
+    let orders = world.cell.plan_maintenance(&waves, &both(), world.now);
+    assert_eq!(orders, [order("m1")]);
+    let down = [machine("m1", None), machine("m2", Some("w2"))];
+    world.cell.plan_maintenance(&waves, &down, world.now);
+    let orders = world.cell.plan_maintenance(&waves, &both(), world.now);
+    assert_eq!(orders.len(), 1);
+    assert_eq!(orders[0].wave, 4);
+    let statuses = world.cell.wave_statuses(&waves);
+    assert!(statuses[0].complete && !statuses[1].complete);
+}
+
 /// Guards against a worker that stays closed when its wave, or its machine's part in it, is
 /// withdrawn during draining.
 #[test_case(&[]; "no wave remains")]
@@ -243,7 +401,7 @@
         number: 3,
         machines: vec!["m1".into()],
         limit: 1,
-        done: Vec::new(),
+        ..Wave::default()
     };
     let machine = |worker: &str| Machine {
         name: "m1".into(),
--- a/components/cell/tests/decisions/net_sim/operators.rs
+++ b/components/cell/tests/decisions/net_sim/operators.rs
@@ -46,7 +46,7 @@
             number: self.wave_count,
             machines: range.map(machine_name).collect(),
             limit: MAX_DOWN,
-            done: Vec::new(),
+            ..Wave::default()
         };
         self.waves.push((wave, until));
     }
@@ -96,7 +96,7 @@
         for status in self.cell.wave_statuses(&waves) {
             let mut known = self.operators.waves.iter_mut();
             if let Some((wave, _)) = known.find(|(wave, _)| wave.number == status.wave) {
-                wave.done = status.done;
+                (wave.done, wave.sent, wave.begun) = (status.done, status.sent, status.begun);
             }
         }
     }
--- a/components/cell/tests/decisions/reused_names.rs
+++ b/components/cell/tests/decisions/reused_names.rs
@@ -415,7 +415,7 @@
         number: 3,
         machines: vec!["m1".into()],
         limit: 1,
-        done: Vec::new(),
+        ..Wave::default()
     }
 }
 
--- a/components/node/src/external.rs
+++ b/components/node/src/external.rs
@@ -132,6 +132,17 @@
     fn advise(&self, query: &AdviceQuery) -> Result<Advice, Failure>;
 }
 
+/// A maintenance wave and what owners have last written of it.
+#[derive(Debug, Clone)]
+pub struct StoredWave {
+    /// The wave.
+    pub wave: Wave,
+    /// The progress as written; `None` if nothing was reported yet.
+    pub status: Option<WaveStatus>,
+    /// Revision of the notes; 0 if there are none.
+    pub revision: u64,
+}
+
 /// The machines that host workers, and the operators' maintenance waves.
 pub trait Machines: Send + Sync {
     /// Lists the maintenance waves that are not complete.
@@ -139,7 +150,7 @@
     /// # Errors
     ///
     /// The waves could not be read.
-    fn waves(&self) -> Result<Vec<Wave>, Failure>;
+    fn waves(&self) -> Result<Vec<StoredWave>, Failure>;
 
     /// Lists all machines.
     ///
@@ -156,12 +167,13 @@
         fence: u64,
     ) -> MaintenanceOutcome;
 
-    /// Reports the progress of a maintenance wave to the operators.
+    /// Reports the progress of a maintenance wave to the operators, and notes it for the next
+    /// owner, if the notes still have this revision. Returns the new one.
     ///
     /// # Errors
     ///
-    /// The report may not have been written.
-    fn report_progress(&self, status: &WaveStatus) -> Result<(), Failure>;
+    /// The report may not have been written, or another owner has written one since.
+    fn report_progress(&self, status: &WaveStatus, revision: u64) -> Result<u64, Failure>;
 }
 
 /// A data hall that the operators have closed: no tasks are started in it.
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -43,7 +43,7 @@
 pub use core::{Core, Node};
 pub use external::{
     Advisor, BoxFuture, ConfigRead, ConfigSnapshot, ConfigSource, ConfigWait, External,
-    HallClosure, HallClosures, Machines, PollError, Workers,
+    HallClosure, HallClosures, Machines, PollError, StoredWave, Workers,
 };
 pub use settings::{Settings, Takeover};
 pub use store::Store;
--- a/components/node/src/owner_tasks.rs
+++ b/components/node/src/owner_tasks.rs
@@ -13,13 +13,13 @@
             WAVE_INTERVAL,
         },
         store::{ApplyResult, Change, Event, WatchResult, range_all},
-        time, waves,
+        time,
+        waves::{self, Notes},
     },
-    cell::{AdviceQuery, WaveStatus},
+    cell::{AdviceQuery, MaintenanceOutcome},
     job::Id,
     kernel::{Failure, task},
     std::{
-        collections::HashMap,
         sync::mpsc::{self, Receiver, Sender},
         thread,
         time::{Duration, Instant},
@@ -39,7 +39,6 @@
 /// Runs the operators' maintenance waves and reports their progress.
 fn run_waves(node: &Node, fence: u64) {
     let machines = &node.external.machines;
-    let mut reported: HashMap<u64, WaveStatus> = HashMap::new();
     let mut had_waves = false;
     while !has_ended(node, fence) {
         let waves = match machines.waves() {
@@ -50,6 +49,7 @@
                 continue;
             }
         };
+        let (waves, mut notes) = Notes::split(machines.as_ref(), waves);
         let has_waves = !waves.is_empty();
         // One more pass after the last wave has ended lets the workers that were drained for it
         // take tasks again.
@@ -61,31 +61,31 @@
             thread::sleep(LIST_INTERVAL);
             continue;
         };
+        let planned = waves.clone();
         let result = node.actor.ask(move |core, cx| {
-            let orders = core.plan_maintenance(cx, fence, &waves, &listed);
-            (orders, core.wave_progress(fence, &waves))
+            let orders = core.plan_maintenance(cx, fence, &planned, &listed);
+            (orders, core.wave_progress(fence, &planned))
         });
         let Ok((orders, statuses)) = result else {
             return;
         };
         had_waves = has_waves;
+        notes.write(statuses);
+        let has_orders = !orders.is_empty();
         for order in orders {
+            if !notes.are_written(order.wave) {
+                waves::handle_outcome(node, fence, order, MaintenanceOutcome::Refused);
+                continue;
+            }
             let outcome = machines.start_maintenance(&order, &node.settings.name, fence);
             log::info!(target: "owner", wave = order.wave, machine = &*order.machine, fence, outcome:? = outcome; "Machine ordered down for maintenance.");
             waves::handle_outcome(node, fence, order, outcome);
         }
-        for status in statuses {
-            if reported.get(&status.wave) == Some(&status) {
-                continue;
-            }
-            match machines.report_progress(&status) {
-                Ok(()) => {
-                    reported.insert(status.wave, status);
-                }
-                Err(failure) => {
-                    log::warn!(target: "owner", wave = status.wave, error:% = failure; "Could not report the progress of a maintenance wave.");
-                }
-            }
+        if has_orders {
+            let result = node
+                .actor
+                .ask(move |core, _| core.wave_progress(fence, &waves));
+            notes.write(result.unwrap_or_default());
         }
         thread::sleep(LIST_INTERVAL);
     }
