Take no listing as proof for a machine of two waves

A wave was completed by the maintenance of another one. Each wave has notes of its own, so two owners that do not know of each other can order one machine down for a wave each; it was seen down, and that counted for both.

Ruled out: the rule that a machine is drained for one wave at a time holds for one owner and for what it has read.

The listing proves nothing any more for a machine that several open waves have. The order is repeated, and its answer is the proof.

--- a/components/cell/src/maintenance/progress.rs
+++ b/components/cell/src/maintenance/progress.rs
@@ -50,7 +50,8 @@
     /// former one may have crashed.
     ///
     /// A machine that is down for maintenance without a note was ordered by an owner that writes
-    /// none. If several waves have it, that proves nothing for any of them.
+    /// none. That a machine is down proves nothing if several waves have it, since two owners may
+    /// have ordered it for one each.
     pub(crate) fn update(
         &mut self,
         wave: &Wave,
@@ -73,7 +74,7 @@
                 self.adopt_order(name, now);
             }
             if let Some(order) = self.orders.get_mut(name) {
-                order.begun |= machine.in_maintenance;
+                order.begun |= is_begun;
                 if order.begun && machine.up {
                     self.done.insert(name.clone());
                 } else if order.is_over(now) && !machine.up {
--- a/components/cell/tests/decisions/maintenance.rs
+++ b/components/cell/tests/decisions/maintenance.rs
@@ -339,6 +339,24 @@
     assert_eq!(orders, [order(&name)]);
 }
 
+/// Guards against a wave that is complete by the maintenance of another one. Two owners had ordered
+/// the machine down for one each, and it was down for one of them.
+#[test]
+fn maintenance_for_another_wave_proves_nothing() {
+    let mut world = World::new(&["w1", "w2"]);
+    let mut first = wave(1);
+    first.machines.truncate(1);
+    first.sent = vec!["m1".into()];
+    let mut second = first.clone();
+    second.number = 4;
+    let waves = [first, second];
+    let down = [machine("m1", None)];
+    world.cell.plan_maintenance(&waves, &down, world.now);
+    world.cell.plan_maintenance(&waves, &both(), world.now);
+    let statuses = world.cell.wave_statuses(&waves);
+    assert!(statuses.iter().all(|status| !status.complete));
+}
+
 /// A machine of two waves is down for one at a time, so that its return completes the right one.
 #[test]
 fn machine_of_two_waves_is_down_for_each() {
@@ -350,6 +368,7 @@
     let waves = [first, second];
     let orders = world.cell.plan_maintenance(&waves, &both(), world.now);
     assert_eq!(orders, [order("m1")]);
+    world.cell.maintenance_begun(&orders[0]);
     let down = [machine("m1", None), machine("m2", Some("w2"))];
     world.cell.plan_maintenance(&waves, &down, world.now);
     let orders = world.cell.plan_maintenance(&waves, &both(), world.now);
