Count a refused maintenance order as long as others

A machine went down beside as many as the limit: its order was refused, as the machine had crashed, was delivered a second time when it was up, and its place had gone to the next one in between.

A refusal lets the order be repeated at once, as before, and no longer gives the place away before the time in which an order may be carried out.

--- a/components/cell/src/maintenance/mod.rs
+++ b/components/cell/src/maintenance/mod.rs
@@ -109,8 +109,8 @@
             let mut progress = self.waves.remove(&wave.number).unwrap_or_default();
             self.start_draining(wave, &mut progress, &listed, now);
             for (machine, since) in self.drained(&progress, &listed, now) {
-                if progress.down(wave, &listed, now) >= wave.limit {
-                    break;
+                if progress.others_down(&machine, wave, &listed, now) >= wave.limit {
+                    continue;
                 }
                 let worker = listed[&*machine].worker.as_deref();
                 let incarnation = worker.and_then(|name| self.incarnation_of(name));
@@ -157,7 +157,7 @@
     /// Handles an order that was surely not carried out.
     pub fn maintenance_refused(&mut self, order: &MaintenanceOrder) {
         if let Some(state) = self.order_state(order) {
-            state.open_until = 0;
+            state.refused = true;
         }
     }
 
--- a/components/cell/src/maintenance/progress.rs
+++ b/components/cell/src/maintenance/progress.rs
@@ -31,16 +31,19 @@
     pub incarnation: Option<Arc<str>>,
     /// Since when the worker of the machine has been drained.
     pub drained_since: u64,
-    /// Until when it may still be carried out.
+    /// Until when it may still be carried out. This does not end with a refusal, since the order
+    /// may have been delivered twice.
     pub open_until: u64,
+    /// It was refused, and may be repeated at once.
+    pub refused: bool,
     /// The maintenance has surely begun.
     pub begun: bool,
 }
 
 impl OrderState {
     /// True if the order has to be repeated once the machine is up and drained.
-    fn is_over(&self, now: u64) -> bool {
-        !self.begun && now >= self.open_until
+    fn must_repeat(&self, now: u64) -> bool {
+        !self.begun && (self.refused || now >= self.open_until)
     }
 }
 
@@ -77,7 +80,7 @@
                 order.begun |= is_begun;
                 if order.begun && machine.up {
                     self.done.insert(name.clone());
-                } else if order.is_over(now) && !machine.up {
+                } else if !order.begun && !machine.up && now >= order.open_until {
                     // It is ordered again when it is back. Its place goes to others until then.
                     self.orders.remove(name);
                 }
@@ -126,11 +129,17 @@
             .count()
     }
 
-    /// The number of machines that are down for maintenance, or may be.
-    pub(crate) fn down(&self, wave: &Wave, listed: &BTreeMap<&str, &Machine>, now: u64) -> usize {
+    /// The number of machines other than this one that are down for maintenance, or may be.
+    pub(crate) fn others_down(
+        &self,
+        than: &str,
+        wave: &Wave,
+        listed: &BTreeMap<&str, &Machine>,
+        now: u64,
+    ) -> usize {
         let machines = wave.machines.iter();
         machines
-            .filter(|name| self.may_be_down(name, listed, now))
+            .filter(|name| ***name != *than && self.may_be_down(name, listed, now))
             .count()
     }
 
@@ -152,7 +161,7 @@
     pub(crate) fn candidates(&self, now: u64) -> BTreeMap<Arc<str>, u64> {
         let mut candidates = self.draining.clone();
         for (name, order) in &self.orders {
-            if order.is_over(now) {
+            if order.must_repeat(now) {
                 candidates.insert(name.clone(), order.drained_since);
             }
         }
@@ -172,6 +181,7 @@
             incarnation,
             drained_since,
             open_until: now + ORDER_LIFETIME,
+            refused: false,
             begun: false,
         };
         self.orders.insert(name.clone(), order);
--- a/components/cell/tests/decisions/maintenance.rs
+++ b/components/cell/tests/decisions/maintenance.rs
@@ -378,6 +378,24 @@
     assert!(statuses[0].complete && !statuses[1].complete);
 }
 
+/// Guards against a machine that goes down beside as many as the limit: its order was refused and
+/// delivered a second time. Its place went to the next one at once.
+#[test]
+fn refused_order_counts_while_machine_is_down() {
+    let mut world = World::new(&["w1", "w2"]);
+    let orders = world.cell.plan_maintenance(&[wave(1)], &both(), world.now);
+    world.cell.maintenance_refused(&orders[0]);
+    let mut crashed = both();
+    crashed[0].up = false;
+    crashed[0].worker = None;
+    world.now += 700;
+    let orders = world.cell.plan_maintenance(&[wave(1)], &crashed, world.now);
+    assert!(orders.is_empty());
+    world.now += ORDER_LIFETIME;
+    let orders = world.cell.plan_maintenance(&[wave(1)], &crashed, world.now);
+    assert_eq!(orders, [order("m2")]);
+}
+
 /// Guards against a worker that stays closed when its wave, or its machine's part in it, is
 /// withdrawn during draining.
 #[test_case(&[]; "no wave remains")]
