Test maintenance waves in sequences of owners

No test had a wave with more than one owner, or orders and writes that are lost, late or doubled.

The new test plays 400 seeded cases with a model of the machine service and of the notes: owners end or are suspended after any step, with a successor beside them; machines crash and come back with another worker or the same. It checks that no more machines than the limit go down, that a wave is completed, and only with the maintenance of each machine, and that all workers get work in the end. A second test ends the first owner after each of 120 steps with no other fault.

--- a/components/cell/tests/decisions/main.rs
+++ b/components/cell/tests/decisions/main.rs
@@ -31,3 +31,4 @@
 mod stuck_state;
 mod takeover;
 mod unreachable;
+mod wave_sequences;
