Let more faults meet in the sequences of owners

Maintenance now takes 1 to 9 s, so that it outlasts the time in which an order may be carried out; machines crash more often in some cases; owners follow each other faster; the operators may write a wave anew with its machines in another order; and an order for a machine whose maintenance an owner knows to have begun is an error.

--- a/components/cell/tests/decisions/wave_sequences.rs
+++ b/components/cell/tests/decisions/wave_sequences.rs
@@ -15,7 +15,7 @@
 };
 
 /// Default number of cases.
-const DEFAULT_CASES: u64 = 400;
+const DEFAULT_CASES: u64 = 3_000;
 /// Clock step, in milliseconds.
 const STEP: u64 = 20;
 /// Faults occur until then, in milliseconds.
@@ -24,8 +24,10 @@
 const COMPLETION_LIMIT: u64 = 60_000;
 /// The maximum number of steps of an owner; a pass has about seven.
 const MAX_STEPS: u32 = 40;
-/// Downtime of a machine under maintenance, in milliseconds.
-const MAINTENANCE_TIME: u64 = 2_000;
+/// Shortest and longest downtime of a machine under maintenance, in milliseconds.
+const MAINTENANCE_TIME: (u64, u64) = (1_000, 9_000);
+/// How rarely a machine crashes: once in so many clock steps.
+const CRASH_RATES: [u32; 4] = [400, 150, 60, 30];
 /// Maximum downtime of a machine that crashes, in milliseconds.
 const MAX_DOWNTIME: u64 = 8_000;
 /// Pause between two passes of an owner, in milliseconds.
@@ -72,6 +74,8 @@
 
 struct Owner {
     world: World,
+    /// Machines that it has seen down for maintenance.
+    seen_down: BTreeSet<Arc<str>>,
     step: Step,
     /// Waves whose notes were surely written in this pass.
     written: BTreeSet<u64>,
@@ -96,6 +100,8 @@
     hosts: BTreeMap<Arc<str>, Host>,
     lives: u32,
     waves: Vec<Wave>,
+    maintenance_time: u64,
+    crash_rate: u32,
     store: BTreeMap<u64, Stored>,
     revision: u64,
     late_writes: Vec<LateWrite>,
@@ -141,6 +147,8 @@
                 .map(|wave| (wave.number, Stored::default()))
                 .collect(),
             waves,
+            maintenance_time: rng.u64(MAINTENANCE_TIME.0..MAINTENANCE_TIME.1),
+            crash_rate: CRASH_RATES[rng.usize(0..CRASH_RATES.len())],
             revision: 0,
             late_writes: Vec::new(),
             late_orders: Vec::new(),
@@ -196,7 +204,7 @@
                 }
             }
         }
-        if self.fault(400) {
+        if self.fault(self.crash_rate) {
             let index = self.rng.usize(0..self.hosts.len());
             let downtime = self.rng.u64(200..MAX_DOWNTIME);
             let host = self.hosts.values_mut().nth(index).unwrap();
@@ -228,7 +236,7 @@
         }
         host.begun.insert(order.wave);
         host.in_wave = Some(order.wave);
-        host.returns_at = Some(self.now + MAINTENANCE_TIME);
+        host.returns_at = Some(self.now + self.maintenance_time);
         self.maintenances += 1;
         true
     }
@@ -276,7 +284,8 @@
             .last()
             .is_some_and(|owner| owner.steps_left == 0)
         {
-            let gap = self.rng.u64(0..4_000);
+            let most = [100, 1_000, 4_000][self.rng.usize(0..3)];
+            let gap = self.rng.u64(0..most);
             self.next_owner_at = self.next_owner_at.min(now + gap);
         }
         let is_over = |owner: &mut Owner| owner.steps_left == 0 || owner.ends_at <= now;
@@ -288,6 +297,12 @@
     }
 
     fn new_owner(&mut self) -> Owner {
+        // The operators may write a wave anew, with its machines in another order.
+        if self.has_faults() {
+            for wave in &mut self.waves {
+                self.rng.shuffle(&mut wave.machines);
+            }
+        }
         let mut world = World::without_reports(&[]);
         world.now = self.now;
         let mut steps_left = u32::MAX;
@@ -300,6 +315,7 @@
         }
         Owner {
             world,
+            seen_down: BTreeSet::new(),
             step: Step::Read,
             written: BTreeSet::new(),
             has_sent: false,
@@ -373,10 +389,32 @@
         let listed: Vec<Machine> = self.listed();
         let waves = open_waves(&self.waves, &snapshot);
         let orders = owner.world.cell.plan_maintenance(&waves, &listed, self.now);
+        let down = listed.iter().filter(|machine| machine.in_maintenance);
+        owner
+            .seen_down
+            .extend(down.map(|machine| machine.name.clone()));
+        for order in &orders {
+            if self.is_proven(owner, &snapshot, order) {
+                self.violation = Some(format!("needless order at {}: {order:?}", self.now));
+            }
+        }
         let statuses = owner.world.cell.wave_statuses(&waves);
         Step::Write(snapshot, statuses.into(), orders.into())
     }
 
+    /// True if an owner knows that the maintenance has begun.
+    fn is_proven(&self, owner: &Owner, snapshot: &Snapshot, order: &MaintenanceOrder) -> bool {
+        let name = &order.machine;
+        let status = snapshot[&order.wave].status.as_ref();
+        let is_noted =
+            status.is_some_and(|status| status.begun.contains(name) || status.done.contains(name));
+        let with_machine = self
+            .waves
+            .iter()
+            .filter(|wave| wave.machines.contains(name));
+        is_noted || owner.seen_down.contains(name) && with_machine.count() == 1
+    }
+
     fn listed(&self) -> Vec<Machine> {
         let hosts = self.hosts.iter();
         hosts
