Wait for a worker's report before its machine goes down

A new owner sent a machine down under the tasks of the former one: a worker that had not answered yet had no tasks that this owner knew, and counted as empty.

Ruled out: adopted runs are moved off before the order, as they should.

A machine now waits until its worker has reported all its runs to this owner and their jobs are known, or until all leases of the former owner have expired.

takeover_waits_for_report_before_maintenance and takeover_sends_silent_machine_down_after_leases failed before.

--- a/components/cell/src/maintenance/mod.rs
+++ b/components/cell/src/maintenance/mod.rs
@@ -251,13 +251,21 @@
                     is_long_running || is_within_timeout || slot.stopping.is_some()
                 })
             };
-            if worker.is_none_or(|worker| !must_wait(worker)) {
+            if worker.is_none_or(|worker| !self.may_hold_tasks(worker) && !must_wait(worker)) {
                 drained.push((name, since));
             }
         }
         drained
     }
 
+    /// True if a worker may run tasks of the former owner that this one does not know yet.
+    fn may_hold_tasks(&self, worker: &Worker) -> bool {
+        let recovery = self.recovery.as_ref();
+        let is_missing =
+            recovery.is_some_and(|recovery| recovery.missing.contains(&worker.entry.id));
+        is_missing || worker.runs_pending
+    }
+
     /// Returns the id of the latest known incarnation of a worker name.
     fn incarnation_of(&self, name: &str) -> Option<Arc<str>> {
         self.latest_incarnation(name)
--- a/components/cell/tests/decisions/maintenance.rs
+++ b/components/cell/tests/decisions/maintenance.rs
@@ -396,6 +396,47 @@
     assert_eq!(orders, [order("m2")]);
 }
 
+/// Guards against a new owner that takes a worker for empty which has not answered it yet, and sends
+/// its machine down under a task.
+#[test]
+fn takeover_waits_for_report_before_maintenance() {
+    let mut world = World::without_reports(&["w1", "w2"]);
+    let long_running = Step {
+        lasting: true,
+        ..step(1, 1_000)
+    };
+    world.resume(JOB, vec![long_running]);
+    world.cell.recover(world.now);
+    let waves = [wave(1)];
+    let orders = world.cell.plan_maintenance(&waves, &both(), world.now);
+    assert!(orders.is_empty());
+    world.now += 100;
+    world.report("w1", vec![run(JOB, 0, 1)], vec![]);
+    world.report("w2", vec![], vec![]);
+    let orders = world.cell.plan_maintenance(&waves, &both(), world.now);
+    assert!(orders.is_empty());
+    assert_eq!(world.stops(), [("w1".into(), 1)]);
+    world.now += 100;
+    let ended = end(1, JOB, 0, 1, EndCause::Stopped);
+    world.report("w1", vec![], vec![ended]);
+    let orders = world.cell.plan_maintenance(&waves, &both(), world.now);
+    assert_eq!(orders, [order("m1")]);
+}
+
+/// A worker that never answers the new owner holds up the wave until its leases have expired.
+#[test]
+fn takeover_sends_silent_machine_down_after_leases() {
+    let mut world = World::without_reports(&["w1", "w2"]);
+    world.cell.recover(world.now);
+    let waves = [wave(1)];
+    let orders = world.cell.plan_maintenance(&waves, &both(), world.now);
+    assert!(orders.is_empty());
+    world.now += 10_000;
+    world.cell.expire_leases(world.now);
+    let orders = world.cell.plan_maintenance(&waves, &both(), world.now);
+    assert_eq!(orders, [order("m1")]);
+}
+
 /// Guards against a worker that stays closed when its wave, or its machine's part in it, is
 /// withdrawn during draining.
 #[test_case(&[]; "no wave remains")]
