--- a/components/cell/src/maintenance.rs
+++ b/components/cell/src/maintenance/mod.rs
@@ -1,20 +1,25 @@
 //! Maintenance waves: each machine of a wave is drained, goes down for maintenance and returns.
 
+mod progress;
+
 use {
     crate::{cell::Cell, worker::Worker},
     std::{
-        collections::{BTreeMap, HashMap, HashSet},
+        collections::{BTreeMap, HashSet},
         sync::Arc,
     },
 };
 
+pub use progress::ORDER_LIFETIME;
+pub(crate) use progress::{OrderState, WaveState};
+
 /// How long batch tasks may continue on a machine that is about to go down, in milliseconds. This
 /// is longer than most of them take, with means of 1 to 2 s. After that their work is lost, which
 /// costs less than a delayed wave.
 const DRAIN_TIMEOUT: u64 = 4_000;
 
-/// A maintenance wave as requested by the operators.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// A maintenance wave as requested by the operators, with the notes of its owners.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Wave {
     /// The number of the wave.
     pub number: u64,
@@ -24,6 +29,10 @@
     pub limit: usize,
     /// Machines that an owner has recorded as done.
     pub done: Vec<Arc<str>>,
+    /// Machines whose order was about to be sent, and of which nothing else is known.
+    pub sent: Vec<Arc<str>>,
+    /// Machines whose maintenance has begun.
+    pub begun: Vec<Arc<str>>,
 }
 
 /// A listed machine.
@@ -48,6 +57,17 @@
     pub machine: Arc<str>,
 }
 
+/// The outcome of a maintenance order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MaintenanceOutcome {
+    /// The maintenance has begun, or is over.
+    Begun,
+    /// The order surely had no effect.
+    Refused,
+    /// The order may have been carried out, or may still be.
+    Unknown,
+}
+
 /// The progress of a wave.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WaveStatus {
@@ -55,33 +75,18 @@
     pub wave: u64,
     /// Machines that are done.
     pub done: Vec<Arc<str>>,
+    /// Machines whose order may be out, and of which nothing else is known.
+    pub sent: Vec<Arc<str>>,
+    /// Machines whose maintenance has surely begun, and that are not done.
+    pub begun: Vec<Arc<str>>,
     /// All machines are done.
     pub complete: bool,
 }
 
-/// The owner's state of a wave.
-#[derive(Debug, Default)]
-pub(crate) struct WaveState {
-    done: HashSet<Arc<str>>,
-    /// Machines that went down, with their state before.
-    started: HashMap<Arc<str>, PriorState>,
-    /// Machines that are being drained, and since when.
-    draining: HashMap<Arc<str>, u64>,
-}
-
-/// The state of a machine before it went down.
-#[derive(Debug)]
-struct PriorState {
-    /// The name of its worker.
-    worker: Option<Arc<str>>,
-    /// The id of the latest incarnation of that worker.
-    incarnation: Option<Arc<str>>,
-    /// It has been listed as down for maintenance since.
-    was_down: bool,
-}
-
 impl Cell {
-    /// Processes the current waves and machines. Returns the orders to take machines down.
+    /// Processes the current waves and machines. Returns the orders to take machines down. They
+    /// must be in the notes of the wave before they are sent, see [`Cell::wave_statuses`]; the
+    /// notes must have been read before the machines were listed.
     pub fn plan_maintenance(
         &mut self,
         waves: &[Wave],
@@ -92,22 +97,24 @@
             .iter()
             .map(|machine| (&*machine.name, machine))
             .collect();
-        self.update_draining(waves, &listed);
+        self.waves
+            .retain(|number, _| waves.iter().any(|wave| wave.number == *number));
+        let shared = shared_machines(waves);
+        for wave in waves {
+            let progress = self.waves.entry(wave.number).or_default();
+            progress.update(wave, &listed, &shared, now);
+        }
         let mut orders = Vec::new();
         for wave in waves {
             let mut progress = self.waves.remove(&wave.number).unwrap_or_default();
-            progress.done.extend(wave.done.iter().cloned());
-            self.update_done(wave, &mut progress, &listed);
             self.start_draining(wave, &mut progress, &listed, now);
-            for machine in self.drained(&progress, &listed, now) {
-                let worker = listed[&*machine].worker.clone();
-                let before = PriorState {
-                    incarnation: worker.as_deref().and_then(|name| self.incarnation_of(name)),
-                    worker,
-                    was_down: false,
-                };
-                progress.draining.remove(&machine);
-                progress.started.insert(machine.clone(), before);
+            for (machine, since) in self.drained(&progress, &listed, now) {
+                if progress.others_down(&machine, wave, &listed, now) >= wave.limit {
+                    continue;
+                }
+                let worker = listed[&*machine].worker.as_deref();
+                let incarnation = worker.and_then(|name| self.incarnation_of(name));
+                progress.record_order(&machine, incarnation, since, now);
                 orders.push(MaintenanceOrder {
                     wave: wave.number,
                     machine,
@@ -115,6 +122,7 @@
             }
             self.waves.insert(wave.number, progress);
         }
+        self.update_draining(&listed);
         self.drain(now);
         orders
     }
@@ -123,25 +131,17 @@
     /// their current incarnation is. Others get work again, since the operators have cancelled
     /// their wave or removed the machine from it. This is the only sign of that; without it such a
     /// worker would get no work until it ends.
-    fn update_draining(&mut self, waves: &[Wave], listed: &BTreeMap<&str, &Machine>) {
-        self.waves
-            .retain(|number, _| waves.iter().any(|wave| wave.number == *number));
+    fn update_draining(&mut self, listed: &BTreeMap<&str, &Machine>) {
         // Names of workers to drain, and ids of incarnations that are about to end.
         let mut draining: HashSet<Arc<str>> = HashSet::new();
         let mut ending: HashSet<Arc<str>> = HashSet::new();
-        for wave in waves {
-            let Some(progress) = self.waves.get_mut(&wave.number) else {
-                continue;
-            };
-            progress
-                .draining
-                .retain(|name, _| wave.machines.contains(name));
-            for name in progress.draining.keys() {
-                let machine = listed.get(&**name);
+        for progress in self.waves.values() {
+            for name in progress.draining.keys().chain(progress.orders.keys()) {
+                let machine = listed.get(&**name).filter(|machine| machine.up);
                 draining.extend(machine.and_then(|machine| machine.worker.clone()));
             }
-            let started = progress.started.values();
-            ending.extend(started.filter_map(|before| before.incarnation.clone()));
+            let orders = progress.orders.values();
+            ending.extend(orders.filter_map(|order| order.incarnation.clone()));
         }
         for (id, worker) in &mut self.workers {
             let is_draining = draining.contains(&worker.entry.name) || ending.contains(id);
@@ -156,11 +156,23 @@
 
     /// Handles an order that was surely not carried out.
     pub fn maintenance_refused(&mut self, order: &MaintenanceOrder) {
-        if let Some(progress) = self.waves.get_mut(&order.wave) {
-            progress.started.remove(&order.machine);
+        if let Some(state) = self.order_state(order) {
+            state.refused = true;
         }
     }
 
+    /// Handles the answer that the maintenance of a machine has begun or is over.
+    pub fn maintenance_begun(&mut self, order: &MaintenanceOrder) {
+        if let Some(state) = self.order_state(order) {
+            state.begun = true;
+        }
+    }
+
+    fn order_state(&mut self, order: &MaintenanceOrder) -> Option<&mut OrderState> {
+        let progress = self.waves.get_mut(&order.wave)?;
+        progress.orders.get_mut(&order.machine)
+    }
+
     /// Returns the progress of the waves.
     pub fn wave_statuses(&self, waves: &[Wave]) -> Vec<WaveStatus> {
         let mut statuses = Vec::new();
@@ -168,15 +180,22 @@
             let Some(progress) = self.waves.get(&wave.number) else {
                 continue;
             };
-            let mut done: Vec<Arc<str>> = progress.done.iter().cloned().collect();
-            done.sort();
+            let with = |is_begun: bool| -> Vec<Arc<str>> {
+                let orders = progress.orders.iter();
+                orders
+                    .filter(|(_, order)| order.begun == is_begun)
+                    .map(|(name, _)| name.clone())
+                    .collect()
+            };
             statuses.push(WaveStatus {
                 wave: wave.number,
                 complete: wave
                     .machines
                     .iter()
                     .all(|name| progress.done.contains(name)),
-                done,
+                done: progress.done.iter().cloned().collect(),
+                sent: with(false),
+                begun: with(true),
             });
         }
         statuses
@@ -184,26 +203,23 @@
 
     /// Starts to drain machines, as many as may be down at once.
     fn start_draining(
-        &mut self,
+        &self,
         wave: &Wave,
         progress: &mut WaveState,
         listed: &BTreeMap<&str, &Machine>,
         now: u64,
     ) {
-        let in_progress = progress.started.len() + progress.draining.len();
+        let in_progress = progress.in_progress(wave, listed, now);
         let mut remaining = wave.limit.saturating_sub(in_progress);
+        // A machine that is down for two waves at once would prove the maintenance of both.
+        let is_taken = |name: &str| self.waves.values().any(|other| other.is_started(name));
         for name in &wave.machines {
-            let is_started = progress.done.contains(name)
-                || progress.started.contains_key(name)
-                || progress.draining.contains_key(name);
-            if remaining == 0 || is_started {
+            let is_begun = progress.done.contains(name) || progress.is_started(name);
+            if remaining == 0 || is_begun || is_taken(name) {
                 continue;
             }
-            let Some(machine) = listed.get(&**name).filter(|machine| machine.up) else {
+            if !listed.get(&**name).is_some_and(|machine| machine.up) {
                 continue;
-            };
-            if let Some(worker) = self.worker_of(machine) {
-                worker.draining = true;
             }
             log::info!(target: "cell", wave = wave.number, machine = &**name; "Draining a machine for maintenance.");
             progress.draining.insert(name.clone(), now);
@@ -211,16 +227,16 @@
         }
     }
 
-    /// Returns the machines that may go down now.
+    /// Returns the machines that may go down now, and since when they have been drained.
     fn drained(
         &self,
         progress: &WaveState,
         listed: &BTreeMap<&str, &Machine>,
         now: u64,
-    ) -> Vec<Arc<str>> {
+    ) -> Vec<(Arc<str>, u64)> {
         let mut drained = Vec::new();
-        for (name, &since) in &progress.draining {
-            let Some(machine) = listed.get(&**name).filter(|machine| machine.up) else {
+        for (name, since) in progress.candidates(now) {
+            let Some(machine) = listed.get(&*name).filter(|machine| machine.up) else {
                 continue;
             };
             let worker = machine.worker.as_deref();
@@ -235,17 +251,19 @@
                     is_long_running || is_within_timeout || slot.stopping.is_some()
                 })
             };
-            if worker.is_none_or(|worker| !must_wait(worker)) {
-                drained.push(name.clone());
+            if worker.is_none_or(|worker| !self.may_hold_tasks(worker) && !must_wait(worker)) {
+                drained.push((name, since));
             }
         }
-        drained.sort();
         drained
     }
 
-    fn worker_of(&mut self, machine: &Machine) -> Option<&mut Worker> {
-        let id = self.incarnation_of(machine.worker.as_ref()?)?;
-        self.workers.get_mut(&id)
+    /// True if a worker may run tasks of the former owner that this one does not know yet.
+    fn may_hold_tasks(&self, worker: &Worker) -> bool {
+        let recovery = self.recovery.as_ref();
+        let is_missing =
+            recovery.is_some_and(|recovery| recovery.missing.contains(&worker.entry.id));
+        is_missing || worker.runs_pending
     }
 
     /// Returns the id of the latest known incarnation of a worker name.
@@ -253,39 +271,18 @@
         self.latest_incarnation(name)
             .map(|worker| worker.entry.id.clone())
     }
+}
 
-    /// Records machines as done that have returned with another worker or another incarnation of
-    /// theirs, or that are no longer listed. The worker may keep its id, so a machine also counts
-    /// as returned if it has been seen down for maintenance.
-    fn update_done(
-        &self,
-        wave: &Wave,
-        progress: &mut WaveState,
-        listed: &BTreeMap<&str, &Machine>,
-    ) {
+/// Returns the machines that several waves still have to take down.
+fn shared_machines(waves: &[Wave]) -> HashSet<&str> {
+    let mut seen = HashSet::new();
+    let mut shared = HashSet::new();
+    for wave in waves {
         for name in &wave.machines {
-            let Some(machine) = listed.get(&**name) else {
-                progress.draining.remove(name);
-                progress.started.remove(name);
-                progress.done.insert(name.clone());
-                continue;
-            };
-            let Some(before) = progress.started.get_mut(name) else {
-                continue;
-            };
-            before.was_down |= machine.in_maintenance;
-            let Some(worker) = machine.worker.as_ref().filter(|_| machine.up) else {
-                continue;
-            };
-            let incarnation = self.incarnation_of(worker);
-            let is_other_incarnation = incarnation.is_some()
-                && before.incarnation.is_some()
-                && incarnation != before.incarnation;
-            let is_other = before.worker.as_ref() != Some(worker);
-            if is_other || is_other_incarnation || before.was_down {
-                progress.started.remove(name);
-                progress.done.insert(name.clone());
+            if !wave.done.contains(name) && !seen.insert(&**name) {
+                shared.insert(&**name);
             }
         }
     }
+    shared
 }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -37,13 +37,14 @@
 pub mod spec_text;
 pub mod store;
 pub mod time;
+pub mod waves;
 pub mod worker;
 
 pub use callers::{Call, Reply};
 pub use core::{Core, Node};
 pub use external::{
     Advisor, BoxFuture, ConfigRead, ConfigSnapshot, ConfigSource, ConfigWait, External,
-    HallClosure, HallClosures, Machines, PollError, Workers,
+    HallClosure, HallClosures, Machines, PollError, StoredWave, Workers,
 };
 pub use settings::{Settings, Takeover};
 pub use store::Store;
