Send no order without a permit that is checked when it is sent

Cause: an owner that is frozen goes on where it stopped. `run_waves` sent all orders of a pass one after the other and asked only before the next pass whether the box still owns the cell. Orders to workers were checked by `is_owning`, which changes only after the actor has noticed the freeze, and by an age limit for starts alone. The machine service of this deployment checks no fences, so it carried out the orders of the former owner after those of its successor.

Ruled out: a check in `run_waves` alone, since the next sender would lack it; the check `is_owning`, which has not changed yet when the box wakes; the age of the order, since an old order of a present owner is harmless.

Change: the fence of an order can only be read from a `Permit`, at the moment of sending. That fails once the ownership has ended, is unconfirmed, or was last confirmed more than 1.5 s ago on a clock that advances during suspensions. Orders to workers, which refuse lower fences, may rely on the store or on answers of most of the workers; orders for maintenance and the status of a wave on the store only. Each attempt is checked, so also the second one of a start. Polls are always sent, since they confirm the ownership, but extend no lease without a permit. Relays take the age of the confirmation from the owner's responses. A refused order was surely not sent and is decided anew: starts are queued again, stops and paces follow from the next report, maintenance from the next pass. Refusals are counted, and logged once a second at most. The wire format is unchanged. A tick notes its time before it checks for a stall, so that a freeze right after that check is no confirmation.

Conclusion: a frozen owner sends nothing with its old fence, whichever task of it wakes first. What remains is the time between the check and the write to the socket.

--- a/components/node/src/core.rs
+++ b/components/node/src/core.rs
@@ -12,7 +12,9 @@
         message::Owner,
         owner_watch,
         ownership::Ownership,
-        peer, relay,
+        peer,
+        permits::Permits,
+        relay,
         retry_after::RetryAfter,
         settings::{
             MAX_PROBE_PAUSE, RECOVERY_WAIT_MS, SLOW_PROBE_MS, STORE_RETRY_PAUSE, STORE_UNREACHABLE,
@@ -60,6 +62,8 @@
     pub highest_fence: HighestFence,
     /// Fence under which this box owns the cell; 0 while it does not own it.
     owning: AtomicU64,
+    /// Permits for the orders that this box sends as the owner.
+    pub permits: Permits,
     /// The box is shutting down.
     stopping: AtomicBool,
     /// Start of the store probe in progress; 0 while there is none.
--- a/components/node/src/external.rs
+++ b/components/node/src/external.rs
@@ -2,7 +2,10 @@
 //! closed data halls and the placement advisor.
 
 use {
-    crate::store::Store,
+    crate::{
+        permits::{Permit, PollPermit},
+        store::Store,
+    },
     cell::{
         Advice, AdviceQuery, Entry, Listing, Machine, MaintenanceOrder, Order, Outcome, Poll,
         Refusal, Report, Wave, WaveStatus,
@@ -37,18 +40,19 @@
     /// The list could not be read.
     fn list(&self) -> Result<Listing, Failure>;
 
-    /// Sends an order under a fence to this incarnation of a worker. A later incarnation with the
-    /// same name does not receive it.
+    /// Sends an order under the fence of a permit to this incarnation of a worker. A later
+    /// incarnation with the same name does not receive it. The permit is checked at each attempt;
+    /// without it the order is not sent.
     fn order<'a>(
         &'a self,
         worker: &'a Entry,
-        fence: u64,
+        permit: &'a Permit,
         order: &'a Order,
     ) -> BoxFuture<'a, Outcome>;
 
     /// Renews the leases of all tasks on this incarnation of a worker, acknowledges the ends of
     /// tasks, and reads its report. Only reads the report while it is unknown whether this
-    /// incarnation still exists.
+    /// incarnation still exists. Renews no lease that the permit does not allow.
     ///
     /// # Errors
     ///
@@ -56,7 +60,7 @@
     fn poll<'a>(
         &'a self,
         worker: &'a Entry,
-        fence: u64,
+        permit: &'a PollPermit,
         poll: Poll,
     ) -> BoxFuture<'a, Result<Report, PollError>>;
 }
@@ -148,16 +152,16 @@
     /// The list could not be read.
     fn list(&self) -> Result<Vec<Machine>, Failure>;
 
-    /// Takes a machine down for maintenance, under the fence of this owner. False when the request
-    /// surely had no effect.
-    fn start_maintenance(&self, order: &MaintenanceOrder, owner: &str, fence: u64) -> bool;
+    /// Takes a machine down for maintenance, under the fence of the permit. False when the request
+    /// surely had no effect, or was not sent because the permit is not valid any more.
+    fn start_maintenance(&self, order: &MaintenanceOrder, owner: &str, permit: &Permit) -> bool;
 
     /// Reports the progress of a maintenance wave to the operators.
     ///
     /// # Errors
     ///
-    /// The report may not have been written.
-    fn report_progress(&self, status: &WaveStatus) -> Result<(), Failure>;
+    /// The report may not have been written, or the permit is not valid any more.
+    fn report_progress(&self, status: &WaveStatus, permit: &Permit) -> Result<(), Failure>;
 }
 
 /// A data hall that the operators have closed: no tasks are started in it.
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod owner_watch;
 pub mod ownership;
 pub mod peer;
+pub mod permits;
 pub mod relay;
 pub mod relays;
 pub mod report_delta;
--- a/components/node/src/owner_tasks.rs
+++ b/components/node/src/owner_tasks.rs
@@ -70,7 +70,10 @@
         };
         had_waves = has_waves;
         for order in orders {
-            let is_done = machines.start_maintenance(&order, &node.settings.name, fence);
+            let permit = node.shared.permits.for_service(fence);
+            let is_done = permit.is_some_and(|permit| {
+                machines.start_maintenance(&order, &node.settings.name, &permit)
+            });
             log::info!(target: "owner", wave = order.wave, machine = &*order.machine, fence, done = is_done; "Machine ordered down for maintenance.");
             if !is_done {
                 node.actor
@@ -81,7 +84,10 @@
             if reported.get(&status.wave) == Some(&status) {
                 continue;
             }
-            match machines.report_progress(&status) {
+            let Some(permit) = node.shared.permits.for_service(fence) else {
+                continue;
+            };
+            match machines.report_progress(&status, &permit) {
                 Ok(()) => {
                     reported.insert(status.wave, status);
                 }
--- a/components/node/src/ownership/confirmation.rs
+++ b/components/node/src/ownership/confirmation.rs
@@ -61,16 +61,22 @@
     /// box claimed the cell 2.4 s after the partition while this box extended leases for 3 s.
     /// Workers with serving tasks count as unreachable 1.5 s after a partition; workers without,
     /// whose polls are held for 2 s, after 3 s.
-    pub(super) fn check_isolation(&mut self) {
-        let now = time::now();
-        let is_confirmed = now < self.last_confirmed + OWNER_LEASE.as_millis() as u64;
-        if is_confirmed || self.unconfirmed.is_some() {
+    ///
+    /// While most of the workers answer and the ownership is not in doubt, they confirm it as well.
+    pub(super) fn check_isolation(&mut self, now: u64) {
+        if self.unconfirmed.is_some() {
             return;
         }
         let Reachability {
             reachable: heard,
             unreachable: silent,
         } = self.cell.reachability(now);
+        if heard > silent {
+            self.permits.confirm_by_workers(self.fence, now);
+        }
+        if now < self.last_confirmed + OWNER_LEASE.as_millis() as u64 {
+            return;
+        }
         if silent > 0 && silent >= heard {
             log::warn!(target: "owner", fence = self.fence, heard, silent, workers = self.cell.worker_count(); "Neither the store nor most of the workers are reachable; another box may own the cell.");
             self.mark_unconfirmed();
@@ -80,10 +86,12 @@
     /// Records that the store has confirmed the ownership at this time.
     pub(crate) fn confirm_at(&mut self, at: u64) {
         self.last_confirmed = self.last_confirmed.max(at);
+        self.permits.confirm_by_store(self.fence, at);
     }
 
     /// Marks the ownership as unconfirmed: another box may own the cell.
     pub(crate) fn mark_unconfirmed(&mut self) {
+        self.permits.suspend(self.fence);
         self.unconfirmed = Some(Unconfirmed {
             since: time::now(),
             has_failed_write: false,
@@ -145,6 +153,7 @@
     fn restore(&mut self) {
         log::info!(target: "owner", fence = self.fence; "Cell ownership confirmed.");
         self.unconfirmed = None;
+        self.permits.lift_suspension(self.fence);
         self.cell.freeze_leases(false);
     }
 }
--- a/components/node/src/ownership/mod.rs
+++ b/components/node/src/ownership/mod.rs
@@ -19,6 +19,7 @@
         message::QueueStatus,
         order_queue::OrderSender,
         owner_tasks,
+        permits::Permits,
         relays::{Need, Relays},
         settings::{TICK_INTERVAL, Takeover},
         time,
@@ -80,6 +81,8 @@
     last_tick: u64,
     /// When the store last confirmed the ownership, by a lease renewal or a write.
     last_confirmed: u64,
+    /// The permits for the orders of this owner.
+    permits: Permits,
     /// Set while another box may own the cell.
     unconfirmed: Option<Unconfirmed>,
     /// Jobs that name the fence of a later owner.
@@ -122,6 +125,7 @@
             writer: None,
             last_tick: claimed,
             last_confirmed: claimed,
+            permits: Permits::default(),
             unconfirmed: None,
             held: HeldJobs::default(),
             halls: Halls::default(),
@@ -257,9 +261,14 @@
             Takeover::Gradual => ownership.cell.recover_gradually(time::now(), fence),
             Takeover::Complete => ownership.cell.recover(time::now()),
         }
+        ownership.permits = self.node.shared.permits.clone();
+        ownership
+            .permits
+            .begin_tenure(fence, ownership.last_confirmed);
+        let started = time::now();
         // The lease may have expired while the cell was loaded.
         ownership.check_stall();
-        ownership.last_tick = time::now();
+        ownership.last_tick = started;
         self.ownership = Some(ownership);
         self.node.shared.set_owning(fence);
         owner_tasks::start_all(&self.node, fence);
@@ -336,6 +345,7 @@
         let Some(mut ownership) = self.ownership.take() else {
             return;
         };
+        self.node.shared.permits.end_tenure();
         self.node.shared.set_owning(0);
         ownership.cell.log_done(time::now());
         ownership.reset_hall_metrics();
@@ -359,11 +369,13 @@
     }
 
     fn tick(&mut self, cx: &mut Cx<'_, Self>, fence: u64) {
+        // Before the check for a stall: one that begins after it must not count as a confirmation.
+        let started = time::now();
         let Some(ownership) = self.ownership_of(fence) else {
             return;
         };
-        ownership.last_tick = time::now();
-        ownership.check_isolation();
+        ownership.last_tick = started;
+        ownership.check_isolation(started);
         ownership.cell.log_done(time::now());
         ownership.cell.activate_due_steps(wall_clock::millis());
         ownership.cell.rerank(wall_clock::millis(), time::now());
--- a/components/node/src/ownership/placement.rs
+++ b/components/node/src/ownership/placement.rs
@@ -6,6 +6,7 @@
     crate::order_queue::QueuedOrder,
     crate::settings::PASS_INTERVAL,
     crate::{owner_tasks, time},
+    cell::{Order, Outcome, Refusal},
     kernel::stakker::{Cx, after},
     std::time::Duration,
 };
@@ -98,7 +99,16 @@
                     link.send(QueuedOrder::new(order, 0, 0, time::now()));
                 }
                 Some(Link::Relay(name)) => {
-                    ownership.relays.order(name, &id, time::now(), order);
+                    // A withdrawal only revokes what was not sent.
+                    let is_withdrawal = matches!(order, Order::Withdraw { .. });
+                    if is_withdrawal || ownership.permits.for_worker(ownership.fence).is_some() {
+                        ownership.relays.order(name, &id, time::now(), order);
+                        continue;
+                    }
+                    let refused = Outcome::Refused(Refusal::NotSent);
+                    ownership
+                        .cell
+                        .handle_outcome(&id, &order, refused, time::now());
                 }
                 // The worker has no connection. Its next report shows that the order did not
                 // arrive.
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -13,10 +13,11 @@
         message::{Command, CompactStart, Owner, RelayRequest, RelayResponse, WorkerEvent},
         order_queue::{self, OrderReceiver, OrderSender, QueuedOrder},
         owner_watch,
+        permits::Permits,
         report_delta::ReportDelta,
         settings::{
-            IDLE_MIN_INTERVAL, IDLE_OWNER_READ_MS, POLL_RETRY_PAUSE, RELAY_LEAVE_TIMEOUT,
-            RELAY_MIN_INTERVAL, RELAY_OWNER_READ_MS, RELAY_TIMEOUT,
+            IDLE_MIN_INTERVAL, IDLE_OWNER_READ_MS, MAX_CONFIRMATION_AGE, POLL_RETRY_PAUSE,
+            RELAY_LEAVE_TIMEOUT, RELAY_MIN_INTERVAL, RELAY_OWNER_READ_MS, RELAY_TIMEOUT,
         },
         time, worker,
     },
@@ -44,6 +45,8 @@
 struct Session {
     number: u64,
     fence: u64,
+    /// Permits for the orders of the owner.
+    permits: Permits,
     /// The number of the last response whose commands were executed.
     last_response: u64,
     /// The number of the last request.
@@ -56,6 +59,41 @@
     results: Arc<Mutex<Results>>,
 }
 
+/// The last confirmation of the owner's ownership, with its time on the clock of this box.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Confirmation {
+    Store(u64),
+    Workers(u64),
+}
+
+impl Confirmation {
+    /// The confirmation that a response shows. The owner sent it after `requested_at`, so all ages
+    /// count from there.
+    fn of(response: &RelayResponse, is_repeated: bool, requested_at: u64) -> Option<Self> {
+        let max_age = MAX_CONFIRMATION_AGE.as_millis() as u64;
+        if let Some(heartbeat) = response.heartbeat
+            && heartbeat.lease_age <= max_age
+        {
+            let at = requested_at.saturating_sub(heartbeat.lease_age);
+            return Some(Confirmation::Store(at));
+        }
+        if is_repeated {
+            return None;
+        }
+        // The store does not answer the owner. While most of the workers confirm its ownership, its
+        // polls extend leases.
+        let polls = response
+            .commands
+            .iter()
+            .filter_map(|command| match command {
+                Command::Poll(_, at, poll) if poll.deadline > 0 => Some(*at),
+                _ => None,
+            });
+        let age = response.now.saturating_sub(polls.max()?);
+        Some(Confirmation::Workers(requested_at.saturating_sub(age)))
+    }
+}
+
 /// Results from workers for the next request.
 #[derive(Default)]
 struct Results {
@@ -267,9 +305,12 @@
 
 impl Session {
     fn new(response: &RelayResponse) -> Self {
+        let permits = Permits::default();
+        permits.begin_tenure(response.fence, 0);
         Session {
             number: response.session,
             fence: response.fence,
+            permits,
             last_response: 0,
             last_request: 0,
             pause: RELAY_MIN_INTERVAL,
@@ -283,7 +324,9 @@
     /// began at `requested_at`.
     fn execute(&mut self, node: &Node, response: RelayResponse, requested_at: u64) {
         self.pause = Duration::from_millis(response.pause);
-        if response.batch <= self.last_response {
+        let is_repeated = response.batch <= self.last_response;
+        self.confirm(Confirmation::of(&response, is_repeated, requested_at));
+        if is_repeated {
             return;
         }
         self.last_response = response.batch;
@@ -312,6 +355,15 @@
         }
     }
 
+    /// Records the confirmation of the ownership that a response shows.
+    fn confirm(&self, confirmation: Option<Confirmation>) {
+        match confirmation {
+            Some(Confirmation::Store(at)) => self.permits.confirm_by_store(self.fence, at),
+            Some(Confirmation::Workers(at)) => self.permits.confirm_by_workers(self.fence, at),
+            None => {}
+        }
+    }
+
     /// Revokes queued starts that the commands stop or withdraw.
     fn revoke_starts(&self, commands: &[Command]) {
         for command in commands {
@@ -368,6 +420,7 @@
         let fence = self.fence;
         let polling = poll(
             node.clone(),
+            self.permits.clone(),
             fence,
             entry.clone(),
             poll_queue,
@@ -375,6 +428,7 @@
         );
         let sending = send(
             node.clone(),
+            self.permits.clone(),
             fence,
             entry,
             order_receiver,
@@ -388,16 +442,25 @@
     }
 }
 
+impl Drop for Session {
+    /// Orders that still wait have no effect on the owner's cell any more.
+    fn drop(&mut self) {
+        self.permits.end_tenure();
+    }
+}
+
 /// Polls a worker whenever the owner allows it, until the worker is released.
 async fn poll(
     node: Node,
+    permits: Permits,
     fence: u64,
     entry: Entry,
     mut polls: UnboundedReceiver<(u64, Poll)>,
     results: Arc<Mutex<Results>>,
 ) {
     while let Some((at, poll)) = polls.recv().await {
-        let result = node.external.workers.poll(&entry, fence, poll).await;
+        let permit = permits.for_poll(fence);
+        let result = node.external.workers.poll(&entry, &permit, poll).await;
         if let Err(PollError::Silent(_)) = result {
             metrics::counter!("magpie_polls_failed_total").increment(1);
             runtime::sleep(POLL_RETRY_PAUSE).await;
@@ -409,6 +472,7 @@
 /// Sends orders to a worker until it is released.
 async fn send(
     node: Node,
+    permits: Permits,
     fence: u64,
     entry: Entry,
     mut orders: OrderReceiver,
@@ -419,7 +483,7 @@
         let outcome = if is_withheld(&node, &queued.order) {
             Outcome::Refused(Refusal::NotSent)
         } else {
-            worker::send_order(&node, fence, &entry, queued, &orders).await
+            worker::send_order(&node, &permits, fence, &entry, queued, &orders).await
         };
         lock(&results)
             .queue
@@ -435,7 +499,14 @@
 
 #[cfg(test)]
 mod tests {
-    use {super::*, cell::TaskKey, job::Address};
+    use {
+        super::*, crate::heartbeat::Heartbeat, cell::TaskKey, job::Address, test_case::test_case,
+    };
+
+    const FENCE: u64 = 20;
+    /// A time that other tests, which advance the clock of the process, do not reach.
+    const LATER: u64 = 1_000_000_000;
+    const MAX_AGE_MS: u64 = MAX_CONFIRMATION_AGE.as_millis() as u64;
 
     /// An order without an answer would count as in flight forever, and the owner would consider
     /// the relay busy.
@@ -460,4 +531,70 @@
         let refused = Outcome::Refused(Refusal::NotSent);
         assert!(matches!(&results[..], [WorkerEvent::Answer(7, outcome)] if *outcome == refused));
     }
+
+    /// A response of the owner, whose ownership the store has confirmed this long ago, with the poll
+    /// of a worker that was made 100 ms before it.
+    fn response(lease_age: u64, deadline: u64) -> RelayResponse {
+        let poll = Poll {
+            deadline,
+            seen: 0,
+            wait: 0,
+        };
+        RelayResponse {
+            session: 1,
+            fence: FENCE,
+            batch: 1,
+            now: 50_000,
+            commands: vec![Command::Poll("w1".into(), 49_900, poll)],
+            heartbeat: Some(Heartbeat {
+                config: 1,
+                config_age: 0,
+                lease_age,
+            }),
+            ..RelayResponse::default()
+        }
+    }
+
+    /// A relay sends the orders of an owner only for as long as that owner would. Without the store,
+    /// an owner that extends leases is confirmed by its workers.
+    #[test_case(100, 0, false => Some(Confirmation::Store(9_900)); "by store")]
+    #[test_case(MAX_AGE_MS, 9_000, true => Some(Confirmation::Store(10_000 - MAX_AGE_MS)); "repeated by store")]
+    #[test_case(MAX_AGE_MS + 1, 9_000, false => Some(Confirmation::Workers(9_900)); "by workers")]
+    #[test_case(MAX_AGE_MS + 1, 0, false => None; "poll without lease")]
+    #[test_case(MAX_AGE_MS + 1, 9_000, true => None; "repeated response")]
+    fn confirmation_of(lease_age: u64, deadline: u64, is_repeated: bool) -> Option<Confirmation> {
+        Confirmation::of(&response(lease_age, deadline), is_repeated, 10_000)
+    }
+
+    /// A response that was made before the owner was frozen confirms nothing after it.
+    #[test]
+    fn confirmation_of_earlier_poll() {
+        let response = RelayResponse {
+            now: 59_900,
+            ..response(60_000, 9_000)
+        };
+        let confirmation = Confirmation::of(&response, false, 10_000);
+        assert_eq!(confirmation, Some(Confirmation::Workers(0)));
+    }
+
+    /// A relay that has no confirmation of the ownership sends no orders.
+    #[test]
+    fn confirm_allows_orders() {
+        let session = Session::new(&response(0, 0));
+        session.confirm(None);
+        assert!(session.permits.for_worker(FENCE).is_none());
+        session.confirm(Some(Confirmation::Workers(LATER)));
+        assert!(session.permits.for_worker(FENCE).is_some());
+    }
+
+    /// Orders that wait when the session ends have no effect on the cell of the next owner.
+    #[test]
+    fn drop_ends_permits() {
+        let session = Session::new(&response(0, 0));
+        session.confirm(Some(Confirmation::Store(LATER)));
+        let permits = session.permits.clone();
+        assert!(permits.for_worker(FENCE).is_some());
+        drop(session);
+        assert!(permits.for_worker(FENCE).is_none());
+    }
 }
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -98,6 +98,12 @@
 pub const OWNER_LEASE: Duration = Duration::from_millis(2_000);
 /// Interval of lease renewals: three of them may fail before the lease expires.
 pub const RENEW_INTERVAL: Duration = Duration::from_millis(500);
+/// Maximum age of the last confirmation of the ownership at which orders are sent, on a clock that
+/// advances during suspensions. Another box can claim the cell no sooner than [`OWNER_LEASE`] after
+/// a confirmation by the store; the difference covers the time that an order takes to its receiver.
+pub const MAX_CONFIRMATION_AGE: Duration = OWNER_LEASE.saturating_sub(RENEW_INTERVAL);
+/// Minimum time between two log entries about orders that were not sent for lack of a permit.
+pub const REFUSAL_LOG_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Minimum time between two groups of records. The end of a task has to be stored within 100 ms,
 /// and each group costs a call to the store.
 pub const GROUP_INTERVAL: Duration = Duration::from_millis(20);
--- a/components/node/src/worker.rs
+++ b/components/node/src/worker.rs
@@ -6,6 +6,7 @@
         core::Node,
         external::PollError,
         order_queue::{self, OrderReceiver, OrderSender, QueuedOrder},
+        permits::Permits,
         settings::POLL_RETRY_PAUSE,
         time,
     },
@@ -38,7 +39,8 @@
     };
     while let Some(poll) = next {
         let sent = time::now();
-        let result = node.external.workers.poll(&entry, fence, poll).await;
+        let permit = node.shared.permits.for_poll(fence);
+        let result = node.external.workers.poll(&entry, &permit, poll).await;
         if let Err(PollError::Silent(_)) = result {
             metrics::counter!("magpie_polls_failed_total").increment(1);
             runtime::sleep(POLL_RETRY_PAUSE).await;
@@ -58,7 +60,8 @@
             return;
         }
         let order = queued.order.clone();
-        let outcome = send_order(&node, fence, &entry, queued, &orders).await;
+        let permits = &node.shared.permits;
+        let outcome = send_order(&node, permits, fence, &entry, queued, &orders).await;
         if outcome == Outcome::Unknown {
             log::info!(target: "owner", worker = &*entry.id, order:% = order; "The outcome of an order is unknown: the worker gave no valid answer.");
         }
@@ -73,9 +76,10 @@
 }
 
 /// Sends an order to a worker and returns the outcome. Refuses it locally if it has been queued for
-/// too long or was revoked. Adds the specification of its job to a start that has none.
+/// too long, was revoked, or gets no permit. Adds the specification of its job to a start that has none.
 pub(crate) async fn send_order(
     node: &Node,
+    permits: &Permits,
     fence: u64,
     entry: &Entry,
     mut queued: QueuedOrder,
@@ -105,10 +109,13 @@
         metrics::counter!("magpie_orders_stale_total").increment(1);
         return Outcome::Refused(Refusal::NotSent);
     }
+    let Some(permit) = permits.for_worker(fence) else {
+        return Outcome::Refused(Refusal::NotSent);
+    };
     metrics::counter!("magpie_orders_total").increment(1);
     node.external
         .workers
-        .order(entry, fence, &queued.order)
+        .order(entry, &permit, &queued.order)
         .await
 }
 
