--- a/components/node/src/ownership/inputs.rs
+++ b/components/node/src/ownership/inputs.rs
@@ -297,6 +297,20 @@
         assert_eq!(ownership.held.len(), 1);
     }
 
+    /// An owner that may have a successor must send no orders, however recent its last confirmation
+    /// is, until a write has proven that there is none.
+    #[test]
+    fn hold_suspends_permits() {
+        let mut ownership = ownership();
+        ownership.permits.begin_tenure(FENCE, u64::MAX);
+        assert!(ownership.permits.for_worker(FENCE).is_some());
+        ownership.admit(submission(HEAD + 1));
+        assert!(ownership.permits.for_worker(FENCE).is_none());
+        ownership.group_sent = u64::MAX;
+        ownership.write_confirmed();
+        assert!(ownership.permits.for_worker(FENCE).is_some());
+    }
+
     #[test]
     fn release_held_admits_job() {
         let mut ownership = ownership();
