Let slow exchanges age no confirmation at relays

Cause (reasoned, not seen): a relay counted the age of a confirmation from its request, so an exchange of 1 s on a narrow link with a renewal 0.6 s old left no permit, and polls over that relay extended no leases.

Ruled out: a field of the response for the time, since boxes of earlier builds could not decode the responses; a longer limit for all orders, which would reach the time of a takeover.

Change: a relay bounds how far the owner's clock is ahead by the fastest exchange of its session, relaxed by 1 ms a second for drift. Where the last renewal is over 1.1 s old, polls that extend leases confirm the ownership, as where the store does not answer. Polls extend leases until 2.5 s after a confirmation: the deadline that they ask for was set when they were made.

Conclusion: what counts at a relay is the time since the owner answered, not the time of the exchange.

--- a/components/node/src/permits.rs
+++ b/components/node/src/permits.rs
@@ -11,12 +11,15 @@
 
 use {
     crate::{
-        settings::{MAX_CONFIRMATION_AGE, REFUSAL_LOG_INTERVAL},
+        settings::{MAX_CONFIRMATION_AGE, MAX_LEASE_CONFIRMATION_AGE, REFUSAL_LOG_INTERVAL},
         time,
     },
     cell::Poll,
     kernel::{Failure, sync::lock, verdict::Cause},
-    std::sync::{Arc, Mutex},
+    std::{
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
 };
 
 /// What may confirm the ownership that an order relies on.
@@ -26,6 +29,18 @@
     Store,
     /// The store, or answers of most of the workers. Workers refuse a lower fence.
     Any,
+    /// The same for a lease, whose deadline does not depend on when it is sent.
+    Lease,
+}
+
+impl Basis {
+    /// Maximum age of the confirmation.
+    const fn max_age(self) -> Duration {
+        match self {
+            Basis::Store | Basis::Any => MAX_CONFIRMATION_AGE,
+            Basis::Lease => MAX_LEASE_CONFIRMATION_AGE,
+        }
+    }
 }
 
 /// An ownership, and when it was last confirmed. Times are in milliseconds on the clock of this
@@ -50,8 +65,8 @@
     /// True while orders may be sent under this fence.
     fn allows(&self, fence: u64, basis: Basis, now: u64) -> bool {
         let confirmed = self.confirmed(basis);
-        let is_recent = confirmed > 0
-            && now.saturating_sub(confirmed) <= MAX_CONFIRMATION_AGE.as_millis() as u64;
+        let is_recent =
+            confirmed > 0 && now.saturating_sub(confirmed) <= basis.max_age().as_millis() as u64;
         fence != 0 && self.fence == fence && !self.is_suspended && is_recent
     }
 
@@ -59,7 +74,7 @@
     fn confirmed(&self, basis: Basis) -> u64 {
         match basis {
             Basis::Store => self.by_store,
-            Basis::Any => self.by_store.max(self.by_workers),
+            Basis::Any | Basis::Lease => self.by_store.max(self.by_workers),
         }
     }
 
@@ -145,7 +160,7 @@
         PollPermit(Permit {
             permits: self.clone(),
             fence,
-            basis: Basis::Any,
+            basis: Basis::Lease,
         })
     }
 
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -16,7 +16,7 @@
         permits::Permits,
         report_delta::ReportDelta,
         settings::{
-            IDLE_MIN_INTERVAL, IDLE_OWNER_READ_MS, MAX_CONFIRMATION_AGE, POLL_RETRY_PAUSE,
+            IDLE_MIN_INTERVAL, IDLE_OWNER_READ_MS, MAX_LEASE_AGE, POLL_RETRY_PAUSE,
             RELAY_LEAVE_TIMEOUT, RELAY_MIN_INTERVAL, RELAY_OWNER_READ_MS, RELAY_TIMEOUT,
         },
         time, worker,
@@ -35,6 +35,9 @@
 /// The HTTP path of exchanges between relays and the owner.
 pub const PATH: &str = "/relay";
 
+/// The clocks of two boxes drift apart by at most this many microseconds in a millisecond.
+const MAX_DRIFT: i64 = 1;
+
 /// The queues of the two tasks of a worker.
 struct WorkerQueues {
     polls: UnboundedSender<(u64, Poll)>,
@@ -47,6 +50,7 @@
     fence: u64,
     /// Permits for the orders of the owner.
     permits: Permits,
+    clock: OwnerClock,
     /// The number of the last response whose commands were executed.
     last_response: u64,
     /// The number of the last request.
@@ -59,6 +63,29 @@
     results: Arc<Mutex<Results>>,
 }
 
+/// Converts times of the owner's clock to that of this box. A slow exchange would make everything in
+/// its response look older than it is, so the fastest one counts.
+#[derive(Debug, Default)]
+struct OwnerClock {
+    /// The most that the owner's clock may be ahead, in microseconds, and when that was computed, in
+    /// milliseconds.
+    ahead: Option<(i64, u64)>,
+}
+
+impl OwnerClock {
+    /// The earliest time on the clock of this box at which the owner's may have shown `owner`, given
+    /// that it did so after `requested_at`.
+    fn earliest(&mut self, owner: u64, requested_at: u64, now: u64) -> u64 {
+        let mut ahead = (owner as i64 - requested_at as i64) * 1_000;
+        if let Some((known, at)) = self.ahead {
+            let drift = now.saturating_sub(at) as i64 * MAX_DRIFT;
+            ahead = ahead.min(known + drift);
+        }
+        self.ahead = Some((ahead, now));
+        (owner as i64 - ahead / 1_000).max(0) as u64
+    }
+}
+
 /// The last confirmation of the owner's ownership, with its time on the clock of this box.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Confirmation {
@@ -67,14 +94,13 @@
 }
 
 impl Confirmation {
-    /// The confirmation that a response shows. The owner sent it after `requested_at`, so all ages
-    /// count from there.
-    fn of(response: &RelayResponse, is_repeated: bool, requested_at: u64) -> Option<Self> {
-        let max_age = MAX_CONFIRMATION_AGE.as_millis() as u64;
+    /// The confirmation that a response shows, which was made at `made` at the earliest.
+    fn of(response: &RelayResponse, is_repeated: bool, made: u64) -> Option<Self> {
+        let max_age = MAX_LEASE_AGE.as_millis() as u64;
         if let Some(heartbeat) = response.heartbeat
             && heartbeat.lease_age <= max_age
         {
-            let at = requested_at.saturating_sub(heartbeat.lease_age);
+            let at = made.saturating_sub(heartbeat.lease_age);
             return Some(Confirmation::Store(at));
         }
         if is_repeated {
@@ -90,7 +116,7 @@
                 _ => None,
             });
         let age = response.now.saturating_sub(polls.max()?);
-        Some(Confirmation::Workers(requested_at.saturating_sub(age)))
+        Some(Confirmation::Workers(made.saturating_sub(age)))
     }
 }
 
@@ -311,6 +337,7 @@
             number: response.session,
             fence: response.fence,
             permits,
+            clock: OwnerClock::default(),
             last_response: 0,
             last_request: 0,
             pause: RELAY_MIN_INTERVAL,
@@ -325,7 +352,8 @@
     fn execute(&mut self, node: &Node, response: RelayResponse, requested_at: u64) {
         self.pause = Duration::from_millis(response.pause);
         let is_repeated = response.batch <= self.last_response;
-        self.confirm(Confirmation::of(&response, is_repeated, requested_at));
+        let made = self.clock.earliest(response.now, requested_at, time::now());
+        self.confirm(Confirmation::of(&response, is_repeated, made));
         if is_repeated {
             return;
         }
@@ -506,7 +534,7 @@
     const FENCE: u64 = 20;
     /// A time that other tests, which advance the clock of the process, do not reach.
     const LATER: u64 = 1_000_000_000;
-    const MAX_AGE_MS: u64 = MAX_CONFIRMATION_AGE.as_millis() as u64;
+    const MAX_AGE_MS: u64 = MAX_LEASE_AGE.as_millis() as u64;
 
     /// An order without an answer would count as in flight forever, and the owner would consider
     /// the relay busy.
@@ -587,6 +615,28 @@
         assert!(session.permits.for_worker(FENCE).is_some());
     }
 
+    /// A slow exchange does not age a confirmation that the owner made shortly before it answered.
+    #[test]
+    fn earliest_by_fastest_exchange() {
+        let mut clock = OwnerClock::default();
+        assert_eq!(clock.earliest(50_000, 10_000, 10_040), 10_000);
+        // The request took 1.2 s, and the response 0.3 s.
+        assert_eq!(clock.earliest(51_200, 10_100, 11_500), 11_199);
+        assert_eq!(clock.earliest(51_300, 11_290, 11_310), 11_299);
+    }
+
+    /// What is known of the owner's clock is worth less with time, also in many short steps.
+    #[test]
+    fn earliest_after_drift() {
+        let mut clock = OwnerClock::default();
+        clock.earliest(50_000, 10_000, 10_000);
+        for step in 1..=400 {
+            let now = 10_000 + step * 25;
+            clock.earliest(40_000 + now, now - 500, now);
+        }
+        assert_eq!(clock.earliest(60_000, 15_000, 20_000), 19_990);
+    }
+
     /// Orders that wait when the session ends have no effect on the cell of the next owner.
     #[test]
     fn drop_ends_permits() {
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -102,6 +102,9 @@
 /// advances during suspensions. Another box can claim the cell no sooner than [`OWNER_LEASE`] after
 /// a confirmation by the store; the difference covers the time that an order takes to its receiver.
 pub const MAX_CONFIRMATION_AGE: Duration = OWNER_LEASE.saturating_sub(RENEW_INTERVAL);
+/// The same for polls that extend leases. The deadline that a poll asks for was set when the
+/// ownership was confirmed, and does not move while the poll waits on a slow link.
+pub const MAX_LEASE_CONFIRMATION_AGE: Duration = OWNER_LEASE.saturating_add(RENEW_INTERVAL);
 /// Minimum time between two log entries about orders that were not sent for lack of a permit.
 pub const REFUSAL_LOG_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Minimum time between two groups of records. The end of a task has to be stored within 100 ms,
