--- a/components/node/src/owner_tasks.rs
+++ b/components/node/src/owner_tasks.rs
@@ -81,14 +81,17 @@
             return;
         };
         had_waves = has_waves;
-        notes.write(statuses);
+        notes.write(&node.shared.permits, fence, statuses);
         let has_orders = !orders.is_empty();
         for order in orders {
             if !notes.are_written(order.wave) {
                 waves::handle_outcome(node, fence, order, MaintenanceOutcome::Refused);
                 continue;
             }
-            let outcome = machines.start_maintenance(&order, &node.settings.name, fence);
+            let permit = node.shared.permits.for_service(fence);
+            let outcome = permit.map_or(MaintenanceOutcome::Refused, |permit| {
+                machines.start_maintenance(&order, &node.settings.name, &permit)
+            });
             log::info!(target: "owner", wave = order.wave, machine = &*order.machine, fence, outcome:? = outcome; "Machine ordered down for maintenance.");
             waves::handle_outcome(node, fence, order, outcome);
         }
@@ -96,7 +99,7 @@
             let result = node
                 .actor
                 .ask(move |core, _| core.wave_progress(fence, &waves));
-            notes.write(result.unwrap_or_default());
+            notes.write(&node.shared.permits, fence, result.unwrap_or_default());
         }
         thread::sleep(LIST_INTERVAL);
     }
--- a/components/node/src/waves.rs
+++ b/components/node/src/waves.rs
@@ -5,6 +5,7 @@
     crate::{
         core::Node,
         external::{Machines, StoredWave},
+        permits::Permits,
     },
     cell::{MaintenanceOrder, MaintenanceOutcome, Wave, WaveStatus},
     std::collections::HashMap,
@@ -47,8 +48,8 @@
         (waves, Notes { machines, notes })
     }
 
-    /// Writes the progress of the waves where it has changed.
-    pub fn write(&mut self, statuses: Vec<WaveStatus>) {
+    /// Writes the progress of the waves where it has changed, for the owner with this fence.
+    pub fn write(&mut self, permits: &Permits, fence: u64, statuses: Vec<WaveStatus>) {
         for status in statuses {
             let Some(note) = self.notes.get_mut(&status.wave) else {
                 continue;
@@ -57,7 +58,13 @@
             if note.is_written {
                 continue;
             }
-            match self.machines.report_progress(&status, note.revision) {
+            let Some(permit) = permits.for_service(fence) else {
+                continue;
+            };
+            let written = self
+                .machines
+                .report_progress(&status, note.revision, &permit);
+            match written {
                 Ok(revision) => {
                     *note = Note {
                         status: Some(status),
