Remove a machine from a wave only after several listings

A machine that one listing lacked counted as done for good, so that a wave could be completed without its maintenance.

A machine has left the fleet when the listings lack it for 5 s. It is then left out of the wave, is not noted as done, and belongs to the wave again if it is back before the end.

machine_missing_once_gets_maintenance failed before.

--- a/components/cell/src/maintenance/mod.rs
+++ b/components/cell/src/maintenance/mod.rs
@@ -79,7 +79,7 @@
     pub sent: Vec<Arc<str>>,
     /// Machines whose maintenance has surely begun, and that are not done.
     pub begun: Vec<Arc<str>>,
-    /// All machines are done.
+    /// All machines are done or have left the fleet.
     pub complete: bool,
 }
 
@@ -189,10 +189,7 @@
             };
             statuses.push(WaveStatus {
                 wave: wave.number,
-                complete: wave
-                    .machines
-                    .iter()
-                    .all(|name| progress.done.contains(name)),
+                complete: progress.is_complete(wave),
                 done: progress.done.iter().cloned().collect(),
                 sent: with(false),
                 begun: with(true),
--- a/components/cell/src/maintenance/progress.rs
+++ b/components/cell/src/maintenance/progress.rs
@@ -13,6 +13,10 @@
 /// take turns at one machine.
 pub const ORDER_LIFETIME: u64 = 5_000;
 
+/// How long the listings must lack a machine until it has left the fleet, in milliseconds. One
+/// listing may lack a machine that stays, since its pages are no snapshot.
+const ABSENT_TIME: u64 = 5_000;
+
 /// The owner's state of a wave.
 #[derive(Debug, Default)]
 pub(crate) struct WaveState {
@@ -22,6 +26,10 @@
     pub orders: BTreeMap<Arc<str>, OrderState>,
     /// Machines that are being drained, and since when.
     pub draining: BTreeMap<Arc<str>, u64>,
+    /// Machines that the last listings lack, and since when.
+    absent: BTreeMap<Arc<str>, u64>,
+    /// Those of them that have left the fleet.
+    gone: BTreeSet<Arc<str>>,
 }
 
 /// What is known of an order to take a machine down.
@@ -67,11 +75,11 @@
         self.draining.retain(|name, _| wave.machines.contains(name));
         for name in &wave.machines {
             let Some(machine) = listed.get(&**name) else {
-                self.draining.remove(name);
-                self.orders.remove(name);
-                self.done.insert(name.clone());
+                self.note_absent(name, now);
                 continue;
             };
+            self.absent.remove(name);
+            self.gone.remove(name);
             let is_begun = machine.in_maintenance && !shared.contains(&**name);
             if is_begun && !self.done.contains(name) && !self.orders.contains_key(name) {
                 self.adopt_order(name, now);
@@ -91,6 +99,22 @@
         }
     }
 
+    /// Records that the listing lacks a machine.
+    fn note_absent(&mut self, name: &Arc<str>, now: u64) {
+        self.draining.remove(name);
+        let since = *self.absent.entry(name.clone()).or_insert(now);
+        if now >= since + ABSENT_TIME {
+            self.orders.remove(name);
+            self.gone.insert(name.clone());
+        }
+    }
+
+    /// True if each machine has had its maintenance or has left the fleet.
+    pub(crate) fn is_complete(&self, wave: &Wave) -> bool {
+        let mut machines = wave.machines.iter();
+        machines.all(|name| self.done.contains(name) || self.gone.contains(name))
+    }
+
     /// Adopts what owners have noted.
     fn adopt_notes(&mut self, wave: &Wave, now: u64) {
         self.done.extend(wave.done.iter().cloned());
@@ -147,8 +171,9 @@
         let is_listed_down = listed
             .get(name)
             .is_some_and(|machine| machine.in_maintenance);
+        let is_absent = self.absent.contains_key(name);
         let order = self.orders.get(name);
-        is_listed_down || order.is_some_and(|order| now < order.open_until)
+        is_listed_down || order.is_some_and(|order| is_absent || now < order.open_until)
     }
 
     /// True if a machine is drained or ordered down.
