Free the place of a machine that crashes while it is drained

A machine that crashed while it was drained kept its place in the wave until it was back. If it stayed down, a wave with a limit of one waited for good.

Ruled out: no order has been sent for it, so nothing can take it down.

Its place goes to the next machine; it is drained again when it is back.

crash_while_drained_does_not_hold_up_wave failed before.

--- a/components/cell/src/maintenance/progress.rs
+++ b/components/cell/src/maintenance/progress.rs
@@ -96,6 +96,9 @@
             if self.done.contains(name) {
                 self.orders.remove(name);
             }
+            if !machine.up {
+                self.draining.remove(name);
+            }
         }
     }
 
--- a/components/cell/tests/decisions/maintenance.rs
+++ b/components/cell/tests/decisions/maintenance.rs
@@ -480,6 +480,47 @@
     assert!(orders.is_empty());
 }
 
+/// A world with a long-running task on a worker whose machine is drained for the wave of both. It
+/// returns the name of the machine, and the wave, which has that machine first.
+fn with_drained_machine() -> (World, String, Wave) {
+    let mut world = World::new(&["w1", "w2"]);
+    let long_running = Step {
+        lasting: true,
+        ..step(1, 1_000)
+    };
+    world.submit(JOB, vec![long_running]);
+    let (worker, start) = world.starts()[0].clone();
+    world.report(&worker, vec![run(JOB, 0, start.run)], vec![]);
+    let name = worker.replace('w', "m");
+    let mut wave = wave(1);
+    if name == "m2" {
+        wave.machines.reverse();
+    }
+    let orders = world
+        .cell
+        .plan_maintenance(from_ref(&wave), &both(), world.now);
+    assert!(orders.is_empty());
+    (world, name, wave)
+}
+
+/// Guards against a wave that waits for good for a machine that crashed while it was drained.
+#[test]
+fn crash_while_drained_does_not_hold_up_wave() {
+    let (mut world, name, wave) = with_drained_machine();
+    let mut crashed = both();
+    for machine in &mut crashed {
+        if *machine.name == *name {
+            machine.up = false;
+            machine.worker = None;
+        }
+    }
+    let orders = world
+        .cell
+        .plan_maintenance(from_ref(&wave), &crashed, world.now);
+    let other = other_worker(&name.replace('m', "w")).replace('w', "m");
+    assert_eq!(orders, [order(&other)]);
+}
+
 /// Guards against a worker that stays closed when its wave, or its machine's part in it, is
 /// withdrawn during draining.
 #[test_case(&[]; "no wave remains")]
