End the draining of a machine that another owner notes as done

A machine that an owner drained while another noted it as done was still drained, its worker closed, and ordered down once more.

Ruled out: the maintenance itself is not repeated, since the service answers that it is over.

The draining ends when the machine is noted as done.

machine_noted_as_done_is_not_drained failed before.

--- a/components/cell/src/maintenance/progress.rs
+++ b/components/cell/src/maintenance/progress.rs
@@ -96,7 +96,7 @@
             if self.done.contains(name) {
                 self.orders.remove(name);
             }
-            if !machine.up {
+            if self.done.contains(name) || !machine.up {
                 self.draining.remove(name);
             }
         }
--- a/components/cell/tests/decisions/maintenance.rs
+++ b/components/cell/tests/decisions/maintenance.rs
@@ -521,6 +521,20 @@
     assert_eq!(orders, [order(&other)]);
 }
 
+/// Guards against an order for a machine that another owner has noted as done while this one
+/// drained it.
+#[test]
+fn machine_noted_as_done_is_not_drained() {
+    let (mut world, name, mut wave) = with_drained_machine();
+    wave.done = vec![name.as_str().into()];
+    world.report(&name.replace('m', "w"), vec![], vec![]);
+    let orders = world
+        .cell
+        .plan_maintenance(from_ref(&wave), &both(), world.now);
+    assert!(orders.iter().all(|order| *order.machine != *name));
+    assert_eq!(orders.len(), 1);
+}
+
 /// Guards against a worker that stays closed when its wave, or its machine's part in it, is
 /// withdrawn during draining.
 #[test_case(&[]; "no wave remains")]
