Find senders that hand their permit to an unchecked call

Cause: the list of senders took a permit among the arguments of any call for a check, also of a raw HTTP call, which checks nothing. Only the functions of the sources themselves check what they are handed.

Test: the new case of `unpermitted_finds_new_sender` failed before and passes now; all 22 of senders pass.

--- a/components/node/tests/senders.rs
+++ b/components/node/tests/senders.rs
@@ -209,7 +209,7 @@
 
 /// True for a function that takes a permit, and that checks it or passes it on with everything that
 /// it sends.
-fn has_permit(function: &Function) -> bool {
+fn has_permit(file: &str, function: &Function) -> bool {
     let Function {
         signature, body, ..
     } = function;
@@ -217,7 +217,11 @@
         let before = &body[..at];
         let arguments = &body[at..];
         let arguments = &arguments[..arguments.find([';', '{']).unwrap_or(arguments.len())];
-        let is_passed = |name| !words(arguments, name).is_empty();
+        // These are in the sources themselves, and so checked as well.
+        let is_own = arguments.starts_with("send_verified")
+            || arguments.starts_with("send_unverified")
+            || before.trim_end().ends_with("self.");
+        let is_passed = |name| is_own && !words(arguments, name).is_empty();
         // Nothing may wait or repeat between the check and the call.
         let is_fresh = |check: &str| {
             let checked = before.rfind(check);
@@ -235,7 +239,7 @@
     let takes_permit = ["Permit", "PollPermit", "Pass"]
         .iter()
         .any(|name| !words(signature, name).is_empty());
-    takes_permit && sends("platform/", body).into_iter().all(is_checked)
+    takes_permit && sends(file, body).into_iter().all(is_checked)
 }
 
 /// Returns the functions of a source that send something without a permit, with the number of calls,
@@ -245,7 +249,7 @@
     let mut found = Vec::new();
     for function in functions {
         let count = sends(&source.file, &function.body).len();
-        if count > 0 && !has_permit(&function) {
+        if count > 0 && !has_permit(&source.file, &function) {
             found.push((function.name, count));
         }
     }
@@ -390,6 +394,7 @@
 #[test_case("fn f(c: &Client) { let run = Client::post; run(c); }"; "method as value")]
 #[test_case("fn f(s: &dyn Store) { s.apply(&change); }"; "write")]
 #[test_case("fn f(p: &Permit) { http::send(&self.client, text, &url); }"; "permit without check")]
+#[test_case("fn f(permit: &Permit) { http::send(&c, &body(permit)); }"; "permit passed to unchecked call")]
 #[test_case("fn f(permit: &Permit) { permit.fence()?; g().await; http::send(&c, &url); }"; "check before a wait")]
 #[test_case("fn f(permit: &Permit) { permit.fence()?; for o in orders { http::send(&c, o); } }"; "one check for many")]
 #[test_case("use crate::http::{self, send as quiet}; fn f() { quiet(&c, &url); }"; "renamed import")]
