--- a/components/cell/src/crashes/evidence.rs
+++ b/components/cell/src/crashes/evidence.rs
@@ -23,8 +23,7 @@
     },
 };
 
-/// Evidence, in tenths of a bit, from which a task surely crashes its workers: 15 bits, or one in
-/// 32,768 series of crashes by chance.
+/// Evidence, in tenths of a bit, from which a task is taken to crash its workers: 15 bits.
 pub(super) const PROOF: u32 = 150;
 /// The most that one crash tells, in tenths of a bit: two crashes never prove anything.
 pub(super) const MAX_EVIDENCE: u32 = 60;
@@ -102,8 +101,11 @@
 
     /// Drops the crash of a worker that has returned.
     pub fn revoke(&mut self, id: &str) {
+        let before = self.unweighed.len();
         self.unweighed.retain(|crash| &*crash.loss.id != id);
-        self.update_awaiting();
+        if self.unweighed.len() < before {
+            self.update_awaiting();
+        }
     }
 
     fn update_awaiting(&mut self) {
@@ -154,7 +156,10 @@
         let evidence = &mut self.crashes.evidence;
         for Suspect { key, .. } in &suspects {
             evidence.awaiting.insert(key.clone());
-            evidence.blamed.entry(key.clone()).or_default().push(now);
+            // A loss with a trial does not count among the unexplained ones.
+            if !loss.has_trial {
+                evidence.blamed.entry(key.clone()).or_default().push(now);
+            }
         }
         let at = now;
         evidence.unweighed.push(Unweighed { loss, at, suspects });
@@ -209,7 +214,8 @@
         };
         let mut weighed = Vec::new();
         for suspect in suspects {
-            let own = evidence.blamed_count(&suspect.key).saturating_sub(1);
+            let own = evidence.blamed_count(&suspect.key);
+            let own = own.saturating_sub(usize::from(is_counted));
             let chance = context.chance(&suspect, own);
             let most = suspect.max_evidence();
             weighed.push((suspect, to_evidence(chance).min(most)));
@@ -335,13 +341,11 @@
     hasher.finish() % TRIAL_SPREAD_MS
 }
 
-/// The time over which the start of a task was spread, in milliseconds, if it was put off.
-pub(crate) const fn start_spread(delayed: Option<u64>) -> u64 {
-    if delayed.is_some() {
-        TRIAL_SPREAD_MS
-    } else {
-        0
-    }
+/// The time over which the start of a task was spread, in milliseconds, if it was put off until a
+/// moment ago.
+pub(crate) fn start_spread(delayed: Option<u64>, now: u64) -> u64 {
+    let is_spread = delayed.is_some_and(|until| now < until + TRIAL_SPREAD_MS);
+    if is_spread { TRIAL_SPREAD_MS } else { 0 }
 }
 
 /// The delay before a long-running task with these crashes is started again, in milliseconds.
--- a/components/cell/src/crashes/mod.rs
+++ b/components/cell/src/crashes/mod.rs
@@ -236,6 +236,9 @@
             if let Some(job) = self.jobs.get_mut(&key.job) {
                 let crashes = &mut job.progress.tasks[key.place].crashes;
                 crashes.evidence = crashes.evidence.saturating_sub(bits);
+                if crashes.evidence < evidence::PROOF {
+                    job.delayed.remove(&key.place);
+                }
             }
         }
         for (key, is_early) in provisional.tasks {
@@ -294,7 +297,10 @@
         if crashes.early > 0 {
             log::info!(target: "cell", job = key.job.as_str(), place = key.place, early = crashes.early; "Suspected task is running; its early crashes are cleared.");
             crashes.early = 0;
-            crashes.evidence = 0;
+            // The task may crash its workers later: one more crash is needed in any case.
+            crashes.evidence = crashes
+                .evidence
+                .min(evidence::PROOF - evidence::MAX_EVIDENCE);
             self.dirty.insert(key.job.clone());
         }
     }
--- a/components/cell/src/crashes/trial.rs
+++ b/components/cell/src/crashes/trial.rs
@@ -39,7 +39,7 @@
 const MAX_WATCHED: usize = 8;
 /// Cost of a worker for an isolated trial that has not answered within [`FRESH_MS`], in millicores:
 /// if it is lost, that may have happened before the start.
-const STALE_COST: u64 = 1_000_000_000;
+const STALE_COST: u64 = 50_000;
 /// Time in milliseconds; see [`STALE_COST`].
 const FRESH_MS: u64 = 300;
 /// Cost of another new run on the worker of an isolated trial, in millicores: a crash would make
@@ -128,7 +128,7 @@
 
     /// True if a crash under the task is still to be weighed: it may prove that the task crashes its
     /// workers.
-    fn is_unweighed(&self, id: &Id, place: usize) -> bool {
+    pub(crate) fn is_unweighed(&self, id: &Id, place: usize) -> bool {
         let job = id.clone();
         let key = TaskKey { job, place };
         self.crashes.evidence.is_awaiting(&key) || self.crashes.unobserved.is_awaiting(&key)
--- a/components/cell/src/gang.rs
+++ b/components/cell/src/gang.rs
@@ -37,7 +37,8 @@
         });
         let has_unpersisted_crashes =
             |&place: &usize| self.has_unpersisted_crashes(&rank.id, place);
-        let is_delayed = |&place: &usize| self.is_delayed(&rank.id, place);
+        let is_delayed =
+            |&place: &usize| self.is_delayed(&rank.id, place) || self.is_unweighed(&rank.id, place);
         let is_blocked = self.has_task_over_limit(&rank.id)
             || places.iter().any(has_unpersisted_crashes)
             || places.iter().any(is_delayed);
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -336,7 +336,7 @@
         let image = self.interference.intern(step.image.as_ref());
         let slot = Slot {
             decided: now,
-            spread: crashes::start_spread(job.delayed.remove(&place)),
+            spread: crashes::start_spread(job.delayed.remove(&place), now),
             ..Slot::new(step, address, image, run, Stage::Sent { deadline })
         };
         // A stopped run of the task may still hold the slot that is replaced.
--- a/components/cell/tests/decisions/crash_evidence.rs
+++ b/components/cell/tests/decisions/crash_evidence.rs
@@ -155,3 +155,50 @@
         assert_eq!(series.sim.state(JOB), Some(State::Failed), "seed {seed}");
     }
 }
+
+/// Guards against a task that crashes its workers a little later than a trial takes, and is cleared
+/// by each of them.
+#[test_case(1_100; "1100 ms")]
+#[test_case(1_200; "1200 ms")]
+#[test_case(1_500; "1500 ms")]
+#[test_case(2_500; "2500 ms")]
+fn task_that_survives_its_trials_is_not_cleared(after: u64) {
+    for workers in [4, 8, 48] {
+        let mut sim = Sim::new(workers, 20_000);
+        sim.hold_polls();
+        sim.advance(5_000);
+        sim.submit(JOB, step(1, 1_000));
+        sim.crash_on_start(JOB, 0, after);
+        sim.advance(120_000);
+        let starts = sim.start_count(JOB, 0);
+        assert!(starts <= MAX_STARTS, "{workers} workers: {starts} starts");
+        assert_eq!(sim.state(JOB), Some(State::Failed), "{workers} workers");
+    }
+}
+
+/// Guards against a long-running task that stays delayed although the workers that seemed to crash
+/// under it have returned.
+#[test]
+fn returning_workers_end_delay() {
+    let mut sim = Sim::new(12, 1_000);
+    sim.hold_polls();
+    sim.advance(5_000);
+    let step = Step {
+        lasting: true,
+        ..step(1, 1_000)
+    };
+    sim.submit(JOB, step);
+    let mut cut = Vec::new();
+    for _ in 0..60 {
+        sim.advance(500);
+        let machine = sim.machine_of(JOB, 0);
+        if let Some(machine) = machine.filter(|machine| !cut.contains(machine) && cut.len() < 3) {
+            sim.set_partitioned(machine..machine + 1, true);
+            cut.push(machine);
+        }
+    }
+    assert_eq!(cut.len(), 3);
+    sim.set_partitioned(0..12, false);
+    sim.advance(3_000);
+    assert!(sim.machine_of(JOB, 0).is_some());
+}
