Play maintenance waves in the fault soak

`--waves N` requests N waves drawn from the seed. Faults of the machine service hit them (orders lost, answered late or doubled, maintenance that begins late), and the owner is frozen, killed or sent SIGTERM at drawn moments or right after an order, before its answer. Rules: limit, one, mixed, again, wave and closed. A generator of its own and a service that is opened only with the option keep all known plans as they were. The state of a worker moves from world.rs to worker.rs: faults must neither restart nor list a worker whose machine is down for maintenance.

--- a/programs/soak/src/cli.rs
+++ b/programs/soak/src/cli.rs
@@ -30,6 +30,10 @@
     /// such restarts)
     #[argh(option)]
     pub reborn: Option<u64>,
+    /// number of maintenance waves that the operators request, with faults of the machine service
+    /// and of the owner during them; at least 6 workers (default 0)
+    #[argh(option, default = "0")]
+    pub waves: usize,
     /// how the run ends: with `calm` last jobs follow on the load, with `power-loss` all boxes and
     /// workers also lose power right after one was accepted (default: no further jobs)
     #[argh(option)]
--- a/programs/soak/src/fault.rs
+++ b/programs/soak/src/fault.rs
@@ -98,6 +98,9 @@
         if !started.is_empty() || !ended.is_empty() {
             self.set_conditions();
         }
+        if self.world.waves.step() {
+            self.set_pauses();
+        }
         self.restart_boxes()?;
         for worker in &self.world.workers {
             worker.runner.running();
@@ -110,14 +113,18 @@
     }
 
     fn record_fault(&self) {
-        if self.faults().any(|fault| !fault.is_config_change()) {
+        let waves = &self.world.waves;
+        if waves.is_disruptive() || self.faults().any(|fault| !fault.is_config_change()) {
             self.world.record_fault(None);
         }
         for (number, process) in self.world.boxes.iter().enumerate() {
             let process = lock(process);
             let is_down = !process.is_ready || !process.is_expected();
             drop(process);
-            if is_down || self.faults().any(|fault| fault.affects_box(number)) {
+            if is_down
+                || waves.hits.is_hit(number)
+                || self.faults().any(|fault| fault.affects_box(number))
+            {
                 self.world.record_fault(Some(number));
             }
         }
@@ -145,20 +152,28 @@
                 .blackhole_direction(direction_of(is_request)),
             Fault::WorkerReset(number) => world.workers[number].proxy.reset(),
             Fault::Crash(number) => {
-                self.stale.insert(index, world.crash(number));
+                if let Some(former) = world.workers[number].crash() {
+                    self.stale.insert(index, former);
+                }
+            }
+            Fault::Reborn(number, is_entry_late) => {
+                world.workers[number].restart_same_id(is_entry_late)
             }
-            Fault::Reborn(number, is_entry_late) => world.restart_same_id(number, is_entry_late),
             Fault::PowerOff(number, _) | Fault::Gone(number) => {
                 world.workers[number].runner.power_off()
             }
             Fault::CallsLate(number, count) => world.workers[number].runner.defer_calls(count),
-            Fault::Unlisted(number) => world.remove_entry(&world.incarnation(number)),
+            Fault::Unlisted(number) => world.workers[number].unlist(),
             Fault::Shut(hall) => world.close_hall(hall),
             Fault::Version => world.write_version(),
             Fault::OldVersion => world.write_older(),
-            Fault::Shrunk(number, cores) => world.resize(number, cores),
-            Fault::Garbled(number) => world.corrupt_entry(number),
+            Fault::Shrunk(number, cores) => world.workers[number].resize(cores),
+            Fault::Garbled(number) => world.workers[number].corrupt_entry(),
             Fault::Foreign(kind) => world.add_foreign(kind),
+            Fault::Wave(fault) => {
+                let time = Duration::from_millis(self.plan[index].duration);
+                world.waves.start_fault(fault, time);
+            }
             _ => {}
         }
     }
@@ -168,22 +183,24 @@
             Fault::Late(_) => {
                 self.world.kv.apply_deferred();
             }
-            Fault::Crash(_) => {
+            Fault::Crash(number) => {
                 if let Some(incarnation) = self.stale.remove(&index) {
-                    self.world.remove_entry(&incarnation);
+                    self.world.workers[number].remove_entry(&incarnation);
                 }
             }
             Fault::Unlisted(number) | Fault::Garbled(number) | Fault::Reborn(number, _) => {
-                self.world.write_entry(number);
+                self.world.workers[number].write_entry();
             }
-            Fault::PowerOff(number, true) => self.world.restart_same_id(number, false),
+            Fault::PowerOff(number, true) => self.world.workers[number].restart_same_id(false),
             Fault::PowerOff(number, false) => {
-                let former = self.world.crash(number);
-                self.world.remove_entry(&former);
+                let worker = &self.world.workers[number];
+                if let Some(former) = worker.crash() {
+                    worker.remove_entry(&former);
+                }
             }
-            Fault::Gone(number) => self.world.remove_entry(&self.world.incarnation(number)),
+            Fault::Gone(number) => self.world.workers[number].unlist(),
             Fault::CallsLate(number, _) => self.world.workers[number].runner.run_deferred(),
-            Fault::Shrunk(number, _) => self.world.resize(number, CORES),
+            Fault::Shrunk(number, _) => self.world.workers[number].resize(CORES),
             Fault::Foreign(kind) => self.world.remove_foreign(kind),
             Fault::Shut(hall) => {
                 let is_other = |fault| fault == Fault::Shut(hall);
@@ -211,6 +228,7 @@
             }
         }
         world.kv.set_faults(faults);
+        world.waves.set_faults(self.faults());
         for (number, proxy) in world.proxies.iter().enumerate() {
             let is_away = |fault| fault == Fault::StoreAway(number);
             let away = self.faults().any(is_away);
@@ -223,15 +241,20 @@
                 _ => None,
             }));
         }
-        for (number, process) in world.boxes.iter().enumerate() {
-            let is_pause = |fault| fault == Fault::Pause(number) || fault == Fault::PauseAll;
-            lock(process).pause(self.faults().any(is_pause));
-        }
+        self.set_pauses();
         for number in 0..world.workers.len() {
             self.set_worker_faults(number);
         }
     }
 
+    fn set_pauses(&self) {
+        for (number, process) in self.world.boxes.iter().enumerate() {
+            let is_pause = |fault| fault == Fault::Pause(number) || fault == Fault::PauseAll;
+            let is_frozen = self.world.waves.hits.is_frozen(number);
+            lock(process).pause(is_frozen || self.faults().any(is_pause));
+        }
+    }
+
     fn set_worker_faults(&self, number: usize) {
         let worker = &self.world.workers[number];
         let mut faults = runner::Faults::default();
@@ -261,7 +284,9 @@
             if let Some(text) = process.poll_exit()? {
                 self.world.report_breach("end", &format!("b{number}"), text);
             }
-            if !self.faults().any(|fault| fault.keeps_down(number)) {
+            let is_kept_down = self.world.waves.hits.keeps_down(number)
+                || self.faults().any(|fault| fault.keeps_down(number));
+            if !is_kept_down {
                 process.start()?;
             }
         }
--- a/programs/soak/src/main.rs
+++ b/programs/soak/src/main.rs
@@ -13,11 +13,14 @@
 mod report;
 mod settle;
 mod versions;
+mod waves;
+mod worker;
 mod world;
 
 use {
     anyhow::{Context, Result, ensure},
     callers::Caller,
+    closing::Closing,
     fault::Player,
     guard::Guard,
     kernel::{sync::lock, task::Signal},
@@ -35,6 +38,7 @@
         thread::{self, ScopedJoinHandle},
         time::{Duration, Instant},
     },
+    waves::draw,
     world::World,
 };
 
@@ -80,14 +84,18 @@
         is_valid,
         "boxes or workers invalid; expected 1 to {MAX_COUNT}"
     );
+    check_waves(arguments)?;
     let time = Duration::from_secs(arguments.seconds);
-    let plan = plan::draw(
+    let wave_plan = draw::draw(arguments.seed, time, arguments.waves, arguments.workers);
+    let mut plan = plan::draw(
         arguments.seed,
         time,
         arguments.boxes,
         arguments.workers,
         arguments.reborn,
     );
+    plan.extend(wave_plan.events);
+    plan.sort_by_key(|event| event.at);
     let final_plan = closing::draw(
         arguments.closing,
         arguments.seed,
@@ -102,12 +110,7 @@
         return Ok(0);
     }
     let program = program(arguments)?;
-    let world = World::open(
-        &program,
-        arguments.boxes,
-        arguments.workers,
-        !arguments.untimed,
-    )?;
+    let world = World::open(&program, arguments, wave_plan.requests)?;
     let stalls = run_world(&world, arguments, &plan, &final_plan)?;
     world.check();
     let breaches = world.breaches();
@@ -122,6 +125,24 @@
     Ok(breaches.len())
 }
 
+/// Checks that the other arguments allow maintenance waves.
+fn check_waves(arguments: &cli::Arguments) -> Result<()> {
+    if arguments.waves == 0 {
+        return Ok(());
+    }
+    ensure!(
+        arguments.workers >= draw::MIN_WORKERS,
+        "waves need at least {} workers",
+        draw::MIN_WORKERS
+    );
+    // The final loss of power would end the maintenance of machines, or take them away.
+    ensure!(
+        arguments.closing != Some(Closing::PowerLoss),
+        "waves cannot be combined with a power loss at the end"
+    );
+    Ok(())
+}
+
 /// Finds the box executable and creates the directory for the logs.
 fn program(arguments: &cli::Arguments) -> Result<Program> {
     let default_path = || Ok::<_, anyhow::Error>(env::current_exe()?.with_file_name("magpie-box"));
@@ -141,6 +162,7 @@
         logs,
         direct_workers: arguments.own_workers.unwrap_or(direct_workers),
         link: arguments.link,
+        machines: None,
         guard,
     })
 }
@@ -243,7 +265,7 @@
         return;
     }
     // The locks are held until the exit, so that no box is restarted.
-    let mut boxes: Vec<_> = world.boxes.iter().map(lock).collect();
+    let mut boxes: Vec<_> = world.boxes.iter().map(|process| lock(process)).collect();
     for process in &mut boxes {
         process.kill();
     }
--- a/programs/soak/src/plan.rs
+++ b/programs/soak/src/plan.rs
@@ -2,6 +2,7 @@
 //! alone.
 
 use {
+    crate::waves::draw::WaveFault,
     fastrand::Rng,
     std::{fmt, time::Duration},
 };
@@ -112,6 +113,8 @@
     Version,
     /// An older version of the configuration is shown for a while.
     OldVersion,
+    /// Concerns maintenance waves.
+    Wave(WaveFault),
 }
 
 impl Fault {
@@ -141,7 +144,13 @@
 
     /// True for changes that operators make during normal operation.
     pub fn is_config_change(self) -> bool {
-        matches!(self, Fault::Version | Fault::OldVersion | Fault::Shut(_))
+        matches!(
+            self,
+            Fault::Version
+                | Fault::OldVersion
+                | Fault::Shut(_)
+                | Fault::Wave(WaveFault::Request(_))
+        )
     }
 
     /// True when the fault keeps the box from being restarted while it lasts.
--- a/programs/soak/src/process.rs
+++ b/programs/soak/src/process.rs
@@ -32,6 +32,8 @@
     pub direct_workers: usize,
     /// Bandwidth of the boxes' links, in Mbit/s; `None` for no limit.
     pub link: Option<u32>,
+    /// The address of the machine service; `None` if there is none.
+    pub machines: Option<String>,
     /// Kills the boxes when the soak dies.
     pub guard: Arc<Guard>,
 }
@@ -105,6 +107,9 @@
         if let Some(link) = self.program.link {
             command.env("MAGPIE_LINK", link.to_string());
         }
+        if let Some(machines) = &self.program.machines {
+            command.env("MAGPIE_MACHINES", machines);
+        }
         let child = command
             .env("MAGPIE_NAME", format!("b{}", self.number))
             .env("MAGPIE_HALL", "h1")
--- a/programs/soak/src/report.rs
+++ b/programs/soak/src/report.rs
@@ -1,7 +1,7 @@
 //! Prints breaches and the summary of a run.
 
 use {
-    crate::{check::Breach, history::Micros, world::World},
+    crate::{check::Breach, history::Micros, waves::rules, world::World},
     kernel::sync::lock,
     std::path::Path,
 };
@@ -25,6 +25,10 @@
             lines.push((exchange.sent, text));
         }
     }
+    let (asked, log) = (world.waves.asked(), world.waves.log());
+    lines.extend(rules::history(&breach.of, &asked, &log, |time| {
+        world.at(time)
+    }));
     for run in world.runs() {
         if run.parts().0 != breach.of {
             continue;
@@ -64,6 +68,7 @@
     println!(
         "seed {seed}: {breaches} breaches; {total} jobs, {accepted} accepted, {cancelled} cancelled; {runs} runs, {crashes} crashes under tasks, {stops} stops in calm; {judged} jobs judged for standing still at {moments} moments, {closing} after the load; {closures} halls shut for long; {versions} versions; {stalls} stalls of the stand-ins"
     );
+    print_waves(world, seed);
     if judged == 0 {
         println!("seed {seed}: no job was judged for standing still");
     }
@@ -71,3 +76,19 @@
         println!("seed {seed}: logs of the boxes lie in {}", logs.display());
     }
 }
+
+/// Prints one line about the maintenance waves, if the run has any.
+fn print_waves(world: &World, seed: u64) {
+    if !world.waves.is_used() {
+        return;
+    }
+    let (asked, log) = (world.waves.asked(), world.waves.log());
+    let completed = asked.iter().filter(|(_, asked)| asked.completed.is_some());
+    println!(
+        "seed {seed}: {} waves requested, {} completed; {} orders, {} machines down for maintenance",
+        asked.len(),
+        completed.count(),
+        log.orders.len(),
+        log.maintenance.len()
+    );
+}
--- a/programs/soak/src/settle.rs
+++ b/programs/soak/src/settle.rs
@@ -2,7 +2,7 @@
 //! states.
 
 use {
-    crate::{callers::send_request, check, closing, history::RequestKind, world::World},
+    crate::{callers::send_request, check, closing, history::RequestKind, waves, world::World},
     kernel::{Client, sync::lock},
     std::{
         thread,
@@ -49,6 +49,7 @@
     if !wait_ready(world) {
         return;
     }
+    let are_waves_over = waves::settle::wait_completed(world);
     wait_long_running(world);
     let mut started = Instant::now();
     let is_late = |started: Instant| started.elapsed() > timeout(world);
@@ -78,6 +79,9 @@
             }
         }
     }
+    if are_waves_over && world.waves.is_used() {
+        waves::settle::check_open(world);
+    }
 }
 
 /// Waits until each task of each long-running job runs; reports a breach where one does not start
--- a/programs/soak/src/world.rs
+++ b/programs/soak/src/world.rs
@@ -3,21 +3,19 @@
 use {
     crate::{
         check::{self, Breach, Closure},
+        cli::Arguments,
         history::{FaultPeriods, Jobs, Micros, NEVER, Run},
         idle::{Capacity, IDLE_BOUND, IdleWatch, Sample, UNTIMED_BOUND},
         plan::HALLS,
         process::{Process, Program},
         versions::{ObservedVersion, VersionLog, render},
+        waves::{Waves, draw::Request, machine_name, rules},
+        worker::{Worker, hall_name},
     },
-    anyhow::{Context, Result},
+    anyhow::Result,
     kernel::{Client, HttpResponse, client::Call, sync::lock},
     serde_json::{Value, json},
-    standin::{
-        Kv, Runner,
-        kv::{decode, encode},
-        proxy::Proxy,
-        runner::RunLog,
-    },
+    standin::{Kv, kv::encode, proxy::Proxy, runner::RunLog},
     std::{
         collections::HashMap,
         net::SocketAddr,
@@ -30,25 +28,11 @@
 const BYTES_OF_MBIT: usize = 125_000;
 /// Cores of a worker; each task takes one.
 pub const CORES: u64 = 4;
-/// Duration of a task whose specification gives none.
-const DEFAULT_DURATION: Duration = Duration::from_millis(50);
 /// The store key of the configuration.
 const CONFIG_KEY: &str = "op/config";
 /// Two records of active faults less than this apart belong to one period.
 const MAX_PERIOD_GAP: Micros = 500_000;
 
-/// One worker and the proxy in front of it.
-pub struct Worker {
-    /// The simulated worker.
-    pub runner: Runner,
-    /// The proxy through which all boxes reach the worker.
-    pub proxy: Proxy,
-    /// Number of incarnations so far.
-    incarnations: Mutex<u32>,
-    /// Its entry in the listing, at full capacity.
-    entry: Value,
-}
-
 /// The periods with active faults, of any kind and per box.
 #[derive(Default)]
 struct FaultLog {
@@ -64,9 +48,11 @@
     /// Each box's proxy to the store.
     pub proxies: Vec<Proxy>,
     /// The boxes.
-    pub boxes: Vec<Mutex<Process>>,
+    pub boxes: Vec<Arc<Mutex<Process>>>,
     /// The workers.
-    pub workers: Vec<Worker>,
+    pub workers: Vec<Arc<Worker>>,
+    /// The maintenance waves.
+    pub waves: Waves,
     run_log: Arc<Mutex<RunLog>>,
     /// All jobs.
     pub jobs: Mutex<Jobs>,
@@ -87,20 +73,49 @@
     /// # Errors
     ///
     /// A port cannot be opened.
-    pub fn open(program: &Program, boxes: usize, workers: usize, timed: bool) -> Result<Self> {
+    pub fn open(program: &Program, arguments: &Arguments, requests: Vec<Request>) -> Result<Self> {
         let kv = Kv::default();
         let url = kv.open(SocketAddr::from(([127, 0, 0, 1], 0)))?;
         let store: SocketAddr = url.trim_start_matches("http://").parse()?;
         let run_log = Arc::new(Mutex::new(RunLog::default()));
-        let mut world = World {
+        let mut workers = Vec::new();
+        for number in 0..arguments.workers {
+            let label = (!requests.is_empty()).then(|| machine_name(number));
+            workers.push(Arc::new(Worker::open(&kv, number, label, &run_log)?));
+        }
+        let keeps_ids = arguments.reborn.is_some();
+        let waves = Waves::new(&kv, requests, &workers, keeps_ids);
+        let program = Program {
+            machines: waves.open()?,
+            ..program.clone()
+        };
+        let (mut proxies, mut boxes) = (Vec::new(), Vec::new());
+        for number in 0..arguments.boxes {
+            let proxy = Proxy::open(store)?;
+            let address = proxy.address().to_string();
+            if let Some(link) = program.link {
+                proxy.set_rate(link as usize * BYTES_OF_MBIT);
+            }
+            proxies.push(proxy);
+            let process = Process::new(&program, number, address)?;
+            boxes.push(Arc::new(Mutex::new(process)));
+        }
+        waves.set_boxes(&boxes);
+        let timed = !arguments.untimed;
+        let fault_log = FaultLog {
+            any: FaultPeriods::default(),
+            boxes: vec![FaultPeriods::default(); boxes.len()],
+        };
+        let world = World {
             started: Instant::now(),
             kv,
-            proxies: Vec::new(),
-            boxes: Vec::new(),
-            workers: Vec::new(),
+            proxies,
+            boxes,
+            workers,
+            waves,
             run_log,
             jobs: Mutex::default(),
-            fault_log: Mutex::default(),
+            fault_log: Mutex::new(fault_log),
             versions: Mutex::default(),
             observed: Mutex::default(),
             closures: Mutex::default(),
@@ -111,58 +126,17 @@
             })),
             timed,
         };
-        for number in 0..workers {
-            let worker = world.worker(number)?;
-            world.workers.push(worker);
-        }
-        for number in 0..boxes {
-            let proxy = Proxy::open(store)?;
-            let address = proxy.address().to_string();
-            if let Some(link) = program.link {
-                proxy.set_rate(link as usize * BYTES_OF_MBIT);
-            }
-            world.proxies.push(proxy);
-            let process = Process::new(program, number, address)?;
-            world.boxes.push(Mutex::new(process));
-        }
-        lock(&world.fault_log).boxes = vec![FaultPeriods::default(); boxes];
         world.write_version();
         Ok(world)
     }
 
-    /// Starts a worker whose entry holds the address of its proxy.
-    fn worker(&self, number: usize) -> Result<Worker> {
-        let id = format!("w{number}-1");
-        let runner = Runner::open(
-            &self.kv,
-            "pool",
-            &id,
-            CORES,
-            DEFAULT_DURATION,
-            &self.run_log,
-        )?;
-        let key = format!("servers/{id}");
-        let entry = self.kv.value(&key).context("a worker has no entry")?;
-        let mut entry: Value = serde_json::from_slice(&decode(&entry))?;
-        let address = entry["address"].as_str().unwrap_or_default();
-        let proxy = Proxy::open(address.parse()?)?;
-        entry["address"] = proxy.address().to_string().into();
-        entry["zone"] = hall_name(number % HALLS).into();
-        self.kv.put(&key, &encode(&entry));
-        Ok(Worker {
-            runner,
-            proxy,
-            incarnations: Mutex::new(1),
-            entry,
-        })
-    }
-
     /// Microseconds since the start of the run.
     pub fn now(&self) -> Micros {
         self.at(Instant::now())
     }
 
-    fn at(&self, time: Instant) -> Micros {
+    /// Microseconds from the start of the run to `time`.
+    pub fn at(&self, time: Instant) -> Micros {
         time.saturating_duration_since(self.started).as_micros() as Micros
     }
 
@@ -190,29 +164,6 @@
         lock(&self.versions).latest()
     }
 
-    /// Crashes and restarts a worker. Returns the former incarnation, whose entry stays.
-    pub fn crash(&self, number: usize) -> String {
-        let worker = &self.workers[number];
-        let old = self.incarnation(number);
-        // The entry may be missing from the listing.
-        self.write_entry(number);
-        let mut incarnations = lock(&worker.incarnations);
-        *incarnations += 1;
-        worker.runner.restart(&format!("w{number}-{incarnations}"));
-        old
-    }
-
-    /// Crashes a worker and restarts it under its former id. Its entry is updated unless
-    /// `is_entry_late`.
-    pub fn restart_same_id(&self, number: usize, is_entry_late: bool) {
-        self.workers[number]
-            .runner
-            .restart_without_entry(&self.incarnation(number));
-        if !is_entry_late {
-            self.write_entry(number);
-        }
-    }
-
     /// Closes a data hall, as operators do.
     pub fn close_hall(&self, hall: usize) {
         let name = hall_name(hall);
@@ -243,43 +194,9 @@
         self.kv.remove(&format!("op/evacuate/{name}"));
     }
 
-    /// Removes an incarnation of a worker from the listing.
-    pub fn remove_entry(&self, incarnation: &str) {
-        self.kv.remove(&format!("servers/{incarnation}"));
-    }
-
-    /// The id of the current incarnation of a worker.
-    pub fn incarnation(&self, number: usize) -> String {
-        self.workers[number].runner.id()
-    }
-
-    /// Writes the entry of the current incarnation of a worker to the listing.
-    pub fn write_entry(&self, number: usize) {
-        let key = format!("servers/{}", self.incarnation(number));
-        let worker = &self.workers[number];
-        let mut entry = worker.entry.clone();
-        // A worker publishes its current capacity, even when another fault has changed its entry in
-        // the meantime.
-        entry["capacity"]["cpu"] = (worker.runner.cores() * 1_000).into();
-        entry["born"] = worker.runner.start_time().into();
-        self.kv.put(&key, &encode(&entry));
-    }
-
-    /// Sets the number of cores of a worker and updates its entry.
-    pub fn resize(&self, number: usize, cores: u64) {
-        self.workers[number].runner.resize(cores);
-        self.write_entry(number);
-    }
-
-    /// Replaces the entry of a worker by an invalid value.
-    pub fn corrupt_entry(&self, number: usize) {
-        let key = format!("servers/{}", self.incarnation(number));
-        self.kv.put(&key, &encode(&json!({ "service": 7 })));
-    }
-
     /// Lists an entry that is not a worker of the service; there are four kinds.
     pub fn add_foreign(&self, kind: usize) {
-        let mut entry = self.workers[0].entry.clone();
+        let mut entry = self.workers[0].entry().clone();
         entry["address"] = "127.0.0.1:9".into();
         match kind % 4 {
             0 => entry["state"] = "retired".into(),
@@ -360,14 +277,16 @@
     /// Number of free cores on all workers that are up.
     pub fn free_cores(&self) -> usize {
         let runs = self.runs();
-        let is_up = |number: &usize| !self.workers[*number].runner.is_down();
+        let is_up = |number: &usize| {
+            !self.workers[*number].runner.is_down() && !self.waves.may_be_closed(*number)
+        };
         let all = (0..self.workers.len()).filter(is_up);
         all.map(|number| self.capacity(number, &runs).free).sum()
     }
 
     /// The cores of a worker.
     fn capacity(&self, number: usize, runs: &[Run]) -> Capacity {
-        let incarnation = self.incarnation(number);
+        let incarnation = self.workers[number].incarnation();
         let is_active = |run: &&Run| run.worker == incarnation && run.ended == NEVER;
         let used = runs.iter().filter(is_active).count();
         let total = self.workers[number].runner.cores() as usize;
@@ -381,7 +300,9 @@
         for (number, worker) in self.workers.iter().enumerate() {
             let prefix = worker_prefix(number);
             let is_closing = |own: &Closure| own.opened == NEVER && own.workers.contains(&prefix);
-            if worker.runner.is_down() || lock(&self.closures).iter().any(is_closing) {
+            let is_closed =
+                self.waves.may_be_closed(number) || lock(&self.closures).iter().any(is_closing);
+            if worker.runner.is_down() || is_closed {
                 continue;
             }
             let Capacity { total, free } = self.capacity(number, runs);
@@ -452,6 +373,10 @@
         for breach in check::closed_halls(&lock(&self.closures), &runs, &boxes) {
             self.record_breach(breach);
         }
+        let (asked, log) = (self.waves.asked(), self.waves.log());
+        for breach in rules::all(&asked, &log, |time| self.at(time)) {
+            self.record_breach(breach);
+        }
     }
 
     /// Number of hall closures that outlasted the time in which starts are still allowed.
@@ -488,11 +413,6 @@
     }
 }
 
-/// The name of a data hall.
-fn hall_name(hall: usize) -> String {
-    format!("h{hall}")
-}
-
 /// The prefix of the ids of all incarnations of a worker.
 fn worker_prefix(number: usize) -> String {
     format!("w{number}-")
