Draw longer freezes and larger waves in the soak

With freezes from 0.5 s on, most end before the lease of an owner does, and with 12 workers a wave still had at most four machines, so that hardly any pass sent several orders.

Freezes now last 1.5 to 5 s, and a wave has up to half of the machines; for 6 workers it is as before.

--- a/programs/soak/src/waves/draw.rs
+++ b/programs/soak/src/waves/draw.rs
@@ -12,8 +12,10 @@
 pub const MIN_WORKERS: usize = 6;
 /// One of this many workers may be down for maintenance at the same time.
 const WORKERS_PER_DOWN: usize = 3;
-/// Number of machines of a wave.
-const MACHINES: std::ops::Range<usize> = 2..5;
+/// Number of machines of a wave, at least.
+const MIN_MACHINES: usize = 2;
+/// Number of machines of a wave, at most: this, or half of all if they are more.
+const MAX_MACHINES: usize = 4;
 /// Time of the first request, in milliseconds.
 const FIRST_REQUEST: std::ops::Range<u64> = 200..1_500;
 /// Time from one request to the next, in milliseconds.
@@ -32,8 +34,9 @@
 const BEGIN_DELAY: std::ops::Range<u64> = 200..3_000;
 /// How long the service has one of these faults, in milliseconds.
 const SERVICE_FAULT: std::ops::Range<u64> = 1_000..6_000;
-/// How long a box is frozen, in milliseconds: some longer than the lease of an owner (2 s).
-const FREEZE: std::ops::Range<u64> = 500..4_500;
+/// How long a box is frozen, in milliseconds: mostly longer than the lease of an owner (2 s) and a
+/// takeover.
+const FREEZE: std::ops::Range<u64> = 1_500..5_000;
 /// How long a killed or terminated box stays down, in milliseconds.
 const DOWNTIME: std::ops::Range<u64> = 50..3_000;
 
@@ -124,7 +127,7 @@
 fn request(rng: &mut Rng, index: usize, workers: usize) -> Request {
     let mut machines: Vec<usize> = (0..workers).collect();
     rng.shuffle(&mut machines);
-    machines.truncate(rng.usize(MACHINES));
+    machines.truncate(rng.usize(MIN_MACHINES..=MAX_MACHINES.max(workers / 2)));
     Request {
         number: index as u64 + 1,
         machines,
