Test two seeds of the soak with maintenance waves

Seed 22 has one wave and hits on the owner after its orders; seed 39 has 12 workers, so that several orders leave in one pass, and freezes of an owner between two of them. The run passes its number of workers instead of 6.

--- a/programs/soak/tests/seeds.rs
+++ b/programs/soak/tests/seeds.rs
@@ -72,6 +72,19 @@
     run_soak(seed, &["--seconds", "20"]);
 }
 
+/// Maintenance waves while the machine service and the owner fail. Guards against an owner that
+/// does not know what the former one has ordered: it exceeded the limit, and waves did not complete.
+/// In the case with 12 workers several orders leave in one pass, and an owner that was frozen
+/// between two of them went on with its old token.
+#[test_case(22, 6, 1, 6; "seed 22")]
+#[test_case(39, 12, 2, 8; "seed 39 with 12 workers")]
+fn seed_with_waves_finds_no_breach(seed: u64, workers: u64, waves: u64, seconds: u64) {
+    let numbers = [workers, waves, seconds].map(|number| number.to_string());
+    let [workers, waves, seconds] = numbers.each_ref().map(String::as_str);
+    let options = ["--workers", workers, "--waves", waves, "--seconds", seconds];
+    run_soak(seed, &options);
+}
+
 fn run_soak(seed: u64, options: &[&str]) {
     let _guard = RUN_LOCK
         .lock()
@@ -80,8 +93,8 @@
     let program = build_box(soak);
     let out = Command::new(soak)
         .args(["--seed", &seed.to_string()])
-        .args(["--boxes", "3", "--workers", "6", "--untimed"])
-        .args(duration_arguments(options))
+        .args(["--boxes", "3", "--untimed"])
+        .args(default_arguments(options))
         .args(options)
         .arg("--box")
         .arg(program)
@@ -91,11 +104,11 @@
     assert_eq!(out.status.code(), Some(0), "{output}");
 }
 
-/// The default duration of a run, unless `options` sets one.
-fn duration_arguments(options: &[&str]) -> &'static [&'static str] {
-    if options.contains(&"--seconds") {
-        &[]
-    } else {
-        &["--seconds", "12"]
-    }
+/// The default number of workers and duration of a run, unless `options` sets them.
+fn default_arguments(options: &[&str]) -> Vec<&'static str> {
+    let defaults = [["--workers", "6"], ["--seconds", "12"]];
+    let unset = defaults
+        .into_iter()
+        .filter(|[name, _]| !options.contains(name));
+    unset.flatten().collect()
 }
