Node: report readiness only to owners that can decode it

A relay of this build told each owner which runs are ready, in a field that an owner of an earlier build cannot decode: while boxes are changed one by one, all reports of workers with a ready long-running task would be lost, and their tasks started twice. An owner of this build now marks its polls for relays by an odd wait, 1 ms more; earlier builds only use even ones, so that a relay leaves the field out for them. Owners of this build read the reports of earlier relays as before.

Ruled out: a new field of the poll, which earlier relays cannot decode; the opposite flag, which batch tasks would carry until they end.

The test fails if the field is sent: the run has the bytes that earlier builds know. poll_is_sent_to_relay expects the marked poll.

--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -6,7 +6,7 @@
     crate::external::PollError,
     crate::heartbeat::Heartbeat,
     crate::report_delta::ReportDelta,
-    cell::{Entry, Order, Outcome, Poll, Seal, Start, TaskKey},
+    cell::{Entry, Order, Outcome, Poll, Report, Seal, Start, TaskKey},
     job::{Address, Id, State, Submission, spec::Size},
     policy::admission::Kind,
     serde::{Deserialize, Serialize},
@@ -274,6 +274,28 @@
     Starts(Id, u64, Vec<CompactStart>),
 }
 
+/// Added to the wait of a poll, in milliseconds, by owners that can decode whether a run is ready.
+/// The waits of earlier builds are even.
+const READY_MARK: u64 = 1;
+
+/// Returns the poll of an owner that can decode whether a run is ready.
+pub const fn with_ready(poll: Poll) -> Poll {
+    Poll {
+        wait: poll.wait | READY_MARK,
+        ..poll
+    }
+}
+
+/// Leaves out of a report what the owner that sent the poll cannot decode.
+pub fn restrict_report(poll: Poll, report: &mut Report) {
+    if poll.wait & READY_MARK != 0 {
+        return;
+    }
+    for run in &mut report.running {
+        run.ready = false;
+    }
+}
+
 /// An order to start a task, without the fields that all starts of its job share. This halves its
 /// size on the link to the relay.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -332,6 +354,7 @@
     use {
         super::*,
         crate::admission::PressureReport,
+        cell::Run,
         kernel::wire,
         policy::{
             admission::{PoolCapacity, Pressure, QueuePressure},
@@ -418,4 +441,41 @@
             assert_eq!(decoded.heartbeat, heartbeat());
         }
     }
+
+    /// Guards against reports that an owner of an earlier build cannot decode: it asks for no
+    /// readiness, and knows a run without that field.
+    #[test]
+    fn restrict_report_for_earlier_build() {
+        let run = Run {
+            job: Id::new("00000000000000a1").unwrap(),
+            address: Address {
+                time: 0,
+                step: 0,
+                index: 0,
+            },
+            run: 1,
+            saved: None,
+            figure: 0,
+            ready: true,
+        };
+        let poll = Poll {
+            deadline: 0,
+            seen: 0,
+            wait: 2_000,
+        };
+        let report = Report {
+            clock: 1,
+            running: vec![run],
+            ended: Vec::new(),
+        };
+        let mut restricted = report.clone();
+        restrict_report(poll, &mut restricted);
+        let run = &restricted.running[0];
+        let earlier = (&run.job, run.address, run.run, &run.saved, run.figure);
+        let expected = wire::encode_compact(&earlier).unwrap();
+        assert_eq!(wire::encode_compact(run).unwrap(), expected);
+        let mut whole = report.clone();
+        restrict_report(with_ready(poll), &mut whole);
+        assert_eq!(whole, report);
+    }
 }
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -10,7 +10,9 @@
         core::Node,
         external::PollError,
         job_cache::JobCache,
-        message::{Command, CompactStart, Owner, RelayRequest, RelayResponse, WorkerEvent},
+        message::{
+            Command, CompactStart, Owner, RelayRequest, RelayResponse, WorkerEvent, restrict_report,
+        },
         order_queue::{self, OrderReceiver, OrderSender, QueuedOrder},
         owner_watch,
         permits::Permits,
@@ -488,7 +490,10 @@
 ) {
     while let Some((at, poll)) = polls.recv().await {
         let permit = permits.for_poll(fence);
-        let result = node.external.workers.poll(&entry, &permit, poll).await;
+        let mut result = node.external.workers.poll(&entry, &permit, poll).await;
+        if let Ok(report) = &mut result {
+            restrict_report(poll, report);
+        }
         if let Err(PollError::Silent(_)) = result {
             metrics::counter!("magpie_polls_failed_total").increment(1);
             runtime::sleep(POLL_RETRY_PAUSE).await;
--- a/components/node/src/relays/mod.rs
+++ b/components/node/src/relays/mod.rs
@@ -16,7 +16,7 @@
     crate::{
         external::PollError,
         job_cache::JobCache,
-        message::{Command, RelayRequest, RelayResponse},
+        message::{Command, RelayRequest, RelayResponse, with_ready},
         report_delta::ReportDelta,
         settings::{MAX_IN_FLIGHT_MS, RELAY_MAX_INTERVAL_MS, RELAY_MIN_INTERVAL},
     },
@@ -143,7 +143,7 @@
     /// Queues a poll of a worker for the relay `name`.
     pub fn poll(&mut self, name: &str, id: &Arc<str>, now: u64, poll: Poll) {
         if let Some(relay) = self.by_name.get_mut(name) {
-            relay.push(Command::Poll(id.clone(), now, poll));
+            relay.push(Command::Poll(id.clone(), now, with_ready(poll)));
         }
     }
 
--- a/components/node/tests/relays.rs
+++ b/components/node/tests/relays.rs
@@ -8,7 +8,7 @@
     job::{Address, Id, spec::Size},
     magpie_node::{
         external::PollError,
-        message::{Command, RelayRequest},
+        message::{Command, RelayRequest, with_ready},
         relays::{Need, Relays},
         report_delta::ReportDelta,
     },
@@ -190,7 +190,7 @@
     relays.poll("b1", &"w1".into(), 77, poll);
     let response = relays.respond("b1", FENCE, WIDE_LINK, 1);
     assert!(
-        matches!(&response.commands[1], Command::Poll(id, 77, own) if &**id == "w1" && *own == poll)
+        matches!(&response.commands[1], Command::Poll(id, 77, own) if &**id == "w1" && *own == with_ready(poll))
     );
 }
 
