--- a/components/cell/tests/decisions/crash_evidence.rs
+++ b/components/cell/tests/decisions/crash_evidence.rs
@@ -68,7 +68,7 @@
 #[test_case(8, 4_500, 10; "one of eight workers")]
 #[test_case(8, 4_000, 25; "two of eight workers")]
 fn healthy_jobs_survive_series_of_crashes(workers: usize, gap: u64, share: usize) {
-    for seed in 0..5 {
+    for seed in 0..20 {
         let mut series = Series::new(workers, seed);
         series.run(60_000, gap, share);
         series.sim.advance(30_000);
@@ -144,7 +144,7 @@
     share: usize,
     after: u64,
 ) {
-    for seed in 0..5 {
+    for seed in 0..20 {
         let mut series = Series::new(workers, seed);
         series.run(9_700, gap, share);
         series.sim.submit(JOB, step(1, 1_000));
@@ -189,14 +189,17 @@
     };
     sim.submit(JOB, step);
     let mut cut = Vec::new();
-    for _ in 0..60 {
-        sim.advance(500);
+    for _ in 0..30 {
         let machine = sim.machine_of(JOB, 0);
-        if let Some(machine) = machine.filter(|machine| !cut.contains(machine) && cut.len() < 3) {
+        if let Some(machine) = machine.filter(|machine| !cut.contains(machine)) {
             sim.set_partitioned(machine..machine + 1, true);
             cut.push(machine);
+        } else if cut.len() == 3 && machine.is_none() {
+            break;
         }
+        sim.advance(500);
     }
+    sim.advance(1_000);
     assert_eq!(cut.len(), 3);
     sim.set_partitioned(0..12, false);
     sim.advance(3_000);
