Cell: look up a slot to change it in one place

Three functions spelled out the same look-up; outcome.rs had it twice in the same form. No change of behaviour: all decision tests as before, with the nine known red.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -445,23 +445,25 @@
         self.workers.get(id)?.slots.get(key)
     }
 
+    /// The same, to change it.
+    pub(crate) fn slot_mut(&mut self, id: &str, key: &TaskKey) -> Option<&mut Slot> {
+        self.workers.get_mut(id)?.slots.get_mut(key)
+    }
+
     /// Issues an order to stop a run.
     pub(crate) fn stop(&mut self, id: &Arc<str>, key: &TaskKey, now: u64) {
-        let Some(slot) = self
-            .workers
-            .get_mut(id)
-            .and_then(|worker| worker.slots.get_mut(key))
-        else {
+        let Some(slot) = self.slot_mut(id, key) else {
             return;
         };
         slot.stopping = Some(now);
+        let run = slot.run;
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
         let order = Order::Stop {
             key: key.clone(),
             address: job.progress.submission.spec.address(key.place),
-            run: slot.run,
+            run,
         };
         self.orders.push((id.clone(), order));
     }
--- a/components/cell/src/outcome.rs
+++ b/components/cell/src/outcome.rs
@@ -59,11 +59,7 @@
         outcome: Outcome,
         now: u64,
     ) {
-        let slot = self
-            .workers
-            .get_mut(id)
-            .and_then(|worker| worker.slots.get_mut(key));
-        if let Some(slot) = slot
+        if let Some(slot) = self.slot_mut(id, key)
             && slot.run == run
         {
             let is_last = slot.percent == percent;
@@ -73,11 +69,7 @@
 
     /// Handles the confirmation of an order to stop.
     fn stop_confirmed(&mut self, id: &Arc<str>, key: &TaskKey, run: u64, now: u64) {
-        let slot = self
-            .workers
-            .get_mut(id)
-            .and_then(|worker| worker.slots.get_mut(key));
-        if let Some(slot) = slot
+        if let Some(slot) = self.slot_mut(id, key)
             && slot.run == run
             && slot.is_sent()
         {
