Cell: add evidence by task alone, without a made-up run

The crashes that no owner observed were passed to the evidence as a run with an invented length and an empty worker name, since add_evidence logged both. It needs neither: callers log what they know, and the one with a worker notes what may be revoked. The line "Run of a former owner was lost with its worker." has the sum of the evidence now; the second line with the invented values is gone.

Both questions on the delay of a start go by one look-up. The comments on delayed starts and on the limits of counts say what they hold for.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -57,8 +57,8 @@
     pub overdue: bool,
     /// Tasks whose workers crashed while running them, by place.
     pub suspects: BTreeSet<usize>,
-    /// Tasks that surely crash their workers and are started again later, by place, and when, on
-    /// the owner's clock.
+    /// Tasks whose next start is put off, by place, and until when, on the owner's clock: isolated
+    /// trials, and long-running tasks that surely crash their workers.
     pub delayed: BTreeMap<usize, u64>,
     /// Suspects for which the last placement pass found no worker to try them on, or whose gang
     /// could not start.
--- a/components/cell/src/crashes/evidence.rs
+++ b/components/cell/src/crashes/evidence.rs
@@ -19,7 +19,6 @@
     std::{
         collections::{HashMap, HashSet},
         hash::{DefaultHasher, Hash, Hasher},
-        sync::Arc,
     },
 };
 
@@ -224,25 +223,26 @@
             let most = suspect.max_evidence();
             weighed.push((suspect, to_evidence(chance).min(most)));
         }
-        for (suspect, added) in weighed {
-            self.add_evidence(&id, &suspect, added, now);
+        for (Suspect { key, runtime, .. }, added) in weighed {
+            let Some(evidence) = self.add_evidence(&key, added, now) else {
+                continue;
+            };
+            log::info!(target: "cell", job = key.job.as_str(), place = key.place, worker = &*id, runtime, added, evidence; "Evidence of a crash was weighed.");
+            if let Some(provisional) = self.crashes.provisional.get_mut(&id) {
+                provisional.evidence.push((key, added));
+            }
         }
     }
 
     /// Adds to the evidence against a task, and puts off its next start if that is to be in
-    /// isolation.
-    pub(super) fn add_evidence(&mut self, id: &Arc<str>, suspect: &Suspect, added: u32, now: u64) {
-        let Suspect { key, runtime, .. } = suspect;
+    /// isolation. Returns all the evidence, or `None` if the task is no longer suspected.
+    pub(super) fn add_evidence(&mut self, key: &TaskKey, added: u32, now: u64) -> Option<u32> {
         let is_isolated = self.suspicion(&key.job, key.place) == Suspicion::Alone;
-        let Some(job) = self.jobs.get_mut(&key.job) else {
-            return;
-        };
-        let Some(task) = job.progress.tasks.get_mut(key.place) else {
-            return;
-        };
+        let job = self.jobs.get_mut(&key.job)?;
+        let task = job.progress.tasks.get_mut(key.place)?;
         // The task may have been cleared since.
         if job.progress.state.is_final() || task.crashes.all == 0 {
-            return;
+            return None;
         }
         task.crashes.evidence += added;
         let evidence = task.crashes.evidence;
@@ -251,14 +251,11 @@
             job.delayed.insert(key.place, now + delay);
         }
         job.unpersisted_crashes.insert(key.place);
-        log::info!(target: "cell", job = key.job.as_str(), place = key.place, worker = &**id, runtime = *runtime, added, evidence; "Evidence of a crash was weighed.");
         self.dirty.insert(key.job.clone());
-        if let Some(provisional) = self.crashes.provisional.get_mut(id) {
-            provisional.evidence.push((key.clone(), added));
-        }
         if self.is_over_limit(key) {
             self.crashes.over_limit.push(key.clone());
         }
+        Some(evidence)
     }
 }
 
@@ -293,17 +290,6 @@
 }
 
 impl Suspect {
-    /// A task that ran under a former owner.
-    pub const fn unobserved(key: TaskKey) -> Self {
-        Suspect {
-            key,
-            runtime: ADOPTED_MS,
-            spread: 0,
-            confirmed: true,
-            early: false,
-        }
-    }
-
     const fn max_evidence(&self) -> u32 {
         if self.confirmed {
             MAX_EVIDENCE
--- a/components/cell/src/crashes/mod.rs
+++ b/components/cell/src/crashes/mod.rs
@@ -50,9 +50,10 @@
 /// A run reported for this long, in milliseconds, clears its task of all earlier crashes: ten times
 /// the duration of most tasks.
 const STABLE_MS: u64 = 30_000;
-/// Early crashes are counted up to this number, from which the task is tried in isolation.
+/// Early crashes are counted up to this number, from which the task is tried in isolation. Older
+/// builds fail a job at the next one.
 const MAX_EARLY_COUNT: u32 = trial::ISOLATE_AFTER_EARLY;
-/// Crashes of any kind are counted up to this number.
+/// Crashes of any kind are counted up to this number. Older builds fail a job at the next one.
 const MAX_COUNT: u32 = 4;
 /// Time, in milliseconds, in which the crash of a worker that was lost through expired leases can
 /// be revoked. The longest network partitions in the requirements last about ten seconds.
@@ -232,13 +233,14 @@
         };
         log::info!(target: "cell", worker = &**id, tasks = provisional.tasks.len(); "Worker that had been declared lost has returned; crashes counted against its tasks are revoked.");
         self.crashes.evidence.revoke(id);
-        for (key, bits) in provisional.evidence {
-            if let Some(job) = self.jobs.get_mut(&key.job) {
-                let crashes = &mut job.progress.tasks[key.place].crashes;
-                crashes.evidence = crashes.evidence.saturating_sub(bits);
-                if crashes.evidence < evidence::PROOF {
-                    job.delayed.remove(&key.place);
-                }
+        for (key, added) in provisional.evidence {
+            let Some(job) = self.jobs.get_mut(&key.job) else {
+                continue;
+            };
+            let crashes = &mut job.progress.tasks[key.place].crashes;
+            crashes.evidence = crashes.evidence.saturating_sub(added);
+            if crashes.evidence < evidence::PROOF {
+                job.delayed.remove(&key.place);
             }
         }
         for (key, is_early) in provisional.tasks {
@@ -358,14 +360,18 @@
 
     /// True if the next start of a task is delayed since it crashes its workers.
     pub(crate) fn is_delayed(&self, id: &Id, place: usize) -> bool {
-        let until = self.jobs.get(id).and_then(|job| job.delayed.get(&place));
-        until.is_some_and(|&until| self.last_pass < until)
+        self.start_delay(id, place) > 0
     }
 
     /// True if the next start of a task is delayed for longer than that of an isolated trial.
     fn is_long_delayed(&self, id: &Id, place: usize) -> bool {
+        self.start_delay(id, place) > evidence::TRIAL_SPREAD_MS
+    }
+
+    /// For how much longer the next start of a task is delayed, in milliseconds; 0 if it is not.
+    fn start_delay(&self, id: &Id, place: usize) -> u64 {
         let until = self.jobs.get(id).and_then(|job| job.delayed.get(&place));
-        until.is_some_and(|&until| self.last_pass + evidence::TRIAL_SPREAD_MS < until)
+        until.map_or(0, |until| until.saturating_sub(self.last_pass))
     }
 
     /// Queues the tasks of a resumed job that reached a crash limit under a previous owner.
--- a/components/cell/src/crashes/unobserved.rs
+++ b/components/cell/src/crashes/unobserved.rs
@@ -7,7 +7,7 @@
 
 use {
     super::evidence::{
-        MAX_CELL_SHARE, MAX_EVIDENCE, MAX_UNCONFIRMED, Suspect, UNOBSERVED_CHANCE, to_evidence,
+        MAX_CELL_SHARE, MAX_EVIDENCE, MAX_UNCONFIRMED, UNOBSERVED_CHANCE, to_evidence,
     },
     crate::{
         cell::Cell,
@@ -117,9 +117,8 @@
         }
         for (key, most, _) in due {
             let added = to_evidence(share * UNOBSERVED_CHANCE).min(most);
-            log::info!(target: "cell", job = key.job.as_str(), place = key.place, share, added; "Run of a former owner was lost with its worker.");
-            let suspect = Suspect::unobserved(key);
-            self.add_evidence(&"".into(), &suspect, added, now);
+            let evidence = self.add_evidence(&key, added, now);
+            log::info!(target: "cell", job = key.job.as_str(), place = key.place, share, added, evidence:?; "Run of a former owner was lost with its worker.");
         }
     }
 
