Cell: look a job up once when its recorded runs are checked

Each pass of placement looked the job up again for each of its ready tasks, to find the few that a former owner had on record. The job is looked up once, and tasks without a record cost a comparison.

--- a/components/cell/src/crashes/unobserved.rs
+++ b/components/cell/src/crashes/unobserved.rs
@@ -76,25 +76,28 @@
     /// run nowhere. Only a suspect whose worker is known was started right before: of any other
     /// run it is not known how long it had lasted.
     pub(crate) fn count_unobserved_crashes(&mut self, id: &Id, places: &[usize], now: u64) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Unobserved { lost, tasks, .. } = &mut self.crashes.unobserved;
+        let mut crashed = Vec::new();
         for &place in places {
-            let Some(job) = self.jobs.get_mut(id) else {
-                return;
-            };
             let recorded = &mut job.progress.tasks[place].recorded;
-            let recorded = std::mem::replace(recorded, Recorded::None);
-            let unobserved = &mut self.crashes.unobserved;
-            if recorded == Recorded::None && unobserved.tasks.is_empty() {
+            if *recorded == Recorded::None && tasks.is_empty() {
                 continue;
             }
             let job = id.clone();
             let key = TaskKey { job, place };
-            let was_sealed = unobserved.tasks.remove(&key);
-            let most = match recorded {
-                Recorded::On(worker) if unobserved.lost.contains(&worker) => MAX_EVIDENCE,
+            let was_sealed = tasks.remove(&key);
+            let most = match std::mem::replace(recorded, Recorded::None) {
+                Recorded::On(worker) if lost.contains(&worker) => MAX_EVIDENCE,
                 Recorded::Started => MAX_UNCONFIRMED,
                 Recorded::None if was_sealed => MAX_UNCONFIRMED,
                 _ => continue,
             };
+            crashed.push((key, most));
+        }
+        for (key, most) in crashed {
             if self.count_crash(&key, most == MAX_EVIDENCE) {
                 let unobserved = &mut self.crashes.unobserved;
                 unobserved.unweighed.push((key, most, now));
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -5,8 +5,8 @@
 //! has threads that follow the configuration, watch and claim the ownership of the cell, accept
 //! jobs, exchange messages with the owner, and repeat cancellations to it until it confirms them.
 //! The owner also has threads that renew its lease, watch and check the intake, write groups of
-//! records, list the workers, run maintenance waves and read which data halls are closed. Two async tasks for
-//! each worker run on the network thread.
+//! records, list the workers, run maintenance waves and read which data halls are closed. Two async
+//! tasks for each worker run on the network thread.
 
 pub mod accept;
 pub mod admission;
