Cell: weigh the crashes under a task jointly, and by the rate of the machine

What callers saw: a healthy job is shown as failed, or a long-running task stands still beside free capacity (LOST), after several workers were lost under one task. It needs no crash of its own: a machine that crashes each 9 to 24 s under a task that is bound to it is enough (five crashes for a batch job, the eighth to twelfth restart of a long-running one comes too late), as are seven to ten starts in a row that reach no worker, and chance in small cells.

Cause: the evidence of each crash is that of its own time, and was added up as it is. A loss by pure chance tells 1.4 bits on average, so that enough of them always reach any limit. The rate of losses was that of the last 10 s and of the whole cell: nothing knew that it is one machine that is lost.

Change: from the fourth crash on only what exceeds an expected amount adds to the evidence (1.0, 1.0, then 2.3 bits), so that it falls again for tasks that crash nothing. The number of weighed crashes is persisted with the evidence, in a field of its row that older builds ignore. The rate of losses is the highest of that of the last 10 s, of the last two minutes and of the machine. A run that a former owner had started on a worker that is not known tells up to 4 bits in place of 2; each of these crashes is weighed by the share of workers that were lost, so that the cap has no other reason.

Evidence: twelve cases of crash_evidence.rs fail on (flaky machine, six; starts sent to workers that have just crashed, five of six; the known red longer_tasks_survive_crashes_in_small_cell), all pass now.

In the cell 464 tests pass; the nine that fail are those of quarantine.rs in the list of known failures.

--- a/components/cell/src/crashes/evidence.rs
+++ b/components/cell/src/crashes/evidence.rs
@@ -7,6 +7,7 @@
 
 use {
     super::{
+        history::HISTORY_MS,
         losses::{Correlation, GroupLoss, Loss, RETENTION_MS},
         trial::{ISOLATE_AFTER_EARLY, Suspicion},
     },
@@ -15,7 +16,7 @@
         slot::Slot,
         worker::{TaskKey, Worker},
     },
-    job::Id,
+    job::{Crashes, Id},
     std::{
         collections::{HashMap, HashSet},
         hash::{DefaultHasher, Hash, Hasher},
@@ -28,6 +29,12 @@
 pub(super) const MAX_EVIDENCE: u32 = 60;
 /// The same if the worker did not confirm the start: it may have been lost before.
 pub(super) const MAX_UNCONFIRMED: u32 = 20;
+/// What a crash has to tell before it adds to the evidence, in tenths of a bit, by the number of
+/// crashes before it; from the last entry on it is the same. Of many crashes some are unlikely by
+/// chance, which would prove in the end that a healthy task causes them.
+const EXPECTED_EVIDENCE: [u32; 6] = [0, 0, 0, 10, 10, 23];
+/// The evidence that each further crash adds at most, in tenths of a bit.
+const MAX_ADDED: u32 = MAX_EVIDENCE - EXPECTED_EVIDENCE[EXPECTED_EVIDENCE.len() - 1];
 /// Isolated trials begin after a random part of this time, in milliseconds. Without it suspects
 /// would start in step with whatever crashes workers at intervals, since they are lost together.
 pub(super) const TRIAL_SPREAD_MS: u64 = 1_000;
@@ -85,7 +92,7 @@
     unweighed: Vec<Unweighed>,
     /// The tasks of these crashes.
     awaiting: HashSet<TaskKey>,
-    /// When crashes were counted against a task, while the losses of the workers are kept.
+    /// When crashes were counted against a task, while the losses of the workers are remembered.
     blamed: HashMap<TaskKey, Vec<u64>>,
 }
 
@@ -114,25 +121,25 @@
         self.awaiting = suspects.map(|suspect| suspect.key.clone()).collect();
     }
 
-    /// Drops what is older than the recent losses.
+    /// Drops what is older than the history of losses.
     fn expire(&mut self, now: u64) {
         self.since.get_or_insert(now);
         self.blamed.retain(|_, times| {
-            times.retain(|at| now < at + RETENTION_MS);
+            times.retain(|at| now < at + HISTORY_MS);
             !times.is_empty()
         });
     }
 
-    /// Number of recent losses that were counted against the task.
-    fn blamed_count(&self, key: &TaskKey) -> usize {
-        self.blamed.get(key).map_or(0, Vec::len)
+    /// Number of losses within this time that were counted against the task.
+    fn blamed_within(&self, time: u64, key: &TaskKey, now: u64) -> usize {
+        let times = self.blamed.get(key).into_iter().flatten();
+        times.filter(|&&at| now < at + time).count()
     }
 
-    /// The time over which losses are known, in milliseconds.
-    fn observed(&self, now: u64) -> u64 {
+    /// The part of this time over which losses are known, in milliseconds.
+    fn observed(&self, time: u64, now: u64) -> u64 {
         let since = self.since.unwrap_or(now);
-        now.saturating_sub(since)
-            .clamp(MIN_OBSERVED_MS, RETENTION_MS)
+        now.saturating_sub(since).clamp(MIN_OBSERVED_MS, time)
     }
 }
 
@@ -185,7 +192,8 @@
         if due.is_empty() {
             return;
         }
-        let unexplained = self.crashes.losses.unexplained();
+        let losses = &self.crashes.losses;
+        let unexplained = [losses.unexplained(), losses.history.unexplained()];
         for crash in due {
             self.weigh_crash(crash, unexplained, now);
         }
@@ -201,39 +209,58 @@
         clocks.map(|clock| clock.at).min()
     }
 
-    /// Weighs a crash. No trial explains `unexplained` of the recent losses.
-    fn weigh_crash(&mut self, crash: Unweighed, unexplained: usize, now: u64) {
+    /// Weighs a crash. No trial explains `unexplained` of the recent losses and of those in the
+    /// history.
+    fn weigh_crash(&mut self, crash: Unweighed, unexplained: [usize; 2], now: u64) {
         let Unweighed { loss, suspects, .. } = crash;
         let id = loss.id.clone();
         let evidence = &self.crashes.evidence;
-        let observed = evidence.observed(now);
         let losses = &mut self.crashes.losses;
-        let is_counted = !loss.has_trial && losses.recent.contains_key(&id);
-        let unexplained = unexplained.saturating_sub(usize::from(is_counted));
+        let is_recent = losses.recent.contains_key(&id);
+        let is_counted = !loss.has_trial && is_recent;
+        let of_machine = losses.history.of_machine(&loss.address);
         let context = Context {
+            recent: Window {
+                length: evidence.observed(RETENTION_MS, now),
+                unexplained: unexplained[0].saturating_sub(usize::from(is_counted)),
+            },
+            history: Window {
+                length: evidence.observed(HISTORY_MS, now),
+                unexplained: unexplained[1].saturating_sub(usize::from(is_counted)),
+            },
+            of_machine: of_machine.saturating_sub(usize::from(is_recent)),
             losses: losses.correlate(&self.workers, loss),
-            unexplained,
-            observed,
         };
         let mut weighed = Vec::new();
         for suspect in suspects {
-            let own = evidence.blamed_count(&suspect.key);
-            let own = own.saturating_sub(usize::from(is_counted && suspect.early));
+            let is_own = usize::from(is_counted && suspect.early);
+            let own = [RETENTION_MS, HISTORY_MS].map(|time| {
+                let blamed = evidence.blamed_within(time, &suspect.key, now);
+                blamed.saturating_sub(is_own)
+            });
             let chance = context.chance(&suspect, own);
             let most = suspect.max_evidence();
             weighed.push((suspect, to_evidence(chance).min(most)));
         }
         for (Suspect { key, runtime, .. }, added) in weighed {
+            let before = self.evidence(&key);
             let Some(evidence) = self.add_evidence(&key, added, now) else {
                 continue;
             };
             log::info!(target: "cell", job = key.job.as_str(), place = key.place, worker = &*id, runtime, added, evidence; "Evidence of a crash was weighed.");
             if let Some(provisional) = self.crashes.provisional.get_mut(&id) {
-                provisional.evidence.push((key, added));
+                let change = evidence.cast_signed() - before.cast_signed();
+                provisional.evidence.push((key, change));
             }
         }
     }
 
+    /// The evidence against a task, in tenths of a bit.
+    fn evidence(&self, key: &TaskKey) -> u32 {
+        let job = self.jobs.get(&key.job);
+        job.map_or(0, |job| job.progress.tasks[key.place].crashes.evidence)
+    }
+
     /// Adds to the evidence against a task, and puts off its next start if that is to be in
     /// isolation. Returns all the evidence, or `None` if the task is no longer suspected.
     pub(super) fn add_evidence(&mut self, key: &TaskKey, added: u32, now: u64) -> Option<u32> {
@@ -244,8 +271,14 @@
         if job.progress.state.is_final() || task.crashes.all == 0 {
             return None;
         }
-        task.crashes.evidence += added;
-        let evidence = task.crashes.evidence;
+        let Crashes {
+            evidence, weighed, ..
+        } = &mut task.crashes;
+        let before = EXPECTED_EVIDENCE.len() - 1;
+        let expected = EXPECTED_EVIDENCE[before.min(*weighed as usize)];
+        *evidence = (*evidence + added).saturating_sub(expected);
+        *weighed += 1;
+        let evidence = *evidence;
         if is_isolated {
             let delay = trial_delay(key, task.run);
             job.delayed.insert(key.place, now + delay);
@@ -259,25 +292,48 @@
     }
 }
 
+/// Other losses within some time.
+struct Window {
+    /// The time over which losses are known, in milliseconds.
+    length: u64,
+    /// Those that no trial explains.
+    unexplained: usize,
+}
+
 /// The loss of a worker beside other losses.
 struct Context<'a> {
     losses: Correlation<'a>,
-    /// Other recent losses that no trial explains.
-    unexplained: usize,
-    /// The time over which these are known, in milliseconds.
-    observed: u64,
+    recent: Window,
+    history: Window,
+    /// Earlier losses of the same machine. They tell of the machine even if the task ran there each
+    /// time: a task that crashes its workers crashes others as well.
+    of_machine: usize,
 }
 
 impl Context<'_> {
+    /// The losses of each worker per millisecond that have nothing to do with a task. Of the recent
+    /// losses and of those in the history, so many were counted against the task itself.
+    fn rate(&self, explained: [usize; 2]) -> f64 {
+        let total = self.losses.in_cell().total().max(1) as f64;
+        let [recent, history] = [&self.recent, &self.history];
+        let recent_others = recent.unexplained.saturating_sub(explained[0]);
+        // The loss itself counts for the history: without another one the rate is not known.
+        let others = history.unexplained.saturating_sub(explained[1]) + 1;
+        let of_recent = recent_others as f64 / (total * recent.length as f64);
+        let of_history = others as f64 / (total * history.length as f64);
+        // A single loss tells nothing of the machine.
+        let of_machine = self.of_machine.saturating_sub(1) as f64 / history.length as f64;
+        of_recent.max(of_history).max(of_machine)
+    }
+
     /// The probability that a run loses its worker for reasons that have nothing to do with its
-    /// job. `own` of the recent losses were counted against the same task.
-    fn chance(&self, suspect: &Suspect, own: usize) -> f64 {
+    /// job. `own` of the recent losses, and of those in the history, were counted against the same
+    /// task.
+    fn chance(&self, suspect: &Suspect, own: [usize; 2]) -> f64 {
         let job = &suspect.key.job;
         let in_cell = self.losses.in_cell();
-        let total = in_cell.total().max(1) as f64;
-        let explained = own.max(in_cell.explained_others(job));
-        let others = self.unexplained.saturating_sub(explained) + 1;
-        let rate = others as f64 / (total * self.observed as f64);
+        let together = in_cell.explained_others(job);
+        let rate = self.rate(own.map(|own| own.max(together)));
         let by_rate = 1.0 - (-rate * suspect.runtime as f64).exp();
         let in_rack = self.losses.in_rack();
         let in_rack = in_rack.map_or(0.0, |rack| share(&rack, job, MIN_OTHERS_IN_RACK));
@@ -340,8 +396,8 @@
 }
 
 /// The delay before a long-running task with these crashes is started again, in milliseconds.
-pub(super) fn restart_delay(crashes: job::Crashes) -> u64 {
-    let doublings = crashes.evidence.saturating_sub(PROOF) / MAX_EVIDENCE;
+pub(super) fn restart_delay(crashes: Crashes) -> u64 {
+    let doublings = crashes.evidence.saturating_sub(PROOF) / MAX_ADDED;
     let is_early = crashes.early >= ISOLATE_AFTER_EARLY;
     let delay = if is_early {
         START_DELAY_MS
--- a/components/cell/src/crashes/losses.rs
+++ b/components/cell/src/crashes/losses.rs
@@ -4,6 +4,7 @@
 use {
     super::{
         EARLY_MS,
+        history::History,
         index::{Group, LossIndex},
         outage::{Outage, Outages},
     },
@@ -37,6 +38,8 @@
 pub(super) struct Loss {
     pub id: Arc<str>,
     pub rack: Arc<str>,
+    /// The address of the worker, which its machine keeps.
+    pub address: Arc<str>,
     pub outage: Outage,
     /// Jobs with a new run on the worker.
     pub jobs: BTreeSet<Id>,
@@ -54,6 +57,7 @@
         Loss {
             id: worker.entry.id.clone(),
             rack: worker.entry.rack().into(),
+            address: worker.entry.address.clone(),
             outage: Outage::of(worker, now),
             jobs: early.map(|(key, _)| key.job.clone()).collect(),
             has_trial: worker.has_trial,
@@ -70,6 +74,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Losses {
     pub(super) recent: HashMap<Arc<str>, Loss>,
+    /// Losses that may be older.
+    pub(super) history: History,
     index: Option<LossIndex>,
     /// Index operations and workers scanned, as a measure of work.
     lookups: u64,
@@ -86,6 +92,8 @@
         }
         self.lookups += 1;
         let loss = Loss::of(worker, now);
+        let address = worker.entry.address.clone();
+        self.history.add(address, loss.has_trial, now);
         if let Some(index) = &mut self.index {
             index.remove_unreachable(id);
             index.add(&loss);
@@ -101,6 +109,7 @@
 
     /// Drops losses older than the retention time.
     pub fn expire(&mut self, now: u64) {
+        self.history.expire(now);
         let before = self.recent.len();
         self.recent.retain(|_, loss| now < loss.at + RETENTION_MS);
         if self.recent.is_empty() || self.recent.len() < before {
--- a/components/cell/src/crashes/mod.rs
+++ b/components/cell/src/crashes/mod.rs
@@ -14,6 +14,7 @@
 //! against a task its job fails; a long-running task is started again, further apart each time.
 
 mod evidence;
+mod history;
 mod index;
 mod losses;
 mod outage;
@@ -93,8 +94,8 @@
     at: u64,
     /// The tasks, and for each whether the crash was early.
     tasks: Vec<(TaskKey, bool)>,
-    /// The evidence that was added, in tenths of a bit.
-    evidence: Vec<(TaskKey, u32)>,
+    /// By how much the evidence changed, in tenths of a bit.
+    evidence: Vec<(TaskKey, i32)>,
 }
 
 impl Cell {
@@ -233,12 +234,13 @@
         };
         log::info!(target: "cell", worker = &**id, tasks = provisional.tasks.len(); "Worker that had been declared lost has returned; crashes counted against its tasks are revoked.");
         self.crashes.evidence.revoke(id);
-        for (key, added) in provisional.evidence {
+        for (key, change) in provisional.evidence {
             let Some(job) = self.jobs.get_mut(&key.job) else {
                 continue;
             };
             let crashes = &mut job.progress.tasks[key.place].crashes;
-            crashes.evidence = crashes.evidence.saturating_sub(added);
+            crashes.evidence = crashes.evidence.saturating_add_signed(-change);
+            crashes.weighed = crashes.weighed.saturating_sub(1);
             if crashes.evidence < evidence::PROOF {
                 job.delayed.remove(&key.place);
             }
--- a/components/cell/src/crashes/unobserved.rs
+++ b/components/cell/src/crashes/unobserved.rs
@@ -21,6 +21,9 @@
 /// others count as lost.
 const ANSWER_WITHIN_MS: u64 = 500;
 
+/// The most that a crash tells if it is not known on which worker the task was, in tenths of a bit.
+const MAX_STARTED: u32 = 40;
+
 /// Workers that were lost before this owner heard them, and the crashes that this tells of.
 #[derive(Debug, Default)]
 pub(crate) struct Unobserved {
@@ -91,7 +94,7 @@
             let was_sealed = tasks.remove(&key);
             let most = match std::mem::replace(recorded, Recorded::None) {
                 Recorded::On(worker) if lost.contains(&worker) => MAX_EVIDENCE,
-                Recorded::Started => MAX_UNCONFIRMED,
+                Recorded::Started => MAX_STARTED,
                 Recorded::None if was_sealed => MAX_UNCONFIRMED,
                 _ => continue,
             };
--- a/components/cell/tests/decisions/crash_evidence.rs
+++ b/components/cell/tests/decisions/crash_evidence.rs
@@ -127,6 +127,135 @@
     assert_eq!(running.count(), 8);
 }
 
+/// A cell of eight workers with a job of one task, in which machines crash silently at the given
+/// times.
+fn cell_with_crashes(crashes: &[(u64, usize)]) -> Sim {
+    let mut sim = Sim::new(8, 1_000);
+    sim.hold_polls();
+    for &(at, machine) in crashes {
+        sim.advance(at - sim.now);
+        sim.crash_silently(machine, DOWNTIME);
+        if sim.state(JOB).is_none() {
+            sim.advance(300);
+            sim.submit(JOB, step(1, 1_000));
+        }
+    }
+    sim
+}
+
+/// When and where the task starts next, if it does within 10 s.
+fn next_start(mut sim: Sim) -> Option<(u64, usize)> {
+    for _ in 0..1_000 {
+        sim.advance(10);
+        if let Some(machine) = sim.machine_of(JOB, 0) {
+            return Some((sim.now, machine));
+        }
+    }
+    None
+}
+
+/// Guards against a job that fails since each start of its task is sent to a worker that has
+/// crashed a moment before.
+#[test_case(50)]
+#[test_case(100)]
+#[test_case(200)]
+#[test_case(350)]
+#[test_case(500)]
+#[test_case(1_000)]
+fn starts_after_crashes_fail_no_job(before: u64) {
+    let mut crashes = vec![(6_000, 0)];
+    for _ in 0..12 {
+        let Some((at, machine)) = next_start(cell_with_crashes(&crashes)) else {
+            break;
+        };
+        let latest = crashes.last().expect("not empty").0;
+        crashes.push(((at - before).max(latest + 400), machine));
+        let mut sim = cell_with_crashes(&crashes);
+        sim.advance(20_000);
+        assert_eq!(sim.state(JOB), Some(State::Completed), "{crashes:?}");
+    }
+}
+
+/// A task that is bound to a flaky machine, since a long-running job holds all the others. The
+/// machine crashes each `period` milliseconds and is down for half of that.
+struct FlakyMachine {
+    sim: Sim,
+    machine: usize,
+    period: u64,
+}
+
+impl FlakyMachine {
+    fn new(period: u64, task_ms: u64, lasting: bool) -> Self {
+        let mut sim = Sim::new(8, task_ms);
+        sim.hold_polls();
+        sim.advance(10_000);
+        let others = Step {
+            lasting: true,
+            ..step(7, 4_000)
+        };
+        sim.submit("00000000000000a0", others);
+        sim.advance(3_000);
+        let step = Step {
+            lasting,
+            ..step(1, 1_000)
+        };
+        sim.submit(JOB, step);
+        sim.advance(3_000);
+        let machine = sim.machine_of(JOB, 0).expect("the task runs");
+        FlakyMachine {
+            sim,
+            machine,
+            period,
+        }
+    }
+
+    /// The machine crashes, and is up again when this returns.
+    fn crash(&mut self) {
+        let downtime = self.period / 2;
+        self.sim.crash_silently(self.machine, downtime);
+        self.sim.advance(downtime);
+    }
+}
+
+/// Guards against a long-running task that stands still beside free capacity, since the machine to
+/// which it is bound crashes again and again.
+#[test_case(9_000; "each 9 s")]
+#[test_case(15_000; "each 15 s")]
+#[test_case(24_000; "each 24 s")]
+fn long_running_task_on_flaky_machine_is_not_delayed(period: u64) {
+    /// A long-running task is to run again within this time after its last run, in milliseconds.
+    const RESTART_WITHIN: u64 = 6_000;
+    /// And within this time after there is capacity for it, in milliseconds.
+    const PLACED_WITHIN: u64 = 3_000;
+    let mut cell = FlakyMachine::new(period, 1_000, true);
+    let downtime = period / 2;
+    let due = RESTART_WITHIN.saturating_sub(downtime).max(PLACED_WITHIN);
+    for crash in 1..=20 {
+        cell.crash();
+        cell.sim.advance(due);
+        let machine = cell.sim.machine_of(JOB, 0);
+        assert_eq!(machine, Some(cell.machine), "crash {crash}");
+        cell.sim.advance(downtime - due);
+    }
+}
+
+/// Guards against a batch job that fails since one of its tasks is bound to a machine that crashes
+/// again and again.
+#[test_case(9_000; "each 9 s")]
+#[test_case(15_000; "each 15 s")]
+#[test_case(24_000; "each 24 s")]
+fn batch_job_on_flaky_machine_is_not_failed(period: u64) {
+    const TASK_MS: u64 = 25_000;
+    let mut cell = FlakyMachine::new(period, TASK_MS, false);
+    for crash in 1..=20 {
+        cell.crash();
+        cell.sim.advance(period / 2);
+        assert_eq!(cell.sim.state(JOB), Some(State::Running), "crash {crash}");
+    }
+    cell.sim.advance(TASK_MS + 10_000);
+    assert_eq!(cell.sim.state(JOB), Some(State::Completed));
+}
+
 /// Guards against a long-running task that takes one worker after the other: it is started again
 /// further apart each time.
 #[test_case(CRASH_AFTER, 1; "at its start")]
--- a/components/cell/tests/decisions/crashes.rs
+++ b/components/cell/tests/decisions/crashes.rs
@@ -486,6 +486,7 @@
                 early: 2,
                 all: 2,
                 evidence: 0,
+                weighed: 0,
             },
         )],
         ..Record::default()
--- a/components/cell/tests/decisions/holds.rs
+++ b/components/cell/tests/decisions/holds.rs
@@ -62,6 +62,7 @@
         early,
         all: early,
         evidence: 0,
+        weighed: 0,
     };
     let crashed = tasks
         .into_iter()
--- a/components/cell/tests/decisions/stalled.rs
+++ b/components/cell/tests/decisions/stalled.rs
@@ -45,6 +45,7 @@
                 early: 2,
                 all: 2,
                 evidence: 0,
+                weighed: 0,
             },
         )],
         ..Record::default()
--- a/components/cell/tests/decisions/unobserved_crashes.rs
+++ b/components/cell/tests/decisions/unobserved_crashes.rs
@@ -92,6 +92,7 @@
         early: 2,
         all: 2,
         evidence: 120,
+        weighed: 2,
     };
     record.set_crashes(&[(0, crashes)]);
     record.add_placement(0, "w1");
--- a/components/job/src/record.rs
+++ b/components/job/src/record.rs
@@ -83,6 +83,9 @@
     /// builds ignore.
     #[serde(skip)]
     pub evidence: u32,
+    /// The number of crashes that the evidence comes from. Persisted with it.
+    #[serde(skip)]
+    pub weighed: u32,
 }
 
 /// The persisted part of a job's progress. Tasks are identified by their place in the job.
@@ -120,14 +123,16 @@
         let counts = rows.clone().map(|&(place, crashes)| {
             let crashes = Crashes {
                 evidence: 0,
+                weighed: 0,
                 ..crashes
             };
             (place as u32, crashes)
         });
-        let evidence = rows.filter(|(_, crashes)| crashes.evidence > 0);
+        let evidence = rows.filter(|(_, crashes)| crashes.evidence > 0 || crashes.weighed > 0);
         let evidence = evidence.map(|(place, crashes)| {
             let crashes = Crashes {
                 early: crashes.evidence,
+                all: crashes.weighed,
                 ..Crashes::default()
             };
             (*place as u32 | EVIDENCE_ROWS, crashes)
@@ -173,10 +178,18 @@
             at.map_or_else(|_| Crashes::default(), |at| self.crashed[at].1)
         };
         let place = place as u32;
-        let evidence = row(place | EVIDENCE_ROWS).early;
+        let counts = row(place);
+        let evidence = row(place | EVIDENCE_ROWS);
+        // Older builds do not record the number.
+        let weighed = if evidence.all == 0 && evidence.early > 0 {
+            counts.all
+        } else {
+            evidence.all
+        };
         Crashes {
-            evidence,
-            ..row(place)
+            evidence: evidence.early,
+            weighed,
+            ..counts
         }
     }
 }
--- a/components/job/tests/progress.rs
+++ b/components/job/tests/progress.rs
@@ -150,6 +150,7 @@
         early: 1,
         all: 2,
         evidence: 9,
+        weighed: 2,
     };
     progress.tasks[1].crashes = crashes;
     let bytes = rmp_serde::to_vec(&progress.record()).unwrap();
@@ -173,6 +174,7 @@
         early: 2,
         all: 2,
         evidence: 9,
+        weighed: 2,
     };
     progress.mark_done(0);
     assert!(progress.crashed().is_empty());
