Cell: try suspects on machines that were not lost lately

A worker that has just come back is the emptiest of its cell, so that the next trial of a suspect goes to the machine that was lost before. If it is lost again, that may be the machine as well as the task, and the crash tells less than it could. Trials prefer machines without a loss in the last two minutes.

The rate of a machine counts its losses over the observed time and five more seconds, in place of leaving one of them out: a first loss tells little of the machine, not nothing.

The log line of a weighed crash has lost_before. The losses of the last two minutes are PastLosses, since placement has a History already.

--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         cell::{Cell, Job, Rank},
-        crashes::{Suspicion, crash_cost, trial_cost},
+        crashes::{Suspicion, crash_cost},
         interference::Image,
         overdue::Obstacle,
         worker::{TaskKey, Worker},
@@ -92,11 +92,15 @@
         };
         let cost = |worker: &Worker| {
             if history.suspicion == Suspicion::Alone {
-                trial_cost(worker, now)
+                self.trial_cost(worker, now)
             } else if history.suspicion.is_risky() {
                 crash_cost(worker)
             } else {
-                self.cost(step, image, worker)
+                let mut cost = self.cost(step, image, worker);
+                if history.suspicion.needs_trial() {
+                    cost += self.lost_before_cost(worker);
+                }
+                cost
             }
         };
         match among {
--- a/components/cell/src/crashes/evidence.rs
+++ b/components/cell/src/crashes/evidence.rs
@@ -7,8 +7,8 @@
 
 use {
     super::{
-        history::HISTORY_MS,
         losses::{Correlation, GroupLoss, Loss, RETENTION_MS},
+        past_losses::MEMORY_MS,
         trial::{ISOLATE_AFTER_EARLY, Suspicion},
     },
     crate::{
@@ -40,6 +40,9 @@
 pub(super) const TRIAL_SPREAD_MS: u64 = 1_000;
 /// The shortest time, in milliseconds, over which the rate of losses is taken.
 const MIN_OBSERVED_MS: u64 = 1_000;
+/// Time, in milliseconds, for which a machine counts as not lost before its losses were observed: a
+/// first loss tells little of the machine.
+const MACHINE_PRIOR_MS: u64 = 5_000;
 /// How long an adopted run may have been running before, in milliseconds: the time of a takeover.
 const ADOPTED_MS: u64 = 10_000;
 /// Time, in milliseconds, after the loss of a worker is proven, after which its crash is weighed
@@ -121,11 +124,11 @@
         self.awaiting = suspects.map(|suspect| suspect.key.clone()).collect();
     }
 
-    /// Drops what is older than the history of losses.
+    /// Drops what is older than the remembered losses.
     fn expire(&mut self, now: u64) {
         self.since.get_or_insert(now);
         self.blamed.retain(|_, times| {
-            times.retain(|at| now < at + HISTORY_MS);
+            times.retain(|at| now < at + MEMORY_MS);
             !times.is_empty()
         });
     }
@@ -193,7 +196,7 @@
             return;
         }
         let losses = &self.crashes.losses;
-        let unexplained = [losses.unexplained(), losses.history.unexplained()];
+        let unexplained = [losses.unexplained(), losses.past.unexplained()];
         for crash in due {
             self.weigh_crash(crash, unexplained, now);
         }
@@ -209,32 +212,29 @@
         clocks.map(|clock| clock.at).min()
     }
 
-    /// Weighs a crash. No trial explains `unexplained` of the recent losses and of those in the
-    /// history.
+    /// Weighs a crash. No trial explains `unexplained` of the recent and of all losses.
     fn weigh_crash(&mut self, crash: Unweighed, unexplained: [usize; 2], now: u64) {
         let Unweighed { loss, suspects, .. } = crash;
         let id = loss.id.clone();
         let evidence = &self.crashes.evidence;
         let losses = &mut self.crashes.losses;
-        let is_recent = losses.recent.contains_key(&id);
-        let is_counted = !loss.has_trial && is_recent;
-        let of_machine = losses.history.of_machine(&loss.address);
+        let is_counted = !loss.has_trial && losses.recent.contains_key(&id);
+        let is_counted = usize::from(is_counted);
+        let window = |time, unexplained: usize| Window {
+            length: evidence.observed(time, now),
+            unexplained: unexplained.saturating_sub(is_counted),
+        };
+        let lost_before = losses.earlier_of_machine(&loss);
         let context = Context {
-            recent: Window {
-                length: evidence.observed(RETENTION_MS, now),
-                unexplained: unexplained[0].saturating_sub(usize::from(is_counted)),
-            },
-            history: Window {
-                length: evidence.observed(HISTORY_MS, now),
-                unexplained: unexplained[1].saturating_sub(usize::from(is_counted)),
-            },
-            of_machine: of_machine.saturating_sub(usize::from(is_recent)),
+            recent: window(RETENTION_MS, unexplained[0]),
+            past: window(MEMORY_MS, unexplained[1]),
+            lost_before,
             losses: losses.correlate(&self.workers, loss),
         };
         let mut weighed = Vec::new();
         for suspect in suspects {
-            let is_own = usize::from(is_counted && suspect.early);
-            let own = [RETENTION_MS, HISTORY_MS].map(|time| {
+            let is_own = is_counted * usize::from(suspect.early);
+            let own = [RETENTION_MS, MEMORY_MS].map(|time| {
                 let blamed = evidence.blamed_within(time, &suspect.key, now);
                 blamed.saturating_sub(is_own)
             });
@@ -247,7 +247,7 @@
             let Some(evidence) = self.add_evidence(&key, added, now) else {
                 continue;
             };
-            log::info!(target: "cell", job = key.job.as_str(), place = key.place, worker = &*id, runtime, added, evidence; "Evidence of a crash was weighed.");
+            log::info!(target: "cell", job = key.job.as_str(), place = key.place, worker = &*id, runtime, lost_before, added, evidence; "Evidence of a crash was weighed.");
             if let Some(provisional) = self.crashes.provisional.get_mut(&id) {
                 let change = evidence.cast_signed() - before.cast_signed();
                 provisional.evidence.push((key, change));
@@ -303,32 +303,32 @@
 /// The loss of a worker beside other losses.
 struct Context<'a> {
     losses: Correlation<'a>,
+    /// The losses within [`RETENTION_MS`].
     recent: Window,
-    history: Window,
+    /// Those within [`MEMORY_MS`].
+    past: Window,
     /// Earlier losses of the same machine. They tell of the machine even if the task ran there each
     /// time: a task that crashes its workers crashes others as well.
-    of_machine: usize,
+    lost_before: usize,
 }
 
 impl Context<'_> {
-    /// The losses of each worker per millisecond that have nothing to do with a task. Of the recent
-    /// losses and of those in the history, so many were counted against the task itself.
-    fn rate(&self, explained: [usize; 2]) -> f64 {
-        let total = self.losses.in_cell().total().max(1) as f64;
-        let [recent, history] = [&self.recent, &self.history];
-        let recent_others = recent.unexplained.saturating_sub(explained[0]);
-        // The loss itself counts for the history: without another one the rate is not known.
-        let others = history.unexplained.saturating_sub(explained[1]) + 1;
-        let of_recent = recent_others as f64 / (total * recent.length as f64);
-        let of_history = others as f64 / (total * history.length as f64);
-        // A single loss tells nothing of the machine.
-        let of_machine = self.of_machine.saturating_sub(1) as f64 / history.length as f64;
-        of_recent.max(of_history).max(of_machine)
+    /// The losses of each worker per millisecond that have nothing to do with a task. So many of
+    /// the recent and of all losses were counted against the task itself.
+    fn rate(&self, own: [usize; 2]) -> f64 {
+        let Context { recent, past, .. } = self;
+        let workers = self.losses.in_cell().total().max(1) as f64;
+        let lately = recent.unexplained.saturating_sub(own[0]);
+        // The rate is not known from no other loss at all, so that one more is assumed.
+        let ever = past.unexplained.saturating_sub(own[1]) + 1;
+        let of_recent = lately as f64 / (workers * recent.length as f64);
+        let of_past = ever as f64 / (workers * past.length as f64);
+        let of_machine = self.lost_before as f64 / (past.length + MACHINE_PRIOR_MS) as f64;
+        of_recent.max(of_past).max(of_machine)
     }
 
     /// The probability that a run loses its worker for reasons that have nothing to do with its
-    /// job. `own` of the recent losses, and of those in the history, were counted against the same
-    /// task.
+    /// job. `own` of the recent and of all losses were counted against the same task.
     fn chance(&self, suspect: &Suspect, own: [usize; 2]) -> f64 {
         let job = &suspect.key.job;
         let in_cell = self.losses.in_cell();
--- a/components/cell/src/crashes/losses.rs
+++ b/components/cell/src/crashes/losses.rs
@@ -4,9 +4,9 @@
 use {
     super::{
         EARLY_MS,
-        history::History,
         index::{Group, LossIndex},
         outage::{Outage, Outages},
+        past_losses::PastLosses,
     },
     crate::{slot::Slot, worker::Worker},
     job::Id,
@@ -75,7 +75,7 @@
 pub(crate) struct Losses {
     pub(super) recent: HashMap<Arc<str>, Loss>,
     /// Losses that may be older.
-    pub(super) history: History,
+    pub(super) past: PastLosses,
     index: Option<LossIndex>,
     /// Index operations and workers scanned, as a measure of work.
     lookups: u64,
@@ -93,7 +93,7 @@
         self.lookups += 1;
         let loss = Loss::of(worker, now);
         let address = worker.entry.address.clone();
-        self.history.add(address, loss.has_trial, now);
+        self.past.add(address, loss.has_trial, now);
         if let Some(index) = &mut self.index {
             index.remove_unreachable(id);
             index.add(&loss);
@@ -107,9 +107,16 @@
         recent.filter(|loss| !loss.has_trial).count()
     }
 
+    /// How often the machine of this loss was lost before, as far as that is remembered.
+    pub(super) fn earlier_of_machine(&self, loss: &Loss) -> usize {
+        let is_recorded = self.recent.contains_key(&loss.id);
+        let count = self.past.of_machine(&loss.address);
+        count.saturating_sub(usize::from(is_recorded))
+    }
+
     /// Drops losses older than the retention time.
     pub fn expire(&mut self, now: u64) {
-        self.history.expire(now);
+        self.past.expire(now);
         let before = self.recent.len();
         self.recent.retain(|_, loss| now < loss.at + RETENTION_MS);
         if self.recent.is_empty() || self.recent.len() < before {
--- a/components/cell/src/crashes/mod.rs
+++ b/components/cell/src/crashes/mod.rs
@@ -14,10 +14,10 @@
 //! against a task its job fails; a long-running task is started again, further apart each time.
 
 mod evidence;
-mod history;
 mod index;
 mod losses;
 mod outage;
+mod past_losses;
 #[cfg(test)]
 mod tests;
 mod trial;
@@ -26,7 +26,7 @@
 pub(crate) use {
     evidence::start_spread,
     losses::Losses,
-    trial::{Suspicion, crash_cost, trial_cost},
+    trial::{Suspicion, crash_cost},
 };
 
 use {
--- a/components/cell/src/crashes/history.rs
+++ b/components/cell/src/crashes/past_losses.rs
@@ -7,11 +7,11 @@
 };
 
 /// How long losses are remembered, in milliseconds.
-pub(super) const HISTORY_MS: u64 = 120_000;
+pub(super) const MEMORY_MS: u64 = 120_000;
 
-/// The losses within [`HISTORY_MS`].
+/// The losses within [`MEMORY_MS`].
 #[derive(Debug, Default)]
-pub(super) struct History {
+pub(super) struct PastLosses {
     /// The oldest first.
     losses: VecDeque<PastLoss>,
     /// The number of losses by address.
@@ -30,7 +30,7 @@
     has_trial: bool,
 }
 
-impl History {
+impl PastLosses {
     pub fn add(&mut self, address: Arc<str>, has_trial: bool, at: u64) {
         *self.machines.entry(address.clone()).or_default() += 1;
         self.unexplained += usize::from(!has_trial);
@@ -43,7 +43,7 @@
 
     /// Drops losses that are too old.
     pub fn expire(&mut self, now: u64) {
-        let is_old = |loss: &mut PastLoss| now >= loss.at + HISTORY_MS;
+        let is_old = |loss: &mut PastLoss| now >= loss.at + MEMORY_MS;
         while let Some(loss) = self.losses.pop_front_if(is_old) {
             self.unexplained -= usize::from(!loss.has_trial);
             let Some(count) = self.machines.get_mut(&loss.address) else {
--- a/components/cell/src/crashes/trial.rs
+++ b/components/cell/src/crashes/trial.rs
@@ -42,6 +42,9 @@
 const STALE_COST: u64 = 50_000;
 /// Time in milliseconds; see [`STALE_COST`].
 const FRESH_MS: u64 = 300;
+/// Cost of a worker for a trial whose machine was lost lately, in millicores: if it is lost
+/// again, that may be the machine.
+const LOST_BEFORE_COST: u64 = 50_000;
 /// Cost of another new run on the worker of an isolated trial, in millicores: a crash would make
 /// its task a suspect as well.
 const NEW_RUN_COST: u64 = 100_000;
@@ -144,7 +147,7 @@
         let workers = self.workers.iter();
         let usable = workers.filter(|(_, worker)| worker.is_schedulable(now) && !worker.has_trial);
         let mut usable: Vec<_> = usable
-            .map(|(id, worker)| (crash_cost(worker), id))
+            .map(|(id, worker)| (crash_cost(worker) + self.lost_before_cost(worker), id))
             .collect();
         usable.sort_unstable();
         usable.truncate(self.max_isolated_trials().min(MAX_WATCHED));
@@ -152,6 +155,21 @@
         self.crashes.watched = ids.collect();
     }
 
+    /// Cost of an isolated trial on the worker, in millicores.
+    pub(crate) fn trial_cost(&self, worker: &Worker, now: u64) -> u64 {
+        let heard = worker.clock.map_or(0, |clock| clock.at);
+        let is_stale = now > heard + FRESH_MS;
+        let stale_cost = if is_stale { STALE_COST } else { 0 };
+        crash_cost(worker) + self.lost_before_cost(worker) + stale_cost
+    }
+
+    /// Additional cost of any trial on the worker, in millicores.
+    pub(crate) fn lost_before_cost(&self, worker: &Worker) -> u64 {
+        let past = &self.crashes.losses.past;
+        let was_lost = past.of_machine(&worker.entry.address) > 0;
+        if was_lost { LOST_BEFORE_COST } else { 0 }
+    }
+
     /// True if a suspect is to be tried in isolation, at once or when its worker is proven lost.
     fn has_isolated_suspects(&self) -> bool {
         let mut jobs = self.jobs.iter();
@@ -346,13 +364,6 @@
     }
 }
 
-/// Cost of an isolated trial on the worker, in millicores.
-pub(crate) fn trial_cost(worker: &Worker, now: u64) -> u64 {
-    let heard = worker.clock.map_or(0, |clock| clock.at);
-    let is_stale = now > heard + FRESH_MS;
-    crash_cost(worker) + if is_stale { STALE_COST } else { 0 }
-}
-
 /// Cost of a crash of the worker, in millicores.
 pub(crate) fn crash_cost(worker: &Worker) -> u64 {
     let new_runs = worker.slots.values().filter(|slot| worker.is_early(slot));
