Cell: lay the failures of a long-running task to the task, and delay it

What callers saw: beside a long-running job whose tasks fail soon after each start, accepted batch jobs stand still beside free capacity: 1 of 19 starts within 60 s, on 8 as on 48 workers.

Cause: each failure counted against its worker, and the second in a row quarantined it. An overdue job may use quarantined workers, so that its failures renewed all quarantines for good. That the same task had just failed elsewhere was not looked at.

Change: a long-running task that fails on a second worker within 30 s is taken to fail by itself; its failures no longer count against workers, until a run has lasted for 10 s. From the second failure in a row on it leaves its worker if another one is feasible, at a cost, so that it never waits for that. From the fifth in a row its next start is delayed, by 0.25 to 4 s: it must run again 6 s after its last run. Batch tasks are as before, so that faulty workers do not excuse each other.

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -5,6 +5,7 @@
         advice::{AdviceQuery, StepAdvice},
         claim_bound::ClaimBound,
         crashes,
+        failing::FailureStreak,
         interference::Interference,
         interference::forecast::Forecasts,
         learned::Learned,
@@ -58,8 +59,10 @@
     /// Tasks whose workers crashed while running them, by place.
     pub suspects: BTreeSet<usize>,
     /// Tasks whose next start is put off, by place, and until when, on the owner's clock: isolated
-    /// trials, and long-running tasks that surely crash their workers.
+    /// trials, and long-running tasks that surely crash their workers or fail again and again.
     pub delayed: BTreeMap<usize, u64>,
+    /// Long-running tasks that have failed, by place.
+    pub failing: BTreeMap<usize, FailureStreak>,
     /// Suspects for which the last placement pass found no worker to try them on, or whose gang
     /// could not start.
     pub unplaceable: BTreeSet<usize>,
--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -4,6 +4,7 @@
     crate::{
         cell::{Cell, Job, Rank},
         crashes::{Suspicion, crash_cost},
+        failing::FailureStreak,
         interference::Image,
         overdue::Obstacle,
         worker::{TaskKey, Worker},
@@ -35,9 +36,14 @@
 /// best-effort image is harmless.
 const MIXING_COST: u64 = 300_000;
 
+/// Cost of a worker on which the task has just failed.
+const AVOIDED_COST: u64 = 1_000_000;
+
 /// Results of a task's earlier runs.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct History {
+    /// The task.
+    pub place: usize,
     /// The number of failed runs.
     pub failures: u32,
     /// Whether it may crash its worker.
@@ -59,6 +65,7 @@
     /// Returns the results of a task's earlier runs.
     pub(crate) fn history(&self, rank: &Rank, place: usize) -> History {
         History {
+            place,
             failures: self.failures(rank, place),
             suspicion: self.suspicion(&rank.id, place),
         }
@@ -90,13 +97,17 @@
                     .history_obstacle(job, address, worker, history, now)
                     .is_none()
         };
+        let failing = job.failing.get(&history.place);
         let cost = |worker: &Worker| {
             if history.suspicion == Suspicion::Alone {
                 self.trial_cost(worker, now)
             } else if history.suspicion.is_risky() {
                 crash_cost(worker)
             } else {
+                let avoids = |streak: &FailureStreak| streak.avoids(&worker.entry.id, now);
+                let is_avoided = failing.is_some_and(avoids);
                 let mut cost = self.cost(step, image, worker);
+                cost += if is_avoided { AVOIDED_COST } else { 0 };
                 if history.suspicion.needs_trial() {
                     cost += self.lost_before_cost(worker);
                 }
--- a/components/cell/src/jobs.rs
+++ b/components/cell/src/jobs.rs
@@ -78,6 +78,7 @@
             unplaceable: BTreeSet::new(),
             passed_trials: 0,
             delayed: BTreeMap::new(),
+            failing: BTreeMap::new(),
             suspects: progress.crashed().iter().map(|row| row.0).collect(),
             advice: HashMap::new(),
             measured: vec![StepRuns::default(); steps],
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -26,6 +26,7 @@
 mod claim_bound;
 mod crashes;
 mod drain;
+mod failing;
 mod gang;
 mod halls;
 mod incarnations;
--- a/components/cell/src/run_end.rs
+++ b/components/cell/src/run_end.rs
@@ -42,8 +42,11 @@
         self.crashes.unobserved.forget(&key);
         self.log_end(id, &key, end, times);
         self.learn_duration(id, &key, end, times);
+        let is_excused = end.how == EndCause::Failed && self.record_restart(id, &key, times.now);
         let was_held = self.release_slot(id, &key, end.run);
-        self.record_worker_result(id, end.how, times.now);
+        if !is_excused {
+            self.record_worker_result(id, end.how, times.now);
+        }
         self.record_checkpoint(&key, end.saved.as_ref());
         if matches!(end.how, EndCause::Done | EndCause::Failed) {
             self.complete_trial(id, &key);
--- a/components/cell/tests/decisions/quarantine.rs
+++ b/components/cell/tests/decisions/quarantine.rs
@@ -161,3 +161,43 @@
     assert_ne!(used[1], used[2]);
     assert_ne!(used[2], used[3]);
 }
+
+/// Guards against a long-running task that fails wherever it runs and is started again without any
+/// pause, or later than 6 s after its last run.
+#[test_case(8, 8, 200)]
+#[test_case(48, 100, 200)]
+#[test_case(48, 100, 2_000)]
+fn failing_long_running_task_restarts_less_often(workers: usize, tasks: u32, after: u64) {
+    const SPAN: u64 = 60_000;
+    /// The shortest and the longest time between two starts, in milliseconds.
+    const BETWEEN: [u64; 2] = [4_000, 6_000];
+    let mut sim = sim_with_failing_job(workers, tasks, after);
+    sim.advance(30_000);
+    let count = |sim: &Sim| -> Vec<u32> {
+        let places = 0..tasks as usize;
+        places.map(|place| sim.start_count(JOB, place)).collect()
+    };
+    let before = count(&sim);
+    sim.advance(SPAN);
+    let most = SPAN.div_ceil(BETWEEN[0]) as u32 + 1;
+    let least = (SPAN / (BETWEEN[1] + after)) as u32 - 1;
+    for (before, all) in before.into_iter().zip(count(&sim)) {
+        let starts = all - before;
+        assert!((least..=most).contains(&starts), "{starts} starts");
+    }
+}
+
+/// Guards against a delay that outlasts the failures of a long-running task.
+#[test]
+fn long_running_task_runs_again_after_failures() {
+    /// Longer than the test, in milliseconds.
+    const LONG: u64 = 1_000_000;
+    let mut sim = sim_with_failing_job(8, 8, 200);
+    sim.advance(30_000);
+    for place in 0..8 {
+        sim.fail_on_start(JOB, place, LONG);
+    }
+    sim.advance(6_000);
+    let running = (0..8).filter(|&place| sim.machine_of(JOB, place).is_some());
+    assert_eq!(running.count(), 8);
+}
