Cell: let crashes under sealed workers add up

Cause: of a run that a former owner had recorded on a sealed worker a crash tells 2 bits at most. Since all crashes are weighed together, one of the sixth and later ones has to tell more than 2.3 bits, so that these lower the evidence (120, 117, 136, 133, 130 ... in its log). The cap of such runs had been raised for those that the record of the job names, and not for these.

Change: up to 4 bits for both. The share of the workers that were lost weighs each of them, as before.

crashes_under_sealed_workers_add_up fails before (evidence 120 after five crashes) and passes now.

--- a/components/cell/src/crashes/evidence.rs
+++ b/components/cell/src/crashes/evidence.rs
@@ -28,7 +28,7 @@
 /// The most that one crash tells, in tenths of a bit: two crashes never prove anything.
 pub(super) const MAX_EVIDENCE: u32 = 60;
 /// The same if the worker did not confirm the start: it may have been lost before.
-pub(super) const MAX_UNCONFIRMED: u32 = 20;
+const MAX_UNCONFIRMED: u32 = 20;
 /// What a crash has to tell before it adds to the evidence, in tenths of a bit, by the number of
 /// crashes before it; from the last entry on it is the same. Of many crashes some are unlikely by
 /// chance, which would prove in the end that a healthy task causes them.
--- a/components/cell/src/crashes/unobserved.rs
+++ b/components/cell/src/crashes/unobserved.rs
@@ -6,9 +6,7 @@
 //! reported such a run was lost with its worker.
 
 use {
-    super::evidence::{
-        MAX_CELL_SHARE, MAX_EVIDENCE, MAX_UNCONFIRMED, UNOBSERVED_CHANCE, to_evidence,
-    },
+    super::evidence::{MAX_CELL_SHARE, MAX_EVIDENCE, UNOBSERVED_CHANCE, to_evidence},
     crate::{
         cell::Cell,
         worker::{TaskKey, Worker},
@@ -21,8 +19,8 @@
 /// others count as lost.
 const ANSWER_WITHIN_MS: u64 = 500;
 
-/// The most that a crash tells if it is not known on which worker the task was, in tenths of a bit.
-const MAX_STARTED: u32 = 40;
+/// The most that a crash tells of a task whose start is not known to be recent, in tenths of a bit.
+const MAX_OF_ANY_AGE: u32 = 40;
 
 /// Workers that were lost before this owner heard them, and the crashes that this tells of.
 #[derive(Debug, Default)]
@@ -94,8 +92,8 @@
             let was_sealed = tasks.remove(&key);
             let most = match std::mem::replace(recorded, Recorded::None) {
                 Recorded::On(worker) if lost.contains(&worker) => MAX_EVIDENCE,
-                Recorded::Started => MAX_STARTED,
-                Recorded::None if was_sealed => MAX_UNCONFIRMED,
+                Recorded::Started => MAX_OF_ANY_AGE,
+                Recorded::None if was_sealed => MAX_OF_ANY_AGE,
                 _ => continue,
             };
             crashed.push((key, most));
--- a/components/cell/tests/decisions/unobserved_crashes.rs
+++ b/components/cell/tests/decisions/unobserved_crashes.rs
@@ -76,6 +76,40 @@
     }
 }
 
+/// Guards against a task that crashes its workers and is started without end, if each owner ends
+/// before it observes the crash and only the seal of the worker names the task.
+#[test]
+fn crashes_under_sealed_workers_add_up() {
+    const MAX_STARTS: u32 = 5;
+    let observed = Crashes {
+        early: 1,
+        all: 1,
+        evidence: 60,
+        weighed: 1,
+    };
+    let mut last = (observed, State::Running);
+    for _ in 1..MAX_STARTS {
+        let mut record = Record {
+            state: State::Running,
+            run: 1,
+            ..Record::default()
+        };
+        record.set_crashes(&[(0, last.0)]);
+        let mut world = inherit(false, true, &record);
+        for _ in 0..90 {
+            for id in LIVE {
+                world.report(id, vec![], vec![]);
+            }
+            world.cell.rerank(world.now, world.now);
+            world.cell.expire_leases(world.now);
+            world.starts();
+            persist(&mut world, &mut last);
+            world.now += 100;
+        }
+    }
+    assert_eq!(last.1, State::Failed, "{last:?}");
+}
+
 /// Guards against a task that crashes its workers and is started once more since the last of them
 /// has not answered the new owner until its leases ended.
 #[test_case(true, true; "listed and sealed")]
