--- a/components/cell/src/crashes/evidence.rs
+++ b/components/cell/src/crashes/evidence.rs
@@ -2,8 +2,9 @@
 //!
 //! A worker may be lost for any reason. The less likely that is in the time for which the task ran,
 //! the more the loss tells against the task. The likelihood comes from the other workers: how many
-//! of them were lost lately, and how many at the same time. Losses that a suspected task explains
-//! are not counted. The evidence of consecutive crashes adds up.
+//! of them were lost lately, and how many at the same time, and from earlier losses of the same
+//! machine. Losses that a suspected task explains are not counted. The evidence of consecutive
+//! crashes adds up, less what chance alone would tell.
 
 use {
     super::{
--- a/components/job/src/record.rs
+++ b/components/job/src/record.rs
@@ -79,8 +79,8 @@
     /// All crashes.
     pub all: u32,
     /// How unlikely these crashes are if the task did not cause them, in tenths of a bit: the
-    /// negative binary logarithm of their probability. Persisted in a row of its own, which older
-    /// builds ignore.
+    /// negative binary logarithms of their probabilities, less what is expected of so many by
+    /// chance. Persisted in a row of its own, which older builds ignore.
     #[serde(skip)]
     pub evidence: u32,
     /// The number of crashes that the evidence comes from. Persisted with it.
