Job: test that evidence of older builds counts for all their crashes

A record of a build that knows no number of weighed crashes gives that of all crashes counted, so that an upgrade neither forgets nor doubles them. The record's test of crashes has a number of its own.

--- a/components/job/tests/progress.rs
+++ b/components/job/tests/progress.rs
@@ -150,7 +150,7 @@
         early: 1,
         all: 2,
         evidence: 9,
-        weighed: 2,
+        weighed: 7,
     };
     progress.tasks[1].crashes = crashes;
     let bytes = rmp_serde::to_vec(&progress.record()).unwrap();
@@ -164,6 +164,21 @@
     assert_eq!((record.run, record.crashed.len()), (7, 0));
 }
 
+/// Evidence that an older build recorded without the number of weighed crashes counts for all that
+/// it had counted.
+#[test]
+fn record_without_weighed_crashes_counts_all() {
+    let crashes = Crashes {
+        early: 1,
+        all: 2,
+        evidence: 9,
+        weighed: 0,
+    };
+    let mut record = Record::default();
+    record.set_crashes(&[(1, crashes)]);
+    assert_eq!(record.crashes(1).weighed, 2);
+}
+
 /// A completed task, or one that continues in a completed gang, is not suspected of crashing workers,
 /// so marking it as done resets its crash counts.
 #[test]
