Cell: test that rare losses of workers fail no job

Of the faults put into the weighing of crashes on purpose, one was found by no test: that losses more than ten seconds ago are ignored, so that a loss in a calm cell proves too much.

--- a/components/cell/tests/decisions/crash_evidence.rs
+++ b/components/cell/tests/decisions/crash_evidence.rs
@@ -93,6 +93,18 @@
     }
 }
 
+/// Guards against a job that fails since no other worker was lost in the last seconds, although one is
+/// lost every now and then.
+#[test]
+fn long_tasks_survive_rare_crashes() {
+    for seed in 0..5 {
+        let mut series = Series::with_tasks(4, 15_000, seed);
+        series.run(120_000, 20_000, 10);
+        series.sim.advance(60_000);
+        assert_eq!(series.failed(), Vec::<&String>::new(), "seed {seed}");
+    }
+}
+
 /// Guards against a job that fails although none of its starts reached a worker.
 #[test]
 fn starts_to_dead_workers_fail_no_job() {
