Cell: simplify the delay of failing tasks, and what evidence returns

The delay of a task that fails again and again doubles by a shift with a bound, as that of tasks that crash their workers does. Adding evidence returns by how much it changed, so that nobody looks the task up before to work it out, and what is expected of chance is read in one small function.

--- a/components/cell/src/choose.rs
+++ b/components/cell/src/choose.rs
@@ -4,7 +4,6 @@
     crate::{
         cell::{Cell, Job, Rank},
         crashes::{Suspicion, crash_cost},
-        failing::FailureStreak,
         interference::Image,
         overdue::Obstacle,
         worker::{TaskKey, Worker},
@@ -104,10 +103,10 @@
             } else if history.suspicion.is_risky() {
                 crash_cost(worker)
             } else {
-                let avoids = |streak: &FailureStreak| streak.avoids(&worker.entry.id, now);
-                let is_avoided = failing.is_some_and(avoids);
                 let mut cost = self.cost(step, image, worker);
-                cost += if is_avoided { AVOIDED_COST } else { 0 };
+                if failing.is_some_and(|streak| streak.avoids(&worker.entry.id, now)) {
+                    cost += AVOIDED_COST;
+                }
                 if history.suspicion.needs_trial() {
                     cost += self.lost_before_cost(worker);
                 }
--- a/components/cell/src/crashes/evidence.rs
+++ b/components/cell/src/crashes/evidence.rs
@@ -244,27 +244,25 @@
             weighed.push((suspect, to_evidence(chance).min(most)));
         }
         for (Suspect { key, runtime, .. }, added) in weighed {
-            let before = self.evidence(&key);
-            let Some(evidence) = self.add_evidence(&key, added, now) else {
+            let Some((evidence, change)) = self.add_evidence(&key, added, now) else {
                 continue;
             };
             log::info!(target: "cell", job = key.job.as_str(), place = key.place, worker = &*id, runtime, lost_before, added, evidence; "Evidence of a crash was weighed.");
             if let Some(provisional) = self.crashes.provisional.get_mut(&id) {
-                let change = evidence.cast_signed() - before.cast_signed();
                 provisional.evidence.push((key, change));
             }
         }
     }
 
-    /// The evidence against a task, in tenths of a bit.
-    fn evidence(&self, key: &TaskKey) -> u32 {
-        let job = self.jobs.get(&key.job);
-        job.map_or(0, |job| job.progress.tasks[key.place].crashes.evidence)
-    }
-
     /// Adds to the evidence against a task, and puts off its next start if that is to be in
-    /// isolation. Returns all the evidence, or `None` if the task is no longer suspected.
-    pub(super) fn add_evidence(&mut self, key: &TaskKey, added: u32, now: u64) -> Option<u32> {
+    /// isolation. Returns all the evidence and by how much it changed, or `None` if the task is no
+    /// longer suspected.
+    pub(super) fn add_evidence(
+        &mut self,
+        key: &TaskKey,
+        added: u32,
+        now: u64,
+    ) -> Option<(u32, i32)> {
         let is_isolated = self.suspicion(&key.job, key.place) == Suspicion::Alone;
         let job = self.jobs.get_mut(&key.job)?;
         let task = job.progress.tasks.get_mut(key.place)?;
@@ -275,9 +273,8 @@
         let Crashes {
             evidence, weighed, ..
         } = &mut task.crashes;
-        let before = EXPECTED_EVIDENCE.len() - 1;
-        let expected = EXPECTED_EVIDENCE[before.min(*weighed as usize)];
-        *evidence = (*evidence + added).saturating_sub(expected);
+        let before = *evidence;
+        *evidence = (before + added).saturating_sub(expected_evidence(*weighed));
         *weighed += 1;
         let evidence = *evidence;
         if is_isolated {
@@ -289,10 +286,17 @@
         if self.is_over_limit(key) {
             self.crashes.over_limit.push(key.clone());
         }
-        Some(evidence)
+        Some((evidence, evidence.cast_signed() - before.cast_signed()))
     }
 }
 
+/// What a crash has to tell after so many others before it adds to the evidence, in tenths of a
+/// bit.
+fn expected_evidence(crashes: u32) -> u32 {
+    let last = EXPECTED_EVIDENCE.len() - 1;
+    EXPECTED_EVIDENCE[last.min(crashes as usize)]
+}
+
 /// Other losses within some time.
 struct Window {
     /// The time over which losses are known, in milliseconds.
--- a/components/cell/src/failing.rs
+++ b/components/cell/src/failing.rs
@@ -5,7 +5,7 @@
 //! started again further apart each time.
 
 use {
-    crate::{cell::Cell, slot::Slot, worker::TaskKey},
+    crate::{cell::Cell, worker::TaskKey},
     std::sync::Arc,
 };
 
@@ -18,10 +18,11 @@
 const LEAVE_AFTER: u32 = 2;
 /// Number of restarts in a row that are not delayed.
 const PROMPT_RESTARTS: u32 = 4;
-/// The delay of the next one, in milliseconds. It doubles with each further one.
+/// The delay of the next one, in milliseconds. It doubles with each further one, at most
+/// [`MAX_DOUBLINGS`] times.
 const FIRST_DELAY_MS: u64 = 250;
-/// The longest delay, in milliseconds: a long-running task must run again 6 s after its last run.
-const MAX_DELAY_MS: u64 = 4_000;
+/// The longest delay is 4 s: a long-running task must run again 6 s after its last run.
+const MAX_DOUBLINGS: u32 = 4;
 
 /// Failures of a task in a row.
 #[derive(Debug)]
@@ -59,11 +60,10 @@
 
     /// The delay before the next start, in milliseconds.
     fn delay(&self) -> u64 {
-        let Some(doublings) = self.count.checked_sub(PROMPT_RESTARTS + 1) else {
-            return 0;
-        };
-        let factor = 1_u64.checked_shl(doublings).unwrap_or(u64::MAX);
-        FIRST_DELAY_MS.saturating_mul(factor).min(MAX_DELAY_MS)
+        let doublings = self.count.checked_sub(PROMPT_RESTARTS + 1);
+        doublings.map_or(0, |doublings| {
+            FIRST_DELAY_MS << doublings.min(MAX_DOUBLINGS)
+        })
     }
 }
 
@@ -72,7 +72,7 @@
     /// against the worker, since the task has just failed on another one as well.
     pub(crate) fn record_restart(&mut self, id: &Arc<str>, key: &TaskKey, now: u64) -> bool {
         let slot = self.slot(id, key);
-        let is_success = slot.is_some_and(|slot: &Slot| slot.has_run(SUCCESS_MS, now));
+        let is_success = slot.is_some_and(|slot| slot.has_run(SUCCESS_MS, now));
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return false;
         };
