Cell: expire counted crashes without a scan of all tasks

Each pass of the expiry went over the times of all tasks that a crash was counted against. They expire from the front of a queue now, as the losses themselves do.

--- a/components/cell/src/crashes/evidence.rs
+++ b/components/cell/src/crashes/evidence.rs
@@ -19,7 +19,7 @@
     },
     job::{Crashes, Id},
     std::{
-        collections::{HashMap, HashSet},
+        collections::{HashMap, HashSet, VecDeque},
         hash::{DefaultHasher, Hash, Hasher},
     },
 };
@@ -97,7 +97,9 @@
     /// The tasks of these crashes.
     awaiting: HashSet<TaskKey>,
     /// When crashes were counted against a task, while the losses of the workers are remembered.
-    blamed: HashMap<TaskKey, Vec<u64>>,
+    blamed: HashMap<TaskKey, VecDeque<u64>>,
+    /// The same of all tasks, the oldest first.
+    blames: VecDeque<(u64, TaskKey)>,
 }
 
 impl Evidence {
@@ -128,10 +130,16 @@
     /// Drops what is older than the remembered losses.
     fn expire(&mut self, now: u64) {
         self.since.get_or_insert(now);
-        self.blamed.retain(|_, times| {
-            times.retain(|at| now < at + MEMORY_MS);
-            !times.is_empty()
-        });
+        let is_old = |(at, _): &mut (u64, TaskKey)| now >= *at + MEMORY_MS;
+        while let Some((_, key)) = self.blames.pop_front_if(is_old) {
+            let Some(times) = self.blamed.get_mut(&key) else {
+                continue;
+            };
+            times.pop_front();
+            if times.is_empty() {
+                self.blamed.remove(&key);
+            }
+        }
     }
 
     /// Number of losses within this time that were counted against the task.
@@ -172,7 +180,9 @@
             // A loss with a trial does not count among the unexplained ones. A run that had lasted
             // does not explain a loss: in a small cell it is on most workers in turn.
             if *early && !loss.has_trial {
-                evidence.blamed.entry(key.clone()).or_default().push(now);
+                let times = evidence.blamed.entry(key.clone()).or_default();
+                times.push_back(now);
+                evidence.blames.push_back((now, key.clone()));
             }
         }
         let at = now;
