Cell: leave fields that do not matter to the default in tests of crashes

Three tests name the evidence and the number of weighed crashes only to set them to 0. They take the default, so that the next field changes no test. The assertions stay.

--- a/components/cell/tests/decisions/crashes.rs
+++ b/components/cell/tests/decisions/crashes.rs
@@ -485,8 +485,7 @@
             Crashes {
                 early: 2,
                 all: 2,
-                evidence: 0,
-                weighed: 0,
+                ..Crashes::default()
             },
         )],
         ..Record::default()
--- a/components/cell/tests/decisions/holds.rs
+++ b/components/cell/tests/decisions/holds.rs
@@ -61,8 +61,7 @@
     let crashes = |early| Crashes {
         early,
         all: early,
-        evidence: 0,
-        weighed: 0,
+        ..Crashes::default()
     };
     let crashed = tasks
         .into_iter()
--- a/components/cell/tests/decisions/stalled.rs
+++ b/components/cell/tests/decisions/stalled.rs
@@ -44,8 +44,7 @@
             Crashes {
                 early: 2,
                 all: 2,
-                evidence: 0,
-                weighed: 0,
+                ..Crashes::default()
             },
         )],
         ..Record::default()
