--- a/components/cell/src/crashes/mod.rs
+++ b/components/cell/src/crashes/mod.rs
@@ -360,7 +360,8 @@
         true
     }
 
-    /// True if the next start of a task is delayed since it crashes its workers.
+    /// True if the next start of a task is delayed since it crashes its workers, or fails again and
+    /// again.
     pub(crate) fn is_delayed(&self, id: &Id, place: usize) -> bool {
         self.start_delay(id, place) > 0
     }
