Node: do not hold orders back behind one without an answer

Callers saw: tasks of accepted jobs that could run, with most of the room free, and did not (LOST), while workers left a part of the orders without an answer.

Cause: orders to a worker were sent one at a time. One without an answer held all others back for 0.5 to 0.75 s; starts that had waited for 0.6 s behind it were refused as not sent, and their worker got no work for another 0.5 s.

Only orders about the same task have to be in order. The next order is now sent once the last one has an answer or has waited for 30 ms, so that orders share a connection as before while a worker answers; at most 8 are in flight. A revoked start is not sent again: its permit ends, which every attempt checks. A stop still waits for the outcome of its start.

Before: the test of the dispatcher cannot be expressed (one order in flight by construction).

--- a/components/cell/src/order.rs
+++ b/components/cell/src/order.rs
@@ -61,6 +61,16 @@
     },
 }
 
+impl Order {
+    /// Returns the task that the order is about.
+    pub const fn key(&self) -> &TaskKey {
+        match self {
+            Order::Start(start) => &start.key,
+            Order::Stop { key, .. } | Order::Pace { key, .. } | Order::Withdraw { key, .. } => key,
+        }
+    }
+}
+
 /// Formats the kind of order and the run, without details that only the worker needs.
 impl fmt::Display for Order {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/components/node/src/order_queue.rs
+++ b/components/node/src/order_queue.rs
@@ -1,4 +1,5 @@
-//! The queue of orders to one worker, which are sent one at a time and in order.
+//! The queue of orders to one worker. Orders about the same task are sent one at a time and in order;
+//! an order without an answer delays no orders about other tasks.
 //!
 //! A queued stop takes effect at once on a start of the same run that was not sent yet: the start
 //! is revoked, since a cancelled or evicted run would start only to be stopped. The same holds for
@@ -9,7 +10,7 @@
     cell::{Order, TaskKey},
     kernel::sync::lock,
     std::{
-        collections::HashSet,
+        collections::{HashSet, VecDeque},
         sync::{Arc, Mutex},
     },
     tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
@@ -57,9 +58,25 @@
 #[derive(Debug)]
 pub struct OrderReceiver {
     orders: UnboundedReceiver<QueuedOrder>,
+    /// Orders that were received and are not sent yet.
+    waiting: VecDeque<QueuedOrder>,
     revoked: Revoked,
 }
 
+/// Tells whether a start was revoked, also after it was taken from the queue.
+#[derive(Debug, Clone)]
+pub struct Revocation {
+    revoked: Revoked,
+    run: (TaskKey, u64),
+}
+
+impl Revocation {
+    /// True if the start must not be sent any more.
+    pub fn is_revoked(&self) -> bool {
+        lock(&self.revoked).contains(&self.run)
+    }
+}
+
 /// Creates the queue of one worker.
 pub fn channel() -> (OrderSender, OrderReceiver) {
     let (sender, receiver) = mpsc::unbounded_channel();
@@ -70,6 +87,7 @@
     };
     let receiver = OrderReceiver {
         orders: receiver,
+        waiting: VecDeque::new(),
         revoked,
     };
     (sender, receiver)
@@ -91,21 +109,41 @@
 }
 
 impl OrderReceiver {
-    /// Waits for the next order; `None` once the sending end is closed.
-    pub async fn next(&mut self) -> Option<QueuedOrder> {
-        let queued = self.orders.recv().await?;
+    /// Waits until another order is received. False once the sending end is closed.
+    pub async fn receive(&mut self) -> bool {
+        let Some(queued) = self.orders.recv().await else {
+            return false;
+        };
+        self.waiting.push_back(queued);
+        true
+    }
+
+    /// True if orders wait to be taken.
+    pub fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    /// Takes the first order whose task is not among the `busy` ones.
+    pub fn take(&mut self, busy: &HashSet<TaskKey>) -> Option<QueuedOrder> {
+        let is_free = |queued: &QueuedOrder| !busy.contains(queued.order.key());
+        let index = self.waiting.iter().position(is_free)?;
+        let queued = self.waiting.remove(index)?;
         if let Some(run) = revoked_by(&queued.order) {
             lock(&self.revoked).remove(&run);
         }
         Some(queued)
     }
 
-    /// True for a start that must not be sent, because a stop or a withdrawal of its run is queued.
-    pub fn is_revoked(&self, order: &Order) -> bool {
+    /// Returns what tells whether a start must not be sent, because a stop or a withdrawal of its
+    /// run is queued; `None` for other orders.
+    pub fn revocation(&self, order: &Order) -> Option<Revocation> {
         let Order::Start(start) = order else {
-            return false;
+            return None;
         };
-        lock(&self.revoked).contains(&(start.key.clone(), start.run))
+        Some(Revocation {
+            revoked: self.revoked.clone(),
+            run: (start.key.clone(), start.run),
+        })
     }
 }
 
@@ -187,7 +225,13 @@
     }
 
     fn next(receiver: &mut OrderReceiver) -> QueuedOrder {
-        runtime::block_on(receiver.next()).unwrap().unwrap()
+        assert!(runtime::block_on(receiver.receive()).unwrap());
+        receiver.take(&HashSet::new()).unwrap()
+    }
+
+    fn is_revoked(receiver: &OrderReceiver, order: &Order) -> bool {
+        let revocation = receiver.revocation(order);
+        revocation.is_some_and(|revocation| revocation.is_revoked())
     }
 
     fn withdrawal() -> Order {
@@ -201,10 +245,37 @@
         let (sender, mut receiver) = channel();
         sender.send(QueuedOrder::new(start(), 0, 0, 1));
         let first = next(&mut receiver);
-        assert!(!receiver.is_revoked(&first.order));
+        assert!(!is_revoked(&receiver, &first.order));
         sender.send(QueuedOrder::new(order, 0, 0, 1));
-        assert!(receiver.is_revoked(&first.order));
+        assert!(is_revoked(&receiver, &first.order));
         next(&mut receiver);
-        assert!(!receiver.is_revoked(&first.order));
+        assert!(!is_revoked(&receiver, &first.order));
+    }
+
+    fn receive_all(receiver: &mut OrderReceiver, count: usize) {
+        for _ in 0..count {
+            assert!(runtime::block_on(receiver.receive()).unwrap());
+        }
+    }
+
+    /// The stop of a task waits for its start, and an order about another task overtakes both.
+    #[test]
+    fn take_skips_busy_tasks() {
+        let (sender, mut receiver) = channel();
+        let other = Order::Stop {
+            key: TaskKey { place: 1, ..key() },
+            address: ADDRESS,
+            run: 1,
+        };
+        for order in [start(), stop(), other.clone()] {
+            sender.send(QueuedOrder::new(order, 0, 0, 1));
+        }
+        receive_all(&mut receiver, 3);
+        let first = receiver.take(&HashSet::new()).unwrap();
+        let busy = HashSet::from([key()]);
+        assert_eq!(receiver.take(&busy).unwrap().order, other);
+        assert!(receiver.take(&busy).is_none());
+        assert!(is_revoked(&receiver, &first.order));
+        assert_eq!(receiver.take(&HashSet::new()).unwrap().order, stop());
     }
 }
--- a/components/node/src/permits.rs
+++ b/components/node/src/permits.rs
@@ -11,6 +11,7 @@
 
 use {
     crate::{
+        order_queue::Revocation,
         settings::{MAX_CONFIRMATION_AGE, MAX_LEASE_CONFIRMATION_AGE, REFUSAL_LOG_INTERVAL},
         time,
     },
@@ -161,6 +162,7 @@
             permits: self.clone(),
             fence,
             basis: Basis::Lease,
+            revocation: None,
         })
     }
 
@@ -169,6 +171,7 @@
             permits: self.clone(),
             fence,
             basis,
+            revocation: None,
         };
         permit.fence().ok().map(|_| permit)
     }
@@ -180,15 +183,26 @@
     permits: Permits,
     fence: u64,
     basis: Basis,
+    /// Makes the permit invalid once the order is revoked.
+    revocation: Option<Revocation>,
 }
 
 impl Permit {
+    /// Returns the permit of an order that may be revoked.
+    #[must_use]
+    pub fn revocable(self, revocation: Option<Revocation>) -> Self {
+        Permit { revocation, ..self }
+    }
+
     /// Returns the fence to send the order under. To be called right before each attempt to send it.
     ///
     /// # Errors
     ///
-    /// The ownership is not confirmed any more. The order must not be sent.
+    /// The ownership is not confirmed any more, or the order was revoked. It must not be sent.
     pub fn fence(&self) -> Result<u64, Failure> {
+        if self.revocation.as_ref().is_some_and(Revocation::is_revoked) {
+            return Err(Failure::not_run(Cause::Refused, "the order was revoked"));
+        }
         let now = time::now();
         let mut tenure = lock(&self.permits.0);
         if tenure.allows(self.fence, self.basis, now) {
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -508,20 +508,25 @@
     permits: Permits,
     fence: u64,
     entry: Entry,
-    mut orders: OrderReceiver,
+    orders: OrderReceiver,
     results: Arc<Mutex<Results>>,
 ) {
-    while let Some(queued) = orders.next().await {
-        let number = queued.number;
-        let outcome = if is_withheld(&node, &queued.order) {
-            Outcome::Refused(Refusal::NotSent)
-        } else {
-            worker::send_order(&node, &permits, fence, &entry, queued, &orders).await
-        };
-        lock(&results)
-            .queue
-            .push(WorkerEvent::Answer(number, outcome));
-    }
+    let send = |queued: QueuedOrder, revocation| {
+        let (node, permits, entry, results) = (&node, &permits, &entry, &results);
+        async move {
+            let number = queued.number;
+            let outcome = if is_withheld(node, &queued.order) {
+                Outcome::Refused(Refusal::NotSent)
+            } else {
+                worker::send_order(node, permits, fence, entry, queued, revocation).await
+            };
+            lock(results)
+                .queue
+                .push(WorkerEvent::Answer(number, outcome));
+            true
+        }
+    };
+    worker::send_all(orders, send).await;
 }
 
 /// True for a start on a box that is stopping: the owner can place its task again at once, while
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -179,6 +179,12 @@
 /// meanwhile, and must not start more than a second after that end is stored. A retry of the order
 /// is sent 0.25 s later.
 pub const MAX_START_WAIT_MS: u64 = 600;
+/// How long an order to a worker may be without an answer before orders about other tasks are sent
+/// beside it. A worker responds within some milliseconds, so that orders usually share a connection.
+pub const ORDER_PATIENCE: Duration = Duration::from_millis(30);
+/// Maximum number of orders to one worker without an answer. A worker accepts 64 connections from all
+/// boxes together.
+pub const MAX_ORDERS_IN_FLIGHT: usize = 8;
 /// Pause after a failed poll of a worker.
 pub const POLL_RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Time-out of a call to another box.
--- a/components/node/src/worker.rs
+++ b/components/node/src/worker.rs
@@ -5,13 +5,16 @@
     crate::{
         core::Node,
         external::PollError,
-        order_queue::{self, OrderReceiver, OrderSender, QueuedOrder},
+        order_queue::{self, OrderReceiver, OrderSender, QueuedOrder, Revocation},
         permits::Permits,
-        settings::POLL_RETRY_PAUSE,
+        settings::{MAX_ORDERS_IN_FLIGHT, ORDER_PATIENCE, POLL_RETRY_PAUSE},
         time,
     },
-    cell::{Entry, Order, Outcome, Refusal},
+    cell::{Entry, Order, Outcome, Refusal, TaskKey},
+    futures_util::{StreamExt, stream::FuturesUnordered},
     kernel::{Failure, runtime, verdict::Cause},
+    std::collections::HashSet,
+    tokio::time::Instant,
 };
 
 /// Starts the tasks of a worker, which end with the ownership or with the worker. Returns the
@@ -53,24 +56,69 @@
     }
 }
 
-async fn send(node: Node, fence: u64, entry: Entry, mut orders: OrderReceiver) {
-    while let Some(queued) = orders.next().await {
-        // The ownership may have ended while the order was queued.
-        if !node.shared.is_owning(fence) {
-            return;
+async fn send(node: Node, fence: u64, entry: Entry, orders: OrderReceiver) {
+    let send = |queued: QueuedOrder, revocation| {
+        let node = node.clone();
+        let entry = &entry;
+        async move {
+            // The ownership may have ended while the order was queued.
+            if !node.shared.is_owning(fence) {
+                return false;
+            }
+            let order = queued.order.clone();
+            let permits = &node.shared.permits;
+            let outcome = send_order(&node, permits, fence, entry, queued, revocation).await;
+            if outcome == Outcome::Unknown {
+                log::info!(target: "owner", worker = &*entry.id, order:% = order; "The outcome of an order is unknown: the worker gave no valid answer.");
+            }
+            let id = entry.id.clone();
+            node.actor
+                .tell(move |core, cx| core.handle_outcome(cx, fence, &id, &order, outcome))
         }
-        let order = queued.order.clone();
-        let permits = &node.shared.permits;
-        let outcome = send_order(&node, permits, fence, &entry, queued, &orders).await;
-        if outcome == Outcome::Unknown {
-            log::info!(target: "owner", worker = &*entry.id, order:% = order; "The outcome of an order is unknown: the worker gave no valid answer.");
+    };
+    send_all(orders, send).await;
+}
+
+/// Sends the orders of a queue by `send` until the queue is closed and empty, or until `send`
+/// returns false. The next order is sent when all earlier ones have an answer or have waited for
+/// [`ORDER_PATIENCE`], unless an order about the same task has no answer yet.
+pub(crate) async fn send_all<F>(
+    mut orders: OrderReceiver,
+    send: impl Fn(QueuedOrder, Option<Revocation>) -> F,
+) where
+    F: Future<Output = bool>,
+{
+    let mut busy: HashSet<TaskKey> = HashSet::new();
+    let mut sent = FuturesUnordered::new();
+    // The last order, until it has an answer or has waited, and when that is.
+    let mut last: Option<TaskKey> = None;
+    let mut patience_end = Instant::now();
+    let mut is_open = true;
+    while is_open || orders.has_waiting() || !sent.is_empty() {
+        if last.is_none()
+            && sent.len() < MAX_ORDERS_IN_FLIGHT
+            && let Some(queued) = orders.take(&busy)
+        {
+            let key = queued.order.key().clone();
+            busy.insert(key.clone());
+            last = Some(key.clone());
+            patience_end = Instant::now() + ORDER_PATIENCE;
+            let revocation = orders.revocation(&queued.order);
+            let sending = send(queued, revocation);
+            sent.push(async move { (key, sending.await) });
         }
-        let id = entry.id.clone();
-        let is_delivered = node
-            .actor
-            .tell(move |core, cx| core.handle_outcome(cx, fence, &id, &order, outcome));
-        if !is_delivered {
-            return;
+        tokio::select! {
+            biased;
+            Some((key, goes_on)) = sent.next() => {
+                if !goes_on {
+                    return;
+                }
+                busy.remove(&key);
+                last.take_if(|last| *last == key);
+            }
+            () = tokio::time::sleep_until(patience_end), if last.is_some() => last = None,
+            received = orders.receive(), if is_open => is_open = received,
+            else => {}
         }
     }
 }
@@ -83,7 +131,7 @@
     fence: u64,
     entry: &Entry,
     mut queued: QueuedOrder,
-    receiver: &OrderReceiver,
+    revocation: Option<Revocation>,
 ) -> Outcome {
     if let Order::Withdraw { .. } = queued.order {
         // It only revokes a queued start, which was done when it was queued.
@@ -105,13 +153,15 @@
             }
         }
     }
-    if queued.is_stale(time::now()) || receiver.is_revoked(&queued.order) {
+    let is_revoked = revocation.as_ref().is_some_and(Revocation::is_revoked);
+    if queued.is_stale(time::now()) || is_revoked {
         metrics::counter!("magpie_orders_stale_total").increment(1);
         return Outcome::Refused(Refusal::NotSent);
     }
     let Some(permit) = permits.for_worker(fence) else {
         return Outcome::Refused(Refusal::NotSent);
     };
+    let permit = permit.revocable(revocation);
     metrics::counter!("magpie_orders_total").increment(1);
     node.external
         .workers
@@ -125,3 +175,97 @@
         "the thread that reads a job specification panicked",
     )
 }
+
+#[cfg(test)]
+mod tests {
+    use {
+        super::*,
+        cell::Start,
+        job::{Address, Id},
+        kernel::sync::lock,
+        std::{
+            sync::{Arc, Mutex},
+            time::Duration,
+        },
+    };
+
+    const ADDRESS: Address = Address {
+        time: 0,
+        step: 0,
+        index: 0,
+    };
+
+    fn key(place: usize) -> TaskKey {
+        TaskKey {
+            job: Id::new("00000000000000a1").unwrap(),
+            place,
+        }
+    }
+
+    fn start(place: usize) -> Order {
+        Order::Start(Start {
+            key: key(place),
+            address: ADDRESS,
+            run: 1,
+            text: "text".into(),
+            saved: None,
+            deadline: 1_500,
+            ticket: None,
+        })
+    }
+
+    fn stop(place: usize) -> Order {
+        Order::Stop {
+            key: key(place),
+            address: ADDRESS,
+            run: 1,
+        }
+    }
+
+    /// Sends the orders to a worker that leaves the first one without an answer for a second.
+    /// Returns the orders as they were sent, and the highest number without an answer at a time.
+    fn send_to_worker(orders: &[Order]) -> (Vec<String>, usize) {
+        let (sender, receiver) = order_queue::channel();
+        for order in orders {
+            sender.send(QueuedOrder::new(order.clone(), 0, 0, time::now()));
+        }
+        drop(sender);
+        let seen: Arc<Mutex<(Vec<String>, usize, usize)>> = Arc::default();
+        let unanswered = orders[0].clone();
+        let send = |queued: QueuedOrder, _| {
+            let (seen, is_first) = (seen.clone(), queued.order == unanswered);
+            async move {
+                {
+                    let mut seen = lock(&seen);
+                    seen.0.push(queued.order.to_string());
+                    seen.1 += 1;
+                    seen.2 = seen.2.max(seen.1);
+                }
+                let time = if is_first { 1_000 } else { 1 };
+                runtime::sleep(Duration::from_millis(time)).await;
+                lock(&seen).1 -= 1;
+                true
+            }
+        };
+        runtime::block_on(send_all(receiver, send)).unwrap();
+        let seen = lock(&seen);
+        (seen.0.clone(), seen.2)
+    }
+
+    /// Orders about other tasks are not held up by an order without an answer, and do not all
+    /// open connections of their own.
+    #[test]
+    fn send_all_passes_unanswered_order() {
+        let orders: Vec<Order> = (0..20).map(start).collect();
+        let (sent, in_flight) = send_to_worker(&orders);
+        assert_eq!((sent.len(), in_flight), (20, 2));
+    }
+
+    /// The stop of a run is sent only once its start has an answer.
+    #[test]
+    fn send_all_keeps_order_of_task() {
+        let (sent, _) = send_to_worker(&[start(0), stop(0), start(1)]);
+        let texts = [start(0), start(1), stop(0)].map(|order| order.to_string());
+        assert_eq!(sent, texts);
+    }
+}
