Workers: repeat starts and stops while they have no answer

Cause: a start was repeated once, after 0.25 s, and the first attempt was given up then; a stop was not repeated. With half of the orders unanswered every fourth start and every second stop stayed unknown, each closed its worker for 0.5 s, and the task waited until the deadline of the start, 1.5 s. After a lost answer the next attempt first had to verify a new connection by a poll of its own, which was left unanswered as often; the order then counted as not sent.

Starts and stops are made up to five times, 0.2 s apart, on connections of their own, while earlier attempts are still waited for (kernel::hedge).

--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod clock;
 pub mod daemon;
+pub mod hedge;
 mod json_log;
 pub mod logs;
 pub mod ops;
--- a/components/standin/src/runner.rs
+++ b/components/standin/src/runner.rs
@@ -8,6 +8,7 @@
         http_server::{self, ServerRequest, ServerResponse, reply},
         kv::{Kv, decode, encode},
     },
+    fastrand::Rng,
     kernel::{Reply, sync::lock, wall_clock},
     serde_json::{Value, json},
     std::{
@@ -36,6 +37,8 @@
 const SHRINK_GRACE: Duration = Duration::from_millis(4_100);
 /// Pause between two checks of a long poll.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// How long the connection of an ignored call stays open.
+const SILENCE: Duration = Duration::from_secs(1);
 /// Prefix of a specification whose tasks fail.
 pub const FAILING_PREFIX: &str = "fail";
 /// Prefix of a specification that names a task, as step and task number separated by a dot, which
@@ -115,6 +118,8 @@
     pub then_restart: bool,
     /// Sets `refuses_starts` once all `lost` responses have been lost.
     pub then_refuses: bool,
+    /// Percentage of calls that have no effect and get no response, drawn at random.
+    pub ignored: u8,
 }
 
 struct Run {
@@ -166,6 +171,8 @@
     count: u64,
     run_log: Arc<Mutex<RunLog>>,
     faults: Faults,
+    /// Draws the calls that are ignored.
+    draws: Rng,
     /// Number of further calls that get no response and are carried out later.
     deferred_calls: u32,
     /// The deferred calls.
@@ -214,6 +221,7 @@
                 count: 0,
                 run_log: run_log.clone(),
                 faults: Faults::default(),
+                draws: Rng::with_seed(cores),
                 deferred_calls: 0,
                 deferred: Vec::new(),
             })),
@@ -391,6 +399,11 @@
         if faults.reset || is_down || !is_connected_to(started_at) {
             return ServerResponse::Disconnect;
         }
+        if core.draws.u8(0..100) < faults.ignored {
+            drop(core);
+            thread::sleep(SILENCE);
+            return ServerResponse::Disconnect;
+        }
         if core.deferred_calls > 0 {
             core.deferred_calls -= 1;
             core.deferred.push(request.clone());
