Cell: report jobs of which no run is confirmed, and why workers are closed

Callers saw: a task of an accepted job that could run did not start, with most of the workers' room free. No line told of it.

Cause of the silence: `Job is stalled` spoke only while tasks reserve less than half of all CPU, although long-running tasks reserve most of it and use less; it took a placed task as progress, also when start after start went unanswered; each owner began its count anew; it described the first ready task only. `Cell summary.` told how many workers are open, not why the others are not.

Change: idle jobs are kept in a map of the cell until a run is confirmed. They are stalled after 3 s if tasks reserve or use less than half of all CPU and a ready task may fit in its pool, or a task is placed. A job that never ran is counted from its acceptance, whoever owned the cell; for others only the takeover is known, and the line says so (`since`). One line is written for the first ready task and suspect of each step, at most four in all. `No run of a job is confirmed.` names starts, how many are sent and unanswered, and what the runs wait for. Gauges magpie_cell_jobs_not_begun and magpie_cell_workers_closed{reason}; `closed` in `Cell summary.`.

The tests of `log_stalled` pass the Unix time and read the number of jobs from a struct; what they require is unchanged. The end of a run between two checks is progress (log_stalled_restarts_after_run).

--- a/components/cell/src/cell.rs
+++ b/components/cell/src/cell.rs
@@ -14,6 +14,7 @@
         place::Unplaceable,
         run_log::FinishedRun,
         slot::Slot,
+        stalled::Idle,
         takeover::{HeldBack, Pending, Recovery},
         timing::{self, Timing},
         worker::{Clock, Entry, TaskKey, Worker},
@@ -51,8 +52,6 @@
     /// Since when long-running tasks of the job have been waiting for capacity, in Unix
     /// milliseconds.
     pub waiting_since: Option<u64>,
-    /// Since when tasks of the job have been ready and none has been placed, on the owner's clock.
-    pub idle_since: Option<u64>,
     /// Long-running tasks of the job have waited for too long. They may also go to quarantined
     /// workers, since they may fail any number of times.
     pub overdue: bool,
@@ -150,6 +149,8 @@
     pub(crate) removed: Vec<Arc<str>>,
     /// Jobs with tasks that may start.
     pub(crate) ready_jobs: BTreeSet<Rank>,
+    /// Jobs with due tasks of which no run is confirmed, and some that are not checked yet.
+    pub(crate) idle: HashMap<Id, Idle>,
     /// Jobs whose record is due to be written.
     pub(crate) dirty: WriteQueue,
     /// Jobs with a timetable and repetitions still to come.
@@ -245,6 +246,7 @@
             ambiguous: HashSet::new(),
             removed: Vec::new(),
             ready_jobs: BTreeSet::new(),
+            idle: HashMap::new(),
             dirty: WriteQueue::default(),
             timetabled: HashSet::new(),
             last_listing: 0,
--- a/components/cell/src/jobs.rs
+++ b/components/cell/src/jobs.rs
@@ -71,7 +71,6 @@
         let job = Job {
             rank: rank(&progress),
             waiting_since: None,
-            idle_since: None,
             urgent: false,
             overdue: false,
             unpersisted_crashes: BTreeSet::new(),
--- a/components/cell/src/lease_expiry.rs
+++ b/components/cell/src/lease_expiry.rs
@@ -1,7 +1,7 @@
 //! Unreachable workers and expired leases.
 
 use {
-    crate::{cell::Cell, timing, worker::TaskKey},
+    crate::{cell::Cell, closed::Backoff, timing, worker::TaskKey},
     job::Phase,
     std::sync::Arc,
 };
@@ -14,7 +14,7 @@
     /// Records that a poll of a worker failed: the worker gets no work for a short time.
     pub fn poll_failed(&mut self, id: &str, now: u64) {
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.back_off(now);
+            worker.back_off(Backoff::PollFailed, now);
             if worker.unreachable_since.is_none() {
                 worker.unreachable_since = Some(now);
                 let due = worker.answer_due.map_or(now, timing::expected_answer);
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -24,6 +24,7 @@
 mod cell;
 mod choose;
 mod claim_bound;
+mod closed;
 mod crashes;
 mod drain;
 mod failing;
@@ -49,6 +50,7 @@
 mod seals;
 mod serving_load;
 mod slot;
+mod stalled;
 mod successor;
 mod summary;
 mod takeover;
@@ -60,6 +62,7 @@
 
 pub use advice::{Advice, AdviceQuery, Candidate};
 pub use cell::{Cell, Poll, Reachability};
+pub use closed::{ClosedBy, ClosedWorkers};
 pub use interference::Interference;
 pub use learned::Learned;
 pub use maintenance::{
@@ -67,6 +70,7 @@
 };
 pub use order::{EndCause, Order, Outcome, Refusal, Report, Run, RunEnd, Start};
 pub use persistence::{Seal, WriteBatch};
+pub use stalled::Stalled;
 pub use summary::Summary;
 pub use timing::Timing;
 pub use worker::{Entry, Listing, TaskKey};
--- a/components/cell/src/outcome.rs
+++ b/components/cell/src/outcome.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         cell::Cell,
+        closed::Backoff,
         order::{Order, Outcome, Refusal, Start},
         slot::Stage,
         worker::TaskKey,
@@ -96,14 +97,14 @@
             }
             Outcome::Unknown => {
                 slot.unanswered = Some(now);
-                worker.back_off(now);
+                worker.back_off(Backoff::Unanswered, now);
             }
             Outcome::Refused(reason) => {
                 log::info!(target: "cell", job = start.key.job.as_str(), place = start.key.place, worker = &**id, run = start.run, reason:? = reason; "Start refused.");
                 // A start that was revoked before it was sent does not count for its worker:
                 // backing off left 51 cores free for 0.5 s.
                 if !(reason == Refusal::NotSent && is_stopping) {
-                    worker.back_off(now);
+                    worker.back_off(Backoff::Refused, now);
                 }
                 worker.remove_slot(&start.key);
                 if reason == Refusal::Ticket {
--- a/components/cell/src/overdue.rs
+++ b/components/cell/src/overdue.rs
@@ -1,10 +1,11 @@
-//! Tasks that wait for too long: long-running ones, and those of jobs that are stalled although most
-//! capacity is free. The reasons are logged once a second.
+//! Long-running tasks that wait for too long, and why a task waits. The reasons are logged once a
+//! second.
 
 use {
     crate::{
         cell::{Cell, Job},
         choose::History,
+        stalled::Since,
         worker::TaskKey,
     },
     job::Phase,
@@ -15,9 +16,6 @@
 /// again 6 s after its last run, and a worker that fails is declared lost 4.9 s after its last
 /// answer.
 const LOG_AFTER: u64 = 6_000;
-/// A job with a ready task is stalled if nothing of it has been placed for longer than this, in
-/// milliseconds. It must not be while there is capacity.
-const STALLED_AFTER: u64 = 3_000;
 /// The maximum number of tasks logged at once, since each takes a line and a scan of all workers.
 const MAX_LINES: usize = 4;
 
@@ -53,6 +51,17 @@
     Trial,
 }
 
+/// What is logged of a task that waits.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Wait {
+    /// For how long, in milliseconds.
+    pub waited: u64,
+    /// From when that is counted.
+    pub since: Since,
+    /// The text of the line.
+    pub message: &'static str,
+}
+
 impl Cell {
     /// Logs long-running tasks that wait for too long, starting with those of jobs that have waited
     /// longest. Returns the number of all such tasks.
@@ -77,53 +86,19 @@
             };
             let since = job.waiting_since;
             let waited = since.map_or(0, |since| wall.saturating_sub(since));
-            self.log_wait(key, job, waited, "Long-running task is overdue.", now);
-        }
-        overdue.len()
-    }
-
-    /// Logs jobs that are stalled although most capacity is free, starting with those that have
-    /// been for longest. Returns the number of all such jobs.
-    pub fn log_stalled(&mut self, now: u64) -> usize {
-        let mut stalled = self.update_idle(now);
-        if !self.is_mostly_free() {
-            return 0;
-        }
-        stalled.sort();
-        for (waited, key) in stalled.iter().rev().take(MAX_LINES) {
-            if let Some(job) = self.jobs.get(&key.job) {
-                let message = "Job is stalled although most capacity is free.";
-                self.log_wait(key, job, *waited, message, now);
-            }
-        }
-        stalled.len()
-    }
-
-    /// Updates since when jobs with ready tasks have had nothing placed. Returns for how long the
-    /// stalled ones have, and their first ready task.
-    fn update_idle(&mut self, now: u64) -> Vec<(u64, TaskKey)> {
-        let mut stalled = Vec::new();
-        for rank in &self.ready_jobs {
-            let Some(job) = self.jobs.get_mut(&rank.id) else {
-                continue;
+            let wait = Wait {
+                waited,
+                since: Since::Line,
+                message: "Long-running task is overdue.",
             };
-            let Some(&place) = job.ready.first().filter(|_| !job.has_placed_task()) else {
-                job.idle_since = None;
-                continue;
-            };
-            let since = *job.idle_since.get_or_insert(now);
-            let waited = now.saturating_sub(since);
-            if waited > STALLED_AFTER && !job.progress.submission.spec.is_long_running() {
-                let job = rank.id.clone();
-                stalled.push((waited, TaskKey { job, place }));
-            }
+            self.log_wait(key, job, wait, now);
         }
-        stalled
+        overdue.len()
     }
 
-    /// True if tasks use less than half of the CPU of all listed workers, those included that can
+    /// True if tasks reserve less than half of the CPU of all listed workers, those included that can
     /// be given no work.
-    fn is_mostly_free(&self) -> bool {
+    pub(crate) fn is_mostly_free(&self) -> bool {
         let (mut total, mut used) = (0, 0);
         for worker in self.workers.values().filter(|worker| worker.listed) {
             total += worker.entry.size.cpu;
@@ -133,7 +108,15 @@
     }
 
     /// Logs why a task waits: reasons of its own, and how many workers each obstacle excludes.
-    fn log_wait(&self, key: &TaskKey, job: &Job, waited: u64, message: &str, now: u64) {
+    pub(crate) fn log_wait(&self, key: &TaskKey, job: &Job, wait: Wait, now: u64) {
+        let Wait {
+            waited,
+            since,
+            message,
+        } = wait;
+        let starts = self.idle.get(&key.job).map_or(0, |idle| idle.starts);
+        let delay = job.delayed.get(&key.place).copied();
+        let delay = delay.map_or(0, |until| until.saturating_sub(now));
         let ready = job.ready.len();
         let is_queued = self.ready_jobs.contains(&job.rank);
         let must_wait = self.is_start_blocked(&key.job, key.place);
@@ -148,7 +131,7 @@
             .filter_map(|(obstacle, count)| Some(format!("{:?}={count}", (*obstacle)?)))
             .collect();
         let obstacles = texts.join(" ");
-        log::warn!(target: "cell", job = key.job.as_str(), place = key.place, cpu, ready, waited, line = is_queued, unsure = is_unconfirmed, suspicion:? = history.suspicion, unkept = job.unpersisted_crashes.contains(&key.place), barred = must_wait, trials, free, obstacles = obstacles.as_str(); "{message}");
+        log::warn!(target: "cell", job = key.job.as_str(), place = key.place, cpu, ready, waited, since:? = since, starts, delay, line = is_queued, unsure = is_unconfirmed, suspicion:? = history.suspicion, unkept = job.unpersisted_crashes.contains(&key.place), barred = must_wait, trials, free, obstacles = obstacles.as_str(); "{message}");
     }
 
     /// Counts the workers by the obstacle that excludes them; workers without one are under `None`.
@@ -199,11 +182,3 @@
         count
     }
 }
-
-impl Job {
-    /// True if a task of the job is placed on a worker.
-    fn has_placed_task(&self) -> bool {
-        let mut tasks = self.progress.tasks.iter();
-        tasks.any(|task| matches!(task.phase, Phase::Placed(_)))
-    }
-}
--- a/components/cell/src/place.rs
+++ b/components/cell/src/place.rs
@@ -351,6 +351,7 @@
             // The next owner has to know where a suspect was started.
             self.dirty.insert(key.job.clone());
         }
+        self.count_start(&key.job, now);
         self.begin_trial(id, key, run, now);
         self.placements_left = self.placements_left.saturating_sub(1);
         self.first_placement.get_or_insert(now);
@@ -364,7 +365,6 @@
     /// Resets the waiting time of long-running tasks, when no task of the job is ready.
     pub(crate) fn reset_waiting(&mut self) {
         self.waiting_since = None;
-        self.idle_since = None;
         self.overdue = false;
         self.rank.lasting = self.progress.submission.spec.is_long_running();
     }
@@ -378,7 +378,6 @@
         task.confirmed = false;
         task.recorded = Recorded::None;
         self.ready.remove(&place);
-        self.idle_since = None;
         self.unplaceable.remove(&place);
         let saved = task.checkpoint.clone();
         let spec = &self.progress.submission.spec;
--- a/components/cell/src/report.rs
+++ b/components/cell/src/report.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         cell::Cell,
+        closed::Backoff,
         order::{Order, Report, Run},
         slot::{Slot, Stage, UNKNOWN_PACE},
         worker::{Clock, TaskKey},
@@ -182,7 +183,6 @@
         self.crashes.unobserved.forget(&key);
         task.run = task.run.max(run.run);
         job.ready.remove(&key.place);
-        job.idle_since = None;
         if job.ready.is_empty() {
             self.ready_jobs.remove(&job.rank);
             job.reset_waiting();
@@ -294,6 +294,7 @@
             return;
         };
         job.started = true;
+        self.idle.remove(&key.job);
         if let Some(task) = job.progress.tasks.get_mut(key.place) {
             task.confirmed = true;
         }
@@ -357,7 +358,7 @@
                     // The worker answers polls but not orders. Without the backoff it would stay
                     // the best choice: a task was given to it ten times in 20 s although another
                     // worker had capacity.
-                    worker.back_off(times.now);
+                    worker.back_off(Backoff::Unanswered, times.now);
                 }
             }
             self.requeue_if_unplaced(&key);
--- a/components/cell/src/summary.rs
+++ b/components/cell/src/summary.rs
@@ -1,6 +1,6 @@
 //! Aggregate figures of a cell for logs and metrics.
 
-use crate::{cell::Cell, slot::Slot};
+use crate::{cell::Cell, closed::ClosedWorkers, slot::Slot};
 
 /// Aggregate figures of a cell. CPU is in thousandths of a core.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -13,6 +13,8 @@
     pub workers: usize,
     /// Workers that may be given work.
     pub schedulable: usize,
+    /// Workers that may be given no work, by reason.
+    pub closed: ClosedWorkers,
     /// Workers without serving tasks.
     pub without_serving: usize,
     /// Workers with serving tasks of more than one image.
@@ -54,6 +56,9 @@
             summary.placed += worker.slots.len();
             summary.serving_cpu += worker.serving_cpu;
             summary.other_cpu += worker.reserved.cpu - worker.serving_cpu;
+            if let Some(reason) = self.closed_by(worker, now) {
+                summary.closed.add(reason);
+            }
             if !worker.is_schedulable(now) || self.is_in_closed_hall(worker) {
                 continue;
             }
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -2,6 +2,7 @@
 //! and quarantine.
 
 use {
+    crate::closed::Backoff,
     crate::interference::Image,
     crate::serving_load::ServingLoad,
     crate::slot::Slot,
@@ -241,6 +242,8 @@
     /// It gets no work before this time, on the owner's clock, since it refused an order or did not
     /// answer.
     pub backoff_until: u64,
+    /// Why, as of the last time.
+    pub backoff: Backoff,
     /// It gets no work before this time, on the owner's clock, since its runs failed.
     pub quarantined_until: u64,
     /// Consecutive failed runs.
@@ -297,6 +300,7 @@
             changed: true,
             over_target_since: None,
             backoff_until: 0,
+            backoff: Backoff::default(),
             quarantined_until: 0,
             failures: 0,
             last_failure: 0,
@@ -512,7 +516,8 @@
     }
 
     /// Gives the worker no work for a short time.
-    pub fn back_off(&mut self, now: u64) {
+    pub fn back_off(&mut self, reason: Backoff, now: u64) {
+        self.backoff = reason;
         self.backoff_until = self.backoff_until.max(now + BACKOFF);
     }
 }
--- a/components/cell/tests/decisions/run_log.rs
+++ b/components/cell/tests/decisions/run_log.rs
@@ -27,7 +27,18 @@
             value.map_or(String::new(), |value| format!(" {value}"))
         };
         let keys = [
-            "count", "job", "place", "worker", "run", "how", "runs", "tasks",
+            "count",
+            "job",
+            "place",
+            "worker",
+            "run",
+            "how",
+            "runs",
+            "tasks",
+            "since",
+            "starts",
+            "sent",
+            "unanswered",
         ];
         let values = keys.map(value).concat();
         LINES.with_borrow_mut(|lines| lines.push(format!("{}{values}", record.args())));
@@ -36,8 +47,15 @@
     fn flush(&self) {}
 }
 
+/// Records the log lines of the test on this thread.
+pub fn record_log() {
+    // Another test may have set the logger.
+    let _ = log::set_logger(&TestLogger);
+    log::set_max_level(LevelFilter::Info);
+}
+
 /// Lines with this message since the last call.
-fn lines(message: &str) -> Vec<String> {
+pub fn lines(message: &str) -> Vec<String> {
     let mut lines = LINES.with_borrow_mut(mem::take);
     lines.retain(|line| line.starts_with(message));
     lines
@@ -45,9 +63,7 @@
 
 /// Creates a world with one job of `tasks` running tasks on one worker, and records its log.
 fn world_with_log(tasks: u32) -> World {
-    // Another test may have set the logger.
-    let _ = log::set_logger(&TestLogger);
-    log::set_max_level(LevelFilter::Info);
+    record_log();
     let mut world = World::new(&["w1"]);
     world.submit(JOB, vec![step(tasks, 10)]);
     for (worker, start) in world.starts() {
--- a/components/cell/tests/decisions/stalled.rs
+++ b/components/cell/tests/decisions/stalled.rs
@@ -1,11 +1,13 @@
-//! Jobs that stand still although most capacity is free.
+//! Jobs that stand still although most capacity is free, and jobs whose starts are not confirmed.
 
 use {
     crate::{
-        common::{JOB, World, step},
+        common::{JOB, World, end, large_cell, step, submission},
+        run_log::{lines, record_log},
         sim::{CRASH_AFTER, Sim},
     },
-    job::{Crashes, Id, Record, State},
+    job::{Crashes, Id, Record, State, Step},
+    magpie_cell::{ClosedBy, EndCause, Entry, Order, Outcome, Refusal, Stalled},
     std::{collections::HashMap, ops::RangeInclusive},
     test_case::test_case,
 };
@@ -13,21 +15,264 @@
 /// Maximum time without a run of a job that has ready tasks, in milliseconds, while most capacity
 /// is free.
 const MAX_IDLE: u64 = 3_000;
+/// Unix time at the start of the clock of a [`World`], in milliseconds.
+const WALL_OFFSET: u64 = 1_000_000;
+/// The maximum number of lines of a kind at once.
+const MAX_LINES: usize = 4;
+/// The maximum number of runs named in a line.
+const MAX_RUNS: usize = 4;
+const READY_LINE: &str = "Job is stalled although most capacity is free.";
+const RUNS_LINE: &str = "No run of a job is confirmed.";
+const OTHER_JOB: &str = "00000000000000b1";
+
+impl World {
+    fn wall(&self) -> u64 {
+        WALL_OFFSET + self.now
+    }
+
+    fn stalled(&mut self) -> Stalled {
+        self.cell.log_stalled(self.wall(), self.now)
+    }
+
+    /// Submits a job that is accepted now.
+    fn accept(&mut self, id: &str, steps: Vec<Step>) {
+        let mut submission = submission(id, steps);
+        submission.accepted = self.wall();
+        assert!(self.cell.admit(submission, self.wall()));
+    }
+
+    /// Lets a job of one task run on the only worker, and closes its hall.
+    fn occupy(&mut self, step: Step) {
+        self.accept(OTHER_JOB, vec![step]);
+        for (worker, start) in self.starts() {
+            self.answer(&worker, &start, Outcome::Done);
+        }
+        self.cell.set_closed_halls(["h1".into()].into());
+    }
+
+    /// Waits until a ready job is stalled. Returns the numbers.
+    fn stalled_later(&mut self) -> Stalled {
+        assert_eq!(self.stalled(), Stalled::default());
+        self.now += MAX_IDLE + 1;
+        self.cell.rerank(self.wall(), self.now);
+        self.starts();
+        self.stalled()
+    }
+}
+
+fn serving(cpu: u64) -> Step {
+    Step {
+        lasting: true,
+        target: 100,
+        ..step(1, cpu)
+    }
+}
 
 /// A job that waits beside free capacity is counted, one that waits for capacity is not.
 #[test_case(1_000, 1; "free capacity")]
 #[test_case(3_000, 0; "scarce capacity")]
 fn log_stalled_counts_jobs(used: u64, expected: usize) {
     let mut world = World::new(&["w1"]);
-    world.submit("00000000000000b1", vec![step(1, used)]);
-    world.starts();
-    world.submit(JOB, vec![step(1, 100)]);
+    world.occupy(step(1, used));
+    world.accept(JOB, vec![step(1, 100)]);
+    assert_eq!(world.stalled_later().jobs, expected);
+}
+
+/// Guards against silence where serving tasks reserve most capacity and use little of it.
+#[test_case(500, 1; "fits")]
+#[test_case(2_000, 0; "no worker has room")]
+fn log_stalled_counts_unused_capacity(cpu: u64, expected: usize) {
+    let mut world = World::new(&["w1"]);
+    world.occupy(serving(3_000));
+    world.accept(JOB, vec![step(1, cpu)]);
+    assert_eq!(world.stalled_later().jobs, expected);
+}
+
+/// Guards against a first ready task that has no room and hides others that have.
+#[test]
+fn log_stalled_checks_each_ready_step() {
+    let mut world = World::new(&["w1"]);
     world.cell.set_closed_halls(["h1".into()].into());
-    assert_eq!(world.cell.log_stalled(world.now), 0);
+    world.accept(JOB, vec![step(2, 9_000), step(2, 100)]);
+    record_log();
+    assert_eq!(world.stalled_later().jobs, 1);
+    let expected = [0, 2].map(|place| format!("{READY_LINE} {JOB} {place} Accepted 0"));
+    assert_eq!(lines(READY_LINE), expected);
+}
+
+/// Guards against unanswered starts that count as progress.
+#[test]
+fn log_stalled_counts_unanswered_starts() {
+    let mut world = large_cell(8);
+    world.accept(JOB, vec![step(2, 100)]);
+    record_log();
+    let mut counts = Stalled::default();
+    let begun = world.now;
+    let mut starts = 0;
+    while world.now <= begun + MAX_IDLE {
+        assert_eq!(counts, Stalled::default());
+        for (worker, start) in world.starts() {
+            starts += 1;
+            world.answer(&worker, &start, Outcome::Unknown);
+            world.now += 1;
+            world.report(&worker, vec![], vec![]);
+            let stop = Order::Stop {
+                address: start.address,
+                run: start.run,
+                key: start.key,
+            };
+            // The last ones remain unanswered.
+            if world.now < begun + 2_000 {
+                let outcome = Outcome::Done;
+                world
+                    .cell
+                    .handle_outcome(&worker, &stop, outcome, world.now);
+            }
+        }
+        world.now += 500;
+        for number in 0..8 {
+            world.report(&format!("w{number:05}"), vec![], vec![]);
+        }
+        counts = world.stalled();
+    }
+    let expected = Stalled {
+        jobs: 1,
+        not_begun: 1,
+    };
+    assert_eq!(counts, expected);
+    assert!(starts > 4);
+    let lines = lines(RUNS_LINE);
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    let line = &lines[0];
+    assert!(line.ends_with(&format!("Accepted {starts} 0 2")), "{line}");
+    assert_eq!(line.matches(":Stop:").count(), 2, "{line}");
+}
+
+/// Starts that are not answered at all, also while no capacity is free.
+#[test_case(100, 1; "free capacity")]
+#[test_case(3_000, 0; "scarce capacity")]
+fn log_stalled_counts_sent_starts(cpu: u64, jobs: usize) {
+    let mut world = World::new(&["w1"]);
+    world.accept(JOB, vec![step(1, cpu)]);
+    let (worker, start) = world.starts()[0].clone();
+    record_log();
+    world.now += MAX_IDLE;
+    assert_eq!(world.stalled(), Stalled::default());
+    world.now += 1;
+    let expected = Stalled { jobs, not_begun: 1 };
+    assert_eq!(world.stalled(), expected);
+    let expected = format!("{RUNS_LINE} {JOB} 0.1@w1:Leases:0 Accepted 1 1 0");
+    assert_eq!(lines(RUNS_LINE), [expected]);
+    world.answer(&worker, &start, Outcome::Done);
+    assert_eq!(world.stalled(), Stalled::default());
+}
+
+/// A run that is confirmed between two checks is progress.
+#[test]
+fn log_stalled_restarts_after_run() {
+    let mut world = World::new(&["w1"]);
+    world.accept(JOB, vec![step(1, 100)]);
+    let (worker, start) = world.starts()[0].clone();
+    world.now += MAX_IDLE - 100;
+    assert_eq!(world.stalled(), Stalled::default());
+    world.answer(&worker, &start, Outcome::Done);
+    world.report("w1", vec![], vec![end(1, JOB, 0, 1, EndCause::Failed)]);
+    world.cell.set_closed_halls(["h1".into()].into());
+    world.now += 200;
+    record_log();
+    assert_eq!(world.stalled_later().jobs, 1);
+    assert_eq!(lines(READY_LINE), [format!("{READY_LINE} {JOB} 0 Idle 0")]);
+}
+
+/// Guards against owners each of which counts anew: a job that never ran is counted at once.
+#[test_case(State::Queued, 1, "Accepted"; "never ran")]
+#[test_case(State::Running, 0, "Takeover"; "ran before")]
+fn log_stalled_counts_across_owners(state: State, at_once: usize, since: &str) {
+    let mut world = World::without_reports(&["w1"]);
+    let mut submission = submission(JOB, vec![step(1, 100)]);
+    submission.accepted = world.wall() - MAX_IDLE - 1;
+    let record = Record {
+        state,
+        ..Record::default()
+    };
+    world.cell.resume(submission, &record, world.wall());
+    world.cell.recover_gradually(world.now, 8);
+    record_log();
+    assert_eq!(world.stalled().jobs, at_once);
     world.now += MAX_IDLE + 1;
-    world.cell.rerank(1, world.now);
+    assert_eq!(world.stalled().jobs, 1);
+    let lines = lines(READY_LINE);
+    assert_eq!(lines.len(), 1 + at_once);
+    assert!(lines.iter().all(|line| line.contains(since)), "{lines:?}");
+}
+
+/// Guards against a line for each of many jobs and tasks.
+#[test]
+fn log_stalled_lines_are_bounded() {
+    let mut world = World::new(&["w1"]);
+    world.cell.set_closed_halls(["h1".into()].into());
+    for number in 1..=20 {
+        world.accept(&job_id(number), vec![step(4, 1), step(4, 2)]);
+    }
+    record_log();
+    assert_eq!(world.stalled_later().jobs, 20);
+    assert_eq!(lines(READY_LINE).len(), MAX_LINES);
+    world.cell.set_closed_halls([].into());
+    world.report("w1", vec![], vec![]);
     world.starts();
-    assert_eq!(world.cell.log_stalled(world.now), expected);
+    world.now += MAX_IDLE + 1;
+    let counts = world.stalled();
+    assert_eq!((counts.jobs, counts.not_begun), (20, 20));
+    let lines = lines(RUNS_LINE);
+    assert_eq!(lines.len(), MAX_LINES);
+    let named = |line: &String| line.matches("@w1").count();
+    assert!(
+        lines.iter().all(|line| named(line) == MAX_RUNS),
+        "{lines:?}"
+    );
+}
+
+/// Each worker that may be given no work is counted under one reason.
+#[test]
+fn summary_counts_closed_workers() {
+    let names = ["w1", "w2", "w3", "w4", "w5", "w6"];
+    let mut world = World::new(&names);
+    world.accept(JOB, vec![step(2, 4_000)]);
+    let starts = world.starts();
+    let outcomes = [Outcome::Unknown, Outcome::Refused(Refusal::Unwell)];
+    for ((worker, start), outcome) in starts.iter().zip(outcomes) {
+        world.answer(worker, start, outcome);
+    }
+    let used: Vec<&str> = starts.iter().map(|(worker, _)| &**worker).collect();
+    let unused: Vec<&str> = names
+        .into_iter()
+        .filter(|name| !used.contains(name))
+        .collect();
+    let mut entries: Vec<Entry> = world.cell.entries().cloned().collect();
+    for entry in &mut entries {
+        entry.leaving = &*entry.id == unused[0];
+    }
+    world.list(entries);
+    world.cell.poll_failed(unused[1], world.now);
+    world.cell.set_backpressured([unused[2].into()].into());
+    let summary = world.cell.summary(world.now);
+    let reasons = [
+        ClosedBy::Unanswered,
+        ClosedBy::Refused,
+        ClosedBy::Leaving,
+        ClosedBy::Unheard,
+        ClosedBy::Backpressure,
+    ];
+    for reason in ClosedBy::ALL {
+        let expected = usize::from(reasons.contains(&reason));
+        assert_eq!(summary.closed.count(reason), expected, "{reason:?}");
+    }
+    let expected = "leaving=1 unheard=1 unanswered=1 refused=1 backpressure=1";
+    assert_eq!(summary.closed.to_string(), expected);
+    world.now += 500;
+    let summary = world.cell.summary(world.now);
+    assert_eq!(summary.closed.count(ClosedBy::Unanswered), 0);
+    assert_eq!(summary.closed.count(ClosedBy::Refused), 0);
 }
 
 fn job_id(number: u64) -> String {
--- a/components/node/src/ownership/mod.rs
+++ b/components/node/src/ownership/mod.rs
@@ -24,7 +24,7 @@
         settings::{TICK_INTERVAL, Takeover},
         time,
     },
-    cell::{AdviceQuery, Cell, Entry, Poll},
+    cell::{AdviceQuery, Cell, ClosedBy, Entry, Poll},
     job::Config,
     kernel::{
         actor::Responder,
@@ -288,10 +288,15 @@
             return;
         };
         let summary = ownership.cell.summary(time::now());
-        log::info!(target: "cell", fence, jobs = summary.jobs, placed = summary.placed, workers = summary.workers, open = summary.schedulable, unserving = summary.without_serving, mixed = summary.mixed, paced = summary.throttled, serving = summary.serving_cpu, firm = summary.other_cpu, free = summary.free_cpu, largest = summary.largest_free, unused = summary.idle_cpu, waiting = summary.waiting_cpu, filling = summary.waiting_best_effort, trials = summary.trials, trial_age = summary.trial_age; "Cell summary.");
+        log::info!(target: "cell", fence, jobs = summary.jobs, placed = summary.placed, workers = summary.workers, open = summary.schedulable, closed:% = summary.closed, unserving = summary.without_serving, mixed = summary.mixed, paced = summary.throttled, serving = summary.serving_cpu, firm = summary.other_cpu, free = summary.free_cpu, largest = summary.largest_free, unused = summary.idle_cpu, waiting = summary.waiting_cpu, filling = summary.waiting_best_effort, trials = summary.trials, trial_age = summary.trial_age; "Cell summary.");
         metrics::gauge!("magpie_cell_jobs").set(summary.jobs as f64);
         metrics::gauge!("magpie_cell_tasks_placed").set(summary.placed as f64);
         metrics::gauge!("magpie_cell_workers_open").set(summary.schedulable as f64);
+        for reason in ClosedBy::ALL {
+            let count = summary.closed.count(reason);
+            metrics::gauge!("magpie_cell_workers_closed", "reason" => reason.as_str())
+                .set(count as f64);
+        }
         metrics::gauge!("magpie_cell_cores_free").set(summary.free_cpu as f64 / 1e3);
         metrics::gauge!("magpie_cell_cores_waiting").set(summary.waiting_cpu as f64 / 1e3);
         metrics::gauge!("magpie_cell_cores_filling_waiting")
@@ -301,8 +306,11 @@
             .cell
             .log_overdue(wall_clock::millis(), time::now());
         metrics::gauge!("magpie_cell_lasting_overdue").set(long_waits as f64);
-        let stalled = ownership.cell.log_stalled(time::now());
-        metrics::gauge!("magpie_cell_jobs_stalled").set(stalled as f64);
+        let stalled = ownership
+            .cell
+            .log_stalled(wall_clock::millis(), time::now());
+        metrics::gauge!("magpie_cell_jobs_stalled").set(stalled.jobs as f64);
+        metrics::gauge!("magpie_cell_jobs_not_begun").set(stalled.not_begun as f64);
         metrics::gauge!("magpie_cell_workers_sealed").set(ownership.cell.sealed_workers() as f64);
         let unheard = ownership.cell.tasks_waiting_unheard(time::now());
         metrics::gauge!("magpie_cell_tasks_waiting_unheard").set(unheard as f64);
