Cell: count no unconfirmed runs as use of capacity in the check of stalled jobs

The CPU of placed tasks of jobs of which no run is confirmed no longer counts. `Cell summary.` says how many jobs are stalled and not begun.

log_stalled_counts_sent_starts has a case for it, and its case of scarce capacity now has a running job, since an unconfirmed run of the job itself no longer makes capacity scarce; it still requires 0 there.

--- a/components/cell/src/stalled.rs
+++ b/components/cell/src/stalled.rs
@@ -213,14 +213,17 @@
     }
 
     /// True if less than half of the CPU of all listed workers is in use, those included that can
-    /// be given no work. Long-running tasks use less than they reserve.
+    /// be given no work. Long-running tasks use less than they reserve, and unconfirmed runs of idle
+    /// jobs may use nothing.
     fn is_mostly_unused(&self) -> bool {
         let (mut total, mut idle) = (0, 0);
         for worker in self.workers.values().filter(|worker| worker.listed) {
             total += worker.entry.size.cpu;
             idle += worker.idle_cpu();
         }
-        idle * 2 > total || self.is_mostly_free()
+        let jobs = self.idle.keys().filter_map(|id| self.jobs.get(id));
+        let unconfirmed: u64 = jobs.map(Job::placed_cpu).sum();
+        (idle + unconfirmed) * 2 > total || self.is_mostly_free()
     }
 
     /// Returns the most free capacity of a listed worker, by pool and kind of resource.
@@ -315,6 +318,15 @@
         }
     }
 
+    /// Returns the CPU of all placed tasks.
+    fn placed_cpu(&self) -> u64 {
+        let tasks = self.progress.tasks.iter().enumerate();
+        let placed = tasks.filter(|(_, task)| matches!(task.phase, Phase::Placed(_)));
+        placed
+            .map(|(place, _)| self.progress.step(place).size.cpu)
+            .sum()
+    }
+
     /// Returns the state of the runs of the job.
     fn runs(&self) -> Runs {
         let mut runs = Runs::None;
--- a/components/cell/tests/decisions/stalled.rs
+++ b/components/cell/tests/decisions/stalled.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        common::{JOB, World, end, large_cell, step, submission},
+        common::{JOB, World, end, large_cell, run, step, submission},
         run_log::{lines, record_log},
         sim::{CRASH_AFTER, Sim},
     },
@@ -149,10 +149,14 @@
 }
 
 /// Starts that are not answered at all, also while no capacity is free.
-#[test_case(100, 1; "free capacity")]
-#[test_case(3_000, 0; "scarce capacity")]
-fn log_stalled_counts_sent_starts(cpu: u64, jobs: usize) {
+#[test_case(100, 1_000, 1; "free capacity")]
+#[test_case(3_000, 1_000, 1; "capacity reserved for them")]
+#[test_case(100, 3_000, 0; "scarce capacity")]
+fn log_stalled_counts_sent_starts(cpu: u64, used: u64, jobs: usize) {
     let mut world = World::new(&["w1"]);
+    world.occupy(step(1, used));
+    world.cell.set_closed_halls([].into());
+    world.report("w1", vec![run(OTHER_JOB, 0, 1)], vec![]);
     world.accept(JOB, vec![step(1, cpu)]);
     let (worker, start) = world.starts()[0].clone();
     record_log();
--- a/components/node/src/ownership/mod.rs
+++ b/components/node/src/ownership/mod.rs
@@ -288,7 +288,10 @@
             return;
         };
         let summary = ownership.cell.summary(time::now());
-        log::info!(target: "cell", fence, jobs = summary.jobs, placed = summary.placed, workers = summary.workers, open = summary.schedulable, closed:% = summary.closed, unserving = summary.without_serving, mixed = summary.mixed, paced = summary.throttled, serving = summary.serving_cpu, firm = summary.other_cpu, free = summary.free_cpu, largest = summary.largest_free, unused = summary.idle_cpu, waiting = summary.waiting_cpu, filling = summary.waiting_best_effort, trials = summary.trials, trial_age = summary.trial_age; "Cell summary.");
+        let stalled = ownership
+            .cell
+            .log_stalled(wall_clock::millis(), time::now());
+        log::info!(target: "cell", fence, jobs = summary.jobs, placed = summary.placed, workers = summary.workers, open = summary.schedulable, closed:% = summary.closed, unserving = summary.without_serving, mixed = summary.mixed, paced = summary.throttled, serving = summary.serving_cpu, firm = summary.other_cpu, free = summary.free_cpu, largest = summary.largest_free, unused = summary.idle_cpu, waiting = summary.waiting_cpu, filling = summary.waiting_best_effort, trials = summary.trials, trial_age = summary.trial_age, stalled = stalled.jobs, not_begun = stalled.not_begun; "Cell summary.");
         metrics::gauge!("magpie_cell_jobs").set(summary.jobs as f64);
         metrics::gauge!("magpie_cell_tasks_placed").set(summary.placed as f64);
         metrics::gauge!("magpie_cell_workers_open").set(summary.schedulable as f64);
@@ -306,9 +309,6 @@
             .cell
             .log_overdue(wall_clock::millis(), time::now());
         metrics::gauge!("magpie_cell_lasting_overdue").set(long_waits as f64);
-        let stalled = ownership
-            .cell
-            .log_stalled(wall_clock::millis(), time::now());
         metrics::gauge!("magpie_cell_jobs_stalled").set(stalled.jobs as f64);
         metrics::gauge!("magpie_cell_jobs_not_begun").set(stalled.not_begun as f64);
         metrics::gauge!("magpie_cell_workers_sealed").set(ownership.cell.sealed_workers() as f64);
