Cell: do not fail healthy jobs since others crashed their workers

Callers saw a job shown as failed although nothing was wrong with it: tasks of other jobs crashed the workers on which its task ran.

Cause: each crash counted in full, up to 6 bits, against every task that had just started on the worker, also if the task of another job had started there at the same time or later. Tasks that become ready together are placed on the same workers, so that a healthy task meets those that crash their workers more often than the rate of losses tells; three such crashes make the 15 bits. In a trace of the first case of the test: task 0d is lost with 0e (both new), then after 1.6 s beside three new tasks, then after 0.8 s beside a suspect that has just started; evidence 60, 113, 159, its job fails.

Change: a crash that a run of another job may have caused, since it began at the same time or later, adds to the evidence up to 9 bits in all. Ambiguous crashes alone prove nothing; at least one more is needed. From the third start on a task that crashes its workers is tried alone, so that its crashes are not ambiguous.

Tried and dropped: a bound on what each ambiguous crash tells, of 2 to 4.2 bits.

--- a/components/cell/src/crashes/evidence.rs
+++ b/components/cell/src/crashes/evidence.rs
@@ -30,6 +30,13 @@
 pub(super) const MAX_EVIDENCE: u32 = 60;
 /// The same if the worker did not confirm the start: it may have been lost before.
 const MAX_UNCONFIRMED: u32 = 20;
+/// All evidence, in tenths of a bit, up to which a crash adds to it if a run of another job began on
+/// the worker at the same time or later, and may have caused it: such crashes alone prove nothing.
+/// From the third crash on nothing else starts beside a task that crashes its workers.
+const MAX_AMBIGUOUS_TOTAL: u32 = PROOF - MAX_EVIDENCE;
+/// Runs that began within this time of each other, in milliseconds, count as begun at the same
+/// time: their orders may arrive in any order.
+const SAME_TIME_MS: u64 = 100;
 /// What a crash has to tell before it adds to the evidence, in tenths of a bit, by the number of
 /// crashes before it; from the last entry on it is the same. Of many crashes some are unlikely by
 /// chance, which would prove in the end that a healthy task causes them.
@@ -86,6 +93,8 @@
     pub confirmed: bool,
     /// The crash was early.
     pub early: bool,
+    /// A run of another job that began no earlier may have caused the crash.
+    pub ambiguous: bool,
 }
 
 /// Crashes to be weighed, and what their evidence depends on.
@@ -156,11 +165,23 @@
 }
 
 impl Cell {
-    /// What is known of a task that ran on a lost worker.
-    pub(super) fn suspect(&self, id: &str, key: &TaskKey, now: u64) -> Option<Suspect> {
+    /// What is known of a task that ran on a lost worker. `causes` has the tasks that may have
+    /// caused the crash, and for each whether the crash was early.
+    pub(super) fn suspect(
+        &self,
+        id: &str,
+        key: &TaskKey,
+        causes: &[(TaskKey, bool)],
+        now: u64,
+    ) -> Option<Suspect> {
         let worker = self.workers.get(id)?;
         let slot = worker.slots.get(key)?;
+        let is_newer = |(other, is_early): &(TaskKey, bool)| {
+            let began = worker.slots.get(other).map_or(0, |slot| slot.decided);
+            *is_early && other.job != key.job && began + SAME_TIME_MS >= slot.decided
+        };
         Some(Suspect {
+            ambiguous: causes.iter().any(is_newer),
             key: key.clone(),
             runtime: worker.max_runtime(slot, now),
             spread: slot.spread,
@@ -253,8 +274,10 @@
             let most = suspect.max_evidence();
             weighed.push((suspect, to_evidence(chance).min(most)));
         }
-        for (Suspect { key, runtime, .. }, added) in weighed {
-            let Some((evidence, change)) = self.add_evidence(&key, added, now) else {
+        for (suspect, added) in weighed {
+            let limit = suspect.max_total();
+            let Suspect { key, runtime, .. } = suspect;
+            let Some((evidence, change)) = self.add_evidence(&key, added, limit, now) else {
                 continue;
             };
             log::info!(target: "cell", job = key.job.as_str(), place = key.place, worker = &*id, runtime, lost_before, added, evidence; "Evidence of a crash was weighed.");
@@ -264,13 +287,14 @@
         }
     }
 
-    /// Adds to the evidence against a task, and puts off its next start if that is to be in
-    /// isolation. Returns all the evidence and by how much it changed, or `None` if the task is no
-    /// longer suspected.
+    /// Adds to the evidence against a task, up to a limit for all of it, and puts off its next start
+    /// if that is to be in isolation. Returns all the evidence and by how much it changed, or `None`
+    /// if the task is no longer suspected.
     pub(super) fn add_evidence(
         &mut self,
         key: &TaskKey,
         added: u32,
+        limit: u32,
         now: u64,
     ) -> Option<(u32, i32)> {
         let is_isolated = self.suspicion(&key.job, key.place) == Suspicion::Alone;
@@ -284,7 +308,8 @@
             evidence, weighed, ..
         } = &mut task.crashes;
         let before = *evidence;
-        *evidence = (before + added).saturating_sub(expected_evidence(*weighed));
+        let sum = (before + added).min(limit.max(before));
+        *evidence = sum.saturating_sub(expected_evidence(*weighed));
         *weighed += 1;
         let evidence = *evidence;
         if is_isolated {
@@ -369,6 +394,15 @@
         }
     }
 
+    /// All evidence up to which the crash adds to it, in tenths of a bit.
+    const fn max_total(&self) -> u32 {
+        if self.ambiguous {
+            MAX_AMBIGUOUS_TOTAL
+        } else {
+            u32::MAX
+        }
+    }
+
     /// The part of the possible starts after which the run would have been running at a given time.
     fn coverage(&self) -> f64 {
         if self.spread <= self.runtime {
--- a/components/cell/src/crashes/mod.rs
+++ b/components/cell/src/crashes/mod.rs
@@ -160,7 +160,8 @@
             is_counted
         });
         let keys = tasks.iter().map(|(key, _)| key);
-        let suspects = keys.filter_map(|key| self.suspect(id, key, now)).collect();
+        let suspects = keys.filter_map(|key| self.suspect(id, key, &tasks, now));
+        let suspects = suspects.collect();
         self.add_unweighed(loss, suspects, now);
         tasks
     }
--- a/components/cell/src/crashes/unobserved.rs
+++ b/components/cell/src/crashes/unobserved.rs
@@ -121,7 +121,7 @@
         }
         for (key, most, _) in due {
             let added = to_evidence(share * UNOBSERVED_CHANCE).min(most);
-            let evidence = self.add_evidence(&key, added, now);
+            let evidence = self.add_evidence(&key, added, u32::MAX, now);
             let evidence = evidence.map(|(evidence, _)| evidence);
             log::info!(target: "cell", job = key.job.as_str(), place = key.place, share, added, evidence:?; "Run of a former owner was lost with its worker.");
         }
--- a/components/cell/tests/decisions/crash_evidence.rs
+++ b/components/cell/tests/decisions/crash_evidence.rs
@@ -363,3 +363,90 @@
     sim.advance(3_000);
     assert!(sim.machine_of(JOB, 0).is_some());
 }
+
+/// Healthy jobs beside those whose first task crashes its workers, and as many of each at any time.
+struct MixedLoad {
+    sim: Sim,
+    width: u32,
+    healthy: usize,
+    crashing: usize,
+    /// The jobs, and for each whether it is healthy.
+    jobs: Vec<(String, bool)>,
+}
+
+impl MixedLoad {
+    /// Jobs of `width` tasks of 1.7 s each: so many healthy and so many crashing ones.
+    fn new(workers: usize, width: u32, healthy: usize, crashing: usize) -> Self {
+        let mut sim = Sim::new(workers, 1_700);
+        sim.advance(5_000);
+        MixedLoad {
+            sim,
+            width,
+            healthy,
+            crashing,
+            jobs: Vec::new(),
+        }
+    }
+
+    /// Submits a job of a kind if there are too few of them.
+    fn refill(&mut self, is_healthy: bool, most: usize) {
+        let jobs = self.jobs.iter().filter(|job| job.1 == is_healthy);
+        let open = jobs.filter(|(id, _)| !self.sim.state(id).is_some_and(State::is_final));
+        if open.count() >= most {
+            return;
+        }
+        let id = format!("{:016}", self.jobs.len());
+        self.sim.submit(&id, step(self.width, 1_000));
+        if !is_healthy {
+            self.sim.crash_on_start(&id, 0, CRASH_AFTER);
+        }
+        self.jobs.push((id, is_healthy));
+    }
+
+    /// Adds a job of each kind of which there are too few.
+    fn refill_all(&mut self) {
+        self.refill(true, self.healthy);
+        self.refill(false, self.crashing);
+    }
+}
+
+/// Guards against healthy jobs that fail since tasks of other jobs crashed their workers again and
+/// again.
+#[test_case(48, 1, 8, 12, 0; "many crashing tasks")]
+#[test_case(48, 1, 8, 4, 14; "beside a seventh of the cell")]
+#[test_case(48, 4, 8, 4, 14; "wider jobs")]
+#[test_case(24, 3, 4, 3, 5; "half as many workers")]
+fn healthy_jobs_survive_crashing_tasks(
+    workers: usize,
+    width: u32,
+    healthy: usize,
+    crashing: usize,
+    share: usize,
+) {
+    for seed in 0..10 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut load = MixedLoad::new(workers, width, healthy, crashing);
+        if seed % 2 == 1 {
+            load.sim.hold_polls();
+        }
+        for at in (0..40_000).step_by(100) {
+            if at % 200 == 0 {
+                load.refill_all();
+            }
+            let lost = if at % 4_500 == 0 { workers * share } else { 0 };
+            for _ in 0..lost.div_ceil(100) {
+                load.sim.crash_silently(random.usize(0..workers), DOWNTIME);
+            }
+            load.sim.advance(100);
+        }
+        for (id, is_healthy) in &load.jobs {
+            if *is_healthy {
+                let state = load.sim.state(id);
+                assert_ne!(state, Some(State::Failed), "seed {seed}, {id}");
+            } else {
+                let starts = load.sim.start_count(id, 0);
+                assert!(starts <= MAX_STARTS, "seed {seed}, {id}: {starts} starts");
+            }
+        }
+    }
+}
