Platform: wait for the first attempt of a call to a slow store

Cause: a call was cancelled after 400 ms although its response was on the way, and the second attempt had only 500 ms. A probe had twice 300 ms, so that it could never succeed, and a change whose first attempt had taken effect came back as a conflict with itself.

Small calls, changes and probes are now hedged: the second attempt is made on a new connection beside the first one, and the first response counts. A refusal (429, 503) of one attempt does not hide the outcome of the other one. With 4 ms, calls are as before: a silent connection is noticed after 0.4 s, and a store without answers after 0.9 s. Large reads are not hedged, since a narrow link would transfer both responses at once.

Nothing is written twice by this: both attempts of a change have the same conditions, as before, and every abandoned attempt could already take effect later while they held.

Ruled out: retrying later without hedging. Silent connections would then be noticed as much later. Not done: time-outs for a store that takes more than 0.9 s from the first call on; the latency is learned from responses alone.

--- a/components/kernel/src/client.rs
+++ b/components/kernel/src/client.rs
@@ -29,6 +29,7 @@
     serde::{Serialize, de::DeserializeOwned},
     std::{
         fmt, io,
+        pin::pin,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -70,6 +71,8 @@
     pub body: Vec<u8>,
     /// The connection that the response was received on.
     pub connection: ConnectionId,
+    /// Duration of the attempt that received it.
+    pub took: Duration,
 }
 
 impl HttpResponse {
@@ -182,6 +185,17 @@
     /// that is truncated or does not declare its length is `BadAnswer`.
     pub async fn call(&self, call: &Call<'_>) -> Result<HttpResponse, Failure> {
         let time = call.timeout.scaled(self.timeout_factor);
+        match time.hedge_delay(call.body.len()) {
+            Some(delay) => self.call_hedged(call, time, delay).await,
+            None => self.call_sequentially(call, time).await,
+        }
+    }
+
+    async fn call_sequentially(
+        &self,
+        call: &Call<'_>,
+        time: Timeout,
+    ) -> Result<HttpResponse, Failure> {
         let body = call.body.len();
         let started = Instant::now();
         let first = match self.attempt(call, time.first(body), None).await {
@@ -193,6 +207,43 @@
         second.map_err(|failed| failed.after_attempt(&first))
     }
 
+    /// Makes a second attempt on a new connection if the first one fails or has no response within
+    /// `delay`, and returns the first response.
+    async fn call_hedged(
+        &self,
+        call: &Call<'_>,
+        time: Timeout,
+        delay: Duration,
+    ) -> Result<HttpResponse, Failure> {
+        let body = call.body.len();
+        let started = Instant::now();
+        let mut first = pin!(self.attempt(call, time.hedged_first(body), None));
+        match tokio::time::timeout(delay, first.as_mut()).await {
+            Ok(Err(failure)) if failure.is_connection_failure() => {
+                let timeout = time.second(body, started.elapsed());
+                let second = self.attempt(call, timeout, None).await;
+                return combine(second, Err(failure));
+            }
+            Ok(result) => return result,
+            Err(_) => {}
+        }
+        // The connection may have failed silently, and others with it.
+        self.pool
+            .record_timeout(receiver(call.url), BootInstant::now());
+        let mut second = pin!(self.attempt(call, time.second(body, delay), None));
+        tokio::select! {
+            biased;
+            result = first.as_mut() => match is_executed(&result) {
+                true => result,
+                false => combine(second.await, result),
+            },
+            result = second.as_mut() => match is_executed(&result) {
+                true => result,
+                false => combine(first.await, result),
+            },
+        }
+    }
+
     /// Like [`Client::call`], blocking the calling thread.
     ///
     /// # Errors
@@ -329,6 +380,31 @@
     }
 }
 
+/// True for a response other than a refusal for overload, which only shows that this attempt was
+/// not executed.
+fn is_executed(result: &Result<HttpResponse, Failure>) -> bool {
+    result
+        .as_ref()
+        .is_ok_and(|response| !matches!(response.status, 429 | 503))
+}
+
+/// The result of a call of two attempts, given that of the last one and that of the other, which
+/// was not executed or has failed.
+fn combine(
+    last: Result<HttpResponse, Failure>,
+    other: Result<HttpResponse, Failure>,
+) -> Result<HttpResponse, Failure> {
+    if is_executed(&last) {
+        return last;
+    }
+    match (last, other) {
+        // A refused attempt does not show that the other one was not executed.
+        (Ok(_), Err(failure)) | (Err(failure), Ok(_)) if !failure.is_not_run() => Err(failure),
+        (Ok(response), _) | (Err(_), Ok(response)) => Ok(response),
+        (Err(last), Err(other)) => Err(last.after_attempt(&other)),
+    }
+}
+
 /// Converts a decoding failure: a malformed response does not show whether the request ran.
 fn as_bad_response(failure: &Failure) -> Failure {
     Failure::may_have_run(Cause::BadAnswer, failure.text.clone())
@@ -384,6 +460,7 @@
             headers: head.headers,
             body: read_body(body).await?,
             connection,
+            took: started.elapsed(),
         })
     };
     let mut work = std::pin::pin!(work);
--- a/components/kernel/src/timeout.rs
+++ b/components/kernel/src/timeout.rs
@@ -17,6 +17,8 @@
     /// Time-out of the first attempt. After it, or if the connection is lost, the call is retried
     /// on a new connection within the remaining time.
     first_attempt: Option<Duration>,
+    /// The first attempt goes on while the second one is made.
+    is_hedged: bool,
     /// Limits once the response has started.
     stream: Option<Stream>,
 }
@@ -36,6 +38,7 @@
         Timeout {
             total,
             first_attempt: None,
+            is_hedged: false,
             stream: None,
         }
     }
@@ -46,10 +49,42 @@
         Timeout {
             total,
             first_attempt: Some(first_attempt),
+            is_hedged: false,
             stream: None,
         }
     }
 
+    /// Makes the second attempt beside the first one instead of cancelling that: the first response
+    /// counts. A receiver that responds slowly is then not taken for one that does not respond,
+    /// and a silent connection is detected as soon as without.
+    #[must_use]
+    pub const fn hedged(self) -> Self {
+        Timeout {
+            is_hedged: true,
+            ..self
+        }
+    }
+
+    /// True for a call whose body or response may be large, so that its duration depends on the
+    /// link.
+    pub fn is_bulk(&self) -> bool {
+        self.stream
+            .is_some_and(|stream| !stream.allowance.is_zero())
+    }
+
+    /// Extends the time-outs for a receiver that usually responds after `latency`, so that a slow
+    /// one is not called twice.
+    #[must_use]
+    pub fn with_latency(self, latency: Duration) -> Self {
+        Timeout {
+            total: self.total + latency,
+            first_attempt: self
+                .first_attempt
+                .map(|first_attempt| first_attempt.max(latency * 3 / 2)),
+            ..self
+        }
+    }
+
     /// Extends the call while its response arrives, by up to [`BULK_ALLOWANCE`] beyond its total
     /// time, as long as no pause exceeds the time that the first attempt waits for the beginning.
     /// Each attempt also gets the time that its body needs on the slowest link.
@@ -82,6 +117,7 @@
             first_attempt: self
                 .first_attempt
                 .map(|first_attempt| first_attempt * factor),
+            is_hedged: self.is_hedged,
             stream: self.stream.map(|stream| Stream {
                 pause: stream.pause * factor,
                 allowance: stream.allowance * factor,
@@ -102,6 +138,18 @@
         self.attempt(head, Duration::ZERO)
     }
 
+    /// When the second attempt of a hedged call with a request body of `body` bytes is made; `None`
+    /// if the call is not hedged.
+    pub(crate) fn hedge_delay(&self, body: usize) -> Option<Duration> {
+        let first_attempt = self.first_attempt.filter(|_| self.is_hedged)?;
+        Some(first_attempt + self.sending_time(body))
+    }
+
+    /// The time-out of the first attempt of a hedged call.
+    pub(crate) fn hedged_first(&self, body: usize) -> AttemptTimeout {
+        self.attempt(self.total + self.sending_time(body), Duration::ZERO)
+    }
+
     /// The time-out of the second attempt, after the first has taken `spent`.
     pub(crate) fn second(&self, body: usize, spent: Duration) -> AttemptTimeout {
         // Sending the body and receiving a response do not count as waiting for the beginning of
@@ -218,6 +266,17 @@
         assert_eq!(parts(time.second(body, ms(spent))), expected);
     }
 
+    #[test_case(WITH_RETRY.hedged(), 0, Some(400), (900, 900); "without a body")]
+    #[test_case(STREAMING.hedged(), BODY, Some(2_400), (2_900, 8_900); "streaming, with a body")]
+    #[test_case(WITH_RETRY.hedged().with_latency(ms(4)), 0, Some(400), (904, 904); "fast receiver")]
+    #[test_case(WITH_RETRY.hedged().with_latency(ms(600)), 0, Some(900), (1_500, 1_500); "slow receiver")]
+    #[test_case(WITH_RETRY, 0, None, (900, 900); "not hedged")]
+    #[test_case(SINGLE.hedged(), 0, None, (900, 900); "single")]
+    fn hedged_first_attempt(time: Timeout, body: usize, delay: Option<u64>, expected: (u64, u64)) {
+        assert_eq!(time.hedge_delay(body), delay.map(ms));
+        assert_eq!(parts(time.hedged_first(body)), expected);
+    }
+
     #[test]
     fn deadline_moves_with_bytes() {
         let started = Instant::now();
--- a/components/kernel/src/verdict.rs
+++ b/components/kernel/src/verdict.rs
@@ -116,25 +116,6 @@
     }
 }
 
-/// Retries an idempotent call once: returns the result of the first attempt unless it failed with a
-/// time-out or a lost connection, otherwise the result of the second attempt.
-///
-/// # Errors
-///
-/// The failure of the last attempt, with the verdict `MayHaveRun` if either attempt may have been
-/// executed.
-pub fn retry_once<T>(
-    first: Result<T, Failure>,
-    second: impl FnOnce() -> Result<T, Failure>,
-) -> Result<T, Failure> {
-    match first {
-        Err(failure) if failure.is_connection_failure() => {
-            second().map_err(|failed| failed.after_attempt(&failure))
-        }
-        result => result,
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use {super::*, test_case::test_case};
--- a/components/node/tests/senders.rs
+++ b/components/node/tests/senders.rs
@@ -48,7 +48,7 @@
 ];
 
 /// Functions that send without a permit: the file, the name and the number of calls.
-const OTHER_SENDERS: [(&str, &str, usize); 21] = [
+const OTHER_SENDERS: [(&str, &str, usize); 22] = [
     // Jobs and cancellations of callers, which any box writes.
     ("node/accept.rs", "accept", 1),
     ("node/cancel.rs", "cancel_locally", 1),
@@ -61,11 +61,12 @@
     ("node/core.rs", "start", 1),
     ("platform/http.rs", "call_over", 3),
     ("platform/http.rs", "send", 2),
-    ("platform/store.rs", "apply_once", 1),
+    ("platform/store.rs", "apply", 1),
     ("platform/store.rs", "get_path", 1),
     ("platform/store.rs", "grant", 1),
     ("platform/store.rs", "post", 1),
     ("platform/store.rs", "renew", 1),
+    ("platform/store.rs", "send", 1),
     // Requests to other boxes. The commands of an owner are in the answers, and relays need permits.
     ("node/peer.rs", "call", 2),
     ("node/relay.rs", "exchange", 2),
--- a/components/standin/src/kv.rs
+++ b/components/standin/src/kv.rs
@@ -12,6 +12,7 @@
         io,
         net::SocketAddr,
         sync::{Arc, Condvar, Mutex, PoisonError},
+        thread,
         time::{Duration, Instant},
     },
 };
@@ -44,6 +45,8 @@
     pub watches_silent: bool,
     /// Sets `busy` once all `lost` and `deferred` transactions have come.
     pub then_busy: bool,
+    /// Delay of every call in milliseconds. The call takes effect and is answered after it.
+    pub slow_ms: u64,
 }
 
 impl Faults {
@@ -183,9 +186,14 @@
     }
 
     fn handle(&self, request: &ServerRequest) -> ServerResponse {
-        let faults = {
+        let slow_ms = {
             let mut core = lock(&self.core);
             core.calls += 1;
+            core.faults.slow_ms
+        };
+        thread::sleep(Duration::from_millis(slow_ms));
+        let faults = {
+            let mut core = lock(&self.core);
             core.record_attempts(request);
             core.expire_leases();
             core.faults
