Cell: test owners that fail in series while one worker answers none

Callers would see a job that never starts: each owner of a series waits up to 4.9 s for a worker that it does not hear, and fails before. The leases of the first owner are over by then, and no later one has started anything on that worker; but a worker is sealed only once it has reported to the owner, so none of them can tell its successor.

The test drives the cell under owners that live 2 to 4.5 s, 2 to 3.5 s apart, for 30 s, with a worker that is cut off or gone.

--- a/components/cell/tests/decisions/gradual_takeover.rs
+++ b/components/cell/tests/decisions/gradual_takeover.rs
@@ -8,6 +8,7 @@
     },
     job::{Id, Record, Step, Submission},
     magpie_cell::{Entry, Order},
+    test_case::test_case,
 };
 
 fn fenced(id: &str, steps: Vec<Step>, fence: u64) -> Submission {
@@ -374,3 +375,47 @@
     assert_eq!(world.cell.tasks_waiting_unheard(world.now), 100_000);
     assert_eq!(world.cell.full_scans(), 0);
 }
+
+/// Runs the cell under owners that fail in series, and never hear one of two workers. Returns after
+/// how long the job was started, in milliseconds since the claim of the first owner.
+fn series_start(seed: u64, is_listed: bool) -> Option<u64> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let fleet = vec![entry("w1", 4), entry("w2", 4)];
+    let listed = if is_listed {
+        fleet.clone()
+    } else {
+        vec![entry("w1", 4)]
+    };
+    let mut seals = Vec::new();
+    let mut elapsed = 0;
+    while elapsed < SERIES {
+        let mut world = World::inheriting(listed.clone(), fleet.clone(), seals.clone());
+        world.resume(JOB, vec![step(1, 1_000)]);
+        world.recover();
+        let life = rng.u64(2_000..4_500);
+        for age in (0..life).step_by(100) {
+            world.now += 100;
+            world.report("w1", vec![], vec![]);
+            world.cell.poll_failed("w2", world.now);
+            seals = world.written_seals().unwrap_or(seals);
+            if !world.starts().is_empty() {
+                return Some(elapsed + age);
+            }
+        }
+        elapsed += life + rng.u64(2_000..3_500);
+    }
+    None
+}
+
+/// Several times as long as any lease may last, in milliseconds.
+const SERIES: u64 = 30_000;
+
+/// The leases of the first owner on a worker end 4.9 s after the next claim, and no later owner has
+/// started anything there. Guards against owners of which each waits for them anew.
+#[test_case(true; "worker cut off")]
+#[test_case(false; "worker gone")]
+fn recover_gradually_series_of_owners(is_listed: bool) {
+    for seed in 1..=20 {
+        assert!(series_start(seed, is_listed).is_some(), "seed {seed}");
+    }
+}
