--- a/components/node/src/owner_tasks.rs
+++ b/components/node/src/owner_tasks.rs
@@ -157,17 +157,24 @@
     is_owner != Ok(true)
 }
 
+/// Time until the renewal after one that was sent at `sent`. The lease counts from the arrival of a
+/// renewal, not from the response of a slow store.
+pub fn renewal_pause(sent: u64) -> Duration {
+    RENEW_INTERVAL.saturating_sub(Duration::from_millis(time::now().saturating_sub(sent)))
+}
+
 /// Renews the lease of the owner's key, and replaces it by a new one when it has expired.
 fn renew_lease(node: &Node, fence: u64) {
+    let mut sent = time::now();
     loop {
-        thread::sleep(RENEW_INTERVAL);
+        thread::sleep(renewal_pause(sent));
         let lease = node
             .actor
             .ask(move |core, _| core.ownership_of(fence).map(|ownership| ownership.lease));
         let Ok(Some(lease)) = lease else {
             return;
         };
-        let sent = time::now();
+        sent = time::now();
         let renewed = if lease == 0 {
             Ok(false)
         } else {
--- a/components/node/src/owner_watch.rs
+++ b/components/node/src/owner_watch.rs
@@ -9,7 +9,7 @@
         keys,
         message::Owner,
         settings::{OWNER_RETRY_PAUSE, OWNER_WATCH_TIME, STORE_RETRY_PAUSE},
-        store::Item,
+        store::{Event, Item, WatchResult},
         time,
     },
     kernel::{Failure, wire},
@@ -50,7 +50,12 @@
                 republish(node, fence);
                 thread::sleep(OWNER_RETRY_PAUSE);
             }
-            (Some(item), _) => watch(node, &item),
+            (Some(item), owning) => {
+                let was_deleted = watch(node, &item);
+                if was_deleted && owning.is_none() {
+                    try_claim(node, 0, KeyState::Unknown);
+                }
+            }
             (None, Some(fence)) => {
                 republish(node, fence);
                 thread::sleep(OWNER_RETRY_PAUSE);
@@ -82,15 +87,23 @@
     }
 }
 
-/// Records the owner and waits until its key changes.
-fn watch(node: &Node, item: &Item) {
+/// Records the owner and waits until its key changes. True if the key was deleted, which a claim
+/// need not read again.
+fn watch(node: &Node, item: &Item) -> bool {
     record(node, item);
     let watched = node
         .external
         .store
         .watch(&item.key, item.store_revision, OWNER_WATCH_TIME);
-    if watched.is_err() {
-        node.shared.probe_until_recovered(&*node.external.store);
+    match watched {
+        Ok(WatchResult::Events(events, _)) => {
+            matches!(events.last(), Some(Event::Deleted(key)) if *key == item.key)
+        }
+        Ok(WatchResult::Compacted) => false,
+        Err(_) => {
+            node.shared.probe_until_recovered(&*node.external.store);
+            false
+        }
     }
 }
 
