Cell tests: bound the time for which suspects are held beside free capacity

No fault was found with the store at its usual speed; the test guards against holds that add up: crashes that are not persisted, then not weighed, then the delay of a trial, then the line of trials. It counts the time in which a healthy job beside tasks that crash their workers has neither a run nor one whose end is not proven, with writes of 0, 0.5 and 1 s. A second test shows that weighing and the delay pass while the store takes no writes: after an outage of 6 s the suspect starts with the first write.

The simulator's writes may take time, and it knows which jobs may have a run on a worker whose crash is not proven yet. With a write time of 0 nothing changes.

Two writes one after the other are needed if one is under way. With 1.5 s each these alone take 3 s, so that no case of the test has them.

The test fails if trials are delayed by up to 3 s (two of the first four cases) or if the cell has one isolated trial at a time (the other two). It does not if crashes are weighed 3.5 s after the proof in place of 1.5 s: held polls answer within 2 s, and no worker stays silent without failing its polls.

--- a/components/cell/tests/decisions/crash_evidence.rs
+++ b/components/cell/tests/decisions/crash_evidence.rs
@@ -365,18 +365,18 @@
 }
 
 /// Healthy jobs beside those whose first task crashes its workers, and as many of each at any time.
-struct MixedLoad {
-    sim: Sim,
-    width: u32,
+pub struct MixedLoad {
+    pub sim: Sim,
+    pub width: u32,
     healthy: usize,
     crashing: usize,
     /// The jobs, and for each whether it is healthy.
-    jobs: Vec<(String, bool)>,
+    pub jobs: Vec<(String, bool)>,
 }
 
 impl MixedLoad {
     /// Jobs of `width` tasks of 1.7 s each: so many healthy and so many crashing ones.
-    fn new(workers: usize, width: u32, healthy: usize, crashing: usize) -> Self {
+    pub fn new(workers: usize, width: u32, healthy: usize, crashing: usize) -> Self {
         let mut sim = Sim::new(workers, 1_700);
         sim.advance(5_000);
         MixedLoad {
@@ -404,7 +404,7 @@
     }
 
     /// Adds a job of each kind of which there are too few.
-    fn refill_all(&mut self) {
+    pub fn refill_all(&mut self) {
         self.refill(true, self.healthy);
         self.refill(false, self.crashing);
     }
--- a/components/cell/tests/decisions/holds.rs
+++ b/components/cell/tests/decisions/holds.rs
@@ -107,6 +107,33 @@
     );
 }
 
+/// Guards against the holds of a suspect after one another: while the store takes no writes its
+/// crash is weighed, and the delay of its trial passes.
+#[test]
+fn suspect_starts_with_first_write_after_outage() {
+    const OUTAGE: u64 = 6_000;
+    let names = ["w1", "w2", "w3", "w4"];
+    let mut world = World::new(&names);
+    world.resume_with(JOB, vec![step(1, 1_000)], &crashed([(0, 1)]));
+    let (worker, start) = world.starts()[0].clone();
+    world.answer(&worker, &start, Outcome::Done);
+    world
+        .cell
+        .end_incarnation(&worker, "it has crashed", world.now);
+    let waited = world.time_to_start(JOB, 0, 10_000, |world, elapsed| {
+        for name in names.into_iter().filter(|name| **name != *worker) {
+            world.report(name, vec![], vec![]);
+        }
+        let batch = world.cell.take_write_batch(100);
+        if elapsed < OUTAGE {
+            world.cell.batch_failed(batch);
+        } else {
+            world.cell.batch_written(&batch);
+        }
+    });
+    assert_eq!(waited, Some(OUTAGE));
+}
+
 /// Guards against suspects that wait for a suspect of a gang that no worker can take.
 #[test_case(false)]
 #[test_case(true; "another job in line for the same workers")]
--- a/components/cell/tests/decisions/sim.rs
+++ b/components/cell/tests/decisions/sim.rs
@@ -4,9 +4,11 @@
 use {
     crate::common::{TIMING, build_report, entry, submission, task_end},
     job::{Address, Id, Record, State, Step, Submission},
-    magpie_cell::{Cell, EndCause, Entry, Order, Outcome, Refusal, Report, RunEnd, Start},
+    magpie_cell::{
+        Cell, EndCause, Entry, Order, Outcome, Refusal, Report, RunEnd, Start, WriteBatch,
+    },
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, HashSet},
         sync::Arc,
     },
 };
@@ -27,6 +29,9 @@
 /// in milliseconds.
 const POLL_TIMEOUT: u64 = 1_600;
 const ORDER_TIMEOUT: u64 = 500;
+/// Time from the crash of a worker until all its leases have expired, in milliseconds, if it does
+/// not return before.
+const LEASE_END: u64 = 5_000;
 
 /// A task: its job and its place.
 type TaskId = (Id, usize);
@@ -108,6 +113,14 @@
     /// Orders that get no answer, and when they are given up.
     unanswered: Vec<(u64, Arc<str>, Order)>,
     writes_suspended: bool,
+    /// How long each write takes, in milliseconds.
+    write_time: u64,
+    /// The write under way, and when it is done.
+    write: Option<(u64, WriteBatch)>,
+    /// Tasks whose end is reported.
+    done: HashSet<(Id, Address)>,
+    /// Jobs with runs on crashed workers, by worker, until the crash is proven.
+    unproven: HashMap<Arc<str>, (u64, HashSet<Id>)>,
     /// Workers hold polls for as long as requested, unless they have an end to report.
     holds_polls: bool,
     incarnations: u32,
@@ -133,6 +146,10 @@
             persisted_fleet: Vec::new(),
             unanswered: Vec::new(),
             writes_suspended: false,
+            write_time: 0,
+            write: None,
+            done: HashSet::new(),
+            unproven: HashMap::new(),
             holds_polls: false,
             incarnations: 0,
             task_ms,
@@ -292,6 +309,23 @@
         self.writes_suspended = writes_suspended;
     }
 
+    /// Lets each write take `time` milliseconds.
+    pub fn slow_writes(&mut self, time: u64) {
+        self.write_time = time;
+    }
+
+    /// True if a task of a job runs, or was lost with its worker and that is not proven yet.
+    pub fn may_run(&self, id: &str) -> bool {
+        let id = Id::new(id).unwrap();
+        let mut machines = self.machines.iter();
+        let mut unproven = self.unproven.values();
+        let mut orders = self.unanswered.iter();
+        machines.any(|machine| machine.runs.keys().any(|(job, _)| *job == id))
+            || unproven.any(|(_, jobs)| jobs.contains(&id))
+            || orders
+                .any(|(_, _, order)| matches!(order, Order::Start(start) if start.key.job == id))
+    }
+
     /// Replaces the cell by that of the next owner, which resumes from `records`.
     pub fn take_over(&mut self, records: &[(Id, Record)]) {
         let mut next = Cell::new(TIMING);
@@ -369,6 +403,10 @@
             machine.returns_at = Some(self.now + machine.downtime);
             machine.fails_from = self.now + machine.silence;
             self.stats.crashes += 1;
+            let jobs = machine.runs.keys().map(|(job, _)| job.clone());
+            let until = self.now + LEASE_END;
+            self.unproven
+                .insert(machine.id.clone(), (until, jobs.collect()));
             for (job, address) in machine.runs.keys() {
                 let task = (job.clone(), address.index as usize);
                 self.stats.lost_runs += u32::from(!self.crashing.contains_key(&task));
@@ -424,6 +462,8 @@
     }
 
     fn restart_machines(&mut self) {
+        let now = self.now;
+        self.unproven.retain(|_, (until, _)| now < *until);
         for machine in &mut self.machines {
             if machine.returns_at.is_none_or(|at| at > self.now) {
                 continue;
@@ -458,7 +498,18 @@
         if self.writes_suspended {
             return;
         }
-        let change = self.cell.take_write_batch(100);
+        let Some((at, change)) = self.write.take() else {
+            let change = self.cell.take_write_batch(100);
+            self.write = Some((self.now + self.write_time, change));
+            if self.write_time == 0 {
+                self.persist();
+            }
+            return;
+        };
+        if self.now < at {
+            self.write = Some((at, change));
+            return;
+        }
         self.cell.batch_written(&change);
         self.persisted.extend(change.records);
         if let Some(fleet) = change.fleet {
@@ -485,6 +536,7 @@
             if machine.id != entry.id {
                 self.cell
                     .end_incarnation(&entry.id, "another incarnation answers", now);
+                self.unproven.remove(&entry.id);
                 continue;
             }
             if self.holds_polls {
@@ -496,6 +548,7 @@
             {
                 machine.lease = machine.lease.max(poll.deadline);
                 let report = machine.report(now, poll.seen);
+                self.note_done(&report);
                 self.cell.report(&entry.id, report, now, now, now);
             }
         }
@@ -514,6 +567,7 @@
                 return;
             }
             machine.held_poll = None;
+            self.note_done(&report);
             self.cell.report(&entry.id, report, sent, now, now);
             self.persist();
         }
@@ -527,6 +581,19 @@
         machine.held_poll = Some((now, now + poll.wait, poll.seen));
     }
 
+    fn note_done(&mut self, report: &Report) {
+        let ends = report.ended.iter();
+        let done = ends.filter(|end| end.how == EndCause::Done);
+        let tasks = done.map(|end| (end.job.clone(), end.address));
+        self.done.extend(tasks);
+    }
+
+    /// The number of tasks of a job whose end is reported.
+    pub fn done_count(&self, id: &str) -> usize {
+        let tasks = self.done.iter();
+        tasks.filter(|(job, _)| job.as_str() == id).count()
+    }
+
     fn machine_at(&mut self, entry: &Entry) -> Option<&mut Machine> {
         let mut machines = self.machines.iter_mut();
         machines.find(|machine| machine.address == entry.address)
@@ -563,6 +630,9 @@
         let (now, task_ms) = (self.now, self.task_ms);
         let (after, is_long_running) = match order {
             Order::Start(start) => {
+                if let Some((_, jobs)) = self.unproven.get_mut(id) {
+                    jobs.insert(start.key.job.clone());
+                }
                 let task = (start.key.job.clone(), start.key.place);
                 let is_long_running = self.step(&start.key.job, start.address).lasting;
                 (self.crashing.get(&task).copied(), is_long_running)
--- a/components/cell/tests/decisions/stalled.rs
+++ b/components/cell/tests/decisions/stalled.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         common::{JOB, World, end, large_cell, run, step, submission},
+        crash_evidence::MixedLoad,
         run_log::{lines, record_log},
         sim::{CRASH_AFTER, Sim},
     },
@@ -366,3 +367,53 @@
         assert_eq!(sim.state(&job_id(number)), Some(State::Completed));
     }
 }
+
+/// Guards against holds of suspects that add up: those of crashes that are not persisted, then not
+/// weighed, then of a delayed trial. Counted is the time in which no task of a healthy job may run,
+/// after the losses of its workers are proven.
+#[test_case(48, 1, 8, 12, 0, 0; "many crashing tasks")]
+#[test_case(48, 1, 8, 12, 0, 500; "many crashing tasks, slow writes")]
+#[test_case(48, 4, 8, 4, 14, 500; "beside a seventh of the cell, slow writes")]
+#[test_case(24, 3, 4, 3, 5, 500; "half as many workers, slow writes")]
+#[test_case(48, 4, 8, 4, 14, 1_000; "beside a seventh of the cell, writes of a second")]
+#[test_case(24, 3, 4, 3, 5, 1_000; "half as many workers, writes of a second")]
+fn holds_of_suspects_are_bounded(
+    workers: usize,
+    width: u32,
+    healthy: usize,
+    crashing: usize,
+    share: usize,
+    write_time: u64,
+) {
+    const SLICE: u64 = 50;
+    const DOWNTIME: u64 = 4_500;
+    for seed in 0..10 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut load = MixedLoad::new(workers, width, healthy, crashing);
+        load.sim.slow_writes(write_time);
+        if seed % 2 == 1 {
+            load.sim.hold_polls();
+        }
+        let mut idle: HashMap<String, u64> = HashMap::new();
+        for at in (0..40_000).step_by(SLICE as usize) {
+            if at % 200 == 0 {
+                load.refill_all();
+            }
+            let lost = if at % 4_500 == 0 { workers * share } else { 0 };
+            for _ in 0..lost.div_ceil(100) {
+                load.sim.crash_silently(random.usize(0..workers), DOWNTIME);
+            }
+            load.sim.advance(SLICE);
+            for (id, is_healthy) in &load.jobs {
+                let is_done = load.sim.done_count(id) == load.width as usize;
+                if !is_healthy || is_done || load.sim.may_run(id) {
+                    idle.remove(id);
+                    continue;
+                }
+                let waited = idle.entry(id.clone()).or_default();
+                *waited += SLICE;
+                assert!(*waited <= MAX_IDLE, "seed {seed}: {id} at {at}");
+            }
+        }
+    }
+}
