Node: admit skipped jobs although the read of another one failed

An owner's check of the intake reads the jobs that its watch has skipped one after the other. If one of these reads failed, the jobs read before were dropped, although they counted as examined: this owner never looked at them again, so that an accepted job did not start until the next owner.

Change: what was read before a failed read is admitted, and the rest is read at the next check. The reads take the store in place of the node, so that a test can fail each of them in turn. A job without a submission costs one read in place of two.

--- a/components/node/src/intake_check.rs
+++ b/components/node/src/intake_check.rs
@@ -8,7 +8,7 @@
         core::Node,
         keys, owner_tasks,
         settings::{INTAKE_CHECK_INTERVAL, INTAKE_CHECK_PAUSE_FACTOR},
-        store::{Event, Item, range_all},
+        store::{Event, Item, Store, range_all},
     },
     job::Id,
     kernel::Failure,
@@ -64,26 +64,53 @@
     let unknown = node
         .actor
         .ask(move |core, _| core.unknown_jobs(fence, ids))?;
+    Ok(read_skipped(
+        &*node.external.store,
+        unknown,
+        passed,
+        checked,
+    ))
+}
+
+/// Reads these jobs, with their cancellations, until a read fails. The others are read at the next
+/// check.
+fn read_skipped(
+    store: &dyn Store,
+    unknown: HashSet<Id>,
+    passed: u64,
+    checked: &mut HashSet<Id>,
+) -> Vec<Event> {
     let mut events = Vec::new();
     for id in unknown {
-        if let Some(item) = unstarted(node, &id)? {
-            log::warn!(target: "owner", job = id.as_str(), revision = item.revision, passed; "The watch of the intake has skipped a job.");
-            metrics::counter!("magpie_intake_skipped_total").increment(1);
-            events.push(Event::Put(item));
-            let cancelled = node.external.store.get(&keys::cancel(&id))?;
-            events.extend(cancelled.map(Event::Put));
+        match unstarted(store, &id) {
+            Ok(items) => {
+                if let Some(item) = items.first() {
+                    log::warn!(target: "owner", job = id.as_str(), revision = item.revision, passed; "The watch of the intake has skipped a job.");
+                    metrics::counter!("magpie_intake_skipped_total").increment(1);
+                }
+                events.extend(items.into_iter().map(Event::Put));
+                checked.insert(id);
+            }
+            Err(failure) => {
+                log::info!(target: "owner", job = id.as_str(), error:% = failure; "A job that the watch may have skipped could not be read.");
+                break;
+            }
         }
-        checked.insert(id);
     }
-    Ok(events)
+    events
 }
 
-/// Reads the submission of a job that the owner does not know; `None` if the job has ended since,
-/// or has a record.
-fn unstarted(node: &Node, id: &Id) -> Result<Option<Item>, Failure> {
-    let submission = node.external.store.get(&keys::job(id))?;
-    let has_record = has_record(node, id)?;
-    Ok(submission.filter(|_| !has_record))
+/// Reads the submission of a job that the owner does not know, and its cancellation; nothing if the
+/// job has ended since, or has a record.
+fn unstarted(store: &dyn Store, id: &Id) -> Result<Vec<Item>, Failure> {
+    let Some(submission) = store.get(&keys::job(id))? else {
+        return Ok(Vec::new());
+    };
+    if has_record(store, id)? {
+        return Ok(Vec::new());
+    }
+    let cancelled = store.get(&keys::cancel(id))?;
+    Ok([submission].into_iter().chain(cancelled).collect())
 }
 
 /// True if a job that the owner does not know has a record. The owner could not decode it when it
@@ -92,7 +119,99 @@
 /// # Errors
 ///
 /// The store gave no valid answer.
-pub fn has_record(node: &Node, id: &Id) -> Result<bool, Failure> {
-    let record = node.external.store.get(&keys::state(id))?;
+pub fn has_record(store: &dyn Store, id: &Id) -> Result<bool, Failure> {
+    let record = store.get(&keys::state(id))?;
     Ok(record.is_some())
 }
+
+#[cfg(test)]
+mod tests {
+    use {
+        super::*,
+        crate::store::{ApplyResult, Change, Page, WatchResult},
+        kernel::verdict::Cause,
+        std::sync::atomic::AtomicU32,
+    };
+
+    /// A store with the submissions of all jobs, and no records. One of its reads fails.
+    struct FailingStore {
+        /// Reads until then.
+        left: AtomicU32,
+    }
+
+    fn unsupported<T>() -> Result<T, Failure> {
+        Err(Failure::not_run(Cause::Refused, "not part of this store"))
+    }
+
+    impl Store for FailingStore {
+        fn get(&self, key: &str) -> Result<Option<Item>, Failure> {
+            if self.left.fetch_sub(1, Ordering::Relaxed) == 0 {
+                return Err(Failure::not_run(Cause::Refused, "the store is slow"));
+            }
+            Ok(keys::id(key, keys::JOB).map(|_| Item {
+                key: key.to_owned(),
+                value: Vec::new(),
+                revision: 5,
+                store_revision: 5,
+            }))
+        }
+
+        fn get_large(&self, _: &str) -> Result<Option<Item>, Failure> {
+            unsupported()
+        }
+
+        fn get_stale(&self, _: &str) -> Result<Option<Item>, Failure> {
+            unsupported()
+        }
+
+        fn range(&self, _: &str, _: Option<&str>) -> Result<Page, Failure> {
+            unsupported()
+        }
+
+        fn watch(&self, _: &str, _: u64, _: Duration) -> Result<WatchResult, Failure> {
+            unsupported()
+        }
+
+        fn apply(&self, _: &Change) -> Result<ApplyResult, Failure> {
+            unsupported()
+        }
+
+        fn probe(&self) -> Result<(), Failure> {
+            unsupported()
+        }
+
+        fn grant(&self, _: Duration) -> Result<u64, Failure> {
+            unsupported()
+        }
+
+        fn renew(&self, _: u64) -> Result<bool, Failure> {
+            unsupported()
+        }
+    }
+
+    /// Guards against skipped jobs that count as examined and are never admitted, since the read of
+    /// another one failed.
+    #[test]
+    fn read_skipped_keeps_jobs_before_failed_read() {
+        let jobs: HashSet<Id> = ["00000000000000a1", "00000000000000a2", "00000000000000a3"]
+            .into_iter()
+            .filter_map(Id::new)
+            .collect();
+        for left in 0..9 {
+            let left = AtomicU32::new(left);
+            let store = FailingStore { left };
+            let mut checked = HashSet::new();
+            let mut admitted = HashSet::new();
+            for _ in 0..2 {
+                let unknown = jobs.difference(&checked).cloned().collect();
+                for event in read_skipped(&store, unknown, 9, &mut checked) {
+                    let Event::Put(item) = event else {
+                        continue;
+                    };
+                    admitted.extend(keys::id(&item.key, keys::JOB));
+                }
+            }
+            assert_eq!(admitted, jobs);
+        }
+    }
+}
--- a/components/node/src/owner_tasks.rs
+++ b/components/node/src/owner_tasks.rs
@@ -328,7 +328,9 @@
     let mut events = Vec::new();
     for item in items {
         let is_wanted = match keys::id(&item.key, keys::JOB) {
-            Some(id) => unknown.contains(&id) && !intake_check::has_record(node, &id)?,
+            Some(id) => {
+                unknown.contains(&id) && !intake_check::has_record(&*node.external.store, &id)?
+            }
             None => true,
         };
         if is_wanted {
