Store: repeat a lost renewal as early on a slow store as on a fast one

Found by review: the second attempt of each call is made after 1.5 times the latency that a box has measured, up to 1.05 s. One lost answer to a renewal on a store that takes 0.6 s left 2.0 s between two renewals that arrive, the length of the owner's lease, so that the cell lost its owner.

Renewals make their second attempt after 0.4 s whatever the latency is; their total time still grows with it. The case of `hedged_first_attempt` with a slow receiver and an early second attempt cannot be expressed before.

--- a/components/kernel/src/timeout.rs
+++ b/components/kernel/src/timeout.rs
@@ -19,6 +19,8 @@
     first_attempt: Option<Duration>,
     /// The first attempt goes on while the second one is made.
     is_hedged: bool,
+    /// See [`Timeout::prompt`].
+    is_prompt: bool,
     /// Limits once the response has started.
     stream: Option<Stream>,
 }
@@ -39,6 +41,7 @@
             total,
             first_attempt: None,
             is_hedged: false,
+            is_prompt: false,
             stream: None,
         }
     }
@@ -50,6 +53,7 @@
             total,
             first_attempt: Some(first_attempt),
             is_hedged: false,
+            is_prompt: false,
             stream: None,
         }
     }
@@ -72,15 +76,29 @@
             .is_some_and(|stream| !stream.allowance.is_zero())
     }
 
+    /// Makes the second attempt early also if the receiver is slow, for a call whose effect is needed
+    /// in time.
+    #[must_use]
+    pub const fn prompt(self) -> Self {
+        Timeout {
+            is_prompt: true,
+            ..self
+        }
+    }
+
     /// Extends the time-outs for a receiver that usually responds after `latency`, so that a slow
-    /// one is not called twice.
+    /// one is not called twice, unless the call is [prompt](Timeout::prompt).
     #[must_use]
     pub fn with_latency(self, latency: Duration) -> Self {
+        let delay = match self.is_prompt {
+            true => Duration::ZERO,
+            false => latency * 3 / 2,
+        };
         Timeout {
             total: self.total + latency,
             first_attempt: self
                 .first_attempt
-                .map(|first_attempt| first_attempt.max(latency * 3 / 2)),
+                .map(|first_attempt| first_attempt.max(delay)),
             ..self
         }
     }
@@ -118,6 +136,7 @@
                 .first_attempt
                 .map(|first_attempt| first_attempt * factor),
             is_hedged: self.is_hedged,
+            is_prompt: self.is_prompt,
             stream: self.stream.map(|stream| Stream {
                 pause: stream.pause * factor,
                 allowance: stream.allowance * factor,
@@ -270,6 +289,7 @@
     #[test_case(STREAMING.hedged(), BODY, Some(2_400), (2_900, 8_900); "streaming, with a body")]
     #[test_case(WITH_RETRY.hedged().with_latency(ms(4)), 0, Some(400), (904, 904); "fast receiver")]
     #[test_case(WITH_RETRY.hedged().with_latency(ms(600)), 0, Some(900), (1_500, 1_500); "slow receiver")]
+    #[test_case(WITH_RETRY.hedged().prompt().with_latency(ms(600)), 0, Some(400), (1_500, 1_500); "slow receiver, early second attempt")]
     #[test_case(WITH_RETRY, 0, None, (900, 900); "not hedged")]
     #[test_case(SINGLE.hedged(), 0, None, (900, 900); "single")]
     fn hedged_first_attempt(time: Timeout, body: usize, delay: Option<u64>, expected: (u64, u64)) {
--- a/components/kernel/tests/hedging.rs
+++ b/components/kernel/tests/hedging.rs
@@ -62,8 +62,8 @@
     })
 }
 
-/// A slow receiver was taken for an unresponsive one, and a refused second attempt hid the result
-/// of the first.
+/// A slow receiver is not taken for an unresponsive one, and a refused second attempt does not hide
+/// the result of the first.
 #[test_case(None, Some(OK), "first"; "first attempt is slow")]
 #[test_case(Some(BUSY), Some(OK), "first"; "second attempt is refused")]
 #[test_case(Some(OTHER), None, "second"; "first connection is silent")]
