Node: bound the age of repeated starts, and poll again at once after a time-out

Found by review: a start that had waited 0.6 s in a queue was repeated up to 1.4 s after its decision. Its task may have ended elsewhere meanwhile, and must not start over a second after that end is stored; a relay hears of a stop with its next exchange only. Six orders to a worker may be in flight in place of eight: each may have three connections open, and two boxes share the 64 of a worker during a takeover.

A poll that has timed out was followed by a pause of 0.3 s, which a new owner with most of the room free spent waiting. The pause counts from the time at which the poll was sent.

--- a/components/node/src/order_queue.rs
+++ b/components/node/src/order_queue.rs
@@ -6,7 +6,7 @@
 //! a start that is withdrawn because its data hall was closed.
 
 use {
-    crate::settings::MAX_START_WAIT_MS,
+    crate::settings::{MAX_START_AGE_MS, MAX_START_WAIT_MS},
     cell::{Order, TaskKey},
     kernel::sync::lock,
     std::{
@@ -63,17 +63,20 @@
     revoked: Revoked,
 }
 
-/// Tells whether a start was revoked, also after it was taken from the queue.
+/// Tells whether a start must not be sent any more, also after it was taken from the queue.
 #[derive(Debug, Clone)]
 pub struct Revocation {
     revoked: Revoked,
     run: (TaskKey, u64),
+    /// The time of the decision, in milliseconds on the clock of this box.
+    decided: u64,
 }
 
 impl Revocation {
-    /// True if the start must not be sent any more.
-    pub fn is_revoked(&self) -> bool {
-        lock(&self.revoked).contains(&self.run)
+    /// True if the start was revoked, or was decided too long ago.
+    pub fn is_revoked(&self, now: u64) -> bool {
+        now.saturating_sub(self.decided) > MAX_START_AGE_MS
+            || lock(&self.revoked).contains(&self.run)
     }
 }
 
@@ -135,14 +138,15 @@
     }
 
     /// Returns what tells whether a start must not be sent, because a stop or a withdrawal of its
-    /// run is queued; `None` for other orders.
-    pub fn revocation(&self, order: &Order) -> Option<Revocation> {
-        let Order::Start(start) = order else {
+    /// run is queued or because it is too old; `None` for other orders.
+    pub fn revocation(&self, queued: &QueuedOrder) -> Option<Revocation> {
+        let Order::Start(start) = &queued.order else {
             return None;
         };
         Some(Revocation {
             revoked: self.revoked.clone(),
             run: (start.key.clone(), start.run),
+            decided: queued.decided,
         })
     }
 }
@@ -229,9 +233,9 @@
         receiver.take(&HashSet::new()).unwrap()
     }
 
-    fn is_revoked(receiver: &OrderReceiver, order: &Order) -> bool {
-        let revocation = receiver.revocation(order);
-        revocation.is_some_and(|revocation| revocation.is_revoked())
+    fn is_revoked(receiver: &OrderReceiver, queued: &QueuedOrder) -> bool {
+        let revocation = receiver.revocation(queued);
+        revocation.is_some_and(|revocation| revocation.is_revoked(1))
     }
 
     fn withdrawal() -> Order {
@@ -245,11 +249,11 @@
         let (sender, mut receiver) = channel();
         sender.send(QueuedOrder::new(start(), 0, 0, 1));
         let first = next(&mut receiver);
-        assert!(!is_revoked(&receiver, &first.order));
+        assert!(!is_revoked(&receiver, &first));
         sender.send(QueuedOrder::new(order, 0, 0, 1));
-        assert!(is_revoked(&receiver, &first.order));
+        assert!(is_revoked(&receiver, &first));
         next(&mut receiver);
-        assert!(!is_revoked(&receiver, &first.order));
+        assert!(!is_revoked(&receiver, &first));
     }
 
     fn receive_all(receiver: &mut OrderReceiver, count: usize) {
@@ -275,7 +279,17 @@
         let busy = HashSet::from([key()]);
         assert_eq!(receiver.take(&busy).unwrap().order, other);
         assert!(receiver.take(&busy).is_none());
-        assert!(is_revoked(&receiver, &first.order));
+        assert!(is_revoked(&receiver, &first));
         assert_eq!(receiver.take(&HashSet::new()).unwrap().order, stop());
     }
+
+    /// A start that is repeated for too long may follow the end of its task elsewhere.
+    #[test_case(MAX_START_AGE_MS, false; "in time")]
+    #[test_case(MAX_START_AGE_MS + 1, true; "too old")]
+    fn is_revoked_by_age(age: u64, expected: bool) {
+        let (_sender, receiver) = channel();
+        let queued = QueuedOrder::new(start(), 0, 0, 1_000);
+        let revocation = receiver.revocation(&queued).unwrap();
+        assert_eq!(revocation.is_revoked(1_000 + age), expected);
+    }
 }
--- a/components/node/src/permits.rs
+++ b/components/node/src/permits.rs
@@ -200,10 +200,14 @@
     ///
     /// The ownership is not confirmed any more, or the order was revoked. It must not be sent.
     pub fn fence(&self) -> Result<u64, Failure> {
-        if self.revocation.as_ref().is_some_and(Revocation::is_revoked) {
-            return Err(Failure::not_run(Cause::Refused, "the order was revoked"));
-        }
         let now = time::now();
+        let revocation = self.revocation.as_ref();
+        if revocation.is_some_and(|revocation| revocation.is_revoked(now)) {
+            return Err(Failure::not_run(
+                Cause::Refused,
+                "the order was revoked, or is too old",
+            ));
+        }
         let mut tenure = lock(&self.permits.0);
         if tenure.allows(self.fence, self.basis, now) {
             return Ok(self.fence);
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -18,8 +18,8 @@
         permits::Permits,
         report_delta::ReportDelta,
         settings::{
-            IDLE_MIN_INTERVAL, IDLE_OWNER_READ_MS, MAX_LEASE_AGE, POLL_RETRY_PAUSE,
-            RELAY_LEAVE_TIMEOUT, RELAY_MIN_INTERVAL, RELAY_OWNER_READ_MS, RELAY_TIMEOUT,
+            IDLE_MIN_INTERVAL, IDLE_OWNER_READ_MS, MAX_LEASE_AGE, RELAY_LEAVE_TIMEOUT,
+            RELAY_MIN_INTERVAL, RELAY_OWNER_READ_MS, RELAY_TIMEOUT,
         },
         time, worker,
     },
@@ -490,13 +490,14 @@
 ) {
     while let Some((at, poll)) = polls.recv().await {
         let permit = permits.for_poll(fence);
+        let sent = time::now();
         let mut result = node.external.workers.poll(&entry, &permit, poll).await;
         if let Ok(report) = &mut result {
             restrict_report(poll, report);
         }
         if let Err(PollError::Silent(_)) = result {
             metrics::counter!("magpie_polls_failed_total").increment(1);
-            runtime::sleep(POLL_RETRY_PAUSE).await;
+            worker::sleep_until_retry(sent).await;
         }
         lock(&results).report(&entry.id, at, result);
     }
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -175,17 +175,18 @@
 pub const MAX_PROBE_PAUSE: Duration = Duration::from_millis(500);
 /// How long a task waits for the store to answer a call of another task, in milliseconds.
 pub const RECOVERY_WAIT_MS: u64 = 2_000;
-/// How long a start order may wait in a queue, in milliseconds. Its task may end on another worker
-/// meanwhile, and must not start more than a second after that end is stored. A retry of the order
-/// is sent 0.25 s later.
+/// How long a start order may wait in a queue, in milliseconds, which leaves time to repeat it.
 pub const MAX_START_WAIT_MS: u64 = 600;
+/// Maximum age of a start order that is sent or repeated, in milliseconds. Its task may end on
+/// another worker meanwhile, and must not start more than a second after that end is stored.
+pub const MAX_START_AGE_MS: u64 = 850;
 /// How long an order to a worker may be without an answer before orders about other tasks are sent
 /// beside it. A worker responds within some milliseconds, so that orders usually share a connection.
 pub const ORDER_PATIENCE: Duration = Duration::from_millis(30);
-/// Maximum number of orders to one worker without an answer. A worker accepts 64 connections from all
-/// boxes together.
-pub const MAX_ORDERS_IN_FLIGHT: usize = 8;
-/// Pause after a failed poll of a worker.
+/// Maximum number of orders to one worker without an answer. Each may use several connections, and a
+/// worker accepts 64 from all boxes together.
+pub const MAX_ORDERS_IN_FLIGHT: usize = 6;
+/// Minimum time between a poll of a worker that fails and the next one.
 pub const POLL_RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Time-out of a call to another box.
 pub const PEER_TIMEOUT: Duration = Duration::from_millis(400);
--- a/components/node/src/worker.rs
+++ b/components/node/src/worker.rs
@@ -13,7 +13,7 @@
     cell::{Entry, Order, Outcome, Refusal, TaskKey},
     futures_util::{StreamExt, stream::FuturesUnordered},
     kernel::{Failure, runtime, verdict::Cause},
-    std::collections::HashSet,
+    std::{collections::HashSet, time::Duration},
     tokio::time::Instant,
 };
 
@@ -46,7 +46,7 @@
         let result = node.external.workers.poll(&entry, &permit, poll).await;
         if let Err(PollError::Silent(_)) = result {
             metrics::counter!("magpie_polls_failed_total").increment(1);
-            runtime::sleep(POLL_RETRY_PAUSE).await;
+            sleep_until_retry(sent).await;
         }
         let id = entry.id.clone();
         let poll_next = node.actor.ask_async(move |core, cx, responder| {
@@ -56,6 +56,13 @@
     }
 }
 
+/// Waits until a poll that was sent at this time and has failed may be repeated. One that has timed
+/// out has waited for longer.
+pub(crate) async fn sleep_until_retry(sent: u64) {
+    let spent = Duration::from_millis(time::now().saturating_sub(sent));
+    runtime::sleep(POLL_RETRY_PAUSE.saturating_sub(spent)).await;
+}
+
 async fn send(node: Node, fence: u64, entry: Entry, orders: OrderReceiver) {
     let send = |queued: QueuedOrder, revocation| {
         let node = node.clone();
@@ -103,7 +110,7 @@
             busy.insert(key.clone());
             last = Some(key.clone());
             patience_end = Instant::now() + ORDER_PATIENCE;
-            let revocation = orders.revocation(&queued.order);
+            let revocation = orders.revocation(&queued);
             let sending = send(queued, revocation);
             sent.push(async move { (key, sending.await) });
         }
@@ -153,8 +160,9 @@
             }
         }
     }
-    let is_revoked = revocation.as_ref().is_some_and(Revocation::is_revoked);
-    if queued.is_stale(time::now()) || is_revoked {
+    let now = time::now();
+    let is_revoked = |revocation: &Revocation| revocation.is_revoked(now);
+    if queued.is_stale(now) || revocation.as_ref().is_some_and(is_revoked) {
         metrics::counter!("magpie_orders_stale_total").increment(1);
         return Outcome::Refused(Refusal::NotSent);
     }
@@ -183,10 +191,7 @@
         cell::Start,
         job::{Address, Id},
         kernel::sync::lock,
-        std::{
-            sync::{Arc, Mutex},
-            time::Duration,
-        },
+        std::sync::{Arc, Mutex},
     };
 
     const ADDRESS: Address = Address {
