--- a/components/node/src/worker.rs
+++ b/components/node/src/worker.rs
@@ -97,7 +97,7 @@
 {
     let mut busy: HashSet<TaskKey> = HashSet::new();
     let mut sent = FuturesUnordered::new();
-    // The last order, until it has an answer or has waited, and when that is.
+    // The task of the last order, until that has an answer or has waited until `patience_end`.
     let mut last: Option<TaskKey> = None;
     let mut patience_end = Instant::now();
     let mut is_open = true;
@@ -116,8 +116,8 @@
         }
         tokio::select! {
             biased;
-            Some((key, goes_on)) = sent.next() => {
-                if !goes_on {
+            Some((key, is_delivered)) = sent.next() => {
+                if !is_delivered {
                     return;
                 }
                 busy.remove(&key);
