Cell: decide from one list of reasons whether a worker may be given work

`Worker::closed_by` repeated each condition of `is_schedulable`, to say which one holds, and the summary asked both of each worker. A worker is schedulable if there is no reason against it; the summary asks once. A worker behind a saturated connection still counts as open there.

--- a/components/cell/src/closed.rs
+++ b/components/cell/src/closed.rs
@@ -125,9 +125,8 @@
 }
 
 impl Worker {
-    /// Returns why it may be given no work by its own state. `None` if and only if it is
-    /// schedulable.
-    fn closed_by(&self, now: u64) -> Option<ClosedBy> {
+    /// Returns why it may be given no work by its own state; see [`Worker::is_schedulable`].
+    pub(crate) fn closed_by(&self, now: u64) -> Option<ClosedBy> {
         let reason = if !self.listed || self.entry_invalid {
             ClosedBy::Unlisted
         } else if self.entry.leaving || self.draining {
--- a/components/cell/src/summary.rs
+++ b/components/cell/src/summary.rs
@@ -1,6 +1,10 @@
 //! Aggregate figures of a cell for logs and metrics.
 
-use crate::{cell::Cell, closed::ClosedWorkers, slot::Slot};
+use crate::{
+    cell::Cell,
+    closed::{ClosedBy, ClosedWorkers},
+    slot::Slot,
+};
 
 /// Aggregate figures of a cell. CPU is in thousandths of a core.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -58,9 +62,10 @@
             summary.other_cpu += worker.reserved.cpu - worker.serving_cpu;
             if let Some(reason) = self.closed_by(worker, now) {
                 summary.closed.add(reason);
-            }
-            if !worker.is_schedulable(now) || self.is_in_closed_hall(worker) {
-                continue;
+                // The capacity of a worker behind a saturated connection counts as open.
+                if reason != ClosedBy::Backpressure {
+                    continue;
+                }
             }
             summary.schedulable += 1;
             summary.mixed += usize::from(worker.serving_images.len() > 1);
--- a/components/cell/src/worker.rs
+++ b/components/cell/src/worker.rs
@@ -356,8 +356,7 @@
     /// partitioned worker was restarted after 17.8 s instead of within 6 s. Nor may it while it may
     /// be sealed, or while it runs tasks of jobs that are not known yet.
     pub fn is_schedulable(&self, now: u64) -> bool {
-        let is_closed = now < self.backoff_until || now < self.quarantined_until;
-        !is_closed && self.is_available(now)
+        self.closed_by(now).is_none()
     }
 
     /// True if nothing but a backoff or failed runs may keep it from being given work.
