Kernel: judge the attempts of a hedged call outside of them

Polls and orders each counted attempts in an atomic that their attempts shared, although `Hedge` knows how many were made and how many are in progress. No change of behaviour; the tests of hedging ask for the same results, and one more for the counts.

Looked at and left: `Client::call_hedged`. Its two attempts decide each other's result (a refusal counts only if the other one was not executed) and its time-outs depend on when the first one ended; by way of `Hedge` it has the same parts and an option more.

--- a/components/kernel/src/hedge.rs
+++ b/components/kernel/src/hedge.rs
@@ -18,14 +18,27 @@
     pub attempts: u32,
 }
 
+/// The attempts of a call when one of them has ended.
+#[derive(Debug, Clone, Copy)]
+pub struct Progress {
+    /// Attempts made so far.
+    pub made: u32,
+    /// Attempts that are still in progress.
+    pub open: usize,
+}
+
 impl Hedge {
-    /// Makes attempts until one returns `Break`, and returns its result. An attempt that returns
-    /// `Continue` is followed by the next one at once. If no attempt is left, returns the result of
-    /// the last one that has ended. Each attempt gets its number, counted from 0; those still in
-    /// progress at the end are dropped.
-    pub async fn run<T, F>(self, attempt: impl Fn(u32) -> F) -> T
+    /// Makes attempts until `judge` returns `Break` for the result of one, and returns what that
+    /// has. `Continue` is followed by the next attempt at once; if none is left, returns what the
+    /// last one of these has. Each attempt gets its number, counted from 0; those still in progress
+    /// at the end are dropped.
+    pub async fn run<R, T, F>(
+        self,
+        attempt: impl Fn(u32) -> F,
+        mut judge: impl FnMut(R, Progress) -> ControlFlow<T, T>,
+    ) -> T
     where
-        F: Future<Output = ControlFlow<T, T>>,
+        F: Future<Output = R>,
     {
         let mut open = FuturesUnordered::new();
         open.push(attempt(0));
@@ -37,7 +50,11 @@
                 ended = open.next() => ended,
                 () = runtime::sleep(time), if made < self.attempts => None,
             };
-            let last = match ended {
+            let progress = Progress {
+                made,
+                open: open.len(),
+            };
+            let last = match ended.map(|result| judge(result, progress)) {
                 Some(ControlFlow::Break(result)) => return result,
                 Some(ControlFlow::Continue(result)) => Some(result),
                 None => None,
@@ -62,6 +79,7 @@
         super::*,
         std::{cell::Cell, future},
         test_case::test_case,
+        tokio::sync::Notify,
     };
 
     const HEDGE: Hedge = Hedge {
@@ -73,19 +91,30 @@
     /// Runs a call whose attempts before `answered` get no response.
     fn run(answered: u32) -> (Result<u32, u32>, u32) {
         let made = Cell::new(0);
-        let result = runtime::block_on(HEDGE.run(|number| {
+        let attempt = |number| {
             made.set(made.get() + 1);
             async move {
                 if number < answered {
                     runtime::sleep(Duration::from_millis(200)).await;
-                    return ControlFlow::Continue(Err(number));
+                    return Err(number);
                 }
-                ControlFlow::Break(Ok(number))
+                Ok(number)
             }
-        }));
+        };
+        let result = runtime::block_on(HEDGE.run(attempt, judge));
         (result.unwrap(), made.get())
     }
 
+    fn judge(
+        result: Result<u32, u32>,
+        _: Progress,
+    ) -> ControlFlow<Result<u32, u32>, Result<u32, u32>> {
+        match result {
+            Ok(_) => ControlFlow::Break(result),
+            Err(_) => ControlFlow::Continue(result),
+        }
+    }
+
     #[test_case(0, Ok(0), 1; "first attempt")]
     #[test_case(2, Ok(2), 3; "third attempt")]
     #[test_case(9, Err(3), 4; "none")]
@@ -96,14 +125,15 @@
     /// A response to an earlier attempt counts although later attempts have been made.
     #[test]
     fn run_takes_late_response() {
-        let result = runtime::block_on(HEDGE.run(|number| async move {
+        let attempt = |number| async move {
             if number > 0 {
                 future::pending::<()>().await;
             }
             runtime::sleep(Duration::from_millis(100)).await;
-            ControlFlow::Break(number)
-        }));
-        assert_eq!(result.unwrap(), 0);
+            Ok(number)
+        };
+        let result = runtime::block_on(HEDGE.run(attempt, judge));
+        assert_eq!(result.unwrap(), Ok(0));
     }
 
     /// A failed attempt is repeated without a pause, as often as allowed.
@@ -115,10 +145,35 @@
             ..HEDGE
         };
         let made = Cell::new(0);
-        let result = runtime::block_on(hedge.run(|number| {
+        let attempt = |number| {
             made.set(made.get() + 1);
-            future::ready(ControlFlow::<u32, u32>::Continue(number))
-        }));
-        assert_eq!((result.unwrap(), made.get()), (3, 4));
+            future::ready(Err(number))
+        };
+        let result = runtime::block_on(hedge.run(attempt, judge));
+        assert_eq!((result.unwrap(), made.get()), (Err(3), 4));
+    }
+
+    /// The result of an attempt is judged by the attempts beside it.
+    #[test]
+    fn run_counts_attempts() {
+        let third = Notify::new();
+        let attempt = |number| {
+            let third = &third;
+            async move {
+                match number {
+                    0 => third.notified().await,
+                    _ => {
+                        if number == 2 {
+                            third.notify_one();
+                        }
+                        future::pending().await
+                    }
+                }
+            }
+        };
+        let judge = |(), progress: Progress| ControlFlow::<_, Progress>::Break(progress);
+        let progress = runtime::block_on(HEDGE.run(attempt, judge)).unwrap();
+        assert_eq!(progress.open as u32, progress.made - 1);
+        assert!(progress.made > 2);
     }
 }
