Node tests: share sample orders, and stores that only serve reads

Two test modules built the same orders, and two implemented a store of which only reads are used. Both are in fixtures.rs now. The assertions are the same.

--- a/components/node/src/intake_check.rs
+++ b/components/node/src/intake_check.rs
@@ -128,7 +128,7 @@
 mod tests {
     use {
         super::*,
-        crate::store::{ApplyResult, Change, Page, WatchResult},
+        crate::fixtures::{ReadOnly, Reads},
         kernel::verdict::Cause,
         std::sync::atomic::AtomicU32,
     };
@@ -139,11 +139,7 @@
         left: AtomicU32,
     }
 
-    fn unsupported<T>() -> Result<T, Failure> {
-        Err(Failure::not_run(Cause::Refused, "not part of this store"))
-    }
-
-    impl Store for FailingStore {
+    impl Reads for FailingStore {
         fn get(&self, key: &str) -> Result<Option<Item>, Failure> {
             if self.left.fetch_sub(1, Ordering::Relaxed) == 0 {
                 return Err(Failure::not_run(Cause::Refused, "the store is slow"));
@@ -155,38 +151,6 @@
                 store_revision: 5,
             }))
         }
-
-        fn get_large(&self, _: &str) -> Result<Option<Item>, Failure> {
-            unsupported()
-        }
-
-        fn get_stale(&self, _: &str) -> Result<Option<Item>, Failure> {
-            unsupported()
-        }
-
-        fn range(&self, _: &str, _: Option<&str>) -> Result<Page, Failure> {
-            unsupported()
-        }
-
-        fn watch(&self, _: &str, _: u64, _: Duration) -> Result<WatchResult, Failure> {
-            unsupported()
-        }
-
-        fn apply(&self, _: &Change) -> Result<ApplyResult, Failure> {
-            unsupported()
-        }
-
-        fn probe(&self) -> Result<(), Failure> {
-            unsupported()
-        }
-
-        fn grant(&self, _: Duration) -> Result<u64, Failure> {
-            unsupported()
-        }
-
-        fn renew(&self, _: u64) -> Result<bool, Failure> {
-            unsupported()
-        }
     }
 
     /// Guards against skipped jobs that count as examined and are never admitted, since the read of
@@ -199,7 +163,7 @@
             .collect();
         for left in 0..9 {
             let left = AtomicU32::new(left);
-            let store = FailingStore { left };
+            let store = ReadOnly(FailingStore { left });
             let mut checked = HashSet::new();
             let mut admitted = HashSet::new();
             for _ in 0..2 {
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -18,6 +18,8 @@
 pub mod decode;
 pub mod external;
 pub mod fence;
+#[cfg(test)]
+mod fixtures;
 pub mod group;
 pub mod heartbeat;
 pub mod intake_check;
--- a/components/node/src/order_queue.rs
+++ b/components/node/src/order_queue.rs
@@ -163,54 +163,22 @@
 mod tests {
     use {
         super::*,
-        crate::time,
-        cell::{Start, TaskKey},
-        job::{Address, Id},
+        crate::{
+            fixtures::{key, start, stop},
+            time,
+        },
         kernel::{clock, runtime},
         std::time::Duration,
         test_case::test_case,
     };
 
-    const ADDRESS: Address = Address {
-        time: 0,
-        step: 0,
-        index: 0,
-    };
-
-    fn key() -> TaskKey {
-        TaskKey {
-            job: Id::new("00000000000000a1").unwrap(),
-            place: 0,
-        }
-    }
-
-    fn start() -> Order {
-        Order::Start(Start {
-            key: key(),
-            address: ADDRESS,
-            run: 1,
-            text: "text".into(),
-            saved: None,
-            deadline: 1_500,
-            ticket: None,
-        })
-    }
-
-    fn stop() -> Order {
-        Order::Stop {
-            key: key(),
-            address: ADDRESS,
-            run: 1,
-        }
-    }
-
     /// A start must not be sent late: one that had waited 1.3 s behind two unanswered orders was
     /// sent 1.2 s after its task had ended elsewhere. A stop is sent at any time.
-    #[test_case(start(), 0, MAX_START_WAIT_MS, false; "start in time")]
-    #[test_case(start(), 0, MAX_START_WAIT_MS + 1, true; "start too late")]
-    #[test_case(start(), 400, MAX_START_WAIT_MS - 400, false; "start in time after an exchange")]
-    #[test_case(start(), 400, MAX_START_WAIT_MS - 399, true; "start too late after an exchange")]
-    #[test_case(stop(), 0, 60_000, false; "stop")]
+    #[test_case(start(0), 0, MAX_START_WAIT_MS, false; "start in time")]
+    #[test_case(start(0), 0, MAX_START_WAIT_MS + 1, true; "start too late")]
+    #[test_case(start(0), 400, MAX_START_WAIT_MS - 400, false; "start in time after an exchange")]
+    #[test_case(start(0), 400, MAX_START_WAIT_MS - 399, true; "start too late after an exchange")]
+    #[test_case(stop(0), 0, 60_000, false; "stop")]
     fn is_stale_by_wait(order: Order, age: u64, wait: u64, is_stale: bool) {
         let now = 100_000;
         assert_eq!(
@@ -223,7 +191,7 @@
     /// not advanced.
     #[test]
     fn is_stale_after_suspension() {
-        let queued = QueuedOrder::new(start(), 0, 0, time::now());
+        let queued = QueuedOrder::new(start(0), 0, 0, time::now());
         clock::simulate_suspension(Duration::from_secs(2));
         assert!(queued.is_stale(time::now()));
     }
@@ -239,15 +207,18 @@
     }
 
     fn withdrawal() -> Order {
-        Order::Withdraw { key: key(), run: 1 }
+        Order::Withdraw {
+            key: key(0),
+            run: 1,
+        }
     }
 
     /// A start that waits in the queue is revoked once its stop or withdrawal is queued behind it.
-    #[test_case(stop(); "stop")]
+    #[test_case(stop(0); "stop")]
     #[test_case(withdrawal(); "withdrawal")]
     fn is_revoked_by_queued_order(order: Order) {
         let (sender, mut receiver) = channel();
-        sender.send(QueuedOrder::new(start(), 0, 0, 1));
+        sender.send(QueuedOrder::new(start(0), 0, 0, 1));
         let first = next(&mut receiver);
         assert!(!is_revoked(&receiver, &first));
         sender.send(QueuedOrder::new(order, 0, 0, 1));
@@ -266,21 +237,17 @@
     #[test]
     fn take_skips_busy_tasks() {
         let (sender, mut receiver) = channel();
-        let other = Order::Stop {
-            key: TaskKey { place: 1, ..key() },
-            address: ADDRESS,
-            run: 1,
-        };
-        for order in [start(), stop(), other.clone()] {
+        let other = stop(1);
+        for order in [start(0), stop(0), other.clone()] {
             sender.send(QueuedOrder::new(order, 0, 0, 1));
         }
         receive_all(&mut receiver, 3);
         let first = receiver.take(&HashSet::new()).unwrap();
-        let busy = HashSet::from([key()]);
+        let busy = HashSet::from([key(0)]);
         assert_eq!(receiver.take(&busy).unwrap().order, other);
         assert!(receiver.take(&busy).is_none());
         assert!(is_revoked(&receiver, &first));
-        assert_eq!(receiver.take(&HashSet::new()).unwrap().order, stop());
+        assert_eq!(receiver.take(&HashSet::new()).unwrap().order, stop(0));
     }
 
     /// A start that is repeated for too long may follow the end of its task elsewhere.
@@ -288,7 +255,7 @@
     #[test_case(MAX_START_AGE_MS + 1, true; "too old")]
     fn is_revoked_by_age(age: u64, expected: bool) {
         let (_sender, receiver) = channel();
-        let queued = QueuedOrder::new(start(), 0, 0, 1_000);
+        let queued = QueuedOrder::new(start(0), 0, 0, 1_000);
         let revocation = receiver.revocation(&queued).unwrap();
         assert_eq!(revocation.is_revoked(1_000 + age), expected);
     }
--- a/components/node/src/spec_text.rs
+++ b/components/node/src/spec_text.rs
@@ -117,11 +117,11 @@
 mod tests {
     use {
         super::*,
-        crate::store::{ApplyResult, Change, Item, Page, WatchResult},
-        std::{
-            sync::atomic::{AtomicU32, Ordering},
-            time::Duration,
+        crate::{
+            fixtures::{ReadOnly, Reads},
+            store::Item,
         },
+        std::sync::atomic::{AtomicU32, Ordering},
         test_case::test_case,
     };
 
@@ -134,10 +134,6 @@
         cost: AtomicU32,
     }
 
-    fn unsupported<T>() -> Result<T, Failure> {
-        Err(Failure::not_run(Cause::Refused, "not part of this store"))
-    }
-
     impl LaggingStore {
         fn item(&self, key: &str) -> Option<Item> {
             let is_text = key == keys::text(&Id::new(JOB).unwrap());
@@ -150,7 +146,7 @@
         }
     }
 
-    impl Store for LaggingStore {
+    impl Reads for LaggingStore {
         fn get(&self, key: &str) -> Result<Option<Item>, Failure> {
             self.get_large(key)
         }
@@ -164,30 +160,6 @@
             self.cost.fetch_add(1, Ordering::Relaxed);
             Ok(self.item(key).filter(|_| !self.lags))
         }
-
-        fn range(&self, _: &str, _: Option<&str>) -> Result<Page, Failure> {
-            unsupported()
-        }
-
-        fn watch(&self, _: &str, _: u64, _: Duration) -> Result<WatchResult, Failure> {
-            unsupported()
-        }
-
-        fn apply(&self, _: &Change) -> Result<ApplyResult, Failure> {
-            unsupported()
-        }
-
-        fn probe(&self) -> Result<(), Failure> {
-            unsupported()
-        }
-
-        fn grant(&self, _: Duration) -> Result<u64, Failure> {
-            unsupported()
-        }
-
-        fn renew(&self, _: u64) -> Result<bool, Failure> {
-            unsupported()
-        }
     }
 
     /// Twenty relays read the same text. With consistent reads only, this would cost 200 tenths of
@@ -195,14 +167,14 @@
     #[test_case(false, 20; "stale reads have it")]
     #[test_case(true, 240; "stale reads miss it")]
     fn text_read_cost(lags: bool, cost: u32) {
-        let store = LaggingStore {
+        let store = ReadOnly(LaggingStore {
             lags,
             cost: AtomicU32::new(0),
-        };
+        });
         for _ in 0..20 {
             let text = SpecCache::default().text(&store, &Id::new(JOB).unwrap());
             assert_eq!(&*text.unwrap(), "text");
         }
-        assert_eq!(store.cost.into_inner(), cost);
+        assert_eq!(store.0.cost.into_inner(), cost);
     }
 }
--- a/components/node/src/worker.rs
+++ b/components/node/src/worker.rs
@@ -188,45 +188,11 @@
 mod tests {
     use {
         super::*,
-        cell::Start,
-        job::{Address, Id},
+        crate::fixtures::{start, stop},
         kernel::sync::lock,
         std::sync::{Arc, Mutex},
     };
 
-    const ADDRESS: Address = Address {
-        time: 0,
-        step: 0,
-        index: 0,
-    };
-
-    fn key(place: usize) -> TaskKey {
-        TaskKey {
-            job: Id::new("00000000000000a1").unwrap(),
-            place,
-        }
-    }
-
-    fn start(place: usize) -> Order {
-        Order::Start(Start {
-            key: key(place),
-            address: ADDRESS,
-            run: 1,
-            text: "text".into(),
-            saved: None,
-            deadline: 1_500,
-            ticket: None,
-        })
-    }
-
-    fn stop(place: usize) -> Order {
-        Order::Stop {
-            key: key(place),
-            address: ADDRESS,
-            run: 1,
-        }
-    }
-
     /// Sends the orders to a worker that leaves the first one without an answer for a second.
     /// Returns the orders as they were sent, and the highest number without an answer at a time.
     fn send_to_worker(orders: &[Order]) -> (Vec<String>, usize) {
