--- a/components/cell/tests/decisions/crash_evidence.rs
+++ b/components/cell/tests/decisions/crash_evidence.rs
@@ -364,30 +364,69 @@
     assert!(sim.machine_of(JOB, 0).is_some());
 }
 
+/// Time between two losses of workers in a [`MixedLoad`], in milliseconds.
+const LOSS_INTERVAL: u64 = 4_500;
+
 /// Healthy jobs beside those whose first task crashes its workers, and as many of each at any time.
 pub struct MixedLoad {
     pub sim: Sim,
     pub width: u32,
     healthy: usize,
     crashing: usize,
+    workers: usize,
+    /// The share of the workers that is lost at each [`LOSS_INTERVAL`], in percent.
+    share: usize,
+    random: fastrand::Rng,
     /// The jobs, and for each whether it is healthy.
     pub jobs: Vec<(String, bool)>,
 }
 
 impl MixedLoad {
-    /// Jobs of `width` tasks of 1.7 s each: so many healthy and so many crashing ones.
-    pub fn new(workers: usize, width: u32, healthy: usize, crashing: usize) -> Self {
+    /// Jobs of `width` tasks of 1.7 s each: so many healthy and so many crashing ones. Workers hold
+    /// polls with each second seed.
+    pub fn new(
+        seed: u64,
+        workers: usize,
+        width: u32,
+        (healthy, crashing): (usize, usize),
+        share: usize,
+    ) -> Self {
         let mut sim = Sim::new(workers, 1_700);
         sim.advance(5_000);
+        if seed % 2 == 1 {
+            sim.hold_polls();
+        }
         MixedLoad {
             sim,
             width,
             healthy,
             crashing,
+            workers,
+            share,
+            random: fastrand::Rng::with_seed(seed),
             jobs: Vec::new(),
         }
     }
 
+    /// Advances the simulator by `time` milliseconds from `at`, with new jobs and losses of workers.
+    pub fn advance(&mut self, at: u64, time: u64) {
+        if at.is_multiple_of(200) {
+            self.refill(true, self.healthy);
+            self.refill(false, self.crashing);
+        }
+        let is_loss = at.is_multiple_of(LOSS_INTERVAL);
+        let lost = if is_loss {
+            self.workers * self.share
+        } else {
+            0
+        };
+        for _ in 0..lost.div_ceil(100) {
+            let machine = self.random.usize(0..self.workers);
+            self.sim.crash_silently(machine, DOWNTIME);
+        }
+        self.sim.advance(time);
+    }
+
     /// Submits a job of a kind if there are too few of them.
     fn refill(&mut self, is_healthy: bool, most: usize) {
         let jobs = self.jobs.iter().filter(|job| job.1 == is_healthy);
@@ -402,12 +441,6 @@
         }
         self.jobs.push((id, is_healthy));
     }
-
-    /// Adds a job of each kind of which there are too few.
-    pub fn refill_all(&mut self) {
-        self.refill(true, self.healthy);
-        self.refill(false, self.crashing);
-    }
 }
 
 /// Guards against healthy jobs that fail since tasks of other jobs crashed their workers again and
@@ -424,20 +457,9 @@
     share: usize,
 ) {
     for seed in 0..10 {
-        let mut random = fastrand::Rng::with_seed(seed);
-        let mut load = MixedLoad::new(workers, width, healthy, crashing);
-        if seed % 2 == 1 {
-            load.sim.hold_polls();
-        }
+        let mut load = MixedLoad::new(seed, workers, width, (healthy, crashing), share);
         for at in (0..40_000).step_by(100) {
-            if at % 200 == 0 {
-                load.refill_all();
-            }
-            let lost = if at % 4_500 == 0 { workers * share } else { 0 };
-            for _ in 0..lost.div_ceil(100) {
-                load.sim.crash_silently(random.usize(0..workers), DOWNTIME);
-            }
-            load.sim.advance(100);
+            load.advance(at, 100);
         }
         for (id, is_healthy) in &load.jobs {
             if *is_healthy {
--- a/components/cell/tests/decisions/stalled.rs
+++ b/components/cell/tests/decisions/stalled.rs
@@ -386,24 +386,12 @@
     write_time: u64,
 ) {
     const SLICE: u64 = 50;
-    const DOWNTIME: u64 = 4_500;
     for seed in 0..10 {
-        let mut random = fastrand::Rng::with_seed(seed);
-        let mut load = MixedLoad::new(workers, width, healthy, crashing);
+        let mut load = MixedLoad::new(seed, workers, width, (healthy, crashing), share);
         load.sim.slow_writes(write_time);
-        if seed % 2 == 1 {
-            load.sim.hold_polls();
-        }
         let mut idle: HashMap<String, u64> = HashMap::new();
         for at in (0..40_000).step_by(SLICE as usize) {
-            if at % 200 == 0 {
-                load.refill_all();
-            }
-            let lost = if at % 4_500 == 0 { workers * share } else { 0 };
-            for _ in 0..lost.div_ceil(100) {
-                load.sim.crash_silently(random.usize(0..workers), DOWNTIME);
-            }
-            load.sim.advance(SLICE);
+            load.advance(at, SLICE);
             for (id, is_healthy) in &load.jobs {
                 let is_done = load.sim.done_count(id) == load.width as usize;
                 if !is_healthy || is_done || load.sim.may_run(id) {
