--- /dev/null
+++ b/programs/gate/tests/clients.rs
@@ -0,0 +1,129 @@
+//! Tests the gate beside crowds of clients that do not behave: its process lives, stays within the
+//! memory and the descriptors of its machine, and answers an ordinary request afterwards.
+//!
+//! The tests judge no times, and run one after the other.
+
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
+use {
+    kernel::{Client, client::Call, sync::lock},
+    standin::{
+        Registry,
+        crowd::{Crowd, Script},
+        program::{Bounds, Program, free_address},
+    },
+    std::{
+        net::SocketAddr,
+        sync::Mutex,
+        thread,
+        time::{Duration, Instant},
+    },
+    test_case::test_case,
+};
+
+/// Memory of the machine in MiB, as the gate is told.
+const MEMORY_MB: u64 = 64;
+/// File descriptors of the machine, as the gate is told.
+const DESCRIPTORS: usize = 256;
+/// Bounds of the process of the gate.
+const BOUNDS: Bounds = Bounds {
+    memory_kb: MEMORY_MB * 1024,
+    descriptors: DESCRIPTORS,
+};
+/// Number of clients in a crowd.
+const CROWD: usize = 320;
+/// Size of a body within the limit of the gate, 1 MiB.
+const LEGAL_BODY: usize = 1_000_000;
+/// Size of a body over that limit.
+const LARGE_BODY: usize = 4_000_000;
+/// Time-out of every wait, long enough for a busy machine.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time-out of one attempt of an ordinary client.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Head of a request without the headers of its body.
+const HEAD: &str = "POST /validate HTTP/1.1\r\nHost: gate\r\nx-magpie-class: validation\r\n";
+
+/// Held by the test that runs.
+static TURN: Mutex<()> = Mutex::new(());
+
+/// Waits until `condition` holds; panics with `description` after [`WAIT_TIMEOUT`].
+fn until(description: &str, mut condition: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        let is_late = start.elapsed() >= WAIT_TIMEOUT;
+        assert!(!is_late, "timed out waiting: {description}");
+        thread::sleep(CHECK_INTERVAL);
+    }
+}
+
+/// Sends an ordinary request. Returns true if the gate gives an answer with a verdict: without a
+/// table, that it was not run.
+fn is_answered(gate: SocketAddr) -> bool {
+    let call = Call {
+        method: "POST",
+        url: &format!("http://{gate}/validate"),
+        headers: &[("x-magpie-class", "validation"), ("x-id", "1")],
+        body: b"draft",
+        timeout: ATTEMPT_TIMEOUT.into(),
+    };
+    let answer = Client::new(None).send(&call);
+    answer.is_ok_and(|answer| answer.header("x-magpie-verdict") == "not-run")
+}
+
+/// Returns true if the operators' port answers.
+fn is_alive(ops: SocketAddr) -> bool {
+    let call = Call {
+        method: "GET",
+        url: &format!("http://{ops}/healthz"),
+        headers: &[],
+        body: &[],
+        timeout: ATTEMPT_TIMEOUT.into(),
+    };
+    let answer = Client::new(None).send(&call);
+    answer.is_ok_and(|answer| answer.status == 200)
+}
+
+/// Starts a gate, gathers a crowd at the port that `select` returns, and checks the gate while it is
+/// there.
+fn endure(script: &Script, select: fn([SocketAddr; 2]) -> SocketAddr) {
+    let _turn = lock(&TURN);
+    let registry = Registry::new(Duration::ZERO);
+    let boxes = registry.open(([127, 0, 0, 1], 0).into()).unwrap();
+    let [gate, ops] = [(); 2].map(|()| free_address().unwrap());
+    let variables = [
+        ("MAGPIE_NAME", "b1".to_owned()),
+        ("MAGPIE_HALL", "h1".to_owned()),
+        ("MAGPIE_BOXES", boxes),
+        ("MAGPIE_LISTEN", gate.to_string()),
+        ("MAGPIE_OPS", ops.to_string()),
+        ("MAGPIE_MEMORY_MB", MEMORY_MB.to_string()),
+        ("MAGPIE_DESCRIPTORS", DESCRIPTORS.to_string()),
+    ];
+    let variables = variables.each_ref().map(|(name, text)| (*name, &**text));
+    let mut program = Program::start(env!("CARGO_BIN_EXE_magpie-gate"), &variables).unwrap();
+    until("the gate answers", || is_answered(gate));
+    let address = select([gate, ops]);
+    let _crowd = Crowd::gather(address, CROWD, script, || program.observe());
+    program.settle();
+    until("an ordinary request is answered", || is_answered(gate));
+    until("the operators' port answers", || is_alive(ops));
+    assert_eq!(program.check(BOUNDS), Ok(()));
+}
+
+#[test_case(Script::sized(HEAD, &[b'x'; LEGAL_BODY]); "gate sized stalled")]
+#[test_case(Script::sized(HEAD, &[b'x'; LEGAL_BODY]).complete(); "gate sized complete")]
+#[test_case(Script::chunked(HEAD, &[b'x'; LEGAL_BODY], 16 * 1024); "gate large chunks")]
+#[test_case(Script::chunked(HEAD, &[b'x'; 40_000], 1); "gate tiny chunks")]
+#[test_case(Script::sized(HEAD, &[b'x'; LARGE_BODY]); "gate over limit")]
+#[test_case(Script::chunked(HEAD, &[b'x'; LARGE_BODY], 16 * 1024); "gate over limit chunked")]
+#[test_case(Script::silent(); "gate silent")]
+fn gate_port_endures(script: Script) {
+    endure(&script, |[gate, _]| gate);
+}
+
+#[test_case(Script::sized(HEAD, &[b'x'; LEGAL_BODY]); "gate operators sized stalled")]
+#[test_case(Script::silent(); "gate operators silent")]
+fn gate_operators_port_endures(script: Script) {
+    endure(&script, |[_, ops]| ops);
+}
