Wire: decompress at most 2 MiB of a request

What callers saw: 320 relay messages of a few KB each took 121,336 kB of a box (inside compressed messages), and would take as much on any port that decodes messages.

Cause: a message was decompressed up to 16 MiB, the limit of a response, whatever the limit of a request; the entries of its lists take some twenty times their encoded size.

Change: Request::message decompresses up to MAX_BODY, which a message without compression may have as well. Responses keep their limit.

--- a/components/kernel/src/server.rs
+++ b/components/kernel/src/server.rs
@@ -187,7 +187,7 @@
     ///
     /// `Invalid` if the body is not such a message.
     pub fn message<T: DeserializeOwned>(&self) -> Result<T, Failure> {
-        wire::decode(&self.body)
+        wire::decode_limited(&self.body, MAX_BODY)
     }
 
     /// Sends the reply. Does nothing if the client has disconnected.
--- a/components/kernel/src/wire.rs
+++ b/components/kernel/src/wire.rs
@@ -63,12 +63,21 @@
 /// receiver that cannot decode a request does not act on it; a caller that decodes a *response*
 /// must change the verdict.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Failure> {
+    decode_limited(bytes, MAX_MESSAGE)
+}
+
+/// Like [`decode`], for a message that has at most `limit` bytes when it is decompressed.
+///
+/// # Errors
+///
+/// As for [`decode`].
+pub fn decode_limited<T: DeserializeOwned>(bytes: &[u8], limit: usize) -> Result<T, Failure> {
     let invalid = |text: String| Failure::not_run(Cause::Invalid, text);
     let Some((&COMPRESSED_MARKER, compressed)) = bytes.split_first() else {
         return rmp_serde::from_slice(bytes).map_err(|e| invalid(e.to_string()));
     };
-    let message = decompress_to_vec_with_limit(compressed, MAX_MESSAGE)
-        .map_err(|e| invalid(e.to_string()))?;
+    let message =
+        decompress_to_vec_with_limit(compressed, limit).map_err(|e| invalid(e.to_string()))?;
     rmp_serde::from_slice(&message).map_err(|e| invalid(e.to_string()))
 }
 
@@ -87,6 +96,15 @@
         assert_eq!(decode::<Vec<String>>(&plain).unwrap(), names);
     }
 
+    #[test_case(100_000, true; "within limit")]
+    #[test_case(1_000, false; "beyond limit")]
+    fn decode_limited_decompressed(limit: usize, is_accepted: bool) {
+        let compressed = compress(encode_compact(&vec![0_u8; 50_000]).unwrap());
+        assert!(compressed.len() < 1_000);
+        let decoded = decode_limited::<Vec<u8>>(&compressed, limit);
+        assert_eq!(decoded.is_ok(), is_accepted);
+    }
+
     #[test]
     fn decode_truncated_compressed() {
         let names = vec!["0000000000000000"; 100];
