Ports: bound connections by the machine, and close those that keep waiting

What callers saw: clients that connected and sent nothing, a part of a head, or read no responses kept their connections for 60 s or for ever. 320 of them brought a box to 342 to 345 descriptors, where the test allows 256; 800 shut the callers' port for everybody else.

Cause: a port took a constant number of connections (800, and 4,096 on each of the other three ports, together more than a process may open); a further one waited until another one ended by itself. Only the head of a request had a time-out. The limits of heads and idle connections in the operators' configuration were read and used by nothing.

Ruled out: shorter time-outs alone, since a client can connect again as fast; a limit by address, since clients come through an address of the platform.

Change: MAGPIE_MEMORY_MB and MAGPIE_DESCRIPTORS tell a process its machine; the number of connections of each kind of port follows from them. A connection beyond it replaces the one that has kept the port waiting for longest (without a request, with a part of one, or by not reading). One whose request is complete is never closed: the choice is checked again when the connection has read what had arrived. Time-outs for idle connections, heads, bodies (30 s) and responses that nobody reads (30 s); the callers' port takes the first two and the size of a head from the configuration in force. serve_connection_limit became two tests: an idle connection is replaced, a busy one is waited for.

Conclusion: the descriptors of a process and the number of clients that it holds something for are bounded; what each of them may hold is not yet.

--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod ops;
 pub mod plugin;
 pub mod public_server;
+pub mod resources;
 mod reuse;
 pub mod runtime;
 pub mod server;
--- /dev/null
+++ b/components/kernel/src/resources.rs
@@ -0,0 +1,125 @@
+//! The memory and file descriptors of a process, and what its ports may use of them.
+
+use crate::settings::Reader;
+
+/// Memory in MiB of a process that is told nothing else.
+const DEFAULT_MEMORY_MB: usize = 256;
+/// File descriptors of a process that is told nothing else.
+const DEFAULT_DESCRIPTORS: usize = 4_096;
+/// Lowest and highest memory of a process in MiB.
+const MEMORY_RANGE_MB: (u64, u64) = (32, 1_048_576);
+/// Lowest and highest number of file descriptors of a process.
+const DESCRIPTOR_RANGE: (u64, u64) = (128, 1_048_576);
+const BYTES_PER_MB: usize = 1024 * 1024;
+
+/// Which share of the connections a port has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PortKind {
+    /// A port for clients outside the scheduler.
+    Callers,
+    /// A port for other processes of the scheduler.
+    Internal,
+    /// A port for probes and metrics.
+    Probes,
+}
+
+/// What a kind of port may use of the resources.
+struct Share {
+    /// Part of the file descriptors, as a fraction.
+    descriptors: (usize, usize),
+    /// Part of the memory for connections.
+    memory: usize,
+    /// Memory in bytes of a connection: its head, and the thread that handles its request.
+    cost: usize,
+    /// Lower and upper bound of the number of connections.
+    range: (usize, usize),
+}
+
+impl PortKind {
+    const fn share(self) -> Share {
+        match self {
+            PortKind::Callers => Share {
+                descriptors: (1, 4),
+                memory: 4,
+                cost: 96 * 1024,
+                range: (8, 1_024),
+            },
+            PortKind::Internal => Share {
+                descriptors: (2, 5),
+                memory: 8,
+                cost: 16 * 1024,
+                range: (8, 4_096),
+            },
+            PortKind::Probes => Share {
+                descriptors: (1, 64),
+                memory: 32,
+                cost: 16 * 1024,
+                range: (8, 64),
+            },
+        }
+    }
+}
+
+/// The resources of a process.
+#[derive(Debug, Clone, Copy)]
+pub struct Resources {
+    /// Memory in bytes.
+    pub memory: usize,
+    /// Number of file descriptors.
+    pub descriptors: usize,
+}
+
+impl Default for Resources {
+    fn default() -> Self {
+        Resources {
+            memory: DEFAULT_MEMORY_MB * BYTES_PER_MB,
+            descriptors: DEFAULT_DESCRIPTORS,
+        }
+    }
+}
+
+impl Resources {
+    /// Reads the settings `memory-mb` and `descriptors`; `None` if one of them is invalid.
+    pub fn read(
+        reader: &mut Reader<'_>,
+        memory: Option<String>,
+        descriptors: Option<String>,
+    ) -> Option<Self> {
+        let [megabytes, files] = [DEFAULT_MEMORY_MB, DEFAULT_DESCRIPTORS].map(|it| it.to_string());
+        let memory = reader.number("memory-mb", memory, &megabytes, MEMORY_RANGE_MB);
+        let files = reader.number("descriptors", descriptors, &files, DESCRIPTOR_RANGE);
+        Some(Resources {
+            memory: memory? as usize * BYTES_PER_MB,
+            descriptors: files? as usize,
+        })
+    }
+
+    /// Maximum number of connections of a port.
+    pub fn connections(&self, kind: PortKind) -> usize {
+        let share = kind.share();
+        let (part, whole) = share.descriptors;
+        let by_descriptors = self.descriptors * part / whole;
+        let by_memory = self.memory / share.memory / share.cost;
+        let (low, high) = share.range;
+        by_descriptors.min(by_memory).clamp(low, high)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use {super::*, test_case::test_case};
+
+    const MB: usize = 1024 * 1024;
+
+    #[test_case(PortKind::Callers, 256, 4_096, 682; "memory limits callers")]
+    #[test_case(PortKind::Callers, 1_024, 4_096, 1_024; "descriptors limit callers")]
+    #[test_case(PortKind::Internal, 160, 4_100, 1_280; "smallest machine")]
+    #[test_case(PortKind::Probes, 64, 256, 8; "few descriptors")]
+    fn connections_by_resources(kind: PortKind, memory: usize, descriptors: usize, count: usize) {
+        let resources = Resources {
+            memory: memory * MB,
+            descriptors,
+        };
+        assert_eq!(resources.connections(kind), count);
+    }
+}
--- a/components/kernel/src/server.rs
+++ b/components/kernel/src/server.rs
@@ -1,8 +1,12 @@
 //! HTTP server on `hyper`: one I/O thread serves all connections of the process, handlers run on a
 //! thread pool.
 
+mod connection;
+
 use {
+    self::connection::{Connections, Entry, Stream},
     crate::{
+        resources::{PortKind, Resources},
         runtime,
         sync::lock,
         token::Token,
@@ -18,26 +22,33 @@
         server::conn::http1,
         service::service_fn,
     },
-    hyper_util::rt::{TokioIo, TokioTimer},
+    hyper_util::rt::TokioIo,
     serde::{Serialize, de::DeserializeOwned},
     std::{
         convert::Infallible,
+        future::poll_fn,
         io,
-        net::{SocketAddr, TcpListener},
-        pin::pin,
+        net::SocketAddr,
+        pin::{Pin, pin},
         sync::{Arc, Mutex, mpsc},
-        time::Duration,
+        task::Poll,
+        time::{Duration, Instant},
     },
     tokio::{
-        net::TcpStream,
-        sync::{Semaphore, oneshot, watch},
+        net::{TcpListener, TcpSocket, TcpStream},
+        sync::{OwnedSemaphorePermit, Semaphore, oneshot, watch},
+        time::Sleep,
     },
 };
 
 /// Maximum size of a request body in bytes: the largest value of the store with a margin.
 pub const MAX_BODY: usize = 2 * 1024 * 1024;
-/// Maximum size of a request head in bytes.
+/// Maximum size of a request head in bytes, whatever the limits of the port.
 const MAX_HEAD: usize = 32 * 1024;
+/// Maximum number of connections that wait to be accepted.
+const BACKLOG: u32 = 128;
+/// Interval at which a port without room looks for a connection that it may close.
+const ADMIT_INTERVAL: Duration = Duration::from_millis(20);
 /// Pause after a failure to accept a connection, such as a lack of file descriptors.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -241,21 +252,49 @@
     pub concurrency: usize,
 }
 
-/// Limits on the connections of a port.
+/// Limits of each request of a port.
 #[derive(Debug, Clone, Copy)]
-pub struct Bounds {
-    /// Concurrent connections; further ones wait to be accepted.
-    pub max_connections: usize,
-    /// Time-out for receiving the head of a request, and so the maximum idle time of a connection.
-    pub idle: Duration,
+pub struct RequestLimits {
+    /// Maximum size of a head in bytes.
+    pub max_head: usize,
+    /// Time-out for receiving the head of a request.
+    pub head_timeout: Duration,
+    /// Maximum idle time of a connection between two requests.
+    pub idle_timeout: Duration,
 }
 
 /// Limits of internal ports, whose clients keep idle connections for up to two minutes.
-pub const INTERNAL: Bounds = Bounds {
-    max_connections: 4_096,
-    idle: Duration::from_secs(180),
+const INTERNAL_LIMITS: RequestLimits = RequestLimits {
+    max_head: 8 * 1024,
+    head_timeout: Duration::from_secs(30),
+    idle_timeout: Duration::from_secs(180),
 };
 
+/// Limits on the connections of a port.
+#[derive(Clone)]
+pub struct Bounds {
+    /// Maximum number of connections. A further one replaces the one that has kept the port waiting
+    /// for longest, or waits while all requests are complete.
+    pub max_connections: usize,
+    /// Returns the present limits of each request.
+    pub limits: Arc<dyn Fn() -> RequestLimits + Send + Sync>,
+}
+
+impl Bounds {
+    /// Bounds of a kind of port of a process with these resources, and constant limits of requests.
+    pub fn new(resources: &Resources, kind: PortKind) -> Self {
+        Bounds {
+            max_connections: resources.connections(kind),
+            limits: Arc::new(|| INTERNAL_LIMITS),
+        }
+    }
+
+    /// Bounds of an internal port of a process with default resources.
+    pub fn internal() -> Self {
+        Self::new(&Resources::default(), PortKind::Internal)
+    }
+}
+
 /// An open port. Dropping it closes the port.
 pub struct Server {
     address: SocketAddr,
@@ -266,8 +305,8 @@
 }
 
 impl Server {
-    /// Opens an internal port that handles up to `tasks` requests concurrently; port 0 selects a
-    /// free port.
+    /// Opens an internal port of a process with default resources that handles up to `tasks`
+    /// requests concurrently; port 0 selects a free port.
     ///
     /// If a token is set, a request without it gets status 401, except for `/healthz` and `/readyz`.
     ///
@@ -285,7 +324,7 @@
             handler,
             concurrency: tasks,
         };
-        Self::open_with_bounds(address, INTERNAL, token, service)
+        Self::open_with_bounds(address, Bounds::internal(), token, service)
     }
 
     /// Opens a port with the given limits and handlers.
@@ -300,8 +339,10 @@
         service: Service,
     ) -> io::Result<Self> {
         let runtime = runtime::handle()?;
-        let listener = TcpListener::bind(address)?;
-        listener.set_nonblocking(true)?;
+        let listener = {
+            let _entered = runtime.enter();
+            listen(address)?
+        };
         let address = listener.local_addr()?;
         let (stop, stopped) = watch::channel(false);
         let (guard, finished) = mpsc::channel();
@@ -309,12 +350,9 @@
             token,
             handler_permits: Arc::new(Semaphore::new(service.concurrency)),
             service,
+            connections: Arc::default(),
             bounds,
         });
-        let listener = {
-            let _entered = runtime.enter();
-            tokio::net::TcpListener::from_std(listener)?
-        };
         runtime.spawn(accept(listener, port, stopped, guard));
         Ok(Server {
             address,
@@ -347,6 +385,17 @@
     }
 }
 
+/// Binds a port.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// State shared by the connections of a port.
 struct PortState {
     token: Option<Token>,
@@ -354,6 +403,7 @@
     bounds: Bounds,
     /// Permits to run the handler.
     handler_permits: Arc<Semaphore>,
+    connections: Arc<Connections>,
 }
 
 /// Held by everything that must finish before the port is closed.
@@ -361,7 +411,7 @@
 
 /// Accepts connections until the port is closed.
 async fn accept(
-    listener: tokio::net::TcpListener,
+    listener: TcpListener,
     port: Arc<PortState>,
     mut stopped: watch::Receiver<bool>,
     guard: CloseGuard,
@@ -369,20 +419,19 @@
     let permits = Arc::new(Semaphore::new(port.bounds.max_connections));
     loop {
         let next = async {
-            // The semaphore is never closed.
-            let permit = permits.clone().acquire_owned().await.ok();
-            (permit, listener.accept().await)
+            let accepted = listener.accept().await;
+            (accepted, admit(&port, &permits).await)
         };
-        let (permit, accepted) = tokio::select! {
+        let (accepted, permit) = tokio::select! {
             next = next => next,
             _ = stopped.changed() => return,
         };
         match accepted {
             Ok((stream, _)) => {
                 let (port, stopped) = (port.clone(), stopped.clone());
-                let guard = guard.clone();
+                let (guard, entry) = (guard.clone(), port.connections.add());
                 tokio::spawn(async move {
-                    serve(stream, port, stopped, guard).await;
+                    serve(stream, port, entry, stopped, guard).await;
                     drop(permit);
                 });
             }
@@ -394,10 +443,27 @@
     }
 }
 
+/// Waits until a connection more may be served. If there are as many as the port may have, one that
+/// keeps the port waiting is closed.
+async fn admit(port: &PortState, permits: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
+    loop {
+        if let Ok(permit) = permits.clone().try_acquire_owned() {
+            return Some(permit);
+        }
+        port.connections.evict_waiting();
+        let next = permits.clone().acquire_owned();
+        if let Ok(permit) = tokio::time::timeout(ADMIT_INTERVAL, next).await {
+            // The semaphore is never closed.
+            return permit.ok();
+        }
+    }
+}
+
 /// Serves a connection until it or the port is closed.
 async fn serve(
     stream: TcpStream,
     port: Arc<PortState>,
+    entry: Entry,
     mut stopped: watch::Receiver<bool>,
     guard: CloseGuard,
 ) {
@@ -405,48 +471,120 @@
         log::debug!(target: "kernel", error:% = error; "Connection closed before it was served.");
         return;
     }
-    let idle = port.bounds.idle;
     // Closing the port waits for handlers, not for connections.
     let guard = Mutex::new(Some(guard));
     let service = service_fn(|request| {
         let guard = lock(&guard).clone();
-        handle(port.clone(), request, guard)
+        handle(port.clone(), entry.connection.clone(), request, guard)
     });
+    let stream = Stream {
+        stream,
+        connection: entry.connection.clone(),
+    };
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle)
+        .header_read_timeout(None)
+        .max_header_size((port.bounds.limits)().max_head.min(MAX_HEAD))
         .max_buf_size(MAX_HEAD)
         .half_close(true)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
+    let served = tokio::select! {
+        served = supervise(connection.as_mut(), &entry, &port) => served,
         _ = stopped.changed() => {
             lock(&guard).take();
             connection.as_mut().graceful_shutdown();
-            connection.await
+            supervise(connection.as_mut(), &entry, &port).await
         }
     };
-    if let Err(error) = result {
-        log::debug!(target: "kernel", error:% = error; "Connection failed.");
+    match served {
+        Served::Ended(Ok(())) => {}
+        Served::Ended(Err(error)) => {
+            log::debug!(target: "kernel", error:% = error; "Connection failed.");
+        }
+        Served::Closed(cause) => {
+            log::debug!(target: "kernel", cause; "Connection closed.");
+            metrics::counter!("magpie_closed_connections_total", "cause" => cause).increment(1);
+        }
     }
 }
 
+/// How a connection ended.
+enum Served {
+    /// By its client, or with an error.
+    Ended(hyper::Result<()>),
+    /// Closed by the port, for this reason.
+    Closed(&'static str),
+}
+
+/// Drives a connection until it ends, a time-out has passed, or it is to be closed in favour of
+/// others.
+async fn supervise<C>(mut connection: Pin<&mut C>, entry: &Entry, port: &PortState) -> Served
+where
+    C: Future<Output = hyper::Result<()>>,
+{
+    let state = &entry.connection;
+    let mut evicted = Box::pin(state.evicted());
+    let mut timer: Pin<Box<Sleep>> = Box::pin(tokio::time::sleep(Duration::ZERO));
+    poll_fn(|cx| {
+        if let Poll::Ready(result) = connection.as_mut().poll(cx) {
+            return Poll::Ready(Served::Ended(result));
+        }
+        while evicted.as_mut().poll(cx).is_ready() {
+            if state.confirm_eviction() {
+                return Poll::Ready(Served::Closed("evicted"));
+            }
+            evicted.set(state.evicted());
+        }
+        let Some(deadline) = state.deadline(&(port.bounds.limits)()) else {
+            return Poll::Pending;
+        };
+        if deadline <= Instant::now() {
+            return Poll::Ready(Served::Closed("timeout"));
+        }
+        // A timer that fires early is set again then.
+        if timer.is_elapsed() || timer.deadline() > deadline.into() {
+            timer.as_mut().reset(deadline.into());
+        }
+        while timer.as_mut().poll(cx).is_ready() {
+            timer.as_mut().reset(deadline.into());
+        }
+        Poll::Pending
+    })
+    .await
+}
+
 /// Reads a complete request, has it handled and returns the response.
 async fn handle(
     port: Arc<PortState>,
+    connection: Arc<connection::Connection>,
     request: hyper::Request<Incoming>,
     guard: Option<CloseGuard>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
-    let (head, body) = request.into_parts();
-    let received = match authorize(&port, &head) {
-        Ok(()) => read_body(body).await,
-        Err(failure) => Err(failure),
-    };
-    let body = match received {
-        Ok(body) => body,
-        Err(failure) => return Ok(response(Reply::failure(&failure))),
+    connection.begin_body();
+    let reply = match complete(&port, request).await {
+        Ok(request) => {
+            connection.begin_handler();
+            run_handler(&port, request, guard).await
+        }
+        Err(reply) => reply,
     };
+    connection.begin_response();
+    Ok(response(reply))
+}
+
+/// A request and the channel for its response.
+type Pending = (Request, oneshot::Receiver<Reply>);
+
+/// Receives the rest of a request, or returns the response that refuses it.
+async fn complete(
+    port: &Arc<PortState>,
+    request: hyper::Request<Incoming>,
+) -> Result<Pending, Reply> {
+    let (head, body) = request.into_parts();
+    authorize(port, &head).map_err(|failure| Reply::failure(&failure))?;
+    let body = read_body(body)
+        .await
+        .map_err(|failure| Reply::failure(&failure))?;
     let (responder, reply) = oneshot::channel();
     let request = Request {
         method: head.method.as_str().to_owned(),
@@ -456,16 +594,26 @@
         body,
         responder,
     };
+    Ok((request, reply))
+}
+
+/// Passes a request to the handlers and waits for the response.
+async fn run_handler(
+    port: &Arc<PortState>,
+    (request, reply): Pending,
+    guard: Option<CloseGuard>,
+) -> Reply {
     if let Some(request) = (port.service.fast)(request) {
         // The semaphore is never closed.
         let permit = port.handler_permits.clone().acquire_owned().await.ok();
+        let port = port.clone();
         tokio::task::spawn_blocking(move || {
             (port.service.handler)(request);
             drop((permit, guard));
         });
     }
     let dropped = |_| Reply::text(500, "the request was dropped\n");
-    Ok(response(reply.await.unwrap_or_else(dropped)))
+    reply.await.unwrap_or_else(dropped)
 }
 
 /// Checks the token, except for the paths that are open to all.
@@ -560,9 +708,13 @@
             handler: Arc::new(|_| {}),
             concurrency: 1,
         };
+        let limits = RequestLimits {
+            idle_timeout: idle,
+            ..INTERNAL_LIMITS
+        };
         let bounds = Bounds {
             max_connections: connections,
-            idle,
+            limits: Arc::new(move || limits),
         };
         Server::open_with_bounds(([127, 0, 0, 1], 0).into(), bounds, None, service).unwrap()
     }
@@ -582,17 +734,46 @@
         assert_eq!(stream.read(&mut [0; 1]).unwrap_or(0), 0);
     }
 
-    /// A connection beyond the limit is served once another one has closed.
+    /// A connection beyond the limit replaces one that waits for its client.
     #[test]
-    fn serve_connection_limit() {
+    fn serve_connection_limit_idle() {
         let server = bounded(1, Duration::from_secs(60));
-        let first = connected(&server);
-        let mut second = TcpStream::connect(server.address()).unwrap();
-        second.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
-        let short = Some(Duration::from_millis(50));
+        let mut first = connected(&server);
+        let _second = connected(&server);
+        assert_eq!(first.read(&mut [0; 1]).unwrap_or(0), 0);
+    }
+
+    /// A connection beyond the limit is served once the request of another one is complete.
+    #[test]
+    fn serve_connection_limit_busy() {
+        let (release, wait) = mpsc::channel::<()>();
+        let wait = Mutex::new(wait);
+        let handler = move |request: Request| {
+            let _ = lock(&wait).recv();
+            request.respond(Reply::text(200, "done"));
+        };
+        let service = Service {
+            fast: Arc::new(Some),
+            handler: Arc::new(handler),
+            concurrency: 2,
+        };
+        let bounds = Bounds {
+            max_connections: 1,
+            ..Bounds::internal()
+        };
+        let address = ([127, 0, 0, 1], 0).into();
+        let server = Server::open_with_bounds(address, bounds, None, service).unwrap();
+        let [mut first, mut second] = [(); 2].map(|()| {
+            let mut stream = TcpStream::connect(server.address()).unwrap();
+            stream.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
+            stream
+        });
+        let short = Some(Duration::from_millis(100));
         second.set_read_timeout(short).unwrap();
         assert!(second.read(&mut [0; 1]).is_err());
-        drop(first);
+        release.send(()).unwrap();
+        release.send(()).unwrap();
+        assert!(first.read(&mut [0; 1_024]).unwrap() > 0);
         second.set_read_timeout(None).unwrap();
         assert!(second.read(&mut [0; 1]).unwrap() > 0);
     }
--- a/components/sched/src/service.rs
+++ b/components/sched/src/service.rs
@@ -13,6 +13,8 @@
         ActorThread, Client, Failure, Server,
         client::PoolLimits,
         ops::Readiness,
+        resources::{PortKind, Resources},
+        server::{Bounds, Service as Handlers},
         task::{self, Signal},
         token::Token,
     },
@@ -56,6 +58,8 @@
     pub name: Arc<str>,
     /// Listen address of the server.
     pub listen: SocketAddr,
+    /// Memory and file descriptors of the process.
+    pub resources: Resources,
     /// Base URL advertised to other boxes; `None` for that of the server.
     pub url: Option<Arc<str>>,
     /// Shared secret of the internal servers.
@@ -120,7 +124,13 @@
             Some(port) => port.handle(request),
             None => request.respond(kernel::Reply::text(503, "starting\n")),
         });
-        let server = Server::open(settings.listen, CONCURRENCY, settings.token, handler)?;
+        let handlers = Handlers {
+            fast: Arc::new(Some),
+            handler,
+            concurrency: CONCURRENCY,
+        };
+        let bounds = Bounds::new(&settings.resources, PortKind::Internal);
+        let server = Server::open_with_bounds(settings.listen, bounds, settings.token, handlers)?;
         let url = settings.url.unwrap_or_else(|| Arc::from(server.url()));
         let shared = Shared {
             name: settings.name.clone(),
--- a/components/standin/src/program.rs
+++ b/components/standin/src/program.rs
@@ -36,7 +36,7 @@
 }
 
 impl Program {
-    /// Starts the program with these environment variables and without output.
+    /// Starts the program with these environment variables. Its standard output is discarded.
     ///
     /// # Errors
     ///
@@ -45,7 +45,6 @@
         let child = Command::new(path)
             .envs(variables.iter().copied())
             .stdout(Stdio::null())
-            .stderr(Stdio::null())
             .spawn()?;
         Ok(Program {
             child,
@@ -53,6 +52,11 @@
         })
     }
 
+    /// True once the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Records the current number of open file descriptors.
     pub fn observe(&mut self) {
         let directory = format!("/proc/{}/fd", self.child.id());
@@ -107,7 +111,7 @@
     pub fn check(&mut self, bounds: Bounds) -> Result<(), String> {
         self.observe();
         let mut violations = Vec::new();
-        if !matches!(self.child.try_wait(), Ok(None)) {
+        if self.has_ended() {
             violations.push("the process has ended".to_owned());
         }
         let (memory, descriptors) = (self.peak_memory_kb(), self.peak_descriptors);
--- a/components/table/src/service.rs
+++ b/components/table/src/service.rs
@@ -12,6 +12,8 @@
     kernel::{
         ActorThread, Client, Failure, Reply, Request, Server,
         ops::{self, Readiness},
+        resources::{PortKind, Resources},
+        server::{Bounds, Service as Handlers},
         sync::lock,
         task::{self, Signal},
         token::Token,
@@ -44,6 +46,8 @@
     pub name: Arc<str>,
     /// Address of the port.
     pub listen: SocketAddr,
+    /// Memory and file descriptors of the process.
+    pub resources: Resources,
     /// Token for requests on the internal ports.
     pub token: Option<Token>,
     /// Store that holds the table.
@@ -86,7 +90,13 @@
             pending_edits: AtomicUsize::new(0),
         };
         let handler = Arc::new(move |request| port.handle(request));
-        let server = Server::open(settings.listen, CONCURRENCY, settings.token, handler)?;
+        let handlers = Handlers {
+            fast: Arc::new(Some),
+            handler,
+            concurrency: CONCURRENCY,
+        };
+        let bounds = Bounds::new(&settings.resources, PortKind::Internal);
+        let server = Server::open_with_bounds(settings.listen, bounds, settings.token, handlers)?;
         // `stop` does not join these threads: one may be in a long watch of the store, and it ends
         // after the watch without any effect.
         let task_shared = shared.clone();
--- a/components/trial/src/entry.rs
+++ b/components/trial/src/entry.rs
@@ -3,7 +3,7 @@
 use {
     gate::balancing,
     infra::{boxes, store, worker},
-    kernel::Client,
+    kernel::{Client, resources::Resources},
     standin::deploy::entry_item,
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
 };
@@ -37,6 +37,7 @@
         let table = table::service::Service::start(table::service::Settings {
             name: name.clone(),
             listen: any,
+            resources: Resources::default(),
             token: None,
             store: store.clone(),
             boxes: boxes.clone(),
@@ -44,6 +45,7 @@
         let sched = sched::Service::start(sched::Settings {
             name: name.clone(),
             listen: any,
+            resources: Resources::default(),
             url: None,
             token: None,
             store,
--- a/programs/box/src/cli.rs
+++ b/programs/box/src/cli.rs
@@ -5,6 +5,7 @@
     cell::Timing,
     kernel::{
         daemon,
+        resources::Resources,
         settings::{Fault, Reader, variable},
     },
     log::LevelFilter,
@@ -89,6 +90,12 @@
     /// true or false: refuse jobs that would end too late (MAGPIE_ADMISSION, default true)
     #[argh(option)]
     admission: Option<String>,
+    /// memory of the box in MiB (MAGPIE_MEMORY_MB, default 256)
+    #[argh(option)]
+    memory_mb: Option<String>,
+    /// file descriptors that the process may open (MAGPIE_DESCRIPTORS, default 4096)
+    #[argh(option)]
+    descriptors: Option<String>,
     /// time limit of a graceful shutdown, in milliseconds (MAGPIE_GRACE_MS, default 6000)
     #[argh(option)]
     grace_ms: Option<String>,
@@ -122,6 +129,8 @@
     pub advisor: Option<SocketAddr>,
     /// Address of the machine service.
     pub machines: Option<SocketAddr>,
+    /// Memory and file descriptors.
+    pub resources: Resources,
     /// Time limit of a graceful shutdown.
     pub grace: Duration,
     /// Log level.
@@ -195,6 +204,7 @@
         Some("gradual"),
         "gradual or complete",
     );
+    let resources = Resources::read(&mut reader, arguments.memory_mb, arguments.descriptors);
     let admission = switch(&mut reader, "admission", arguments.admission);
     reader.build(|| {
         let inside = inside?;
@@ -224,6 +234,7 @@
             store: store?,
             advisor,
             machines,
+            resources: resources?,
             grace: Duration::from_millis(grace?),
             level: common?.level,
         })
--- a/programs/box/src/ports.rs
+++ b/programs/box/src/ports.rs
@@ -4,7 +4,8 @@
     crate::cli::Setup,
     kernel::{
         Request, Server, ops,
-        server::{Bounds, INTERNAL, Reply, Service},
+        resources::PortKind,
+        server::{Bounds, Reply, RequestLimits, Service},
     },
     node::{
         Node,
@@ -24,14 +25,12 @@
     },
 };
 
-/// Limits of the port for callers. A box has 3,900 file descriptors for sockets.
-const CALLER_BOUNDS: Bounds = Bounds {
-    max_connections: 800,
-    idle: Duration::from_secs(60),
+/// Limits of callers' requests before there is a configuration.
+const CALLER_LIMITS: RequestLimits = RequestLimits {
+    max_head: 16 * 1024,
+    head_timeout: Duration::from_secs(3),
+    idle_timeout: Duration::from_secs(15),
 };
-/// Maximum number of concurrent requests of callers. Each one occupies a thread while it waits for
-/// the store or the owner.
-const CALLER_TASKS: usize = 800;
 /// Maximum number of concurrent requests of other boxes. Some of them wait for the store.
 const PEER_TASKS: usize = 6;
 /// Path of the readiness probe.
@@ -56,13 +55,23 @@
 pub fn open(setup: &Setup, node: &Node) -> io::Result<Ports> {
     let in_progress = Arc::new(AtomicUsize::new(0));
     let mut servers = vec![
-        serve(setup.inside, node, handle_relay, (PEER_TASKS, handle_peer))?,
-        serve(setup.ready, node, handle_ready, (1, handle_ops))?,
-        open_callers(setup.callers, node, in_progress.clone())?,
+        serve(
+            (setup.inside, peer_bounds(setup)),
+            node,
+            handle_relay,
+            (PEER_TASKS, handle_peer),
+        )?,
+        serve(
+            (setup.ready, probe_bounds(setup)),
+            node,
+            handle_ready,
+            (1, handle_ops),
+        )?,
+        open_callers(setup, node, in_progress.clone())?,
     ];
     if let Some(address) = setup.metrics {
         servers.push(serve(
-            address,
+            (address, probe_bounds(setup)),
             node,
             |_, request| Some(request),
             (1, handle_ops),
@@ -74,10 +83,18 @@
     })
 }
 
+fn peer_bounds(setup: &Setup) -> Bounds {
+    Bounds::new(&setup.resources, PortKind::Internal)
+}
+
+fn probe_bounds(setup: &Setup) -> Bounds {
+    Bounds::new(&setup.resources, PortKind::Probes)
+}
+
 /// Opens a port that is not for callers. Requests that `quick` returns are passed to `handler`, at
 /// most `tasks` of them concurrently.
 fn serve(
-    address: SocketAddr,
+    (address, bounds): (SocketAddr, Bounds),
     node: &Node,
     quick: fn(&Node, Request) -> Option<Request>,
     (tasks, handler): (usize, fn(&Node, Request)),
@@ -88,14 +105,15 @@
         handler: Arc::new(move |request| handler(&second, request)),
         concurrency: tasks,
     };
-    Server::open_with_bounds(address, INTERNAL, None, service)
+    Server::open_with_bounds(address, bounds, None, service)
 }
 
-fn open_callers(
-    address: SocketAddr,
-    node: &Node,
-    in_progress: Arc<AtomicUsize>,
-) -> io::Result<Server> {
+fn open_callers(setup: &Setup, node: &Node, in_progress: Arc<AtomicUsize>) -> io::Result<Server> {
+    let limits = node.clone();
+    let bounds = Bounds {
+        limits: Arc::new(move || caller_limits(&limits)),
+        ..Bounds::new(&setup.resources, PortKind::Callers)
+    };
     let (node, count) = (node.clone(), in_progress.clone());
     let service = Service {
         fast: Arc::new(move |request| {
@@ -107,9 +125,23 @@
             request.respond(reply);
             in_progress.fetch_sub(1, Ordering::AcqRel);
         }),
-        concurrency: CALLER_TASKS,
+        concurrency: bounds.max_connections,
     };
-    Server::open_with_bounds(address, CALLER_BOUNDS, None, service)
+    Server::open_with_bounds(setup.callers, bounds, None, service)
+}
+
+/// The limits of callers' requests in the operators' configuration.
+fn caller_limits(node: &Node) -> RequestLimits {
+    let config = node.shared.config.load();
+    let Some(config) = &*config else {
+        return CALLER_LIMITS;
+    };
+    let limits = &config.limits;
+    RequestLimits {
+        max_head: limits.max_header,
+        head_timeout: limits.header_timeout,
+        idle_timeout: limits.idle_timeout,
+    }
 }
 
 fn handle_ready(node: &Node, request: Request) -> Option<Request> {
--- a/programs/load/src/added.rs
+++ b/programs/load/src/added.rs
@@ -6,7 +6,7 @@
     gate::{Service, Settings, balancing},
     hdrhistogram::Histogram,
     infra::Store,
-    kernel::{Call, Client},
+    kernel::{Call, Client, resources::Resources},
     serde::Serialize,
     standin::{Auditor, Backend, Registry, clock::Clock, deploy::entry_item, store},
     std::{
@@ -92,6 +92,7 @@
     let table = service::Service::start(service::Settings {
         name: name.clone(),
         listen: any_port,
+        resources: Resources::default(),
         token: None,
         store: core,
         boxes: boxes.clone(),
--- a/programs/load/src/slope/spread.rs
+++ b/programs/load/src/slope/spread.rs
@@ -6,7 +6,7 @@
         machine,
     },
     infra::Store,
-    kernel::{Client, Failure},
+    kernel::{Client, Failure, resources::Resources},
     standin::{Registry, clock::Clock, deploy::entry_item, store},
     std::{
         io,
@@ -83,6 +83,7 @@
         let service = Service::start(Settings {
             name: Arc::from(name.as_str()),
             listen: any_port,
+            resources: Resources::default(),
             token: None,
             store: store.clone(),
             boxes: Arc::new(registry.clone()),
--- a/programs/sched/src/cli.rs
+++ b/programs/sched/src/cli.rs
@@ -5,6 +5,7 @@
     infra::{boxes, store, worker},
     kernel::{
         Client, daemon,
+        resources::Resources,
         settings::{Fault, Reader},
     },
     lease::LeaseTiming,
@@ -44,6 +45,12 @@
     /// milliseconds between exchanges with a worker (MAGPIE_HEARTBEAT_MS, default 2000)
     #[argh(option)]
     heartbeat_ms: Option<String>,
+    /// memory of the process in MiB (MAGPIE_MEMORY_MB, default 256)
+    #[argh(option)]
+    memory_mb: Option<String>,
+    /// file descriptors that the process may open (MAGPIE_DESCRIPTORS, default 4096)
+    #[argh(option)]
+    descriptors: Option<String>,
     /// file with the token of the internal ports, else MAGPIE_TOKEN (MAGPIE_TOKEN_FILE)
     #[argh(option)]
     token_file: Option<String>,
@@ -88,6 +95,7 @@
             "at least three heartbeats",
         );
     }
+    let resources = Resources::read(&mut reader, arguments.memory_mb, arguments.descriptors);
     let common = daemon::read_common(&mut reader, arguments.log_level, arguments.token_file);
     reader.build(|| {
         let common = common?;
@@ -95,6 +103,7 @@
         let settings = Settings {
             name: Arc::from(name?),
             listen: listen?,
+            resources: resources?,
             url: url.map(Arc::from),
             token: common.token,
             store: Arc::new(store::Http::new(&store?, client.clone())),
--- a/programs/table/src/cli.rs
+++ b/programs/table/src/cli.rs
@@ -5,6 +5,7 @@
     infra::{boxes, store},
     kernel::{
         Client, daemon,
+        resources::Resources,
         settings::{Fault, Reader},
     },
     log::LevelFilter,
@@ -28,6 +29,12 @@
     /// base address of the list of boxes (MAGPIE_BOXES)
     #[argh(option)]
     boxes: Option<String>,
+    /// memory of the process in MiB (MAGPIE_MEMORY_MB, default 256)
+    #[argh(option)]
+    memory_mb: Option<String>,
+    /// file descriptors that the process may open (MAGPIE_DESCRIPTORS, default 4096)
+    #[argh(option)]
+    descriptors: Option<String>,
     /// file with the token of the internal ports, else MAGPIE_TOKEN (MAGPIE_TOKEN_FILE)
     #[argh(option)]
     token_file: Option<String>,
@@ -50,6 +57,7 @@
     let listen = reader.address("listen", arguments.listen, "127.0.0.1:7003");
     let store = reader.url("store", arguments.store, None);
     let boxes = reader.url("boxes", arguments.boxes, None);
+    let resources = Resources::read(&mut reader, arguments.memory_mb, arguments.descriptors);
     let common = daemon::read_common(&mut reader, arguments.log_level, arguments.token_file);
     reader.build(|| {
         let common = common?;
@@ -57,6 +65,7 @@
         let settings = Settings {
             name: Arc::from(name?),
             listen: listen?,
+            resources: resources?,
             token: common.token,
             store: Arc::new(store::Http::new(&store?, client.clone())),
             boxes: Arc::new(boxes::Http::new(&boxes?, client)),
