Ports: receive bodies into a budget of memory

What callers saw: a process ended for lack of memory.

Cause: a body was collected whole, whatever the limit of the configuration: up to 2 MiB on every port, also where none is expected. Each of its frames was kept with the buffer that it came in, so that a byte in a chunk of its own took 32 and more. Bodies were copied once more when they were complete, and kept until the response. Nothing bounded their sum.

Ruled out: a permit for each large body while it waits, which would stop all others once as many clients stall as there are permits; a larger factor for chunks, since copying frames into one buffer costs their bytes alone.

Change: a body is copied frame by frame into one buffer. 8 KiB are free for each connection, more is reserved from a budget of its port, a sixteenth of the memory (a 64th on ports for probes), until the request is answered or its body decoded. If the budget is used up, the connection that keeps the port waiting for longest with a part of it is closed; if all are complete, the request gets 503 with Retry-After 1 (callers: JSON; it was not run). A body over the limit, announced or not, is refused before it is kept (callers: 413), by the limit in force: that of the configuration for callers, 1 MiB between boxes, 8 KiB on ports for probes. Up to 2 MiB of a refused body are read and dropped, so that the client can read the answer.

--- a/components/kernel/src/resources.rs
+++ b/components/kernel/src/resources.rs
@@ -1,6 +1,15 @@
 //! The memory and file descriptors of a process, and what its ports may use of them.
 
-use crate::settings::Reader;
+use {
+    crate::settings::Reader,
+    std::sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+/// Bytes of a request body or of a response that each connection may hold without a reservation.
+pub(crate) const ALLOWANCE: usize = 8 * 1024;
 
 /// Memory in MiB of a process that is told nothing else.
 const DEFAULT_MEMORY_MB: usize = 256;
@@ -27,9 +36,12 @@
 struct Share {
     /// Part of the file descriptors, as a fraction.
     descriptors: (usize, usize),
-    /// Part of the memory for connections.
+    /// Part of the memory for what all requests and responses hold beyond [`ALLOWANCE`].
+    budget: usize,
+    /// Part of the memory for what connections use without a reservation.
     memory: usize,
-    /// Memory in bytes of a connection: its head, and the thread that handles its request.
+    /// Memory in bytes that a connection may use without a reservation: its head, its allowance,
+    /// and the thread that handles its request.
     cost: usize,
     /// Lower and upper bound of the number of connections.
     range: (usize, usize),
@@ -40,18 +52,21 @@
         match self {
             PortKind::Callers => Share {
                 descriptors: (1, 4),
+                budget: 16,
                 memory: 4,
                 cost: 96 * 1024,
                 range: (8, 1_024),
             },
             PortKind::Internal => Share {
                 descriptors: (2, 5),
+                budget: 16,
                 memory: 8,
                 cost: 16 * 1024,
                 range: (8, 4_096),
             },
             PortKind::Probes => Share {
                 descriptors: (1, 64),
+                budget: 64,
                 memory: 32,
                 cost: 16 * 1024,
                 range: (8, 64),
@@ -103,6 +118,68 @@
         let (low, high) = share.range;
         by_descriptors.min(by_memory).clamp(low, high)
     }
+
+    /// Maximum number of bytes that all requests and responses of a port hold beyond
+    /// [`ALLOWANCE`].
+    pub fn budget(&self, kind: PortKind) -> usize {
+        self.memory / kind.share().budget
+    }
+}
+
+/// Bytes that the requests and responses of a port hold, and their limit.
+#[derive(Debug)]
+pub(crate) struct Budget {
+    limit: usize,
+    used: AtomicUsize,
+}
+
+impl Budget {
+    pub(crate) fn new(limit: usize) -> Arc<Self> {
+        let used = AtomicUsize::new(0);
+        Arc::new(Budget { limit, used })
+    }
+
+    /// A reservation of no bytes.
+    pub(crate) fn reservation(self: &Arc<Self>) -> Reservation {
+        Reservation {
+            budget: self.clone(),
+            bytes: 0,
+        }
+    }
+}
+
+/// Bytes of the budget, which are returned when this is dropped.
+#[derive(Debug)]
+pub(crate) struct Reservation {
+    budget: Arc<Budget>,
+    bytes: usize,
+}
+
+impl Reservation {
+    /// Extends the reservation to `bytes`. Returns false, without a change, if the budget has not
+    /// enough left.
+    pub(crate) fn extend_to(&mut self, bytes: usize) -> bool {
+        let more = bytes.saturating_sub(self.bytes);
+        if more == 0 {
+            return true;
+        }
+        let limit = self.budget.limit;
+        let add = |used: usize| Some(used + more).filter(|&sum| sum <= limit);
+        let used = &self.budget.used;
+        let is_reserved = used
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, add)
+            .is_ok();
+        if is_reserved {
+            self.bytes = bytes;
+        }
+        is_reserved
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.budget.used.fetch_sub(self.bytes, Ordering::AcqRel);
+    }
 }
 
 #[cfg(test)]
@@ -122,4 +199,15 @@
         };
         assert_eq!(resources.connections(kind), count);
     }
+
+    #[test]
+    fn extend_to_limit() {
+        let budget = Budget::new(MB);
+        let (mut first, mut second) = (budget.reservation(), budget.reservation());
+        assert!(first.extend_to(MB - 10));
+        assert!(!second.extend_to(11));
+        assert!(second.extend_to(10));
+        drop(first);
+        assert!(second.extend_to(MB));
+    }
 }
--- a/components/kernel/src/server.rs
+++ b/components/kernel/src/server.rs
@@ -1,12 +1,16 @@
 //! HTTP server on `hyper`: one I/O thread serves all connections of the process, handlers run on a
 //! thread pool.
 
+mod body;
 mod connection;
 
 use {
-    self::connection::{Connections, Entry, Stream},
+    self::{
+        body::receive,
+        connection::{Connections, Entry, Stream},
+    },
     crate::{
-        resources::{PortKind, Resources},
+        resources::{ALLOWANCE, Budget, PortKind, Reservation, Resources},
         runtime,
         sync::lock,
         token::Token,
@@ -14,10 +18,10 @@
         verdict::{Cause, Failure},
         wire,
     },
-    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
+    http_body_util::Full,
     hyper::{
         HeaderMap, Response, StatusCode,
-        body::{Body, Bytes, Incoming},
+        body::{Bytes, Incoming},
         header::{AUTHORIZATION, CONTENT_TYPE, HeaderName, HeaderValue},
         server::conn::http1,
         service::service_fn,
@@ -41,6 +45,8 @@
     },
 };
 
+pub use body::BodyError;
+
 /// Maximum size of a request body in bytes: the largest value of the store with a margin.
 pub const MAX_BODY: usize = 2 * 1024 * 1024;
 /// Maximum size of a request head in bytes, whatever the limits of the port.
@@ -150,6 +156,8 @@
     pub query: String,
     /// The complete body.
     pub body: Vec<u8>,
+    /// Memory that is reserved for the body.
+    reservation: Option<Reservation>,
     headers: HeaderMap,
     responder: oneshot::Sender<Reply>,
 }
@@ -169,6 +177,7 @@
             path: path.to_owned(),
             query: String::new(),
             body: Vec::new(),
+            reservation: None,
             headers: headers.iter().map(header).collect(),
             responder,
         }
@@ -201,6 +210,12 @@
         wire::decode_limited(&self.body, MAX_BODY)
     }
 
+    /// Frees the memory of the body, for a request that is kept after its body was decoded.
+    pub fn discard_body(&mut self) {
+        self.body = Vec::new();
+        self.reservation = None;
+    }
+
     /// Sends the reply. Does nothing if the client has disconnected.
     pub fn respond(self, reply: Reply) {
         let (sent, received) = (reply.body.len(), self.body.len());
@@ -250,6 +265,13 @@
     pub handler: Handler,
     /// Number of requests that `handler` processes concurrently.
     pub concurrency: usize,
+    /// Responds to a request whose body is refused.
+    pub refuse: fn(BodyError) -> Reply,
+}
+
+/// Responds to a request whose body is refused with an encoded failure.
+pub fn refuse(error: BodyError) -> Reply {
+    Reply::failure(&error.into())
 }
 
 /// Limits of each request of a port.
@@ -257,6 +279,8 @@
 pub struct RequestLimits {
     /// Maximum size of a head in bytes.
     pub max_head: usize,
+    /// Maximum size of a body in bytes.
+    pub max_body: usize,
     /// Time-out for receiving the head of a request.
     pub head_timeout: Duration,
     /// Maximum idle time of a connection between two requests.
@@ -266,6 +290,7 @@
 /// Limits of internal ports, whose clients keep idle connections for up to two minutes.
 const INTERNAL_LIMITS: RequestLimits = RequestLimits {
     max_head: 8 * 1024,
+    max_body: MAX_BODY,
     head_timeout: Duration::from_secs(30),
     idle_timeout: Duration::from_secs(180),
 };
@@ -276,6 +301,9 @@
     /// Maximum number of connections. A further one replaces the one that has kept the port waiting
     /// for longest, or waits while all requests are complete.
     pub max_connections: usize,
+    /// Maximum number of bytes that all requests and responses hold, beyond 8 KiB for each
+    /// connection.
+    pub budget: usize,
     /// Returns the present limits of each request.
     pub limits: Arc<dyn Fn() -> RequestLimits + Send + Sync>,
 }
@@ -283,9 +311,17 @@
 impl Bounds {
     /// Bounds of a kind of port of a process with these resources, and constant limits of requests.
     pub fn new(resources: &Resources, kind: PortKind) -> Self {
+        let limits = match kind {
+            PortKind::Probes => RequestLimits {
+                max_body: ALLOWANCE,
+                ..INTERNAL_LIMITS
+            },
+            PortKind::Callers | PortKind::Internal => INTERNAL_LIMITS,
+        };
         Bounds {
             max_connections: resources.connections(kind),
-            limits: Arc::new(|| INTERNAL_LIMITS),
+            budget: resources.budget(kind),
+            limits: Arc::new(move || limits),
         }
     }
 
@@ -293,6 +329,19 @@
     pub fn internal() -> Self {
         Self::new(&Resources::default(), PortKind::Internal)
     }
+
+    /// The same with a smaller limit of bodies, in bytes.
+    #[must_use]
+    pub fn with_max_body(self, max_body: usize) -> Self {
+        let limits = self.limits;
+        Bounds {
+            limits: Arc::new(move || RequestLimits {
+                max_body,
+                ..limits()
+            }),
+            ..self
+        }
+    }
 }
 
 /// An open port. Dropping it closes the port.
@@ -323,6 +372,7 @@
             fast: Arc::new(Some),
             handler,
             concurrency: tasks,
+            refuse,
         };
         Self::open_with_bounds(address, Bounds::internal(), token, service)
     }
@@ -350,6 +400,7 @@
             token,
             handler_permits: Arc::new(Semaphore::new(service.concurrency)),
             service,
+            budget: Budget::new(bounds.budget),
             connections: Arc::default(),
             bounds,
         });
@@ -403,6 +454,8 @@
     bounds: Bounds,
     /// Permits to run the handler.
     handler_permits: Arc<Semaphore>,
+    /// Memory for large requests and responses.
+    budget: Arc<Budget>,
     connections: Arc<Connections>,
 }
 
@@ -561,7 +614,7 @@
     guard: Option<CloseGuard>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     connection.begin_body();
-    let reply = match complete(&port, request).await {
+    let reply = match complete(&port, &connection, request).await {
         Ok(request) => {
             connection.begin_handler();
             run_handler(&port, request, guard).await
@@ -578,20 +631,25 @@
 /// Receives the rest of a request, or returns the response that refuses it.
 async fn complete(
     port: &Arc<PortState>,
+    connection: &connection::Connection,
     request: hyper::Request<Incoming>,
 ) -> Result<Pending, Reply> {
     let (head, body) = request.into_parts();
     authorize(port, &head).map_err(|failure| Reply::failure(&failure))?;
-    let body = read_body(body)
-        .await
-        .map_err(|failure| Reply::failure(&failure))?;
+    let limit = (port.bounds.limits)().max_body;
+    let received = receive(body, limit, port, connection).await;
+    let received = received.map_err(|error| {
+        metrics::counter!("magpie_refused_bodies_total", "cause" => error.label()).increment(1);
+        (port.service.refuse)(error)
+    })?;
     let (responder, reply) = oneshot::channel();
     let request = Request {
         method: head.method.as_str().to_owned(),
         path: head.uri.path().to_owned(),
         query: head.uri.query().unwrap_or_default().to_owned(),
         headers: head.headers,
-        body,
+        body: received.bytes,
+        reservation: received.reservation,
         responder,
     };
     Ok((request, reply))
@@ -631,19 +689,6 @@
     }
 }
 
-/// Reads the complete body of a request.
-async fn read_body(body: Incoming) -> Result<Vec<u8>, Failure> {
-    let rejected = |text| Failure::not_run(Cause::Invalid, text);
-    if body.size_hint().lower() > MAX_BODY as u64 {
-        return Err(rejected("the body is too large"));
-    }
-    match Limited::new(body, MAX_BODY).collect().await {
-        Ok(body) => Ok(body.to_bytes().into()),
-        Err(error) if error.is::<LengthLimitError>() => Err(rejected("the body is too large")),
-        Err(_) => Err(rejected("the body is cut")),
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use {
@@ -707,6 +752,7 @@
             }),
             handler: Arc::new(|_| {}),
             concurrency: 1,
+            refuse,
         };
         let limits = RequestLimits {
             idle_timeout: idle,
@@ -715,6 +761,7 @@
         let bounds = Bounds {
             max_connections: connections,
             limits: Arc::new(move || limits),
+            ..Bounds::internal()
         };
         Server::open_with_bounds(([127, 0, 0, 1], 0).into(), bounds, None, service).unwrap()
     }
@@ -756,6 +803,7 @@
             fast: Arc::new(Some),
             handler: Arc::new(handler),
             concurrency: 2,
+            refuse,
         };
         let bounds = Bounds {
             max_connections: 1,
@@ -778,6 +826,30 @@
         assert!(second.read(&mut [0; 1]).unwrap() > 0);
     }
 
+    /// A refused body is read, so that the client can read the response.
+    #[test_case("Content-Length: 20000", 20_000; "announced")]
+    #[test_case("Transfer-Encoding: chunked", 0; "chunked")]
+    fn serve_body_over_limit(header: &str, length: usize) {
+        let service = Service {
+            fast: Arc::new(Some),
+            handler: Arc::new(|_| {}),
+            concurrency: 1,
+            refuse,
+        };
+        let bounds = Bounds::new(&Resources::default(), PortKind::Probes);
+        let address = ([127, 0, 0, 1], 0).into();
+        let server = Server::open_with_bounds(address, bounds, None, service).unwrap();
+        let body = match length {
+            0 => format!("4e20\r\n{}\r\n0\r\n\r\n", "x".repeat(20_000)),
+            length => "x".repeat(length),
+        };
+        let text = raw(
+            &server,
+            &format!("POST / HTTP/1.1\r\n{header}\r\n\r\n{body}"),
+        );
+        assert!(text.starts_with("HTTP/1.1 400"), "{text}");
+    }
+
     #[test_case(9; "small")]
     #[test_case(9000; "large")]
     fn serve_truncated_body(declared: usize) {
--- a/components/kernel/src/server/connection.rs
+++ b/components/kernel/src/server/connection.rs
@@ -43,6 +43,8 @@
     request_start: Option<Instant>,
     /// Since when the client has read nothing, while there is something to send.
     blocked_since: Option<Instant>,
+    /// Holds a part of the memory budget for a body that is not complete.
+    holds_budget: bool,
     is_evicted: bool,
 }
 
@@ -60,6 +62,7 @@
                 idle_since: Instant::now(),
                 request_start: None,
                 blocked_since: None,
+                holds_budget: false,
                 is_evicted: false,
             }),
             evicted: Notify::new(),
@@ -73,10 +76,16 @@
         state.request_start.get_or_insert_with(Instant::now);
     }
 
+    /// The body holds a part of the memory budget.
+    pub(super) fn hold_budget(&self) {
+        lock(&self.state).holds_budget = true;
+    }
+
     /// A request is complete, and the handler responds next.
     pub(super) fn begin_handler(&self) {
         let mut state = lock(&self.state);
         state.phase = Phase::Handler;
+        state.holds_budget = false;
     }
 
     /// The response is sent, and the head of the next request may come.
@@ -85,6 +94,7 @@
         state.phase = Phase::Head;
         state.idle_since = Instant::now();
         state.request_start = None;
+        state.holds_budget = false;
     }
 
     /// Bytes have arrived.
@@ -144,6 +154,11 @@
             Phase::Head | Phase::Body => Some(self.request_start.unwrap_or(self.idle_since)),
         }
     }
+
+    /// True if closing the connection returns memory to the budget.
+    fn is_holding(&self) -> bool {
+        self.holds_budget
+    }
 }
 
 /// The connections of a port by the order in which they were accepted.
@@ -176,6 +191,15 @@
     /// Closes the connection that has kept the port waiting for longest. Returns false if all
     /// requests are complete.
     pub(super) fn evict_waiting(&self) -> bool {
+        self.evict(|_| true)
+    }
+
+    /// Like [`Connections::evict_waiting`], among those that hold a part of the memory budget.
+    pub(super) fn evict_holding(&self) -> bool {
+        self.evict(State::is_holding)
+    }
+
+    fn evict(&self, is_candidate: impl Fn(&State) -> bool) -> bool {
         let entries = lock(&self.entries);
         let mut oldest: Option<(Instant, &Arc<Connection>)> = None;
         for connection in entries.connections.values() {
@@ -183,7 +207,7 @@
             let Some(since) = state.waiting_since() else {
                 continue;
             };
-            if oldest.is_none_or(|(earliest, _)| since < earliest) {
+            if is_candidate(&state) && oldest.is_none_or(|(earliest, _)| since < earliest) {
                 oldest = Some((since, connection));
             }
         }
@@ -277,6 +301,7 @@
 
     const LIMITS: RequestLimits = RequestLimits {
         max_head: 8_192,
+        max_body: 8_192,
         head_timeout: Duration::from_secs(3),
         idle_timeout: Duration::from_secs(15),
     };
@@ -309,6 +334,18 @@
         assert!(!is_evicted(&entry));
     }
 
+    #[test]
+    fn evict_holding_skips_small_bodies() {
+        let connections = Arc::new(Connections::default());
+        let [small, large] = [(); 2].map(|()| connections.add());
+        small.connection.begin_body();
+        large.connection.begin_body();
+        assert!(!connections.evict_holding());
+        large.connection.hold_budget();
+        assert!(connections.evict_holding());
+        assert!(is_evicted(&large) && !is_evicted(&small));
+    }
+
     #[test]
     fn deadline_by_phase() {
         let connections = Arc::new(Connections::default());
--- a/components/node/src/peer.rs
+++ b/components/node/src/peer.rs
@@ -76,11 +76,12 @@
 }
 
 /// Handles the exchange of a relay on the actor, without blocking.
-pub fn handle_relay(node: &Node, request: Request) {
+pub fn handle_relay(node: &Node, mut request: Request) {
     let exchange: RelayRequest = match request.message() {
         Ok(exchange) => exchange,
         Err(failure) => return request.respond(server::Reply::failure(&failure)),
     };
+    request.discard_body();
     let has_narrow_link = node.settings.has_narrow_link();
     node.actor.tell(move |core, cx| {
         let response = Ok(core.handle_exchange(cx, exchange));
--- a/components/sched/src/service.rs
+++ b/components/sched/src/service.rs
@@ -14,7 +14,7 @@
         client::PoolLimits,
         ops::Readiness,
         resources::{PortKind, Resources},
-        server::{Bounds, Service as Handlers},
+        server::{Bounds, Service as Handlers, refuse},
         task::{self, Signal},
         token::Token,
     },
@@ -128,6 +128,7 @@
             fast: Arc::new(Some),
             handler,
             concurrency: CONCURRENCY,
+            refuse,
         };
         let bounds = Bounds::new(&settings.resources, PortKind::Internal);
         let server = Server::open_with_bounds(settings.listen, bounds, settings.token, handlers)?;
--- a/components/table/src/service.rs
+++ b/components/table/src/service.rs
@@ -13,7 +13,7 @@
         ActorThread, Client, Failure, Reply, Request, Server,
         ops::{self, Readiness},
         resources::{PortKind, Resources},
-        server::{Bounds, Service as Handlers},
+        server::{Bounds, Service as Handlers, refuse},
         sync::lock,
         task::{self, Signal},
         token::Token,
@@ -94,6 +94,7 @@
             fast: Arc::new(Some),
             handler,
             concurrency: CONCURRENCY,
+            refuse,
         };
         let bounds = Bounds::new(&settings.resources, PortKind::Internal);
         let server = Server::open_with_bounds(settings.listen, bounds, settings.token, handlers)?;
--- a/programs/box/src/ports.rs
+++ b/programs/box/src/ports.rs
@@ -5,7 +5,7 @@
     kernel::{
         Request, Server, ops,
         resources::PortKind,
-        server::{Bounds, Reply, RequestLimits, Service},
+        server::{self, Bounds, Reply, RequestLimits, Service},
     },
     node::{
         Node,
@@ -28,9 +28,12 @@
 /// Limits of callers' requests before there is a configuration.
 const CALLER_LIMITS: RequestLimits = RequestLimits {
     max_head: 16 * 1024,
+    max_body: 256 * 1024,
     head_timeout: Duration::from_secs(3),
     idle_timeout: Duration::from_secs(15),
 };
+/// Maximum size of a message of another box in bytes.
+const MAX_PEER_BODY: usize = 1024 * 1024;
 /// Maximum number of concurrent requests of other boxes. Some of them wait for the store.
 const PEER_TASKS: usize = 6;
 /// Path of the readiness probe.
@@ -84,7 +87,7 @@
 }
 
 fn peer_bounds(setup: &Setup) -> Bounds {
-    Bounds::new(&setup.resources, PortKind::Internal)
+    Bounds::new(&setup.resources, PortKind::Internal).with_max_body(MAX_PEER_BODY)
 }
 
 fn probe_bounds(setup: &Setup) -> Bounds {
@@ -104,6 +107,7 @@
         fast: Arc::new(move |request| quick(&first, request)),
         handler: Arc::new(move |request| handler(&second, request)),
         concurrency: tasks,
+        refuse: server::refuse,
     };
     Server::open_with_bounds(address, bounds, None, service)
 }
@@ -120,12 +124,13 @@
             count.fetch_add(1, Ordering::AcqRel);
             Some(request)
         }),
-        handler: Arc::new(move |request| {
-            let reply = callers::handle(&node, &request);
+        handler: Arc::new(move |mut request| {
+            let reply = callers::handle(&node, &mut request);
             request.respond(reply);
             in_progress.fetch_sub(1, Ordering::AcqRel);
         }),
         concurrency: bounds.max_connections,
+        refuse: callers::refuse,
     };
     Server::open_with_bounds(setup.callers, bounds, None, service)
 }
@@ -139,6 +144,7 @@
     let limits = &config.limits;
     RequestLimits {
         max_head: limits.max_header,
+        max_body: limits.max_body,
         head_timeout: limits.header_timeout,
         idle_timeout: limits.idle_timeout,
     }
