Ports: keep unread responses within the budget

What callers saw: nothing yet in the crowds of the tests, whose responses are small. Read: a client that asks for something large, such as the metrics or what a relay is to do, and does not read the response, makes the process keep all of it for each of its connections.

Cause: only requests counted against the budget of a port.

Change: a response takes what it has beyond 8 KiB from the budget until it is sent. If the budget is used up, the connection that has kept the port waiting for longest and holds a part of it is closed; if none does, the connection of the response is closed, which leaves its client with an unknown outcome, as it is.

Ruled out: status 503 in place of the response, since the request has run.

--- a/components/kernel/src/resources.rs
+++ b/components/kernel/src/resources.rs
@@ -156,6 +156,11 @@
 }
 
 impl Reservation {
+    /// Number of reserved bytes.
+    pub(crate) const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Extends the reservation to `bytes`. Returns false, without a change, if the budget has not
     /// enough left.
     pub(crate) fn extend_to(&mut self, bytes: usize) -> bool {
--- a/components/kernel/src/server.rs
+++ b/components/kernel/src/server.rs
@@ -606,13 +606,22 @@
     .await
 }
 
+/// The response could not be kept until the client reads it.
+#[derive(Debug, displaydoc::Display)]
+enum ServeError {
+    /// there is no memory for the response
+    NoMemory,
+}
+
+impl std::error::Error for ServeError {}
+
 /// Reads a complete request, has it handled and returns the response.
 async fn handle(
     port: Arc<PortState>,
     connection: Arc<connection::Connection>,
     request: hyper::Request<Incoming>,
     guard: Option<CloseGuard>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+) -> Result<Response<Full<Bytes>>, ServeError> {
     connection.begin_body();
     let reply = match complete(&port, &connection, request).await {
         Ok(request) => {
@@ -621,7 +630,12 @@
         }
         Err(reply) => reply,
     };
-    connection.begin_response();
+    let mut reservation = port.budget.reservation();
+    let bytes = reply.body.len().saturating_sub(ALLOWANCE);
+    if !body::extend(&mut reservation, bytes, &port).await {
+        return Err(ServeError::NoMemory);
+    }
+    connection.begin_response(reservation);
     Ok(response(reply))
 }
 
@@ -826,6 +840,37 @@
         assert!(second.read(&mut [0; 1]).unwrap() > 0);
     }
 
+    /// Responses that nobody reads are kept only as far as the budget allows.
+    #[test]
+    fn serve_unread_responses() {
+        const SIZE: usize = 8 * 1024 * 1024;
+        let service = Service {
+            fast: Arc::new(|request| {
+                request.respond(Reply::bytes(200, "text/plain", vec![b'x'; SIZE]));
+                None
+            }),
+            handler: Arc::new(|_| {}),
+            concurrency: 1,
+            refuse,
+        };
+        let bounds = Bounds {
+            budget: 2 * SIZE,
+            ..Bounds::internal()
+        };
+        let address = ([127, 0, 0, 1], 0).into();
+        let server = Server::open_with_bounds(address, bounds, None, service).unwrap();
+        let mut streams = [(); 8].map(|()| connected(&server));
+        let mut complete = 0;
+        for stream in &mut streams {
+            let mut bytes = Vec::new();
+            let limit = Some(Duration::from_secs(2));
+            stream.set_read_timeout(limit).unwrap();
+            let _ = stream.read_to_end(&mut bytes);
+            complete += usize::from(bytes.len() >= SIZE - 1_024);
+        }
+        assert!((1..=2).contains(&complete), "{complete} complete responses");
+    }
+
     /// A refused body is read, so that the client can read the response.
     #[test_case("Content-Length: 20000", 20_000; "announced")]
     #[test_case("Transfer-Encoding: chunked", 0; "chunked")]
--- a/components/kernel/src/server/connection.rs
+++ b/components/kernel/src/server/connection.rs
@@ -3,7 +3,7 @@
 
 use {
     super::RequestLimits,
-    crate::sync::lock,
+    crate::{resources::Reservation, sync::lock},
     std::{
         collections::BTreeMap,
         io,
@@ -45,6 +45,8 @@
     blocked_since: Option<Instant>,
     /// Holds a part of the memory budget for a body that is not complete.
     holds_budget: bool,
+    /// Memory of a response that is not sent yet.
+    unsent: Option<Reservation>,
     is_evicted: bool,
 }
 
@@ -63,6 +65,7 @@
                 request_start: None,
                 blocked_since: None,
                 holds_budget: false,
+                unsent: None,
                 is_evicted: false,
             }),
             evicted: Notify::new(),
@@ -89,12 +92,13 @@
     }
 
     /// The response is sent, and the head of the next request may come.
-    pub(super) fn begin_response(&self) {
+    pub(super) fn begin_response(&self, unsent: Reservation) {
         let mut state = lock(&self.state);
         state.phase = Phase::Head;
         state.idle_since = Instant::now();
         state.request_start = None;
         state.holds_budget = false;
+        state.unsent = Some(unsent);
     }
 
     /// Bytes have arrived.
@@ -116,6 +120,11 @@
         }
     }
 
+    /// All that was to be sent is sent.
+    fn record_flush(&self) {
+        lock(&self.state).unsent = None;
+    }
+
     /// When the connection is closed unless something happens; `None` while the handler works.
     pub(super) fn deadline(&self, limits: &RequestLimits) -> Option<Instant> {
         let state = lock(&self.state);
@@ -157,7 +166,8 @@
 
     /// True if closing the connection returns memory to the budget.
     fn is_holding(&self) -> bool {
-        self.holds_budget
+        let is_large = |unsent: &Reservation| unsent.bytes() > 0;
+        self.holds_budget || self.unsent.as_ref().is_some_and(is_large)
     }
 }
 
@@ -287,7 +297,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let result = Pin::new(&mut self.stream).poll_flush(cx);
+        if result.is_ready() {
+            self.connection.record_flush();
+        }
+        result
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
