Ports: bound the processor time for bodies in small frames

Cause: each chunk costs a turn of the I/O thread, whatever its size, and all connections of the process, those to the store and to workers too, wait on this thread. Bounds of memory do not help: such bodies stay below them.

Ruled out: a limit of the number of chunks, since a single body of a legal size in chunks of one byte is to be served; a permit for one such body at a time, which a client that stalls would keep.

Change: after each 256 frames with a mean size under 64 bytes, a body waits for three times as long as they took, and all bodies of a port wait one after the other, so that they have a quarter of the time of the thread at most; the rest of a refused body as well. Callers' connections have an I/O thread of their own.

--- a/components/kernel/src/runtime.rs
+++ b/components/kernel/src/runtime.rs
@@ -1,5 +1,5 @@
-//! The process-wide `tokio` runtime: one I/O thread for all connections, and a pool of threads for
-//! blocking work.
+//! The process-wide `tokio` runtimes, each with one I/O thread and a pool of threads for blocking
+//! work: one for the connections of the scheduler, and an isolated one for those of callers.
 
 use {
     crate::{sync::lock, task},
@@ -19,7 +19,11 @@
 /// Idle time after which such a thread exits.
 const BLOCKING_KEEP_ALIVE: Duration = Duration::from_secs(5);
 
-static HANDLE: Mutex<Option<Handle>> = Mutex::new(None);
+/// A runtime that its first user starts.
+type Lazy = Mutex<Option<Handle>>;
+
+static MAIN: Lazy = Mutex::new(None);
+static ISOLATED: Lazy = Mutex::new(None);
 
 /// Returns the runtime of the process; the first call starts its I/O thread.
 ///
@@ -27,7 +31,21 @@
 ///
 /// The thread or its file descriptors cannot be created.
 pub fn handle() -> io::Result<Handle> {
-    let mut current = lock(&HANDLE);
+    start(&MAIN, "net")
+}
+
+/// Returns the runtime for connections of clients that may keep its I/O thread busy.
+///
+/// # Errors
+///
+/// As for [`handle`].
+pub fn isolated_handle() -> io::Result<Handle> {
+    start(&ISOLATED, "callers")
+}
+
+/// Returns a runtime, which is started with an I/O thread of this name if it does not run yet.
+fn start(runtime: &Lazy, name: &str) -> io::Result<Handle> {
+    let mut current = lock(runtime);
     if let Some(handle) = &*current {
         return Ok(handle.clone());
     }
@@ -38,7 +56,7 @@
         .thread_stack_size(task::STACK_BYTES)
         .build()?;
     let handle = runtime.handle().clone();
-    task::spawn("net", move || runtime.block_on(future::pending::<()>()))?;
+    task::spawn(name, move || runtime.block_on(future::pending::<()>()))?;
     *current = Some(handle.clone());
     Ok(handle)
 }
--- a/components/kernel/src/server.rs
+++ b/components/kernel/src/server.rs
@@ -1,12 +1,11 @@
-//! HTTP server on `hyper`: one I/O thread serves all connections of the process, handlers run on a
-//! thread pool.
+//! HTTP server on `hyper`: an I/O thread serves the connections, handlers run on a thread pool.
 
 mod body;
 mod connection;
 
 use {
     self::{
-        body::receive,
+        body::{Turns, receive},
         connection::{Connections, Entry, Stream},
     },
     crate::{
@@ -306,6 +305,8 @@
     pub budget: usize,
     /// Returns the present limits of each request.
     pub limits: Arc<dyn Fn() -> RequestLimits + Send + Sync>,
+    /// Serves the connections on an I/O thread of their own, apart from the calls of the process.
+    pub is_isolated: bool,
 }
 
 impl Bounds {
@@ -322,6 +323,7 @@
             max_connections: resources.connections(kind),
             budget: resources.budget(kind),
             limits: Arc::new(move || limits),
+            is_isolated: kind == PortKind::Callers,
         }
     }
 
@@ -388,7 +390,10 @@
         token: Option<Token>,
         service: Service,
     ) -> io::Result<Self> {
-        let runtime = runtime::handle()?;
+        let runtime = match bounds.is_isolated {
+            true => runtime::isolated_handle()?,
+            false => runtime::handle()?,
+        };
         let listener = {
             let _entered = runtime.enter();
             listen(address)?
@@ -402,6 +407,7 @@
             service,
             budget: Budget::new(bounds.budget),
             connections: Arc::default(),
+            turns: Turns::default(),
             bounds,
         });
         runtime.spawn(accept(listener, port, stopped, guard));
@@ -457,6 +463,7 @@
     /// Memory for large requests and responses.
     budget: Arc<Budget>,
     connections: Arc<Connections>,
+    turns: Turns,
 }
 
 /// Held by everything that must finish before the port is closed.
--- a/components/kernel/src/server/body.rs
+++ b/components/kernel/src/server/body.rs
@@ -4,16 +4,28 @@
     super::{PortState, connection::Connection},
     crate::{
         resources::{ALLOWANCE, Reservation},
+        sync::lock,
         verdict::{Cause, Failure},
     },
     displaydoc::Display,
     http_body_util::BodyExt,
     hyper::body::{Body, Bytes, Incoming},
-    std::sync::Arc,
+    std::{
+        sync::{Arc, Mutex},
+        time::{Duration, Instant},
+    },
 };
 
 /// Bytes of a refused body that are still read, so that its client can read the response.
 const MAX_DISCARDED: usize = 2 * 1024 * 1024;
+/// Number of frames of a turn, after which their mean size is checked.
+const FRAMES_PER_TURN: usize = 256;
+/// Frames of a smaller mean size, in bytes, cost more to receive than their contents.
+const MIN_FRAME: usize = 64;
+/// Pause after a turn of small frames, in multiples of its duration.
+const PAUSE_FACTOR: u32 = 3;
+/// Longest duration of a turn that counts for its pause; the client may have been slow.
+const MAX_TURN: Duration = Duration::from_millis(20);
 /// Number of attempts to reserve memory, each after another connection was closed.
 const MAX_EVICTIONS: usize = 64;
 
@@ -70,16 +82,17 @@
     if body.is_end_stream() {
         return Ok(received);
     }
+    let mut pace = Pace::new();
     let result = if body.size_hint().lower() > limit as u64 {
         Err(BodyError::TooLarge(limit))
     } else {
-        read(&mut body, limit, port, connection, &mut received).await
+        read(&mut body, limit, port, connection, &mut pace, &mut received).await
     };
     match result {
         Ok(()) => Ok(received),
         Err(BodyError::Truncated) => Err(BodyError::Truncated),
         Err(error) => {
-            tokio::spawn(discard(body));
+            tokio::spawn(discard(body, pace, port.clone()));
             Err(error)
         }
     }
@@ -90,6 +103,7 @@
     limit: usize,
     port: &PortState,
     connection: &Connection,
+    pace: &mut Pace,
     received: &mut Received,
 ) -> Result<(), BodyError> {
     while let Some(data) = next_data(body).await? {
@@ -104,6 +118,7 @@
             received.bytes.reserve_exact(more);
         }
         received.bytes.extend_from_slice(&data);
+        pace.record(data.len(), &port.turns).await;
     }
     Ok(())
 }
@@ -156,12 +171,77 @@
 }
 
 /// Reads the rest of a refused body, up to [`MAX_DISCARDED`].
-async fn discard(mut body: Incoming) {
+async fn discard(mut body: Incoming, mut pace: Pace, port: Arc<PortState>) {
     let mut discarded = 0;
     while discarded < MAX_DISCARDED {
         let Ok(Some(data)) = next_data(&mut body).await else {
             return;
         };
         discarded += data.len();
+        pace.record(data.len(), &port.turns).await;
+    }
+}
+
+/// Limits the processor time for bodies in small frames: all of a port take turns.
+#[derive(Default)]
+pub(super) struct Turns {
+    /// End of the last turn that was given.
+    end: Mutex<Option<Instant>>,
+}
+
+impl Turns {
+    /// Returns when the next turn begins, given the duration of one that has just ended.
+    fn next(&self, took: Duration) -> Instant {
+        let now = Instant::now();
+        let mut end = lock(&self.end);
+        let start = end.map_or(now, |end| end.max(now));
+        let next = start + took.min(MAX_TURN) * PAUSE_FACTOR;
+        *end = Some(next);
+        next
+    }
+}
+
+/// The frames of a body in its current turn.
+struct Pace {
+    frames: usize,
+    bytes: usize,
+    start: Instant,
+}
+
+impl Pace {
+    fn new() -> Self {
+        Pace {
+            frames: 0,
+            bytes: 0,
+            start: Instant::now(),
+        }
+    }
+
+    /// Records a frame. After a turn of small ones, waits for the next turn.
+    async fn record(&mut self, bytes: usize, turns: &Turns) {
+        self.frames += 1;
+        self.bytes += bytes;
+        if self.frames < FRAMES_PER_TURN {
+            return;
+        }
+        if self.bytes < self.frames * MIN_FRAME {
+            tokio::time::sleep_until(turns.next(self.start.elapsed()).into()).await;
+        }
+        *self = Pace::new();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn next_turns_follow_each_other() {
+        let turns = Turns::default();
+        let took = Duration::from_millis(2);
+        let (first, second) = (turns.next(took), turns.next(took));
+        assert_eq!(second - first, took * PAUSE_FACTOR);
+        let third = turns.next(Duration::from_secs(60));
+        assert_eq!(third - second, MAX_TURN * PAUSE_FACTOR);
     }
 }
