Gate: serve callers on the kernel's server, within its bounds

What callers saw: 320 clients that each send most of a body of 1 MB took 358,688 kB of a gate (353,056 kB in chunks, 367,264 kB over the limit) and 654 descriptors, where the test allows 65,536 kB and 256. With more clients than connections (1,000), all others waited until these ended by themselves.

Cause: the gate's port had a thread and two descriptors for each connection, read each body whole, and had a time-out for each read or write only, so that a client could keep a thread for ever with a byte each 29 s. None of the bounds of the other ports held for it.

Ruled out: the same bounds on the threads of the former library, which gives no access to its connections, so that none can be closed in favour of another.

Change: the gate's callers are served by kernel::Server, with the setting for the size of a body, at most as many connections as the setting and the machine allow, and 30 s for a head. The backend server's headers are passed on as they are. A request counts as in flight until its response is sent, as before.

The stand-ins, which no deployment runs, keep the former library.

--- a/components/gate/src/forward.rs
+++ b/components/gate/src/forward.rs
@@ -6,10 +6,10 @@
         actor::{Gate, Slot, SlotRequest},
         response::{self, CLASS_HEADER, DEADLINE_HEADER, REPEAT_HEADER, VERDICT_HEADER},
     },
-    kernel::{ActorRef, Call, Client, Failure, HttpResponse, Verdict, verdict::Cause},
-    oxhttp::model::{Body, Request, Response},
+    kernel::{
+        ActorRef, Call, Client, Failure, HttpResponse, Reply, Request, Verdict, verdict::Cause,
+    },
     std::{
-        io::Read,
         sync::{
             Arc,
             atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -54,8 +54,6 @@
     pub client: Client,
     /// Deadline of a request without an `x-magpie-deadline-ms` header.
     pub default_deadline: Duration,
-    /// Maximum size of a request body, in bytes.
-    pub max_body: u64,
     /// Counter of in-flight requests.
     pub in_flight: InFlight,
     /// True while the gate is shutting down and refuses requests.
@@ -113,23 +111,16 @@
 }
 
 /// Handles one request. Failures become responses with a JSON body and a verdict.
-pub fn handle(shared: &Shared, request: &mut Request<Body>) -> Response<Body> {
+pub fn handle(shared: &Shared, mut request: Request) {
     let guard = shared.in_flight.enter();
-    let started = Instant::now();
-    let mut response = match process(shared, request, started) {
-        Ok(response) => response,
+    let reply = match process(shared, &mut request, Instant::now()) {
+        Ok(reply) => reply,
         Err(failure) => response::from_failure(&failure),
     };
-    // The server drops the response, and with it the guard, after writing it completely.
-    response.extensions_mut().insert(guard);
-    response
+    request.respond_guarded(reply, Box::new(guard));
 }
 
-fn process(
-    shared: &Shared,
-    request: &mut Request<Body>,
-    started: Instant,
-) -> Result<Response<Body>, Failure> {
+fn process(shared: &Shared, request: &mut Request, started: Instant) -> Result<Reply, Failure> {
     if shared.closing.load(Ordering::Acquire) {
         return Err(Failure::not_run(
             Cause::Stopping,
@@ -151,68 +142,42 @@
     result.map(build_response)
 }
 
-fn header<'a>(request: &'a Request<Body>, name: &str) -> &'a str {
-    request
-        .headers()
-        .get(name)
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or_default()
-}
-
-/// Reads the headers and the complete body of a request and checks them.
+/// Checks the headers of a request and takes its body.
 fn read_request(
     shared: &Shared,
-    request: &mut Request<Body>,
+    request: &mut Request,
     started: Instant,
 ) -> Result<CallerRequest, Failure> {
     let invalid = |text: &str| Failure::not_run(Cause::Invalid, text);
-    let class = header(request, CLASS_HEADER).to_owned();
-    if !kernel::settings::is_name(&class) {
+    let class = request.header(CLASS_HEADER);
+    if !kernel::settings::is_name(class) {
         return Err(invalid(
             "the header x-magpie-class must name a class of the table",
         ));
     }
-    let deadline = match header(request, DEADLINE_HEADER) {
+    let deadline = match request.header(DEADLINE_HEADER) {
         "" => shared.default_deadline,
         text => match text.parse() {
             Ok(time) if (1..=600_000).contains(&time) => Duration::from_millis(time),
             _ => return Err(invalid("x-magpie-deadline-ms must be from 1 to 600000")),
         },
     };
-    let method = request.method().to_string();
-    let may_repeat = matches!(method.as_str(), "GET" | "HEAD" | "OPTIONS")
-        || !header(request, REPEAT_HEADER).is_empty();
-    let path = request
-        .uri()
-        .path_and_query()
-        .map_or("/", |path| path.as_str())
-        .to_owned();
+    let may_repeat = matches!(request.method.as_str(), "GET" | "HEAD" | "OPTIONS")
+        || !request.header(REPEAT_HEADER).is_empty();
     let mut headers = Vec::new();
-    for (name, value) in request.headers() {
+    for (name, value) in &request.headers {
         if HOP_HEADERS.contains(&name.as_str()) {
             continue;
         }
         let Ok(value) = value.to_str() else { continue };
         headers.push((name.as_str().to_owned(), value.to_owned()));
     }
-    let mut body = Vec::new();
-    let read = request
-        .body_mut()
-        .take(shared.max_body + 1)
-        .read_to_end(&mut body);
-    if read.is_err() {
-        return Err(invalid("the body is cut"));
-    }
-    if body.len() as u64 > shared.max_body {
-        return Err(invalid("the body is too large"));
-    }
-    let class = Arc::from(class);
     Ok(CallerRequest {
-        method,
-        path,
+        method: request.method.clone(),
+        path: request.path_and_query(),
         headers,
-        body,
-        class,
+        class: Arc::from(class),
+        body: std::mem::take(&mut request.body),
         may_repeat,
         deadline: started + deadline,
     })
@@ -329,17 +294,20 @@
 }
 
 /// Builds the caller's response from the backend server's.
-fn build_response(backend_response: HttpResponse) -> Response<Body> {
-    let mut builder = Response::builder()
-        .status(backend_response.status)
-        .header(VERDICT_HEADER, Verdict::Ran.as_str());
-    for (name, value) in &backend_response.headers {
+fn build_response(backend_response: HttpResponse) -> Reply {
+    let HttpResponse {
+        status,
+        headers,
+        body,
+        ..
+    } = backend_response;
+    let mut reply = Reply::bytes(status, "application/octet-stream", body)
+        .with_header(VERDICT_HEADER, Verdict::Ran.as_str());
+    for (name, value) in &headers {
         // The verdict comes from the gate; a verdict header from a backend server is dropped.
         if !HOP_HEADERS.contains(&name.as_str()) && name.as_str() != VERDICT_HEADER {
-            builder = builder.header(name.as_str(), value.as_bytes());
+            reply.forwarded.append(name, value.clone());
         }
     }
-    builder
-        .body(Body::from(backend_response.body))
-        .unwrap_or_default()
+    reply
 }
--- a/components/gate/src/response.rs
+++ b/components/gate/src/response.rs
@@ -1,8 +1,11 @@
 //! Headers of the gate's requests and responses, and responses for failed requests.
 
 use {
-    kernel::{Failure, Verdict, server, verdict::Cause},
-    oxhttp::model::{Body, Response},
+    kernel::{
+        Failure, Reply, Verdict,
+        server::{self, BodyError},
+        verdict::Cause,
+    },
     serde::Serialize,
 };
 
@@ -30,7 +33,7 @@
 }
 
 /// Builds the response for a failure. Refused callers get a `retry-after` header.
-pub fn from_failure(failure: &Failure) -> Response<Body> {
+pub fn from_failure(failure: &Failure) -> Reply {
     let Failure {
         verdict,
         cause,
@@ -42,15 +45,18 @@
         text,
     };
     let body = serde_json::to_vec(&error_body).unwrap_or_default();
-    let mut builder = Response::builder()
-        .status(server::status(*cause))
-        .header("content-type", "application/json")
-        .header(VERDICT_HEADER, verdict.as_str());
+    let mut reply = Reply::bytes(server::status(*cause), "application/json", body)
+        .with_header(VERDICT_HEADER, verdict.as_str());
     if matches!(cause, Cause::Busy | Cause::Stopping) {
-        builder = builder.header("retry-after", RETRY_AFTER);
+        reply = reply.with_header("retry-after", RETRY_AFTER);
     }
     if *cause == Cause::Stopping {
-        builder = builder.header("connection", "close");
+        reply = reply.with_header("connection", "close");
     }
-    builder.body(Body::from(body)).unwrap_or_default()
+    reply
+}
+
+/// Builds the response for a request whose body is refused.
+pub fn from_body_error(error: BodyError) -> Reply {
+    from_failure(&error.into())
 }
--- a/components/gate/src/service.rs
+++ b/components/gate/src/service.rs
@@ -5,14 +5,15 @@
         actor::Gate,
         balancing::Balancer,
         forward::{self, InFlight, Shared},
-        share,
+        response, share,
     },
     infra::boxes::{Boxes, List},
     kernel::{
         ActorRef, ActorThread, Client, Failure, Reply, Request, Server,
         client::PoolLimits,
         ops::{self, Readiness},
-        public_server::{self, Bounds},
+        resources::{PortKind, Resources},
+        server::{Bounds, RequestLimits, Service as Handlers, refuse},
         task::Signal,
         token::Token,
     },
@@ -32,9 +33,10 @@
 /// Interval between reads of the list of boxes.
 const LIST_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Maximum duration of one read or write on a caller's connection, and of idle time between
-/// requests.
+/// Time-out for receiving the head of a caller's request, and maximum idle time of a connection.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Maximum size of the head of a caller's request in bytes.
+const MAX_CALLER_HEAD: usize = 32 * 1024;
 
 /// Interval at which `stop` checks for in-flight requests.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -58,9 +60,11 @@
     /// Deadline of a request without an `x-magpie-deadline-ms` header.
     pub default_deadline: Duration,
     /// Maximum size of a request body, in bytes.
-    pub max_body: u64,
+    pub max_body: usize,
     /// Maximum number of concurrent callers' connections.
     pub max_connections: usize,
+    /// Memory and file descriptors of the process.
+    pub resources: Resources,
 }
 
 /// A running gate process.
@@ -81,6 +85,7 @@
     ///
     /// If an address cannot be bound or a thread cannot be started.
     pub fn start(settings: Settings) -> io::Result<Self> {
+        let bounds = caller_bounds(&settings);
         let (name, hall, balancer) = (settings.name.clone(), settings.hall, settings.balancer);
         let host = ActorThread::start("gate", move |_, _| Gate::new(name, hall, balancer))?;
         let gate = host.actor_ref().clone();
@@ -89,19 +94,13 @@
             gate: gate.clone(),
             client: backend_client(),
             default_deadline: settings.default_deadline,
-            max_body: settings.max_body,
             in_flight: InFlight::default(),
             closing: Arc::default(),
         };
-        let server = open_ops(settings.ops, settings.token.clone(), &gate, &ready)?;
-        let bounds = Bounds {
-            connections: settings.max_connections,
-            io_timeout: CALLER_TIMEOUT,
-        };
-        let task_shared = shared.clone();
-        let callers = public_server::open(settings.listen, bounds, move |request| {
-            forward::handle(&task_shared, request)
-        })?;
+        let ops_bounds = Bounds::new(&settings.resources, PortKind::Probes);
+        let address = settings.ops;
+        let server = open_ops((address, ops_bounds), settings.token.clone(), &gate, &ready)?;
+        let callers = open_callers((settings.listen, bounds), shared.clone())?;
         let list_gate = gate.clone();
         let changed = Box::new(move |list: &Arc<List>| {
             let list = list.clone();
@@ -186,8 +185,38 @@
     Client::with_limits(None, limits)
 }
 
+/// Returns the bounds of the callers' port.
+fn caller_bounds(settings: &Settings) -> Bounds {
+    let limits = RequestLimits {
+        max_head: MAX_CALLER_HEAD,
+        max_body: settings.max_body,
+        head_timeout: CALLER_TIMEOUT,
+        idle_timeout: CALLER_TIMEOUT,
+    };
+    let bounds = Bounds::new(&settings.resources, PortKind::Callers);
+    Bounds {
+        max_connections: bounds.max_connections.min(settings.max_connections),
+        limits: Arc::new(move || limits),
+        ..bounds
+    }
+}
+
+/// Opens the callers' port, which stays open until the process exits. Returns its address.
+fn open_callers((address, bounds): (SocketAddr, Bounds), shared: Shared) -> io::Result<SocketAddr> {
+    let handlers = Handlers {
+        fast: Arc::new(Some),
+        handler: Arc::new(move |request| forward::handle(&shared, request)),
+        concurrency: bounds.max_connections,
+        refuse: response::from_body_error,
+    };
+    let server = Server::open_with_bounds(address, bounds, None, handlers)?;
+    let address = server.address();
+    server.detach();
+    Ok(address)
+}
+
 fn open_ops(
-    address: SocketAddr,
+    (address, bounds): (SocketAddr, Bounds),
     token: Option<Token>,
     gate: &ActorRef<Gate>,
     ready: &Readiness,
@@ -207,5 +236,11 @@
             _ => request.respond(Reply::text(404, "no such path\n")),
         }
     };
-    Server::open(address, OPS_CONCURRENCY, token, Arc::new(handler))
+    let handlers = Handlers {
+        fast: Arc::new(Some),
+        handler: Arc::new(handler),
+        concurrency: OPS_CONCURRENCY,
+        refuse,
+    };
+    Server::open_with_bounds(address, bounds, token, handlers)
 }
--- a/components/kernel/src/public_server.rs
+++ b/components/kernel/src/public_server.rs
@@ -1,5 +1,5 @@
-//! HTTP server on `oxhttp` for clients outside the scheduler: one thread for each connection, with
-//! limits on headers, on connections and on the time of each read or write.
+//! HTTP server on `oxhttp` for stand-ins, which break connections: one thread for each connection,
+//! with limits on connections and on the time of each read or write.
 
 use {
     oxhttp::{
--- a/components/kernel/src/server.rs
+++ b/components/kernel/src/server.rs
@@ -6,7 +6,7 @@
 use {
     self::{
         body::{Turns, receive},
-        connection::{Connections, Entry, Stream},
+        connection::{Connections, Entry, Stream, Unsent},
     },
     crate::{
         resources::{ALLOWANCE, Budget, PortKind, Reservation, Resources},
@@ -66,6 +66,8 @@
     pub content_type: &'static str,
     /// Additional headers.
     pub headers: Vec<(&'static str, String)>,
+    /// Headers of another server's response, which replace those of the same names.
+    pub forwarded: HeaderMap,
     /// The body.
     pub body: Vec<u8>,
 }
@@ -78,6 +80,7 @@
             status,
             content_type: "text/plain; charset=utf-8",
             headers: Vec::new(),
+            forwarded: HeaderMap::new(),
             body,
         }
     }
@@ -88,6 +91,7 @@
             status,
             content_type: kind,
             headers: Vec::new(),
+            forwarded: HeaderMap::new(),
             body,
         }
     }
@@ -157,8 +161,18 @@
     pub body: Vec<u8>,
     /// Memory that is reserved for the body.
     reservation: Option<Reservation>,
-    headers: HeaderMap,
-    responder: oneshot::Sender<Reply>,
+    /// The headers.
+    pub headers: HeaderMap,
+    responder: oneshot::Sender<Answer>,
+}
+
+/// Dropped once a response is sent or its connection is closed.
+pub type Guard = Box<dyn Send>;
+
+/// A response on its way to its connection.
+struct Answer {
+    reply: Reply,
+    guard: Option<Guard>,
 }
 
 impl Request {
@@ -200,6 +214,14 @@
         None
     }
 
+    /// The path with the query, if there is one.
+    pub fn path_and_query(&self) -> String {
+        match self.query.as_str() {
+            "" => self.path.clone(),
+            query => format!("{}?{query}", self.path),
+        }
+    }
+
     /// Decodes the body as a message.
     ///
     /// # Errors
@@ -217,13 +239,22 @@
 
     /// Sends the reply. Does nothing if the client has disconnected.
     pub fn respond(self, reply: Reply) {
+        self.answer(reply, None);
+    }
+
+    /// Like [`Request::respond`]; `guard` is dropped once the response is sent.
+    pub fn respond_guarded(self, reply: Reply, guard: Guard) {
+        self.answer(reply, Some(guard));
+    }
+
+    fn answer(self, reply: Reply, guard: Option<Guard>) {
         let (sent, received) = (reply.body.len(), self.body.len());
         traffic::record(
             &self.path,
             sent + traffic::HEAD_BYTES,
             received + traffic::HEAD_BYTES,
         );
-        let _ = self.responder.send(reply);
+        let _ = self.responder.send(Answer { reply, guard });
     }
 }
 
@@ -245,6 +276,7 @@
             headers.append(name, value);
         }
     }
+    headers.extend(reply.forwarded);
     response
 }
 
@@ -428,6 +460,11 @@
         format!("http://{}", self.address)
     }
 
+    /// Leaves the port open until the process exits.
+    pub fn detach(self) {
+        std::mem::forget(self);
+    }
+
     /// Stops accepting requests and waits for those in progress.
     pub fn close(&mut self) {
         let _ = self.stop.send(true);
@@ -630,24 +667,27 @@
     guard: Option<CloseGuard>,
 ) -> Result<Response<Full<Bytes>>, ServeError> {
     connection.begin_body();
-    let reply = match complete(&port, &connection, request).await {
+    let answer = match complete(&port, &connection, request).await {
         Ok(request) => {
             connection.begin_handler();
             run_handler(&port, request, guard).await
         }
-        Err(reply) => reply,
+        Err(reply) => Answer { reply, guard: None },
     };
     let mut reservation = port.budget.reservation();
-    let bytes = reply.body.len().saturating_sub(ALLOWANCE);
+    let bytes = answer.reply.body.len().saturating_sub(ALLOWANCE);
     if !body::extend(&mut reservation, bytes, &port).await {
         return Err(ServeError::NoMemory);
     }
-    connection.begin_response(reservation);
-    Ok(response(reply))
+    connection.begin_response(Unsent {
+        reservation,
+        _guard: answer.guard,
+    });
+    Ok(response(answer.reply))
 }
 
 /// A request and the channel for its response.
-type Pending = (Request, oneshot::Receiver<Reply>);
+type Pending = (Request, oneshot::Receiver<Answer>);
 
 /// Receives the rest of a request, or returns the response that refuses it.
 async fn complete(
@@ -681,7 +721,7 @@
     port: &Arc<PortState>,
     (request, reply): Pending,
     guard: Option<CloseGuard>,
-) -> Reply {
+) -> Answer {
     if let Some(request) = (port.service.fast)(request) {
         // The semaphore is never closed.
         let permit = port.handler_permits.clone().acquire_owned().await.ok();
@@ -691,7 +731,10 @@
             drop((permit, guard));
         });
     }
-    let dropped = |_| Reply::text(500, "the request was dropped\n");
+    let dropped = |_| Answer {
+        reply: Reply::text(500, "the request was dropped\n"),
+        guard: None,
+    };
     reply.await.unwrap_or_else(dropped)
 }
 
--- a/components/kernel/src/server/connection.rs
+++ b/components/kernel/src/server/connection.rs
@@ -2,7 +2,7 @@
 //! the port or the process can hold no more.
 
 use {
-    super::RequestLimits,
+    super::{Guard, RequestLimits},
     crate::{resources::Reservation, sync::lock},
     std::{
         collections::BTreeMap,
@@ -45,11 +45,16 @@
     blocked_since: Option<Instant>,
     /// Holds a part of the memory budget for a body that is not complete.
     holds_budget: bool,
-    /// Memory of a response that is not sent yet.
-    unsent: Option<Reservation>,
+    unsent: Option<Unsent>,
     is_evicted: bool,
 }
 
+/// What a response holds until it is sent.
+pub(super) struct Unsent {
+    pub(super) reservation: Reservation,
+    pub(super) _guard: Option<Guard>,
+}
+
 /// A connection, as seen by its port.
 pub(super) struct Connection {
     state: Mutex<State>,
@@ -92,7 +97,7 @@
     }
 
     /// The response is sent, and the head of the next request may come.
-    pub(super) fn begin_response(&self, unsent: Reservation) {
+    pub(super) fn begin_response(&self, unsent: Unsent) {
         let mut state = lock(&self.state);
         state.phase = Phase::Head;
         state.idle_since = Instant::now();
@@ -166,7 +171,7 @@
 
     /// True if closing the connection returns memory to the budget.
     fn is_holding(&self) -> bool {
-        let is_large = |unsent: &Reservation| unsent.bytes() > 0;
+        let is_large = |unsent: &Unsent| unsent.reservation.bytes() > 0;
         self.holds_budget || self.unsent.as_ref().is_some_and(is_large)
     }
 }
--- a/components/trial/src/entry.rs
+++ b/components/trial/src/entry.rs
@@ -59,6 +59,7 @@
             name: name.clone(),
             hall: hall.clone(),
             listen: any,
+            resources: Resources::default(),
             ops: any,
             token: None,
             boxes,
--- a/programs/gate/src/cli.rs
+++ b/programs/gate/src/cli.rs
@@ -6,6 +6,7 @@
     infra::boxes,
     kernel::{
         Client, daemon,
+        resources::Resources,
         settings::{Fault, Reader},
     },
     log::LevelFilter,
@@ -49,6 +50,12 @@
     /// maximum seconds for in-flight requests on shutdown (MAGPIE_STOP_SECONDS, default 20)
     #[argh(option)]
     stop_seconds: Option<String>,
+    /// memory of the process in MiB (MAGPIE_MEMORY_MB, default 256)
+    #[argh(option)]
+    memory_mb: Option<String>,
+    /// file descriptors that the process may open (MAGPIE_DESCRIPTORS, default 4096)
+    #[argh(option)]
+    descriptors: Option<String>,
     /// file with the token of the internal ports, else MAGPIE_TOKEN (MAGPIE_TOKEN_FILE)
     #[argh(option)]
     token_file: Option<String>,
@@ -95,6 +102,7 @@
     let connections = reader.number("connections", arguments.connections, "1000", (1, 20_000));
     let linger = reader.number("linger-ms", arguments.linger_ms, "1000", (0, 60_000));
     let stop = reader.number("stop-seconds", arguments.stop_seconds, "20", (0, 600));
+    let resources = Resources::read(&mut reader, arguments.memory_mb, arguments.descriptors);
     let common = daemon::read_common(&mut reader, arguments.log_level, arguments.token_file);
     reader.build(|| {
         let common = common?;
@@ -108,8 +116,9 @@
             boxes: Arc::new(boxes::Http::new(&boxes?, client)),
             balancer: policy?,
             default_deadline: Duration::from_millis(deadline?),
-            max_body: body? * 1024,
+            max_body: body? as usize * 1024,
             max_connections: connections? as usize,
+            resources: resources?,
         };
         Some((
             settings,
--- a/programs/load/src/added.rs
+++ b/programs/load/src/added.rs
@@ -101,6 +101,7 @@
         name,
         hall: Arc::from("h1"),
         listen: any_port,
+        resources: Resources::default(),
         ops: any_port,
         token: None,
         boxes,
