Ports: small receive buffers, and unread bytes in the bound of memory

Cause: a connection that is not read, because it waits to be accepted or its client takes no responses, holds what the kernel's receive buffer takes, by default 64 KiB and more when it grows.

Change: the receive buffers of a port's connections are set to 32 KiB when it is bound; if that is refused, a line says so and the port opens all the same.

--- a/components/kernel/src/server.rs
+++ b/components/kernel/src/server.rs
@@ -50,6 +50,8 @@
 pub const MAX_BODY: usize = 2 * 1024 * 1024;
 /// Maximum size of a request head in bytes, whatever the limits of the port.
 const MAX_HEAD: usize = 32 * 1024;
+/// Size of the receive buffer of a connection in bytes: what a client can send before it is read.
+const RECEIVE_BUFFER: u32 = 32 * 1024;
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 128;
 /// Interval at which a port without room looks for a connection that it may close.
@@ -479,13 +481,16 @@
     }
 }
 
-/// Binds a port.
+/// Binds a port whose connections have small receive buffers.
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
+    if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BUFFER) {
+        log::warn!(target: "kernel", error:% = error; "The receive buffers of a port keep their default size.");
+    }
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
--- a/programs/gate/tests/clients.rs
+++ b/programs/gate/tests/clients.rs
@@ -102,6 +102,8 @@
     ];
     let variables = variables.each_ref().map(|(name, text)| (*name, &**text));
     let mut program = Program::start(env!("CARGO_BIN_EXE_magpie-gate"), &variables).unwrap();
+    program.watch(gate);
+    program.watch(ops);
     until("the gate answers", || is_answered(gate));
     let address = select([gate, ops]);
     let _crowd = Crowd::gather(address, CROWD, script, || program.observe());
--- a/programs/sched/tests/clients.rs
+++ b/programs/sched/tests/clients.rs
@@ -93,6 +93,7 @@
     let variables = variables.each_ref().map(|(name, text)| (*name, &**text));
     let mut program = Program::start(env!("CARGO_BIN_EXE_magpie-sched"), &variables).unwrap();
     until("the process answers", || is_alive(port));
+    program.watch(port);
     let _crowd = Crowd::gather(port, CROWD, &script, || program.observe());
     program.settle();
     until("an ordinary request is answered", || is_alive(port));
