Traffic: count few kinds of calls, and no requests of callers

What callers saw: memory of a box that grows with each path that anybody asks for, jobs included, and never shrinks; after 64,000 requests for paths of 1,000 bytes that all differ /metrics was not answered any more.

Cause: magpie_link_bytes_total had the path of each request as a label, twice. The metrics library keeps each label for ever. A bound of 64 kinds held for the log line alone, and the page's words that callers' requests are not counted were not true since they are served by the same server as other boxes.

Ruled out: forgetting labels that are not used, which the library does only for all metrics or none, so that counters would start again at 0.

Change: the first 64 kinds are counted by themselves, all others as "other"; paths that answer 404 are "unknown", so that they do not use kinds up; requests at a port for clients outside the scheduler are not counted.

--- a/components/kernel/src/server.rs
+++ b/components/kernel/src/server.rs
@@ -54,6 +54,8 @@
 const RECEIVE_BUFFER: u32 = 32 * 1024;
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 128;
+/// Kind of traffic for paths that do not exist.
+const UNKNOWN_PATH: &str = "unknown";
 /// Interval at which a port without room looks for a connection that it may close.
 const ADMIT_INTERVAL: Duration = Duration::from_millis(20);
 /// Pause after a failure to accept a connection, such as a lack of file descriptors.
@@ -163,8 +165,12 @@
     pub body: Vec<u8>,
     /// Memory that is reserved for the body.
     reservation: Option<Reservation>,
+    /// Size of the body as received, in bytes.
+    received: usize,
     /// The headers.
     pub headers: HeaderMap,
+    /// The request counts as traffic between processes of the scheduler.
+    is_traffic: bool,
     responder: oneshot::Sender<Answer>,
 }
 
@@ -193,6 +199,8 @@
             query: String::new(),
             body: Vec::new(),
             reservation: None,
+            received: 0,
+            is_traffic: false,
             headers: headers.iter().map(header).collect(),
             responder,
         }
@@ -250,13 +258,24 @@
     }
 
     fn answer(self, reply: Reply, guard: Option<Guard>) {
-        let (sent, received) = (reply.body.len(), self.body.len());
+        if self.is_traffic {
+            self.record_traffic(&reply);
+        }
+        let _ = self.responder.send(Answer { reply, guard });
+    }
+
+    /// Records the sizes of the request and its reply. Paths that do not exist are one kind.
+    fn record_traffic(&self, reply: &Reply) {
+        let kind = match reply.status {
+            404 => UNKNOWN_PATH,
+            _ => self.path.as_str(),
+        };
+        let (sent, received) = (reply.body.len(), self.received);
         traffic::record(
-            &self.path,
+            kind,
             sent + traffic::HEAD_BYTES,
             received + traffic::HEAD_BYTES,
         );
-        let _ = self.responder.send(Answer { reply, guard });
     }
 }
 
@@ -339,8 +358,9 @@
     pub budget: usize,
     /// Returns the present limits of each request.
     pub limits: Arc<dyn Fn() -> RequestLimits + Send + Sync>,
-    /// Serves the connections on an I/O thread of their own, apart from the calls of the process.
-    pub is_isolated: bool,
+    /// The clients are outside the scheduler: their connections have an I/O thread of their own, and
+    /// their requests do not count as traffic between its processes.
+    pub is_external: bool,
 }
 
 impl Bounds {
@@ -357,7 +377,7 @@
             max_connections: resources.connections(kind),
             budget: resources.budget(kind),
             limits: Arc::new(move || limits),
-            is_isolated: kind == PortKind::Callers,
+            is_external: kind == PortKind::Callers,
         }
     }
 
@@ -424,7 +444,7 @@
         token: Option<Token>,
         service: Service,
     ) -> io::Result<Self> {
-        let runtime = match bounds.is_isolated {
+        let runtime = match bounds.is_external {
             true => runtime::isolated_handle()?,
             false => runtime::handle()?,
         };
@@ -714,6 +734,8 @@
         path: head.uri.path().to_owned(),
         query: head.uri.query().unwrap_or_default().to_owned(),
         headers: head.headers,
+        received: received.bytes.len(),
+        is_traffic: !port.bounds.is_external,
         body: received.bytes,
         reservation: received.reservation,
         responder,
--- a/components/kernel/src/traffic.rs
+++ b/components/kernel/src/traffic.rs
@@ -6,16 +6,25 @@
 
 use {
     crate::{sync::lock, task},
-    std::{collections::BTreeMap, fmt::Write, io, sync::Mutex, thread, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        fmt::Write,
+        io,
+        sync::Mutex,
+        thread,
+        time::Duration,
+    },
 };
 
 /// Estimated size in bytes of a request or response head (first line, length, date, content type),
 /// which is not counted exactly. Heads have 140 to 230 bytes in calls to the store, workers and
 /// other boxes.
 pub const HEAD_BYTES: usize = 180;
-/// Maximum number of distinct kinds; further kinds count as `other`. A box makes about twenty kinds
-/// of calls.
+/// Maximum number of distinct kinds; further kinds count as [`OTHER`]. A box makes about twenty
+/// kinds of calls.
 const MAX_KINDS: usize = 64;
+/// Kind of the calls beyond this number.
+const OTHER: &str = "other";
 
 /// Interval between two log lines.
 const LOG_INTERVAL: Duration = Duration::from_millis(5_000);
@@ -23,6 +32,8 @@
 const LOGGED_KINDS: usize = 12;
 
 static TRAFFIC: Mutex<BTreeMap<Box<str>, Traffic>> = Mutex::new(BTreeMap::new());
+/// All kinds that were recorded. The metrics library keeps what it has once counted.
+static KINDS: Mutex<BTreeSet<Box<str>>> = Mutex::new(BTreeSet::new());
 
 /// Traffic of one kind of call.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -38,23 +49,29 @@
 /// Records a call: the bytes that this process sent and received for it.
 pub fn record(kind: &str, sent: usize, received: usize) {
     let (sent, received) = (sent as u64, received as u64);
+    let kind = match is_kept(&mut lock(&KINDS), kind) {
+        true => kind,
+        false => OTHER,
+    };
     metrics::counter!("magpie_link_bytes_total", "call" => kind.to_owned(), "way" => "sent")
         .increment(sent);
     metrics::counter!("magpie_link_bytes_total", "call" => kind.to_owned(), "way" => "heard")
         .increment(received);
     let mut totals = lock(&TRAFFIC);
-    let is_new = !totals.contains_key(kind);
-    let kind = if is_new && totals.len() >= MAX_KINDS {
-        "other"
-    } else {
-        kind
-    };
     let traffic = totals.entry(kind.into()).or_default();
     traffic.calls += 1;
     traffic.sent += sent;
     traffic.received += received;
 }
 
+/// Returns true if this kind is counted by itself. The first [`MAX_KINDS`] are.
+fn is_kept(kinds: &mut BTreeSet<Box<str>>, kind: &str) -> bool {
+    if kinds.contains(kind) {
+        return true;
+    }
+    kinds.len() < MAX_KINDS && kinds.insert(kind.into())
+}
+
 /// Starts the thread that logs the traffic since its last line every 5 s.
 ///
 /// # Errors
@@ -127,6 +144,16 @@
         assert_eq!(call_kind(url), expected);
     }
 
+    #[test]
+    fn is_kept_up_to_limit() {
+        let mut kinds = BTreeSet::new();
+        for number in 0..MAX_KINDS {
+            assert!(is_kept(&mut kinds, &number.to_string()));
+        }
+        assert!(!is_kept(&mut kinds, "one more"));
+        assert!(is_kept(&mut kinds, "0"));
+    }
+
     /// Other tests of this process make calls of other kinds at the same time.
     #[test]
     fn record_taken_once() {
--- a/components/standin/src/crowd.rs
+++ b/components/standin/src/crowd.rs
@@ -26,6 +26,8 @@
 pub struct Script {
     /// Head of the request; [`NUMBER`] is replaced.
     head: String,
+    /// How many heads with consecutive numbers each client sends.
+    heads: usize,
     /// Rest of the request, the same for all clients, without its last bytes.
     body: Arc<[u8]>,
     /// Last bytes of the request.
@@ -41,6 +43,7 @@
     pub fn new(head: &str, body: &[u8], end: &[u8]) -> Self {
         Script {
             head: head.to_owned(),
+            heads: 1,
             body: body.into(),
             end: end.into(),
             is_complete: false,
@@ -58,6 +61,14 @@
         Self::new("", request.repeat(times).as_bytes(), &[])
     }
 
+    /// Many requests, each with a number of its own, whose responses nobody reads.
+    pub fn numbered(request: &str, times: usize) -> Self {
+        Script {
+            heads: times,
+            ..Self::new(request, &[], &[])
+        }
+    }
+
     /// A body that announces its size. `head` is that of the request without its last headers.
     pub fn sized(head: &str, body: &[u8]) -> Self {
         let head = format!("{head}Content-Length: {}\r\n\r\n", body.len());
@@ -89,9 +100,10 @@
     /// The bytes that the client with this number sends, in order.
     pub fn parts(&self, number: usize) -> [Arc<[u8]>; 3] {
         let sends_end = self.is_complete || number.is_multiple_of(COMPLETE_EVERY);
-        let head = self.head.replace(NUMBER, &format!("{number:016x}"));
+        let numbers = number * self.heads..(number + 1) * self.heads;
+        let heads = numbers.map(|number| self.head.replace(NUMBER, &format!("{number:016x}")));
         [
-            head.into_bytes().into(),
+            heads.collect::<String>().into_bytes().into(),
             self.body.clone(),
             if sends_end {
                 self.end.clone()
--- a/programs/box/tests/clients.rs
+++ b/programs/box/tests/clients.rs
@@ -11,7 +11,7 @@
     serde_json::json,
     standin::{
         Kv, Runner,
-        crowd::{Crowd, Script},
+        crowd::{Crowd, NUMBER, Script},
         kv::encode,
         program::{Bounds, Program, free_address},
         runner::RunLog,
@@ -275,6 +275,13 @@
     Script::repeated("GET /q/ HTTP/1.1\r\nHost: h.example\r\n\r\n", 5_000)
 }
 
+/// Requests for paths of 1,000 bytes that all differ.
+fn distinct_paths() -> Script {
+    let path = format!("/q/{}/{NUMBER}", "x".repeat(1_000));
+    let request = format!("GET {path} HTTP/1.1\r\nHost: h.example\r\n\r\n");
+    Script::numbered(&request, 200)
+}
+
 fn unread_metrics() -> Script {
     Script::repeated("GET /metrics HTTP/1.1\r\nHost: b0\r\n\r\n", 200)
 }
@@ -301,6 +308,7 @@
 #[test_case(incomplete_heads(); "callers incomplete heads")]
 #[test_case(Script::silent(); "callers silent")]
 #[test_case(unread_states(); "callers unread responses")]
+#[test_case(distinct_paths(); "callers distinct paths")]
 fn callers_port_endures(script: Script) {
     let mut world = World::start();
     let address = world.callers;
@@ -312,6 +320,7 @@
 #[test_case(compressed_messages(); "inside compressed messages")]
 #[test_case(Script::silent(); "inside silent")]
 #[test_case(unread_metrics(); "inside unread metrics")]
+#[test_case(distinct_paths(); "inside distinct paths")]
 fn inside_port_endures(script: Script) {
     let mut world = World::start();
     let address = world.inside;
