Kernel: split the server into request, limits and port

Change: the limits are in server/bounds.rs, accepting and serving connections in server/port.rs, the tests in server/tests.rs; server.rs keeps requests, replies and the open port.

--- a/components/kernel/src/server/body.rs
+++ b/components/kernel/src/server/body.rs
@@ -1,7 +1,7 @@
 //! Receives the bodies of requests into memory that is reserved for them.
 
 use {
-    super::{PortState, connection::Connection},
+    super::{connection::Connection, port::PortState},
     crate::{
         resources::{ALLOWANCE, Reservation},
         sync::lock,
