Crowd tests: share the machine, the crowd and the ordinary request

Change: they are in standin::program and standin::crowd. Machine (64 MiB, 256 descriptors), crowd (320 clients), scripts and checks are as before; the jobs of the box's ordinary caller have ids that no client of a crowd uses (its second had that of client 2). Ruled out: one file for all programs, since the path of a program is known only to the tests of its own package.

--- a/components/standin/src/crowd.rs
+++ b/components/standin/src/crowd.rs
@@ -175,22 +175,20 @@
     }
 }
 
+/// Number of clients in a crowd.
+pub const CROWD: usize = 320;
+
 /// Clients whose connections stay open until this is dropped.
 pub struct Crowd {
     _clients: Vec<Client>,
 }
 
 impl Crowd {
-    /// Connects `count` clients to `address`. All of them send in turn, until each has sent what
+    /// Connects [`CROWD`] clients to `address`. All of them send in turn, until each has sent what
     /// its script says or can send no more. `observe` is called after each round.
-    pub fn gather(
-        address: SocketAddr,
-        count: usize,
-        script: &Script,
-        mut observe: impl FnMut(),
-    ) -> Self {
-        let mut clients = Vec::with_capacity(count);
-        for number in 0..count {
+    pub fn gather(address: SocketAddr, script: &Script, mut observe: impl FnMut()) -> Self {
+        let mut clients = Vec::with_capacity(CROWD);
+        for number in 0..CROWD {
             clients.push(Client::connect(address, script.parts(number)));
         }
         observe();
--- a/components/standin/src/program.rs
+++ b/components/standin/src/program.rs
@@ -1,11 +1,14 @@
 //! A program of the system in its own process, and the bounds that the process has to stay within.
 
-use std::{
-    fs, io,
-    net::{SocketAddr, TcpListener},
-    process::{Child, Command, Stdio},
-    thread,
-    time::{Duration, Instant},
+use {
+    kernel::{Client, HttpResponse, client::Call},
+    std::{
+        fs, io,
+        net::{SocketAddr, TcpListener},
+        process::{Child, Command, Stdio},
+        thread,
+        time::{Duration, Instant},
+    },
 };
 
 /// Interval over which the processor time of a process is compared.
@@ -24,18 +27,67 @@
 /// State of a listening socket in this table.
 const LISTENING: &str = "0A";
 
-/// Upper bounds of the resources of a process.
+/// What a process is told of its machine, and has to stay within.
 #[derive(Debug, Clone, Copy)]
-pub struct Bounds {
-    /// Resident memory and unread bytes in kilobytes.
-    pub memory_kb: u64,
+pub struct Machine {
+    /// Memory in MiB: resident memory and unread bytes.
+    pub memory_mb: u64,
     /// Open file descriptors.
     pub descriptors: usize,
 }
 
+/// A machine on which a crowd of [`CROWD`](crate::crowd::CROWD) clients is many.
+pub const SMALL_MACHINE: Machine = Machine {
+    memory_mb: 64,
+    descriptors: 256,
+};
+
+/// Time-out of every wait, long enough for a busy machine.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time-out of one attempt of an ordinary client.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Waits until `condition` holds.
+///
+/// # Panics
+///
+/// With `description` after [`WAIT_TIMEOUT`].
+pub fn until(description: &str, mut condition: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        let is_late = start.elapsed() >= WAIT_TIMEOUT;
+        assert!(!is_late, "timed out waiting: {description}");
+        thread::sleep(CHECK_INTERVAL);
+    }
+}
+
+/// Sends an ordinary request; `None` if it fails.
+pub fn send(
+    address: SocketAddr,
+    (method, path): (&str, &str),
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Option<HttpResponse> {
+    let call = Call {
+        method,
+        url: &format!("http://{address}{path}"),
+        headers,
+        body,
+        timeout: ATTEMPT_TIMEOUT.into(),
+    };
+    Client::new(None).send(&call).ok()
+}
+
+/// Returns true if a GET of this path is answered with 200.
+pub fn is_served(address: SocketAddr, path: &str) -> bool {
+    send(address, ("GET", path), &[], &[]).is_some_and(|response| response.status == 200)
+}
+
 /// A running program. Dropping it kills the process.
 pub struct Program {
     child: Child,
+    machine: Machine,
     /// Ports of the process.
     ports: Vec<u16>,
     /// The largest number of open file descriptors that was observed.
@@ -45,18 +97,23 @@
 }
 
 impl Program {
-    /// Starts the program with these environment variables. Its standard output is discarded.
+    /// Starts the program with these environment variables and those that tell it its machine. Its
+    /// standard output is discarded.
     ///
     /// # Errors
     ///
     /// The program cannot be started.
-    pub fn start(path: &str, variables: &[(&str, &str)]) -> io::Result<Self> {
+    pub fn start(path: &str, machine: Machine, variables: &[(&str, String)]) -> io::Result<Self> {
+        let variables = variables.iter().map(|(name, text)| (*name, &**text));
         let child = Command::new(path)
-            .envs(variables.iter().copied())
+            .envs(variables)
+            .env("MAGPIE_MEMORY_MB", machine.memory_mb.to_string())
+            .env("MAGPIE_DESCRIPTORS", machine.descriptors.to_string())
             .stdout(Stdio::null())
             .spawn()?;
         Ok(Program {
             child,
+            machine,
             ports: Vec::new(),
             peak_descriptors: 0,
             peak_unread: 0,
@@ -140,25 +197,24 @@
         number.parse().unwrap_or_default()
     }
 
-    /// Checks that the process runs and has stayed within its bounds.
+    /// Checks that the process runs and has stayed within its machine.
     ///
     /// # Errors
     ///
     /// All violations, as text.
-    pub fn check(&mut self, bounds: Bounds) -> Result<(), String> {
+    pub fn check(&mut self) -> Result<(), String> {
         self.observe();
         let mut violations = Vec::new();
         if self.has_ended() {
             violations.push("the process has ended".to_owned());
         }
-        let unread = self.peak_unread / 1024;
-        let (memory, descriptors) = (self.peak_memory_kb() + unread, self.peak_descriptors);
-        if memory > bounds.memory_kb {
-            let bound = bounds.memory_kb;
+        let memory = self.peak_memory_kb() + self.peak_unread / 1024;
+        let bound = self.machine.memory_mb * 1024;
+        if memory > bound {
             violations.push(format!("memory {memory} kB, bound {bound} kB"));
         }
-        if descriptors > bounds.descriptors {
-            let bound = bounds.descriptors;
+        let (descriptors, bound) = (self.peak_descriptors, self.machine.descriptors);
+        if descriptors > bound {
             violations.push(format!("{descriptors} open descriptors, bound {bound}"));
         }
         match violations.is_empty() {
--- a/programs/box/tests/clients.rs
+++ b/programs/box/tests/clients.rs
@@ -6,37 +6,25 @@
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
 use {
-    kernel::{Client, HttpResponse, client::Call, sync::lock, wire},
+    kernel::{HttpResponse, sync::lock, wire},
     node::message::{RelayRequest, WorkerEvent},
     serde_json::json,
     standin::{
         Kv, Runner,
         crowd::{Crowd, NUMBER, Script},
         kv::encode,
-        program::{Bounds, Program, free_address},
+        program::{self, Program, SMALL_MACHINE, free_address, is_served, until},
         runner::RunLog,
     },
     std::{
         io::{Read, Write},
         net::{SocketAddr, TcpStream},
         sync::{Arc, Mutex, MutexGuard, OnceLock},
-        thread,
-        time::{Duration, Instant},
+        time::Duration,
     },
     test_case::test_case,
 };
 
-/// Memory of the machine in MiB, as the box is told.
-const MEMORY_MB: u64 = 64;
-/// File descriptors of the machine, as the box is told.
-const DESCRIPTORS: usize = 256;
-/// Bounds of the process of the box.
-const BOUNDS: Bounds = Bounds {
-    memory_kb: MEMORY_MB * 1024,
-    descriptors: DESCRIPTORS,
-};
-/// Number of clients in a crowd.
-const CROWD: usize = 320;
 /// Size of a body within the limit of the configuration, 256 KiB.
 const LEGAL_BODY: usize = 250_000;
 /// Size of a body over that limit.
@@ -45,9 +33,6 @@
 const LARGE_CHUNK: usize = 16 * 1024;
 /// Time-out of every wait, long enough for a busy machine.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
-const CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// Time-out of one attempt of an ordinary client.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Held by the test that runs.
 static TURN: Mutex<()> = Mutex::new(());
@@ -88,7 +73,7 @@
             _runner: runner,
             _turn: turn,
         };
-        world.serve_ordinary_caller(1);
+        world.serve_ordinary_caller(1_000_001);
         world
     }
 
@@ -112,15 +97,14 @@
     /// Gathers a crowd at a port, and checks the box while it is there.
     fn endure(&mut self, address: SocketAddr, script: &Script) {
         let program = &mut self.program;
-        let _crowd = Crowd::gather(address, CROWD, script, || program.observe());
+        let _crowd = Crowd::gather(address, script, || program.observe());
         self.program.settle();
-        self.serve_ordinary_caller(2);
-        until("the box is ready", || is_ready(self.ready));
+        self.serve_ordinary_caller(1_000_002);
+        until("the box is ready", || is_served(self.ready, "/readiness"));
         until("the box shows its metrics", || {
-            let reply = send(self.metrics, "GET", "/metrics", &[]);
-            reply.is_some_and(|reply| reply.status == 200)
+            is_served(self.metrics, "/metrics")
         });
-        assert_eq!(self.program.check(BOUNDS), Ok(()));
+        assert_eq!(self.program.check(), Ok(()));
     }
 }
 
@@ -137,24 +121,18 @@
         ("MAGPIE_PORTS", inside.port().to_string()),
         ("MAGPIE_METRICS", metrics.to_string()),
         ("MAGPIE_STORE", store.to_owned()),
-        ("MAGPIE_MEMORY_MB", MEMORY_MB.to_string()),
-        ("MAGPIE_DESCRIPTORS", DESCRIPTORS.to_string()),
     ];
-    let variables = variables.each_ref().map(|(name, text)| (*name, &**text));
-    let mut program = Program::start(env!("CARGO_BIN_EXE_magpie-box"), &variables).unwrap();
+    let path = env!("CARGO_BIN_EXE_magpie-box");
+    let mut program = Program::start(path, SMALL_MACHINE, &variables).unwrap();
     for address in ports {
         program.watch(address);
     }
     until("the box is ready or has ended", || {
-        program.has_ended() || is_ready(ready)
+        program.has_ended() || is_served(ready, "/readiness")
     });
     (!program.has_ended()).then_some((program, ports))
 }
 
-fn is_ready(address: SocketAddr) -> bool {
-    send(address, "GET", "/readiness", &[]).is_some_and(|reply| reply.status == 200)
-}
-
 fn configure(kv: &Kv) {
     let config = json!({
         "version": 1,
@@ -177,26 +155,8 @@
     found.unwrap()
 }
 
-/// Waits until `condition` holds; panics with `description` after [`WAIT_TIMEOUT`].
-fn until(description: &str, mut condition: impl FnMut() -> bool) {
-    let start = Instant::now();
-    while !condition() {
-        let is_late = start.elapsed() >= WAIT_TIMEOUT;
-        assert!(!is_late, "timed out waiting: {description}");
-        thread::sleep(CHECK_INTERVAL);
-    }
-}
-
 fn send(address: SocketAddr, method: &str, path: &str, body: &[u8]) -> Option<HttpResponse> {
-    let url = format!("http://{address}{path}");
-    let call = Call {
-        method,
-        url: &url,
-        headers: &[("host", "h.example")],
-        body,
-        timeout: ATTEMPT_TIMEOUT.into(),
-    };
-    Client::new(None).send(&call).ok()
+    program::send(address, (method, path), &[("host", "h.example")], body)
 }
 
 /// Head of a submission without the headers of its body.
--- a/programs/gate/tests/clients.rs
+++ b/programs/gate/tests/clients.rs
@@ -6,82 +6,32 @@
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
 use {
-    kernel::{Client, client::Call, sync::lock},
+    kernel::sync::lock,
     standin::{
         Registry,
         crowd::{Crowd, Script},
-        program::{Bounds, Program, free_address},
-    },
-    std::{
-        net::SocketAddr,
-        sync::Mutex,
-        thread,
-        time::{Duration, Instant},
+        program::{Program, SMALL_MACHINE, free_address, is_served, send, until},
     },
+    std::{net::SocketAddr, sync::Mutex, time::Duration},
     test_case::test_case,
 };
 
-/// Memory of the machine in MiB, as the gate is told.
-const MEMORY_MB: u64 = 64;
-/// File descriptors of the machine, as the gate is told.
-const DESCRIPTORS: usize = 256;
-/// Bounds of the process of the gate.
-const BOUNDS: Bounds = Bounds {
-    memory_kb: MEMORY_MB * 1024,
-    descriptors: DESCRIPTORS,
-};
-/// Number of clients in a crowd.
-const CROWD: usize = 320;
 /// Size of a body within the limit of the gate, 1 MiB.
 const LEGAL_BODY: usize = 1_000_000;
 /// Size of a body over that limit.
 const LARGE_BODY: usize = 4_000_000;
-/// Time-out of every wait, long enough for a busy machine.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
-const CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// Time-out of one attempt of an ordinary client.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Head of a request without the headers of its body.
 const HEAD: &str = "POST /validate HTTP/1.1\r\nHost: gate\r\nx-magpie-class: validation\r\n";
 
 /// Held by the test that runs.
 static TURN: Mutex<()> = Mutex::new(());
 
-/// Waits until `condition` holds; panics with `description` after [`WAIT_TIMEOUT`].
-fn until(description: &str, mut condition: impl FnMut() -> bool) {
-    let start = Instant::now();
-    while !condition() {
-        let is_late = start.elapsed() >= WAIT_TIMEOUT;
-        assert!(!is_late, "timed out waiting: {description}");
-        thread::sleep(CHECK_INTERVAL);
-    }
-}
-
 /// Sends an ordinary request. Returns true if the gate gives an answer with a verdict: without a
 /// table, that it was not run.
 fn is_answered(gate: SocketAddr) -> bool {
-    let call = Call {
-        method: "POST",
-        url: &format!("http://{gate}/validate"),
-        headers: &[("x-magpie-class", "validation"), ("x-id", "1")],
-        body: b"draft",
-        timeout: ATTEMPT_TIMEOUT.into(),
-    };
-    let answer = Client::new(None).send(&call);
-    answer.is_ok_and(|answer| answer.header("x-magpie-verdict") == "not-run")
-}
-
-/// Returns true if the operators' port answers.
-fn is_alive(ops: SocketAddr) -> bool {
-    let call = Call {
-        method: "GET",
-        url: &format!("http://{ops}/healthz"),
-        headers: &[],
-        body: &[],
-        timeout: ATTEMPT_TIMEOUT.into(),
-    };
-    let answer = Client::new(None).send(&call);
-    answer.is_ok_and(|answer| answer.status == 200)
+    let headers = [("x-magpie-class", "validation"), ("x-id", "1")];
+    let answer = send(gate, ("POST", "/validate"), &headers, b"draft");
+    answer.is_some_and(|answer| answer.header("x-magpie-verdict") == "not-run")
 }
 
 /// Starts a gate, gathers a crowd at the port that `select` returns, and checks the gate while it is
@@ -97,20 +47,18 @@
         ("MAGPIE_BOXES", boxes),
         ("MAGPIE_LISTEN", gate.to_string()),
         ("MAGPIE_OPS", ops.to_string()),
-        ("MAGPIE_MEMORY_MB", MEMORY_MB.to_string()),
-        ("MAGPIE_DESCRIPTORS", DESCRIPTORS.to_string()),
     ];
-    let variables = variables.each_ref().map(|(name, text)| (*name, &**text));
-    let mut program = Program::start(env!("CARGO_BIN_EXE_magpie-gate"), &variables).unwrap();
+    let path = env!("CARGO_BIN_EXE_magpie-gate");
+    let mut program = Program::start(path, SMALL_MACHINE, &variables).unwrap();
     program.watch(gate);
     program.watch(ops);
     until("the gate answers", || is_answered(gate));
     let address = select([gate, ops]);
-    let _crowd = Crowd::gather(address, CROWD, script, || program.observe());
+    let _crowd = Crowd::gather(address, script, || program.observe());
     program.settle();
     until("an ordinary request is answered", || is_answered(gate));
-    until("the operators' port answers", || is_alive(ops));
-    assert_eq!(program.check(BOUNDS), Ok(()));
+    until("the operators' port answers", || is_served(ops, "/healthz"));
+    assert_eq!(program.check(), Ok(()));
 }
 
 #[test_case(Script::sized(HEAD, &[b'x'; LEGAL_BODY]); "gate sized stalled")]
