Server: one constructor of blocking handlers; one place for callers' limits

Cause: five places built the same handlers of a port, and the box repeated the default limits that the decoder of the configuration has.

No behaviour changes.

--- a/components/gate/src/service.rs
+++ b/components/gate/src/service.rs
@@ -13,7 +13,7 @@
         client::PoolLimits,
         ops::{self, Readiness},
         resources::{PortKind, Resources},
-        server::{Bounds, RequestLimits, Service as Handlers, refuse},
+        server::{Bounds, RequestLimits, Service as Handlers},
         task::Signal,
         token::Token,
     },
@@ -203,11 +203,10 @@
 
 /// Opens the callers' port, which stays open until the process exits. Returns its address.
 fn open_callers((address, bounds): (SocketAddr, Bounds), shared: Shared) -> io::Result<SocketAddr> {
+    let handler = Arc::new(move |request| forward::handle(&shared, request));
     let handlers = Handlers {
-        fast: Arc::new(Some),
-        handler: Arc::new(move |request| forward::handle(&shared, request)),
-        concurrency: bounds.max_connections,
         refuse: response::from_body_error,
+        ..Handlers::blocking(bounds.max_connections, handler)
     };
     let server = Server::open_with_bounds(address, bounds, None, handlers)?;
     let address = server.address();
@@ -236,11 +235,6 @@
             _ => request.respond(Reply::text(404, "no such path\n")),
         }
     };
-    let handlers = Handlers {
-        fast: Arc::new(Some),
-        handler: Arc::new(handler),
-        concurrency: OPS_CONCURRENCY,
-        refuse,
-    };
+    let handlers = Handlers::blocking(OPS_CONCURRENCY, Arc::new(handler));
     Server::open_with_bounds(address, bounds, token, handlers)
 }
--- a/components/job/src/queue.rs
+++ b/components/job/src/queue.rs
@@ -52,6 +52,17 @@
     pub idle_timeout: Duration,
 }
 
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            max_body: 256 * 1024,
+            max_header: 16 * 1024,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
 /// One version of the configuration.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Config {
--- a/components/kernel/src/server.rs
+++ b/components/kernel/src/server.rs
@@ -307,6 +307,19 @@
     pub refuse: fn(BodyError) -> Reply,
 }
 
+impl Service {
+    /// Handles all requests on threads for blocking work, up to `tasks` of them concurrently, and
+    /// refuses bodies with an encoded failure.
+    pub fn blocking(tasks: usize, handler: Handler) -> Self {
+        Service {
+            fast: Arc::new(Some),
+            handler,
+            concurrency: tasks,
+            refuse,
+        }
+    }
+}
+
 /// Responds to a request whose body is refused with an encoded failure.
 pub fn refuse(error: BodyError) -> Reply {
     Reply::failure(&error.into())
@@ -336,12 +349,7 @@
         token: Option<Token>,
         handler: Handler,
     ) -> io::Result<Self> {
-        let service = Service {
-            fast: Arc::new(Some),
-            handler,
-            concurrency: tasks,
-            refuse,
-        };
+        let service = Service::blocking(tasks, handler);
         Self::open_with_bounds(address, Bounds::internal(), token, service)
     }
 
--- a/components/sched/src/service.rs
+++ b/components/sched/src/service.rs
@@ -14,7 +14,7 @@
         client::PoolLimits,
         ops::Readiness,
         resources::{PortKind, Resources},
-        server::{Bounds, Service as Handlers, refuse},
+        server::{Bounds, Service as Handlers},
         task::{self, Signal},
         token::Token,
     },
@@ -124,12 +124,7 @@
             Some(port) => port.handle(request),
             None => request.respond(kernel::Reply::text(503, "starting\n")),
         });
-        let handlers = Handlers {
-            fast: Arc::new(Some),
-            handler,
-            concurrency: CONCURRENCY,
-            refuse,
-        };
+        let handlers = Handlers::blocking(CONCURRENCY, handler);
         let bounds = Bounds::new(&settings.resources, PortKind::Internal);
         let server = Server::open_with_bounds(settings.listen, bounds, settings.token, handlers)?;
         let url = settings.url.unwrap_or_else(|| Arc::from(server.url()));
--- a/components/table/src/service.rs
+++ b/components/table/src/service.rs
@@ -13,7 +13,7 @@
         ActorThread, Client, Failure, Reply, Request, Server,
         ops::{self, Readiness},
         resources::{PortKind, Resources},
-        server::{Bounds, Service as Handlers, refuse},
+        server::{Bounds, Service as Handlers},
         sync::lock,
         task::{self, Signal},
         token::Token,
@@ -90,12 +90,7 @@
             pending_edits: AtomicUsize::new(0),
         };
         let handler = Arc::new(move |request| port.handle(request));
-        let handlers = Handlers {
-            fast: Arc::new(Some),
-            handler,
-            concurrency: CONCURRENCY,
-            refuse,
-        };
+        let handlers = Handlers::blocking(CONCURRENCY, handler);
         let bounds = Bounds::new(&settings.resources, PortKind::Internal);
         let server = Server::open_with_bounds(settings.listen, bounds, settings.token, handlers)?;
         // `stop` does not join these threads: one may be in a long watch of the store, and it ends
--- a/programs/box/src/ports.rs
+++ b/programs/box/src/ports.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::cli::Setup,
+    job::queue::Limits,
     kernel::{
         Request, Server, ops,
         resources::PortKind,
@@ -21,17 +22,9 @@
             Arc,
             atomic::{AtomicUsize, Ordering},
         },
-        time::Duration,
     },
 };
 
-/// Limits of callers' requests before there is a configuration.
-const CALLER_LIMITS: RequestLimits = RequestLimits {
-    max_head: 16 * 1024,
-    max_body: 256 * 1024,
-    head_timeout: Duration::from_secs(3),
-    idle_timeout: Duration::from_secs(15),
-};
 /// Maximum size of a message of another box in bytes.
 const MAX_PEER_BODY: usize = 1024 * 1024;
 /// Maximum number of concurrent requests of other boxes. Some of them wait for the store.
@@ -135,13 +128,13 @@
     Server::open_with_bounds(setup.callers, bounds, None, service)
 }
 
-/// The limits of callers' requests in the operators' configuration.
+/// The limits of callers' requests in the operators' configuration, or the default ones before there
+/// is a configuration.
 fn caller_limits(node: &Node) -> RequestLimits {
     let config = node.shared.config.load();
-    let Some(config) = &*config else {
-        return CALLER_LIMITS;
-    };
-    let limits = &config.limits;
+    let limits = config
+        .as_ref()
+        .map_or_else(Limits::default, |config| config.limits);
     RequestLimits {
         max_head: limits.max_header,
         max_body: limits.max_body,
