--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -19,6 +19,7 @@
     let result = match case {
         "batch-crash" => batch_crash(&world, trouble),
         "distrust" => distrust(&world, trouble),
+        "burst-crash" => burst_crash(&world, trouble),
         "lasting-crash" => lasting_crash(&world, trouble),
         _ => 2,
     };
@@ -225,3 +226,63 @@
         HELD
     }
 }
+
+/// Eighty small jobs come within two seconds, then one minion crashes once.
+fn burst_crash(world: &World, trouble: bool) -> i32 {
+    let body = r#"{"specification":"work 30000","steps":[{"count":1,"cpu":200,"memMb":256,"estimatedMs":30000}]}"#;
+    let ids: Vec<String> = (0..80)
+        .map(|number| format!("{:016x}", 0x5c0e_5000_u64 + number))
+        .collect();
+    for id in &ids {
+        if !world.submit(&format!("{BATCH}{id}"), "work 30000", 200, body) {
+            return 2;
+        }
+    }
+    thread::sleep(Duration::from_millis(300));
+    let load = |minion: &std::sync::Arc<crate::minion::Minion>| {
+        let life = minion.life.lock().unwrap().clone();
+        life.map_or(0, |life| life.running().len())
+    };
+    let busiest = world.minions.iter().max_by_key(|minion| load(minion));
+    let Some(busiest) = busiest else { return 2 };
+    let crashed = Instant::now();
+    if trouble {
+        busiest.crash();
+        thread::sleep(DOWN);
+        busiest.start().expect("the minion starts again");
+    }
+    // The minion is back after two seconds; four calm seconds later the three seconds begin in which
+    // a job must not have nothing running.
+    let mut idle: Vec<Option<Instant>> = vec![None; ids.len()];
+    let mut broken = 0;
+    for second in 0..12 {
+        let until = crashed + Duration::from_millis(6_500 + second * 1_000);
+        while Instant::now() < until {
+            let running = world.running();
+            for (id, since) in ids.iter().zip(&mut idle) {
+                let is_running = running.iter().any(|task| task.starts_with(id.as_str()));
+                let is_calm = crashed.elapsed() > DOWN + Duration::from_secs(4);
+                *since = match (is_running, is_calm) {
+                    (false, true) => since.or(Some(Instant::now())),
+                    _ => None,
+                };
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        let over = Duration::from_secs(3);
+        let waiting = idle
+            .iter()
+            .filter(|since| since.is_some_and(|since| since.elapsed() > over));
+        let (waiting, (used, all)) = (waiting.count(), world.usage());
+        world.record.line(&format!(
+            "{:.1} s after the crash: {used} of {all} thousandths of a core in use, {waiting} jobs have had nothing running for 3 calm seconds",
+            crashed.elapsed().as_secs_f64()
+        ));
+        broken += usize::from(waiting > 0 && used * 2 < all);
+    }
+    if broken > 0 {
+        BROKEN
+    } else {
+        HELD
+    }
+}
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -186,6 +186,17 @@
             .map(|minion| minion.number)
     }
 
+    /// All tasks that run now.
+    pub fn running(&self) -> Vec<String> {
+        let mut tasks = Vec::new();
+        for minion in &self.minions {
+            if let Some(life) = &*minion.life.lock().unwrap() {
+                tasks.extend(life.running().into_iter().map(|(task, _)| task));
+            }
+        }
+        tasks
+    }
+
     /// Processors in use and in all, on minions that are up.
     pub fn usage(&self) -> (u64, u64) {
         let mut sum = (0, 0);
